--- /dev/null
+++ b/mountstand/background.py
@@ -0,0 +1,71 @@
+"""Repeated background work of a daemon: one thread per task, failures logged on change only."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+
+from mountstand.errors import MountstandError
+from mountstand.telemetry.logs import log_state_change
+
+logger = logging.getLogger(__name__)
+
+
+class PeriodicTask:
+    """Calls ``work`` every ``interval_s`` until stopped.
+
+    A failing task is logged once when it starts to fail and once when it works again.
+    """
+
+    def __init__(self, name: str, interval_s: float, work: Callable[[], None]) -> None:
+        self._name = name
+        self._interval_s = interval_s
+        self._work = work
+        self._failing = False
+        self._wake = threading.Event()
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Start the thread; the first call of ``work`` comes at once."""
+        self._thread.start()
+
+    def trigger(self) -> None:
+        """Call ``work`` now instead of after the rest of the interval."""
+        self._wake.set()
+
+    def stop(self) -> None:
+        """Stop after the present call of ``work``."""
+        self._stopping = True
+        self._wake.set()
+        if self._thread.is_alive() and threading.current_thread() is not self._thread:
+            self._thread.join(self._interval_s + 5.0)
+
+    def run_once(self) -> None:
+        """Call ``work`` and note whether it failed."""
+        try:
+            self._work()
+        except MountstandError as error:
+            self._note_failure(error.code, error.detail)
+        except Exception as error:
+            if not self._failing:
+                logger.exception("background task failed", extra={"task": self._name})
+            self._note_failure(type(error).__name__, str(error))
+        else:
+            if self._failing:
+                self._failing = False
+                log_state_change(logger, "background task works again", task=self._name)
+
+    def _note_failure(self, code: str, detail: str) -> None:
+        if not self._failing:
+            self._failing = True
+            log_state_change(
+                logger, "background task fails", task=self._name, code=code, detail=detail
+            )
+
+    def _run(self) -> None:
+        while not self._stopping:
+            self.run_once()
+            self._wake.wait(self._interval_s)
+            self._wake.clear()
--- /dev/null
+++ b/mountstand/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: acceptance, ownership, execution and results."""
--- /dev/null
+++ b/mountstand/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of mountstand, one module per command group."""
--- /dev/null
+++ b/mountstand/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, applications and the platform, with switchable faults."""
--- /dev/null
+++ b/mountstand/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Port to model engines and its HTTP adapter."""
--- /dev/null
+++ b/mountstand/engines/http_backend.py
@@ -0,0 +1,334 @@
+"""HTTP adapter of the back-end port: urllib3 connections and pools, checked answers.
+
+Connections for whole answers are kept and reused after a clean exchange only. Streams and requests
+that must not run twice get a connection of their own, so a connection that died while idle can
+never be mistaken for a request that may have been run.
+"""
+
+from __future__ import annotations
+
+import http.client
+import select
+import socket
+import threading
+import time
+from collections import defaultdict
+
+import orjson
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from mountstand.engines.port import (
+    BackendAnswer,
+    BackendPort,
+    BackendRequest,
+    CacheChange,
+    CallerGone,
+    LoadModelOrder,
+    LoadReport,
+    OpenStream,
+)
+from mountstand.errors import (
+    BackendFailed,
+    BackendRefused,
+    BackendUnreachable,
+    DeadlineExceeded,
+    Executed,
+)
+from mountstand.platform.ports import Machine
+
+CONNECT_TIMEOUT_S = 1.0
+CALLER_CHECK_INTERVAL_S = 0.25
+CONTROL_TIMEOUT_S = 1.0
+IDLE_CONNECTIONS_PER_MACHINE = 64
+IDLE_CONNECTION_S = 20.0
+"""Idle connections older than this are closed; back ends commonly close theirs later."""
+
+READ_CHUNK_BYTES = 65536
+GONE_STATUS = 499
+
+
+class CallerLeft(BackendFailed):
+    """The caller closed its connection while the back end was working."""
+
+    code = "caller_left"
+    title = "The caller left before the answer came"
+    remedy = "None needed: the work was cancelled at the back end."
+
+
+class ConnectionPool:
+    """Idle connections by machine address, newest first."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._idle: dict[tuple[str, int], list[tuple[float, HTTPConnection]]] = defaultdict(list)
+
+    def take(self, machine: Machine) -> HTTPConnection | None:
+        """Return a usable idle connection, or ``None``."""
+        oldest_s = time.monotonic() - IDLE_CONNECTION_S
+        with self._lock:
+            idle = self._idle[machine.address, machine.port]
+            while idle:
+                returned_s, connection = idle.pop()
+                if returned_s >= oldest_s and connection.is_connected:
+                    return connection
+                connection.close()
+        return None
+
+    def give_back(self, machine: Machine, connection: HTTPConnection) -> None:
+        """Keep a connection whose exchange ended cleanly."""
+        with self._lock:
+            idle = self._idle[machine.address, machine.port]
+            if len(idle) < IDLE_CONNECTIONS_PER_MACHINE:
+                idle.append((time.monotonic(), connection))
+                return
+        connection.close()
+
+
+class HttpBackend(BackendPort):
+    """Back ends over HTTP; one instance serves all machines of a daemon."""
+
+    def __init__(self) -> None:
+        self._pool = ConnectionPool()
+        self._control = urllib3.PoolManager(
+            num_pools=512, maxsize=2, retries=False, timeout=urllib3.Timeout(CONTROL_TIMEOUT_S)
+        )
+
+    def call(
+        self,
+        machine: Machine,
+        request: BackendRequest,
+        timeout_s: float,
+        caller_gone: CallerGone | None = None,
+    ) -> BackendAnswer:
+        """Send a request and return its whole answer; see :meth:`BackendPort.call`."""
+        deadline_s = time.monotonic() + timeout_s
+        connection = self._pool.take(machine) or connect(machine, timeout_s)
+        clean = False
+        try:
+            response = exchange_head(connection, request, deadline_s, caller_gone)
+            body = read_body(connection, response, deadline_s)
+            clean = not response.will_close
+            check_answer(machine, request, response, body)
+            return BackendAnswer(
+                response.status, response.getheader("Content-Type", "application/json"), body
+            )
+        finally:
+            if clean:
+                self._pool.give_back(machine, connection)
+            else:
+                connection.close()
+
+    def open_stream(
+        self,
+        machine: Machine,
+        request: BackendRequest,
+        timeout_s: float,
+        caller_gone: CallerGone | None = None,
+    ) -> OpenStream:
+        """Open a stream on a connection of its own; see :meth:`BackendPort.open_stream`."""
+        deadline_s = time.monotonic() + timeout_s
+        connection = connect(machine, timeout_s)
+        try:
+            response = exchange_head(connection, request, deadline_s, caller_gone)
+            if response.status != http.client.OK:
+                body = read_body(connection, response, deadline_s)
+                check_answer(machine, request, response, body)
+                raise BackendFailed(f"status {response.status} instead of a stream")
+            check_echo(machine, request, response)
+            first_bytes = self._first_bytes(connection, response, deadline_s, caller_gone)
+            stream_socket = connection.sock
+            assert stream_socket is not None
+            # A duplicate, because the connection object closes its own socket below.
+            return OpenStream(stream_socket.dup(), first_bytes, chunked=bool(response.chunked))
+        finally:
+            connection.close()
+
+    def _first_bytes(
+        self,
+        connection: HTTPConnection,
+        response: http.client.HTTPResponse,
+        deadline_s: float,
+        caller_gone: CallerGone | None,
+    ) -> bytes:
+        buffered = buffered_bytes(connection, response)
+        while not buffered:
+            wait_for_answer(connection, deadline_s, caller_gone)
+            buffered = buffered_bytes(connection, response)
+            if not buffered and is_closed(connection):
+                raise BackendFailed("the stream ended before its first byte")
+        return buffered
+
+    def cancel(self, machine: Machine, request_id: str) -> None:
+        """Stop a dispatched request; best effort."""
+        url = f"http://{machine.address}:{machine.port}/v1/streams/{request_id}"
+        try:
+            self._control.request("DELETE", url)
+        except HTTPError:
+            return
+
+    def load(self, machine: Machine) -> LoadReport:
+        """Return the back end's load report."""
+        report = self._get_json(machine, "/load")
+        try:
+            return LoadReport(**report)
+        except TypeError as problem:
+            raise BackendFailed(f"{machine.machine_id}: load report: {problem}") from None
+
+    def cache_changes(self, machine: Machine, after: int) -> tuple[list[CacheChange], int]:
+        """Return cache changes numbered over ``after`` and the highest number covered."""
+        report = self._get_json(machine, f"/cache_events?after={after}")
+        return [CacheChange(**event) for event in report["events"]], int(report["last"])
+
+    def order_load_model(self, machine: Machine, order: LoadModelOrder) -> bool:
+        """Give a fenced order; return ``False`` when the engine has seen a higher epoch."""
+        body = {"epoch": order.epoch, "kind": "load_model"}
+        body |= {"model": order.model, "version": order.version}
+        response = self._control_request(machine, "POST", "/orders", orjson.dumps(body))
+        return response.status == http.client.OK
+
+    def _get_json(self, machine: Machine, path: str) -> dict:
+        response = self._control_request(machine, "GET", path, None)
+        try:
+            return orjson.loads(response.data)
+        except ValueError:
+            raise BackendFailed(f"{machine.machine_id}: {path} is not JSON") from None
+
+    def _control_request(
+        self, machine: Machine, method: str, path: str, body: bytes | None
+    ) -> urllib3.BaseHTTPResponse:
+        url = f"http://{machine.address}:{machine.port}{path}"
+        try:
+            return self._control.request(method, url, body=body)
+        except (NewConnectionError, ConnectTimeoutError):
+            raise BackendUnreachable(f"{machine.machine_id}: no connection") from None
+        except HTTPError as problem:
+            raise BackendFailed(f"{machine.machine_id}: {type(problem).__name__}") from None
+
+
+def connect(machine: Machine, timeout_s: float) -> HTTPConnection:
+    """Open a connection; raise ``BackendUnreachable`` when nothing could be sent."""
+    connection = HTTPConnection(
+        machine.address, machine.port, timeout=max(0.001, min(CONNECT_TIMEOUT_S, timeout_s))
+    )
+    try:
+        connection.connect()
+    except (HTTPError, OSError) as problem:
+        connection.close()
+        raise BackendUnreachable(f"{machine.machine_id}: {type(problem).__name__}") from None
+    assert connection.sock is not None
+    connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return connection
+
+
+def exchange_head(
+    connection: HTTPConnection,
+    request: BackendRequest,
+    deadline_s: float,
+    caller_gone: CallerGone | None,
+) -> http.client.HTTPResponse:
+    """Send ``request`` and return the answer's head."""
+    headers = {
+        "Content-Type": "application/json",
+        **request.headers,
+        "X-Request-Id": request.request_id,
+        "X-Priority": str(request.priority),
+        "X-Label": request.label,
+    }
+    try:
+        connection.request(request.method, request.path, body=request.body, headers=headers)
+        wait_for_answer(connection, deadline_s, caller_gone)
+        set_timeout(connection, deadline_s)
+        return http.client.HTTPConnection.getresponse(connection)
+    except TimeoutError:
+        raise DeadlineExceeded() from None
+    except (OSError, http.client.HTTPException, HTTPError) as problem:
+        raise BackendFailed(f"the exchange broke: {type(problem).__name__}") from None
+
+
+def read_body(
+    connection: HTTPConnection, response: http.client.HTTPResponse, deadline_s: float
+) -> bytes:
+    """Read the whole body; a body shorter than announced is an error."""
+    try:
+        set_timeout(connection, deadline_s)
+        return response.read()
+    except TimeoutError:
+        raise DeadlineExceeded() from None
+    except (OSError, http.client.HTTPException) as problem:
+        raise BackendFailed(f"the answer broke off: {type(problem).__name__}") from None
+
+
+def wait_for_answer(
+    connection: HTTPConnection, deadline_s: float, caller_gone: CallerGone | None
+) -> None:
+    """Wait until the back end sends something, the deadline passes or the caller leaves."""
+    while True:
+        left_s = deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise DeadlineExceeded()
+        interval_s = left_s if caller_gone is None else min(left_s, CALLER_CHECK_INTERVAL_S)
+        poller = select.poll()
+        poller.register(connection.sock, select.POLLIN)
+        if poller.poll(interval_s * 1000):
+            return
+        if caller_gone is not None and caller_gone():
+            raise CallerLeft()
+
+
+def set_timeout(connection: HTTPConnection, deadline_s: float) -> None:
+    """Bound the next blocking read by the deadline."""
+    assert connection.sock is not None
+    connection.sock.settimeout(max(0.001, deadline_s - time.monotonic()))
+
+
+def buffered_bytes(connection: HTTPConnection, response: http.client.HTTPResponse) -> bytes:
+    """Take the body bytes that have arrived, without waiting and without decoding them."""
+    if response.fp is None or connection.sock is None:
+        return b""
+    connection.sock.setblocking(False)
+    taken = response.fp.peek(READ_CHUNK_BYTES)
+    return response.fp.read(len(taken)) if taken else b""
+
+
+def is_closed(connection: HTTPConnection) -> bool:
+    """Return whether the back end has closed its side."""
+    assert connection.sock is not None
+    try:
+        return connection.sock.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def check_answer(
+    machine: Machine, request: BackendRequest, response: http.client.HTTPResponse, body: bytes
+) -> None:
+    """Raise unless the answer is a whole answer to ``request`` that the back end ran."""
+    if response.getheader("X-Executed") == Executed.NO.value:
+        retry_after = response.getheader("Retry-After")
+        raise BackendRefused(
+            f"{machine.machine_id}: status {response.status}",
+            retry_after_s=float(retry_after) if retry_after else None,
+        )
+    if response.status >= http.client.INTERNAL_SERVER_ERROR or response.status == GONE_STATUS:
+        raise BackendFailed(f"{machine.machine_id}: status {response.status}")
+    if response.status < http.client.BAD_REQUEST:
+        check_echo(machine, request, response)
+
+
+class CrossedAnswer(BackendFailed):
+    """The answer belongs to another request and was discarded."""
+
+    code = "crossed_answer"
+    title = "The back end sent the answer to another request"
+
+
+def check_echo(
+    machine: Machine, request: BackendRequest, response: http.client.HTTPResponse
+) -> None:
+    """Raise ``CrossedAnswer`` unless the back end echoes the dispatch id."""
+    if response.getheader("X-Request-Id") != request.request_id:
+        raise CrossedAnswer(machine.machine_id)
--- /dev/null
+++ b/mountstand/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interfaces of a daemon: callers, operators, peers and health."""
--- /dev/null
+++ b/mountstand/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, experiments and history checking."""
--- /dev/null
+++ b/mountstand/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Member list of daemons: failure detection and gossip."""
--- /dev/null
+++ b/mountstand/online/__init__.py
@@ -0,0 +1,1 @@
+"""Online requests: admission, dispatch, retries and stream relay."""
--- /dev/null
+++ b/mountstand/online/dispatcher.py
@@ -0,0 +1,212 @@
+"""Dispatch of one online request: choose, send, and retry only where that is safe.
+
+A retry is safe when nothing was sent, when the back end says that it did not run the request, or
+when the request is repeatable. ``executed`` of the final error covers every try: it says ``no``
+only if no try can have been run.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from mountstand.engines.http_backend import CallerLeft, CrossedAnswer
+from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest, OpenStream
+from mountstand.errors import (
+    BackendFailed,
+    BackendRefused,
+    BackendUnreachable,
+    DeadlineExceeded,
+    Executed,
+    MountstandError,
+    NoBackend,
+    Overloaded,
+)
+from mountstand.online.request import OnlineRequest
+from mountstand.online.retry_budget import RetryBudget
+from mountstand.platform.ports import Machine
+from mountstand.routing.chooser import RouteRequest
+from mountstand.routing.fleet_view import DispatchOutcome
+from mountstand.routing.router import Router
+from mountstand.telemetry.metrics import DaemonMetrics
+
+ONLINE_PRIORITY = 0
+MAX_TRIES = 6
+REFUSED_PAUSE_S = 0.05
+"""How long a worker that refused for lack of room is left out, unless it says otherwise."""
+
+NO_WORKER_PAUSE_S = 0.02
+FIRST_TRY_SHARE = 0.5
+"""Share of the time left that a repeatable try may take, so that a frozen back end leaves room."""
+
+MIN_TRY_S = 0.5
+CANCEL_THREADS = 4
+
+Result = TypeVar("Result", BackendAnswer, OpenStream)
+
+
+@dataclass
+class Dispatched(Generic[Result]):
+    """A dispatch that succeeded: where, under which id, and what came back."""
+
+    machine: Machine
+    request_id: str
+    result: Result
+
+
+class Dispatcher:
+    """Sends online requests to back ends; thread-safe."""
+
+    def __init__(
+        self,
+        router: Router,
+        backend: BackendPort,
+        metrics: DaemonMetrics,
+        record_backend_full: Callable[[str], None],
+    ) -> None:
+        self._router = router
+        self._backend = backend
+        self._metrics = metrics
+        self._record_backend_full = record_backend_full
+        self._budget = RetryBudget()
+        self._budget_lock = threading.Lock()
+        self._cancellers = ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="cancel")
+
+    def call(self, request: OnlineRequest) -> Dispatched[BackendAnswer]:
+        """Run a request and return its whole answer."""
+
+        def send(machine: Machine, dispatch: BackendRequest, timeout_s: float) -> BackendAnswer:
+            return self._backend.call(machine, dispatch, timeout_s, request.caller_gone)
+
+        dispatched = self._try_until_done(request, send)
+        self._router.end(dispatched.machine.machine_id, DispatchOutcome.SUCCESS)
+        return dispatched
+
+    def open_stream(
+        self, request: OnlineRequest, excluded: frozenset[str] = frozenset()
+    ) -> Dispatched[OpenStream]:
+        """Start a stream; the caller reports its end with :meth:`end_stream`."""
+
+        def send(machine: Machine, dispatch: BackendRequest, timeout_s: float) -> OpenStream:
+            return self._backend.open_stream(machine, dispatch, timeout_s, request.caller_gone)
+
+        return self._try_until_done(request, send, excluded)
+
+    def end_stream(self, machine: Machine, outcome: DispatchOutcome) -> None:
+        """Report how a stream ended."""
+        self._router.end(machine.machine_id, outcome)
+
+    def cancel(self, machine: Machine, request_id: str) -> None:
+        """Cancel a dispatch at the back end without waiting for it."""
+        self._cancellers.submit(self._backend.cancel, machine, request_id)
+
+    def _try_until_done(
+        self,
+        request: OnlineRequest,
+        send: Callable[[Machine, BackendRequest, float], Result],
+        excluded: frozenset[str] = frozenset(),
+    ) -> Dispatched[Result]:
+        with self._budget_lock:
+            self._budget.deposit()
+        maybe_executed = False
+        last_error: MountstandError | None = None
+        for _ in range(MAX_TRIES):
+            machine = self._choose(request, excluded, last_error)
+            if machine is None:
+                break
+            dispatch = to_backend_request(request)
+            try:
+                result = send(machine, dispatch, try_timeout_s(request))
+                return Dispatched(machine, dispatch.request_id, result)
+            except MountstandError as error:
+                last_error = error
+                self._learn(request, machine, dispatch.request_id, error)
+                excluded = excluded | {machine.machine_id}
+                maybe_executed = maybe_executed or error.executed is not Executed.NO
+                if not self._may_retry(request, error):
+                    break
+                self._metrics.online_retries.labels(error.code).inc()
+        raise final_error(last_error, request, maybe_executed=maybe_executed)
+
+    def _choose(
+        self, request: OnlineRequest, excluded: frozenset[str], last_error: MountstandError | None
+    ) -> Machine | None:
+        route = RouteRequest(request.service, request.prefix, excluded)
+        machine = self._router.begin(route)
+        if machine is None and last_error is not None:
+            # Every worker was tried or refuses just now: those tried may be asked again once.
+            time.sleep(max(0.0, min(NO_WORKER_PAUSE_S, request.deadline_s - time.monotonic())))
+            machine = self._router.begin(RouteRequest(request.service, request.prefix))
+        return machine
+
+    def _learn(
+        self, request: OnlineRequest, machine: Machine, request_id: str, error: MountstandError
+    ) -> None:
+        worker_id = machine.machine_id
+        if isinstance(error, BackendRefused):
+            self._router.end(worker_id, DispatchOutcome.REFUSED)
+            self._router.refuse_until(worker_id, error.retry_after_s or REFUSED_PAUSE_S)
+            self._record_backend_full(request.service)
+            return
+        if isinstance(error, CallerLeft):
+            self._router.end(worker_id, DispatchOutcome.NEUTRAL)
+        else:
+            self._router.end(worker_id, DispatchOutcome.FAILED)
+        if isinstance(error, CrossedAnswer):
+            self._metrics.crossed_answers.inc()
+        if error.executed is not Executed.NO:
+            self.cancel(machine, request_id)
+
+    def _may_retry(self, request: OnlineRequest, error: MountstandError) -> bool:
+        if isinstance(error, CallerLeft) or time.monotonic() >= request.deadline_s:
+            return False
+        if error.executed is Executed.NO:
+            return True
+        if not request.repeatable:
+            return False
+        with self._budget_lock:
+            return self._budget.withdraw()
+
+
+def to_backend_request(request: OnlineRequest) -> BackendRequest:
+    """Return a dispatch of ``request`` under a fresh id."""
+    return BackendRequest(
+        request_id=uuid.uuid4().hex,
+        method=request.method,
+        path=request.path,
+        body=request.body,
+        priority=ONLINE_PRIORITY,
+        label=request.request_id,
+        headers=request.headers,
+    )
+
+
+def try_timeout_s(request: OnlineRequest) -> float:
+    """Return how long one try may take."""
+    left_s = max(0.0, request.deadline_s - time.monotonic())
+    if not request.repeatable:
+        return left_s
+    return min(left_s, max(MIN_TRY_S, left_s * FIRST_TRY_SHARE))
+
+
+def final_error(
+    last_error: MountstandError | None, request: OnlineRequest, *, maybe_executed: bool
+) -> MountstandError:
+    """Return the error that the caller sees, with an execution claim that covers every try."""
+    error = last_error
+    if error is None:
+        error = NoBackend(f"service {request.service}")
+    elif isinstance(error, BackendRefused):
+        error = Overloaded(f"every back end of {request.service} refused", retry_after_s=1.0)
+    elif isinstance(error, BackendUnreachable):
+        error = NoBackend(f"service {request.service}")
+    elif isinstance(error, DeadlineExceeded) and time.monotonic() < request.deadline_s:
+        error = BackendFailed("the back end did not answer within its share of the time")
+    if maybe_executed:
+        error.executed = Executed.UNKNOWN
+    return error
--- /dev/null
+++ b/mountstand/online/event_stream.py
@@ -0,0 +1,82 @@
+"""Decoding of one upstream event stream into whole frames; pure, no sockets.
+
+The transfer encoding is decoded by httptools. A frame is relayed only when it is whole, so that a
+broken stream can be continued at a frame boundary without a doubled or missing token.
+"""
+
+from __future__ import annotations
+
+import httptools
+
+FRAME_END = b"\n\n"
+DONE_FRAME = b"data: [DONE]\n\n"
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class MalformedStream(Exception):
+    """The upstream bytes are not a valid chunked body."""
+
+
+class EventStreamDecoder:
+    """Turns upstream bytes into whole frames.
+
+    Parameters
+    ----------
+    chunked
+        Whether the body is in chunked transfer encoding.
+    skip_frames
+        Frames to drop at the start, because an earlier stream already relayed them.
+    """
+
+    def __init__(self, *, chunked: bool, skip_frames: int = 0) -> None:
+        self.frames = 0
+        """Whole frames given out, the closing one not counted."""
+        self.done = False
+        """Whether the closing frame was given out."""
+        self._skip_frames = skip_frames
+        self._pending = b""
+        self._body: list[bytes] = []
+        self._parser: httptools.HttpResponseParser | None = None
+        if chunked:
+            self._parser = httptools.HttpResponseParser(self)
+            self._parser.feed_data(CHUNKED_HEAD)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a decoded piece from the parser."""
+        self._body.append(body)
+
+    def feed(self, received: bytes) -> bytes:
+        """Take bytes from the back end; return the whole frames they complete."""
+        body = self._decode(received)
+        whole, separator, rest = (self._pending + body).rpartition(FRAME_END)
+        self._pending = rest
+        if not separator:
+            return b""
+        return self._account(whole + separator)
+
+    def _decode(self, received: bytes) -> bytes:
+        if self._parser is None:
+            return received
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserError as problem:
+            raise MalformedStream(str(problem)) from None
+        body = b"".join(self._body)
+        self._body.clear()
+        return body
+
+    def _account(self, frames: bytes) -> bytes:
+        if self._skip_frames:
+            frames = self._drop_skipped(frames)
+        count = frames.count(FRAME_END)
+        if frames.endswith(DONE_FRAME):
+            self.done = True
+            count -= 1
+        self.frames += count
+        return frames
+
+    def _drop_skipped(self, frames: bytes) -> bytes:
+        parts = frames.split(FRAME_END)[:-1]
+        dropped = min(self._skip_frames, len(parts))
+        self._skip_frames -= dropped
+        return b"".join(part + FRAME_END for part in parts[dropped:])
--- /dev/null
+++ b/mountstand/online/service.py
@@ -0,0 +1,212 @@
+"""Online requests of one daemon: admission, dispatch, idempotency and held streams together."""
+
+from __future__ import annotations
+
+import logging
+import socket
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+import orjson
+
+from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest, OpenStream
+from mountstand.errors import MountstandError
+from mountstand.online.admission import Ticket
+from mountstand.online.admission_gate import AdmissionGate
+from mountstand.online.dispatcher import ONLINE_PRIORITY, Dispatched, Dispatcher
+from mountstand.online.event_stream import EventStreamDecoder
+from mountstand.online.idempotency import IdempotentRunner
+from mountstand.online.request import OnlineRequest
+from mountstand.online.stream_relay import (
+    RelayedStream,
+    StreamEnd,
+    StreamRelay,
+    abort_caller,
+)
+from mountstand.platform.ports import Machine, TablePort
+from mountstand.routing.fleet_view import DispatchOutcome
+from mountstand.routing.router import Router
+from mountstand.telemetry.metrics import DaemonMetrics
+
+logger = logging.getLogger(__name__)
+
+RECOVERY_THREADS = 16
+RECOVERY_TIMEOUT_S = 10.0
+MAX_RECOVERIES = 3
+"""Times one stream is continued after a break; then the caller is told."""
+
+DispatchObserver = Callable[[Machine], None]
+"""Told of every online dispatch, to let batch work yield."""
+
+
+@dataclass
+class StreamLease:
+    """What an open stream holds until it ends."""
+
+    request: OnlineRequest
+    ticket: Ticket
+    machine: Machine
+    request_id: str
+    started_s: float
+    recoveries: int = 0
+
+
+class OnlineService:
+    """Runs online requests; thread-safe."""
+
+    def __init__(
+        self,
+        router: Router,
+        backend: BackendPort,
+        table: TablePort,
+        metrics: DaemonMetrics,
+    ) -> None:
+        self._backend = backend
+        self._metrics = metrics
+        self.gate = AdmissionGate(router.capacity)
+        self._dispatcher = Dispatcher(router, backend, metrics, self.gate.record_backend_full)
+        self._idempotent = IdempotentRunner(table)
+        self.relay = StreamRelay(metrics)
+        self._recovery = ThreadPoolExecutor(RECOVERY_THREADS, thread_name_prefix="stream-recovery")
+
+    def call(self, request: OnlineRequest) -> BackendAnswer:
+        """Run a request and return its whole answer."""
+        with self.gate.admitted(request.service, request.tenant, request.deadline_s):
+            if request.idempotency_key and not request.repeatable:
+                return self._idempotent.run(request, lambda: self._dispatch(request))
+            return self._dispatch(request)
+
+    def open_stream(self, request: OnlineRequest) -> tuple[StreamLease, OpenStream]:
+        """Start a stream; hand the result to :meth:`hold_stream`."""
+        ticket = self.gate.enter(request.service, request.tenant, request.deadline_s)
+        started_s = time.monotonic()
+        try:
+            opened = self._dispatcher.open_stream(request)
+        except BaseException:
+            self.gate.leave(request.service, ticket, time.monotonic() - started_s)
+            raise
+        self._metrics.first_token.observe(time.monotonic() - request.arrival_s)
+        lease = StreamLease(request, ticket, opened.machine, opened.request_id, started_s)
+        return lease, opened.result
+
+    def hold_stream(
+        self,
+        lease: StreamLease,
+        opened: OpenStream,
+        caller: socket.socket,
+        head: bytes,
+        *,
+        chunked_to_caller: bool,
+    ) -> None:
+        """Relay a stream to a caller's connection until it ends."""
+        stream = RelayedStream(
+            caller=caller,
+            upstream=opened.socket,
+            decoder=EventStreamDecoder(chunked=opened.chunked),
+            first_bytes=opened.first_bytes,
+            on_end=lambda ended, end: self._handle_stream_end(lease, ended, end),
+            chunked_to_caller=chunked_to_caller,
+            head=head,
+        )
+        self.relay.add(stream)
+
+    def wait_until_idle(self, timeout_s: float) -> bool:
+        """Wait for held streams to end; return whether all did."""
+        deadline_s = time.monotonic() + timeout_s
+        while self.relay.held:
+            if time.monotonic() >= deadline_s:
+                return False
+            time.sleep(0.02)
+        return True
+
+    def _dispatch(self, request: OnlineRequest) -> BackendAnswer:
+        dispatched: Dispatched[BackendAnswer] = self._dispatcher.call(request)
+        return dispatched.result
+
+    def _handle_stream_end(self, lease: StreamLease, stream: RelayedStream, end: StreamEnd) -> None:
+        if end is StreamEnd.BROKEN:
+            self._recovery.submit(self._recover, lease, stream)
+            return
+        if end is StreamEnd.CALLER_LEFT:
+            self._dispatcher.cancel(lease.machine, lease.request_id)
+            self._release(lease, DispatchOutcome.NEUTRAL)
+        else:
+            self._release(lease, DispatchOutcome.SUCCESS)
+
+    def _release(self, lease: StreamLease, outcome: DispatchOutcome) -> None:
+        self._dispatcher.end_stream(lease.machine, outcome)
+        service_time_s = time.monotonic() - lease.started_s
+        self.gate.leave(lease.request.service, lease.ticket, service_time_s)
+        self._metrics.online_requests.labels(lease.request.service, outcome.value).inc()
+
+    def _recover(self, lease: StreamLease, stream: RelayedStream) -> None:
+        """Continue a broken stream: resume at the engine, else run it again elsewhere."""
+        lease.recoveries += 1
+        try:
+            if lease.recoveries > MAX_RECOVERIES:
+                raise MountstandError("the stream broke too often")
+            if not self._resume(lease, stream):
+                self._run_again(lease, stream)
+        except MountstandError as error:
+            logger.info("stream cut off", extra={"code": error.code, "detail": error.detail})
+            abort_caller(stream, error_event(error))
+            self._release(lease, DispatchOutcome.FAILED)
+            return
+        except Exception:
+            logger.exception("stream recovery failed")
+            abort_caller(stream, error_event(MountstandError()))
+            self._release(lease, DispatchOutcome.FAILED)
+            return
+        self._metrics.streams_resumed.inc()
+        self.relay.add(stream)
+
+    def _resume(self, lease: StreamLease, stream: RelayedStream) -> bool:
+        """Ask the same engine to continue; return whether it did."""
+        body = {
+            "offset": stream.frames_relayed,
+            "chat": lease.request.path.endswith("/chat/completions"),
+        }
+        dispatch = BackendRequest(
+            request_id=lease.request_id,
+            method="POST",
+            path=f"/v1/streams/{lease.request_id}/resume",
+            body=orjson.dumps(body),
+            priority=ONLINE_PRIORITY,
+        )
+        try:
+            opened = self._backend.open_stream(lease.machine, dispatch, RECOVERY_TIMEOUT_S)
+        except MountstandError:
+            return False
+        stream.replace_upstream(opened.socket, opened.first_bytes, opened.chunked, 0)
+        return True
+
+    def _run_again(self, lease: StreamLease, stream: RelayedStream) -> None:
+        """Run the request on another worker and drop the frames already relayed."""
+        if not lease.request.repeatable:
+            raise MountstandError("the stream broke and must not run twice")
+        self._dispatcher.cancel(lease.machine, lease.request_id)
+        again = extend_deadline(lease.request, RECOVERY_TIMEOUT_S)
+        opened = self._dispatcher.open_stream(again, frozenset({lease.machine.machine_id}))
+        self._dispatcher.end_stream(lease.machine, DispatchOutcome.FAILED)
+        lease.machine = opened.machine
+        lease.request_id = opened.request_id
+        result = opened.result
+        stream.replace_upstream(
+            result.socket, result.first_bytes, result.chunked, stream.frames_relayed
+        )
+
+
+def extend_deadline(request: OnlineRequest, time_s: float) -> OnlineRequest:
+    """Return ``request`` with at least ``time_s`` left; its first token was in time already."""
+    fields = dict(request.__dict__)
+    fields["deadline_s"] = max(request.deadline_s, time.monotonic() + time_s)
+    fields["caller_gone"] = None
+    return OnlineRequest(**fields)
+
+
+def error_event(error: MountstandError) -> bytes:
+    """Return an event that tells why a stream ends early."""
+    body = {"error": {"code": error.code, "message": error.detail, "remedy": error.remedy}}
+    return b"data: " + orjson.dumps(body) + b"\n\n"
--- /dev/null
+++ b/mountstand/platform/http_adapters.py
@@ -0,0 +1,150 @@
+"""HTTP adapters of the platform ports, over urllib3.
+
+An operation that the store refused or that never reached it is repeated by the caller; an
+operation whose answer was lost is reported as ``WriteOutcomeUnknown`` when it wrote something.
+"""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import orjson
+import urllib3
+from pydantic import ValidationError
+
+from mountstand.errors import (
+    MountstandError,
+    NotFound,
+    StoreThrottled,
+    StoreUnavailable,
+    WriteOutcomeUnknown,
+)
+from mountstand.platform.memory_table import TransactionConflict
+from mountstand.platform.ports import (
+    Machine,
+    MachineListPort,
+    ObjectPort,
+    Outcome,
+    Row,
+    TablePort,
+    Transaction,
+)
+from mountstand.telemetry.metrics import DaemonMetrics
+
+CONNECT_TIMEOUT_S = 1.0
+THROTTLED_STATUS = 429
+CONFLICT_STATUS = 409
+NOT_FOUND_STATUS = 404
+
+
+class StoreClient:
+    """One platform endpoint: a pool of kept connections and the translation of failures."""
+
+    def __init__(
+        self, name: str, base_url: str, timeout_s: float, metrics: DaemonMetrics | None
+    ) -> None:
+        self._name = name
+        self._pool = urllib3.connectionpool.connection_from_url(
+            base_url,
+            maxsize=16,
+            block=False,
+            timeout=urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s),
+            retries=False,
+        )
+        self._metrics = metrics
+
+    def call(
+        self, method: str, path: str, body: bytes | None = None, *, writes: bool
+    ) -> urllib3.BaseHTTPResponse:
+        """Send one operation and return its answer.
+
+        Raises
+        ------
+        StoreThrottled, StoreUnavailable
+            The operation had no effect.
+        WriteOutcomeUnknown
+            It writes, and whether it took effect is not known.
+        """
+        try:
+            response = self._pool.request(method, path, body=body)
+        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
+            raise self._failure(StoreUnavailable, "no connection") from None
+        except urllib3.exceptions.HTTPError as problem:
+            kind = WriteOutcomeUnknown if writes else StoreUnavailable
+            raise self._failure(kind, type(problem).__name__) from None
+        if response.status == THROTTLED_STATUS:
+            raise self._failure(StoreThrottled, "over the rate limit")
+        if response.status >= 500:
+            kind = WriteOutcomeUnknown if writes else StoreUnavailable
+            raise self._failure(kind, f"status {response.status}")
+        self._count("ok")
+        return response
+
+    def _failure(self, kind: type[MountstandError], detail: str) -> MountstandError:
+        self._count(kind.code)
+        return kind(f"{self._name}: {detail}")
+
+    def _count(self, outcome: str) -> None:
+        if self._metrics is not None:
+            self._metrics.store_operations.labels(self._name, outcome).inc()
+
+
+class HttpTable(TablePort):
+    """The table service over HTTP."""
+
+    def __init__(
+        self, base_url: str, timeout_s: float = 2.0, metrics: DaemonMetrics | None = None
+    ) -> None:
+        self._client = StoreClient("table", base_url, timeout_s, metrics)
+
+    def commit(self, transaction: Transaction) -> Outcome:
+        """Run ``transaction``; see :meth:`TablePort.commit`."""
+        writes = bool(transaction.puts or transaction.deletes)
+        body = transaction.model_dump_json().encode()
+        response = self._client.call("POST", "/v1/transactions", body, writes=writes)
+        if response.status == CONFLICT_STATUS:
+            conflict = orjson.loads(response.data)["conflict"]
+            row = Row.model_validate(conflict["row"]) if conflict["row"] else None
+            raise TransactionConflict(conflict["key"], row)
+        try:
+            return Outcome.model_validate_json(response.data)
+        except ValidationError:
+            raise WriteOutcomeUnknown("table: the answer cannot be read") from None
+
+
+class HttpObjects(ObjectPort):
+    """The object store over HTTP."""
+
+    def __init__(
+        self, base_url: str, timeout_s: float = 10.0, metrics: DaemonMetrics | None = None
+    ) -> None:
+        self._client = StoreClient("objects", base_url, timeout_s, metrics)
+
+    def put(self, name: str, body: bytes) -> None:
+        """Store an object; repeating the call is harmless, so a lost answer counts as down."""
+        self._client.call("PUT", f"/v1/objects/{quote(name)}", body, writes=False)
+
+    def get(self, name: str) -> bytes:
+        """Return an object."""
+        response = self._client.call("GET", f"/v1/objects/{quote(name)}", writes=False)
+        if response.status == NOT_FOUND_STATUS:
+            raise NotFound(f"object {name} does not exist")
+        return response.data
+
+
+class HttpMachineList(MachineListPort):
+    """The machine list over HTTP."""
+
+    def __init__(
+        self, base_url: str, timeout_s: float = 2.0, metrics: DaemonMetrics | None = None
+    ) -> None:
+        self._client = StoreClient("machines", base_url, timeout_s, metrics)
+
+    def machines(self) -> list[Machine]:
+        """Return the list as the platform shows it."""
+        response = self._client.call("GET", "/v1/machines", writes=False)
+        try:
+            records = orjson.loads(response.data)["machines"]
+            return [Machine.model_validate(record) for record in records]
+        except (ValueError, KeyError):
+            raise StoreUnavailable("machines: the answer cannot be read") from None
--- /dev/null
+++ b/mountstand/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a back end for one request."""
--- /dev/null
+++ b/mountstand/routing/fleet_view.py
@@ -0,0 +1,177 @@
+"""What one daemon knows of the workers: addresses, own work in flight, lagging load reports.
+
+Pure state: the clock is handed in, and no I/O happens here. Not thread-safe; the owner locks.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from mountstand.engines.port import LoadReport
+from mountstand.platform.ports import Machine, MachineRole
+from mountstand.routing.outliers import WorkerHealth, ejectable_count
+
+LOAD_REPORT_HALF_LIFE_S = 0.5
+"""Age at which a load report counts half; engine work turns over within about a second."""
+
+DEFAULT_SLOTS = 16
+"""Slots assumed of a worker that has not reported yet."""
+
+
+class DispatchOutcome(Enum):
+    """How a dispatch ended, as evidence about the worker's health."""
+
+    SUCCESS = "success"
+    REFUSED = "refused"
+    FAILED = "failed"
+    NEUTRAL = "neutral"
+
+
+@dataclass
+class WorkerState:
+    """One worker as this daemon sees it."""
+
+    machine: Machine
+    in_flight: int = 0
+    batch_in_flight: int = 0
+    report: LoadReport | None = None
+    report_time_s: float = 0.0
+    in_flight_at_report: int = 0
+    health: WorkerHealth = field(default_factory=WorkerHealth)
+    reported_leaving: bool = False
+    drained: bool = False
+    refused_until_s: float = 0.0
+
+    @property
+    def worker_id(self) -> str:
+        """The platform's id of the machine."""
+        return self.machine.machine_id
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the worker gets no new work, by whichever source says so first."""
+        return self.machine.leaving or self.reported_leaving or self.drained
+
+    @property
+    def slots(self) -> int:
+        """Requests that the worker runs together."""
+        return self.report.slots if self.report else DEFAULT_SLOTS
+
+    def estimated_load(self, now_s: float) -> float:
+        """Return online work over slots: own in flight plus others' by the aged report."""
+        others = 0.0
+        if self.report is not None:
+            age_s = max(0.0, now_s - self.report_time_s)
+            weight = 0.5 ** (age_s / LOAD_REPORT_HALF_LIFE_S)
+            online = self.report.running + self.report.waiting
+            online -= self.report.running_batch + self.report.waiting_batch
+            others = max(0, online - self.in_flight_at_report) * weight
+        return (self.in_flight + others) / self.slots
+
+
+class FleetView:
+    """All workers that one daemon may dispatch to."""
+
+    def __init__(self) -> None:
+        self.workers: dict[str, WorkerState] = {}
+        self._drained_ids: frozenset[str] = frozenset()
+
+    def update_machines(self, machines: Iterable[Machine]) -> None:
+        """Take over the platform's list; what is known of workers that stay is kept."""
+        listed = {m.machine_id: m for m in machines if m.role is not MachineRole.DAEMON}
+        for worker_id in list(self.workers):
+            if worker_id not in listed:
+                del self.workers[worker_id]
+        for worker_id, machine in listed.items():
+            worker = self.workers.get(worker_id)
+            if worker is None or is_replaced(worker.machine, machine):
+                self.workers[worker_id] = WorkerState(machine)
+            else:
+                worker.machine = machine
+            self.workers[worker_id].drained = worker_id in self._drained_ids
+
+    def set_drained(self, worker_ids: frozenset[str]) -> None:
+        """Mark the workers that operators drain."""
+        self._drained_ids = worker_ids
+        for worker_id, worker in self.workers.items():
+            worker.drained = worker_id in worker_ids
+
+    def record_load(self, worker_id: str, report: LoadReport, now_s: float) -> None:
+        """Take a load report as of ``now_s``."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        worker.report = report
+        worker.report_time_s = now_s
+        worker.in_flight_at_report = worker.in_flight
+        worker.reported_leaving = report.leaving
+
+    def begin_dispatch(self, worker_id: str, *, batch: bool = False) -> None:
+        """Count a dispatch to a worker."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        if batch:
+            worker.batch_in_flight += 1
+        else:
+            worker.in_flight += 1
+
+    def end_dispatch(
+        self, worker_id: str, outcome: DispatchOutcome, now_s: float, *, batch: bool = False
+    ) -> None:
+        """Count the end of a dispatch and learn from its outcome."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        if batch:
+            worker.batch_in_flight = max(0, worker.batch_in_flight - 1)
+        else:
+            worker.in_flight = max(0, worker.in_flight - 1)
+        if outcome is DispatchOutcome.SUCCESS:
+            worker.health.record_success()
+        elif outcome is DispatchOutcome.FAILED:
+            worker.health.record_failure(now_s)
+
+    def refuse_until(self, worker_id: str, until_s: float) -> None:
+        """Note that a worker refused and when it may be asked again."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.refused_until_s = until_s
+
+    def services(self) -> set[str]:
+        """Return the services that some worker serves."""
+        return {worker.machine.service for worker in self.workers.values()}
+
+    def models(self) -> dict[str, str]:
+        """Return each model loaded anywhere with the service that has it."""
+        found: dict[str, str] = {}
+        for worker in self.workers.values():
+            if worker.machine.role is not MachineRole.ENGINE:
+                continue
+            for model in worker.report.models if worker.report else ():
+                found[model] = worker.machine.service
+            found.setdefault(worker.machine.service, worker.machine.service)
+        return found
+
+    def candidates(self, service: str, now_s: float) -> list[WorkerState]:
+        """Return the workers of ``service`` that may get new work, worst ejected left out."""
+        serving = [
+            worker
+            for worker in self.workers.values()
+            if worker.machine.service == service and not worker.leaving
+        ]
+        ejected = [worker for worker in serving if worker.health.is_ejected(now_s)]
+        ejected.sort(key=lambda worker: -worker.health.ejected_until_s)
+        removed = {worker.worker_id for worker in ejected[: ejectable_count(len(serving))]}
+        return [worker for worker in serving if worker.worker_id not in removed]
+
+
+def is_replaced(known: Machine, listed: Machine) -> bool:
+    """Return whether a machine id now stands for another process."""
+    return (known.address, known.port, known.service) != (
+        listed.address,
+        listed.port,
+        listed.service,
+    )
--- /dev/null
+++ b/mountstand/routing/outliers.py
@@ -0,0 +1,46 @@
+"""Ejection of workers that fail: a daemon's own evidence, with a cap on the ejected share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+FAILURES_TO_EJECT = 3
+"""Failures in a row, so that one broken exchange does not remove a worker."""
+
+FIRST_EJECTION_S = 1.0
+LONGEST_EJECTION_S = 30.0
+MAX_EJECTED_SHARE = 0.5
+"""Past this share failures are likely to be the daemon's or the network's own."""
+
+
+@dataclass
+class WorkerHealth:
+    """What one daemon has seen of one worker."""
+
+    failures_in_row: int = 0
+    ejections: int = 0
+    ejected_until_s: float = 0.0
+
+    def record_success(self) -> None:
+        """Forget earlier failures."""
+        self.failures_in_row = 0
+        self.ejections = 0
+        self.ejected_until_s = 0.0
+
+    def record_failure(self, now_s: float) -> None:
+        """Count a failure; eject for twice as long each time."""
+        self.failures_in_row += 1
+        if self.failures_in_row < FAILURES_TO_EJECT and self.ejections == 0:
+            return
+        duration_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**self.ejections)
+        self.ejections += 1
+        self.ejected_until_s = now_s + duration_s
+
+    def is_ejected(self, now_s: float) -> bool:
+        """Return whether the worker should get no ordinary traffic now."""
+        return now_s < self.ejected_until_s
+
+
+def ejectable_count(workers: int) -> int:
+    """Return how many of ``workers`` may be ejected at once."""
+    return int(workers * MAX_EJECTED_SHARE)
--- /dev/null
+++ b/mountstand/routing/router.py
@@ -0,0 +1,147 @@
+"""Thread-safe routing for one daemon: the fleet view, the chooser and one lock round both."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Iterable
+
+from mountstand.engines.port import CacheChange, LoadReport
+from mountstand.platform.ports import Machine
+from mountstand.routing.chooser import RouteRequest, WorkerChooser
+from mountstand.routing.fleet_view import DispatchOutcome, FleetView
+
+MAX_POLLED_IN_USE = 64
+"""With this many workers in use, idle ones are not polled; a dispatch brings them in."""
+
+
+class Router:
+    """Front of :mod:`mountstand.routing` for threads."""
+
+    def __init__(self, home_zone: str, seed: int) -> None:
+        self._lock = threading.Lock()
+        self._view = FleetView()
+        self._chooser = WorkerChooser(self._view, home_zone, random.Random(seed))
+
+    def begin(self, request: RouteRequest) -> Machine | None:
+        """Choose a worker and count the dispatch; ``None`` when none may take it."""
+        with self._lock:
+            worker = self._chooser.choose(request, time.monotonic())
+            if worker is None:
+                return None
+            self._view.begin_dispatch(worker.worker_id)
+            return worker.machine
+
+    def end(self, worker_id: str, outcome: DispatchOutcome) -> None:
+        """Count the end of a dispatch."""
+        with self._lock:
+            self._view.end_dispatch(worker_id, outcome, time.monotonic())
+
+    def begin_batch(self, worker_id: str) -> None:
+        """Count a batch dispatch to a worker chosen by the batch executor."""
+        with self._lock:
+            self._view.begin_dispatch(worker_id, batch=True)
+
+    def end_batch(self, worker_id: str, outcome: DispatchOutcome) -> None:
+        """Count the end of a batch dispatch."""
+        with self._lock:
+            self._view.end_dispatch(worker_id, outcome, time.monotonic(), batch=True)
+
+    def refuse_until(self, worker_id: str, delay_s: float) -> None:
+        """Leave a worker out for ``delay_s`` because it refused."""
+        with self._lock:
+            self._view.refuse_until(worker_id, time.monotonic() + delay_s)
+
+    def update_machines(self, machines: Iterable[Machine]) -> None:
+        """Take over the platform's machine list."""
+        with self._lock:
+            self._view.update_machines(machines)
+
+    def record_load(self, worker_id: str, report: LoadReport) -> None:
+        """Take a load report."""
+        with self._lock:
+            self._view.record_load(worker_id, report, time.monotonic())
+
+    def record_failure(self, worker_id: str) -> None:
+        """Count a failure seen outside a dispatch, such as an unanswered load poll."""
+        with self._lock:
+            worker = self._view.workers.get(worker_id)
+            if worker is not None:
+                worker.health.record_failure(time.monotonic())
+
+    def record_cache_changes(self, worker_id: str, changes: Iterable[CacheChange]) -> None:
+        """Take cache events of one worker."""
+        with self._lock:
+            index = self._chooser.prefix_index
+            for change in changes:
+                if change.stored:
+                    index.record_stored(change.block, worker_id)
+                else:
+                    index.record_evicted(change.block, worker_id)
+
+    def apply_drains(self, worker_ids: frozenset[str], zone_weights: dict[str, float]) -> None:
+        """Take over operators' drains of workers and weights of zones."""
+        with self._lock:
+            self._view.set_drained(worker_ids)
+            self._chooser.zone_weights = dict(zone_weights)
+
+    def machines(self) -> list[Machine]:
+        """Return every known worker machine."""
+        with self._lock:
+            return [worker.machine for worker in self._view.workers.values()]
+
+    def poll_order(self) -> list[Machine]:
+        """Return the workers to poll: all of them while few, else those in use first."""
+        with self._lock:
+            workers = list(self._view.workers.values())
+        in_use = [w.machine for w in workers if w.in_flight or w.batch_in_flight]
+        if len(in_use) >= MAX_POLLED_IN_USE:
+            return in_use
+        return in_use + [w.machine for w in workers if not (w.in_flight or w.batch_in_flight)]
+
+    def services(self) -> set[str]:
+        """Return the services that some worker serves."""
+        with self._lock:
+            return self._view.services()
+
+    def models(self) -> dict[str, str]:
+        """Return each model with the service that has it."""
+        with self._lock:
+            return self._view.models()
+
+    def capacity(self, service: str) -> int:
+        """Return the slots of all workers of ``service`` that may get work."""
+        with self._lock:
+            candidates = self._view.candidates(service, time.monotonic())
+            return sum(worker.slots for worker in candidates)
+
+    def batch_headroom(self, worker_id: str) -> int:
+        """Return how many more batch items a worker can take without displacing online work."""
+        with self._lock:
+            worker = self._view.workers.get(worker_id)
+            now_s = time.monotonic()
+            if worker is None or worker.leaving or worker.refused_until_s > now_s:
+                return 0
+            if worker.health.is_ejected(now_s) or worker.report is None:
+                return 0
+            online = worker.estimated_load(now_s) * worker.slots
+            return int(worker.slots - online) - worker.batch_in_flight
+
+    def status(self) -> list[dict[str, object]]:
+        """Return one line per worker for operators."""
+        with self._lock:
+            now_s = time.monotonic()
+            return [
+                {
+                    "worker": worker.worker_id,
+                    "service": worker.machine.service,
+                    "zone": worker.machine.zone,
+                    "load": round(worker.estimated_load(now_s), 3),
+                    "in_flight": worker.in_flight,
+                    "batch_in_flight": worker.batch_in_flight,
+                    "leaving": worker.leaving,
+                    "ejected": worker.health.is_ejected(now_s),
+                }
+                for worker in self._view.workers.values()
+            ]
--- /dev/null
+++ b/mountstand/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' settings tree: inheritance, revisions and propagation."""
--- /dev/null
+++ b/mountstand/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and structured logs."""
--- /dev/null
+++ b/mountstand/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Binary messages between daemons and their authentication."""
