Batch jobs end to end: acceptance, shard owners, executors, membership and results

A job is durable before it is acknowledged; shards of jobs have one owner by a fenced lease, chosen by rendezvous over the gossip members; executors pull ranges for the idle slots of their workers; results count through manifest rows written under the fence.

Cause found on the way: the check for a caller that left used a socket with a time-out, on which recv waits although told not to, and took the time-out for a closed connection; requests over 0.25 s were cut off. test_large_prompt failed on it (502 caller_left) and passes now.

--- /dev/null
+++ b/mountstand/batch/executor.py
@@ -0,0 +1,552 @@
+"""Runs batch items on the workers that this daemon is the batch owner of.
+
+Each worker has one batch owner at a time, by rendezvous hashing over the live daemons, which fills
+the worker's idle slots: slots less the online work that own dispatches and load reports show.
+Ranges are pulled from job owners only for free slots, so work follows capacity.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import heapq
+import itertools
+import logging
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from mountstand.background import PeriodicTask
+from mountstand.batch.held_range import (
+    BatchItem,
+    HeldRange,
+    RunningItem,
+    completed_line,
+    error_line,
+    failed_line,
+    parse_items,
+)
+from mountstand.batch.model import ItemStatus, only_segment, shard_of
+from mountstand.batch.shard_leases import preferred_owner
+from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest
+from mountstand.errors import (
+    BackendRefused,
+    BackendUnreachable,
+    Executed,
+    MountstandError,
+    PeerUnavailable,
+)
+from mountstand.hashing import rendezvous_owner
+from mountstand.membership.service import MembershipService
+from mountstand.platform.ports import Machine, ObjectPort
+from mountstand.process_settings import BatchSettings
+from mountstand.routing.fleet_view import DispatchOutcome
+from mountstand.routing.router import Router
+from mountstand.telemetry.logs import log_state_change
+from mountstand.telemetry.metrics import DaemonMetrics
+from mountstand.wire.messages import (
+    Confirmed,
+    DropJob,
+    GrantedRanges,
+    Message,
+    PullRanges,
+    RangeGrant,
+    RangeKey,
+    RenewedRanges,
+    RenewRanges,
+    ReportRange,
+    WorkHint,
+)
+from mountstand.wire.peers import PeerClient
+
+logger = logging.getLogger(__name__)
+
+BATCH_PRIORITY = 10
+"""Added to a job's priority; online requests have priority 0 and go before all batch work."""
+
+RENEW_INTERVAL_S = 0.5
+RENEW_WINDOW_S = 1.5
+"""Without a renewal sent within this time no item of a range starts."""
+
+DROP_AFTER_S = 20.0
+"""A range whose owner cannot be found for so long is given up."""
+
+ITEM_TIMEOUT_S = 120.0
+WORK_HINT_LIFE_S = 2.0
+PULL_INTERVAL_S = 0.1
+SCHEDULE_INTERVAL_S = 0.05
+RETRY_PAUSE_S = 0.1
+STORE_RETRY_S = 0.5
+FINISH_THREADS = 4
+PREFETCH_FACTOR = 2
+"""Items held per slot: one running and one waiting, so that a slot never waits for a pull."""
+
+BYTES_PER_ITEM_RESERVE = 4096
+"""Memory counted for an item without a result yet."""
+
+
+@dataclass(frozen=True)
+class KnownWork:
+    """Unassigned items that an owner told of."""
+
+    hint: WorkHint
+    expires_s: float
+
+
+class BatchExecutor:
+    """Runs batch items on one daemon; thread-safe."""
+
+    def __init__(
+        self,
+        settings: BatchSettings,
+        router: Router,
+        backend: BackendPort,
+        objects: ObjectPort,
+        membership: MembershipService,
+        peers: PeerClient,
+        metrics: DaemonMetrics,
+    ) -> None:
+        self._settings = settings
+        self._router = router
+        self._backend = backend
+        self._objects = objects
+        self._membership = membership
+        self._peers = peers
+        self._metrics = metrics
+        self._changed = threading.Condition()
+        self._held: dict[tuple[str, int], HeldRange] = {}
+        self._queue: list[tuple[int, float, int, HeldRange, BatchItem]] = []
+        self._paused: list[tuple[float, HeldRange, BatchItem]] = []
+        self._sequence = itertools.count()
+        self._in_flight = 0
+        self._known_work: dict[str, KnownWork] = {}
+        self._stopping = False
+        self._draining = False
+        self.call_local_owner: Callable[[Message], Message] | None = None
+        self._runners = ThreadPoolExecutor(settings.max_in_flight, thread_name_prefix="batch-item")
+        self._finishers = ThreadPoolExecutor(FINISH_THREADS, thread_name_prefix="batch-finish")
+        self._scheduler = threading.Thread(
+            target=self._schedule, name="batch-schedule", daemon=True
+        )
+        self._pull_task = PeriodicTask("range pull", PULL_INTERVAL_S, self._pull)
+        self._tasks = [
+            self._pull_task,
+            PeriodicTask("range renewal", RENEW_INTERVAL_S, self._renew),
+        ]
+
+    def start(self) -> None:
+        """Start running items."""
+        self._scheduler.start()
+        for task in self._tasks:
+            task.start()
+
+    def drain(self, timeout_s: float) -> bool:
+        """Take no new ranges and finish those held; return whether all are finished."""
+        deadline_s = time.monotonic() + timeout_s
+        with self._changed:
+            self._draining = True
+            while self._held and time.monotonic() < deadline_s:
+                self._changed.wait(0.1)
+            return not self._held
+
+    def stop(self) -> None:
+        """Drop what is held and stop."""
+        with self._changed:
+            self._stopping = True
+            held = list(self._held)
+        for job_key, range_index in held:
+            self._drop(job_key, range_index)
+        for task in self._tasks:
+            task.stop()
+        with self._changed:
+            self._changed.notify_all()
+        self._runners.shutdown(wait=False, cancel_futures=True)
+        self._finishers.shutdown(wait=False, cancel_futures=True)
+
+    def handle_work_hint(self, owner_id: str, hint: WorkHint) -> None:
+        """Note that an owner has unassigned items."""
+        expires_s = time.monotonic() + WORK_HINT_LIFE_S
+        with self._changed:
+            self._known_work[owner_id] = KnownWork(hint, expires_s)
+        self._pull_task.trigger()
+
+    def pull_now(self) -> None:
+        """Ask for work at once: this daemon's own job owner has some."""
+        self._pull_task.trigger()
+
+    def handle_drop(self, drop: DropJob) -> Confirmed:
+        """Drop every range of a cancelled job and cancel its items at the engines."""
+        self.cancel_job(drop.job_key)
+        return Confirmed(True)
+
+    def cancel_job(self, job_key: str) -> None:
+        """Drop every range of a job; no item of it starts after this returns."""
+        with self._changed:
+            indexes = [index for key, index in self._held if key == job_key]
+        for index in indexes:
+            self._drop(job_key, index)
+
+    def status(self) -> dict[str, object]:
+        """Return what this daemon runs, for operators."""
+        with self._changed:
+            return {
+                "ranges": len(self._held),
+                "queued_items": len(self._queue) + len(self._paused),
+                "in_flight": self._in_flight,
+                "buffered_bytes": self._buffered_bytes(),
+            }
+
+    # Workers
+
+    def _own_workers(self) -> list[Machine]:
+        """Return the workers whose batch work this daemon runs."""
+        members = [m for m in self._membership.live_members() if m.may_own]
+        all_ids = sorted(member.member_id for member in members)
+        by_zone: dict[str, list[str]] = {}
+        for member in members:
+            by_zone.setdefault(member.zone, []).append(member.member_id)
+        self_id = self._membership.self_id
+        return [
+            machine
+            for machine in self._router.engines()
+            if rendezvous_owner(machine.machine_id, by_zone.get(machine.zone, all_ids)) == self_id
+        ]
+
+    # Pulling
+
+    def _pull(self) -> None:
+        workers = self._own_workers()
+        wanted = self._wanted_items(workers)
+        if wanted <= 0:
+            return
+        services = tuple(sorted({worker.service for worker in workers}))
+        now_s = time.monotonic()
+        with self._changed:
+            self._known_work = {
+                owner: work for owner, work in self._known_work.items() if work.expires_s > now_s
+            }
+            owners = sorted(
+                self._known_work, key=lambda owner: self._known_work[owner].hint.priority
+            )
+        if self.call_local_owner is not None and self._membership.self_id not in owners:
+            owners.append(self._membership.self_id)
+        for owner_id in owners:
+            if wanted <= 0:
+                return
+            wanted -= self._pull_from(owner_id, services, wanted)
+
+    def _wanted_items(self, workers: list[Machine]) -> int:
+        with self._changed:
+            if self._stopping or self._draining:
+                return 0
+            if self._buffered_bytes() >= self._settings.buffer_bytes:
+                return 0
+            waiting = len(self._queue) + len(self._paused)
+        slots = sum(self._router.batch_slots(worker.machine_id) for worker in workers)
+        target = min(slots, self._settings.max_in_flight) * PREFETCH_FACTOR
+        return target - waiting - self._in_flight
+
+    def _pull_from(self, owner_id: str, services: tuple[str, ...], wanted: int) -> int:
+        sent_s = time.monotonic()
+        request = PullRanges(self._membership.self_id, services, wanted)
+        try:
+            reply = self._call_owner(owner_id, request)
+        except PeerUnavailable:
+            with self._changed:
+                self._known_work.pop(owner_id, None)
+            return 0
+        assert isinstance(reply, GrantedRanges)
+        if not reply.pending_items:
+            with self._changed:
+                self._known_work.pop(owner_id, None)
+        for grant in reply.grants:
+            self._finishers.submit(self._take_range, grant, owner_id, sent_s)
+        return sum(grant.item_count for grant in reply.grants)
+
+    def _take_range(self, grant: RangeGrant, owner_id: str, sent_s: float) -> None:
+        """Read a granted range's items and queue them; without them the lease runs out."""
+        try:
+            body = self._objects.get(grant.object_name)
+            items = parse_items(grant, body)
+        except MountstandError as error:
+            log_state_change(logger, "range input cannot be read", code=error.code)
+            return
+        except Exception:
+            logger.exception("range input is not valid", extra={"object": grant.object_name})
+            return
+        held = HeldRange(grant, owner_id, sent_s, items)
+        identity = (grant.key.job_key, grant.key.range_index)
+        with self._changed:
+            if self._stopping or identity in self._held:
+                return
+            self._held[identity] = held
+            for item in items:
+                self._enqueue(held, item)
+            self._changed.notify_all()
+
+    def _enqueue(self, held: HeldRange, item: BatchItem) -> None:
+        due_s = held.grant.due_time_s or float("inf")
+        heapq.heappush(self._queue, (held.grant.priority, due_s, next(self._sequence), held, item))
+
+    # Scheduling
+
+    def _schedule(self) -> None:
+        while True:
+            with self._changed:
+                if self._stopping:
+                    return
+                self._wake_paused()
+            workers = self._own_workers()
+            started = self._start_items(workers) if workers else 0
+            with self._changed:
+                if not started:
+                    self._changed.wait(SCHEDULE_INTERVAL_S)
+
+    def _wake_paused(self) -> None:
+        now_s = time.monotonic()
+        waking = [entry for entry in self._paused if entry[0] <= now_s]
+        self._paused = [entry for entry in self._paused if entry[0] > now_s]
+        for _, held, item in waking:
+            self._enqueue(held, item)
+
+    def _start_items(self, workers: list[Machine]) -> int:
+        started = 0
+        for worker in workers:
+            room = self._router.batch_headroom(worker.machine_id)
+            for _ in range(room):
+                taken = self._take_item(worker)
+                if taken is None:
+                    break
+                self._runners.submit(self._run_item, *taken, worker)
+                started += 1
+        return started
+
+    def _take_item(self, worker: Machine) -> tuple[HeldRange, BatchItem] | None:
+        """Take the next item that may start, and count it as running."""
+        with self._changed:
+            if self._in_flight >= self._settings.max_in_flight:
+                return None
+            if self._buffered_bytes() >= 2 * self._settings.buffer_bytes:
+                return None
+            skipped = []
+            found = None
+            now_s = time.monotonic()
+            while self._queue and found is None:
+                entry = heapq.heappop(self._queue)
+                held, item = entry[3], entry[4]
+                if held.dropped:
+                    continue
+                if held.grant.service != worker.service:
+                    skipped.append(entry)
+                elif now_s - held.renewed_s > RENEW_WINDOW_S:
+                    self._paused.append((now_s + RETRY_PAUSE_S, held, item))
+                else:
+                    found = (held, item)
+            for entry in skipped:
+                heapq.heappush(self._queue, entry)
+            if found is not None:
+                self._in_flight += 1
+                self._router.begin_batch(worker.machine_id)
+            return found
+
+    # Running
+
+    def _run_item(self, held: HeldRange, item: BatchItem, worker: Machine) -> None:
+        outcome = DispatchOutcome.NEUTRAL
+        try:
+            outcome = self._run_once(held, item, worker)
+        except Exception:
+            logger.exception("batch item failed unexpectedly")
+            self._pause(held, item)
+        finally:
+            self._router.end_batch(worker.machine_id, outcome)
+            with self._changed:
+                self._in_flight -= 1
+                held.running.pop(item.index, None)
+                self._changed.notify_all()
+            if held.is_complete:
+                self._finish_once(held)
+
+    def _run_once(self, held: HeldRange, item: BatchItem, worker: Machine) -> DispatchOutcome:
+        if is_past_due(held):
+            detail = "the due time passed before the item was started"
+            line = failed_line(item, ItemStatus.EXPIRED, "expired", detail, Executed.NO)
+            self._record(held, item, ItemStatus.EXPIRED, line)
+            return DispatchOutcome.NEUTRAL
+        request = BackendRequest(
+            request_id=uuid.uuid4().hex,
+            method="POST",
+            path=item.path,
+            body=item.body,
+            priority=BATCH_PRIORITY + held.grant.priority,
+            label=f"{held.grant.key.job_key}:{item.index}",
+        )
+        if not self._note_running(held, item, RunningItem(worker, request.request_id)):
+            return DispatchOutcome.NEUTRAL
+        try:
+            answer = self._backend.call(worker, request, ITEM_TIMEOUT_S)
+        except MountstandError as error:
+            return self._handle_failure(held, item, worker, error)
+        self._record_answer(held, item, answer)
+        return DispatchOutcome.SUCCESS
+
+    def _note_running(self, held: HeldRange, item: BatchItem, running: RunningItem) -> bool:
+        """Note where an item runs; return ``False`` when it may not start any more."""
+        with self._changed:
+            if held.dropped or item.index in held.results:
+                return False
+            if time.monotonic() - held.renewed_s > RENEW_WINDOW_S:
+                self._paused.append((time.monotonic() + RETRY_PAUSE_S, held, item))
+                return False
+            held.running[item.index] = running
+            return True
+
+    def _record_answer(self, held: HeldRange, item: BatchItem, answer: BackendAnswer) -> None:
+        if answer.status < 400:
+            line = completed_line(item, answer)
+            self._record(held, item, ItemStatus.COMPLETED, line)
+            return
+        detail = f"the back end answered with status {answer.status}"
+        line = failed_line(item, ItemStatus.FAILED, "backend_rejected", detail, Executed.NO)
+        self._record(held, item, ItemStatus.FAILED, line)
+
+    def _handle_failure(
+        self, held: HeldRange, item: BatchItem, worker: Machine, error: MountstandError
+    ) -> DispatchOutcome:
+        if held.dropped:
+            return DispatchOutcome.NEUTRAL
+        if error.executed is Executed.NO:
+            if isinstance(error, BackendRefused):
+                self._router.refuse_until(worker.machine_id, error.retry_after_s or RETRY_PAUSE_S)
+            self._pause(held, item)
+            unreachable = isinstance(error, BackendUnreachable)
+            return DispatchOutcome.FAILED if unreachable else DispatchOutcome.REFUSED
+        if not held.grant.repeatable:
+            line = error_line(item, ItemStatus.OUTCOME_UNKNOWN, error)
+            self._record(held, item, ItemStatus.OUTCOME_UNKNOWN, line)
+            return DispatchOutcome.FAILED
+        attempts = held.attempts.get(item.index, 0) + 1
+        held.attempts[item.index] = attempts
+        if attempts >= held.grant.max_attempts:
+            self._record(held, item, ItemStatus.FAILED, error_line(item, ItemStatus.FAILED, error))
+        else:
+            self._pause(held, item)
+        return DispatchOutcome.FAILED
+
+    def _pause(self, held: HeldRange, item: BatchItem) -> None:
+        with self._changed:
+            self._paused.append((time.monotonic() + RETRY_PAUSE_S, held, item))
+
+    def _record(self, held: HeldRange, item: BatchItem, status: ItemStatus, line: bytes) -> None:
+        self._metrics.batch_items.labels(status.value).inc()
+        with self._changed:
+            held.record(item, status, line)
+            self._metrics.batch_buffer_bytes.set(self._buffered_bytes())
+
+    def _buffered_bytes(self) -> int:
+        return sum(
+            held.result_bytes + BYTES_PER_ITEM_RESERVE * (len(held.items) - len(held.results))
+            for held in self._held.values()
+        )
+
+    # Finishing
+
+    def _finish_once(self, held: HeldRange) -> None:
+        """Hand a complete range to a finisher, from whichever thread completed it."""
+        with self._changed:
+            if held.dropped or held.finishing:
+                return
+            held.finishing = True
+        self._finishers.submit(self._finish, held)
+
+    def _finish(self, held: HeldRange) -> None:
+        """Store a range's results and report them; go on until both are done."""
+        prefix = held.grant.segment_prefix
+        name = only_segment(prefix) if not held.grant.repeatable else f"{prefix}-{uuid.uuid4().hex}"
+        stored = False
+        while not held.dropped and not self._stopping:
+            try:
+                if not stored:
+                    self._objects.put(name, held.segment())
+                    stored = True
+                if self._report(held, name):
+                    self._forget(held)
+                    return
+            except MountstandError as error:
+                logger.debug("range cannot be finished yet", extra={"code": error.code})
+            time.sleep(STORE_RETRY_S)
+
+    def _report(self, held: HeldRange, name: str) -> bool:
+        completed = held.completed
+        failed = len(held.items) - completed
+        report = ReportRange(self._membership.self_id, held.grant.key, name, completed, failed)
+        reply = self._call_owner(held.owner_id, report)
+        if isinstance(reply, Confirmed) and reply.confirmed:
+            return True
+        held.owner_id = self._find_owner(held.grant.key) or held.owner_id
+        return False
+
+    def _forget(self, held: HeldRange) -> None:
+        key = held.grant.key
+        with self._changed:
+            self._held.pop((key.job_key, key.range_index), None)
+            self._metrics.batch_buffer_bytes.set(self._buffered_bytes())
+            self._changed.notify_all()
+
+    # Leases of ranges
+
+    def _renew(self) -> None:
+        by_owner: dict[str, list[HeldRange]] = {}
+        with self._changed:
+            for held in self._held.values():
+                by_owner.setdefault(held.owner_id, []).append(held)
+        for owner_id, ranges in by_owner.items():
+            self._renew_with(owner_id, ranges)
+
+    def _renew_with(self, owner_id: str, ranges: list[HeldRange]) -> None:
+        sent_s = time.monotonic()
+        keys = tuple(held.grant.key for held in ranges)
+        kept: set[RangeKey] = set()
+        dropped: set[RangeKey] = set()
+        with contextlib.suppress(PeerUnavailable):
+            reply = self._call_owner(owner_id, RenewRanges(self._membership.self_id, keys))
+            assert isinstance(reply, RenewedRanges)
+            kept, dropped = set(reply.keys), set(reply.dropped)
+        for held in ranges:
+            key = held.grant.key
+            if key in kept:
+                held.renewed_s = sent_s
+            elif key in dropped or sent_s - held.renewed_s > DROP_AFTER_S:
+                self._drop(key.job_key, key.range_index)
+            else:
+                held.owner_id = self._find_owner(key) or held.owner_id
+
+    def _find_owner(self, key: RangeKey) -> str | None:
+        shard = shard_of(key.job_key, self._settings.shards)
+        return preferred_owner(shard, self._membership.possible_owners())
+
+    def _drop(self, job_key: str, range_index: int) -> None:
+        with self._changed:
+            held = self._held.pop((job_key, range_index), None)
+            if held is None:
+                return
+            held.dropped = True
+            running = list(held.running.values())
+            self._changed.notify_all()
+        for item in running:
+            self._backend.cancel(item.machine, item.request_id)
+
+    def _call_owner(self, owner_id: str, message: Message) -> Message:
+        if owner_id == self._membership.self_id and self.call_local_owner is not None:
+            return self.call_local_owner(message)
+        member = self._membership.member(owner_id)
+        if member is None:
+            raise PeerUnavailable(f"{owner_id} is not a member")
+        return self._peers.call(member, message)
+
+
+def is_past_due(held: HeldRange) -> bool:
+    """Return whether the job's due time has passed."""
+    return bool(held.grant.due_time_s) and time.time() > held.grant.due_time_s
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -4,8 +4,14 @@
 
 import logging
 import threading
+import time
 
+from mountstand.batch.executor import BatchExecutor
+from mountstand.batch.job_store import JobStore
+from mountstand.batch.owner import JobOwner
+from mountstand.batch.service import BatchService
 from mountstand.engines.http_backend import HttpBackend
+from mountstand.http.batches import BatchesResource
 from mountstand.http.callers import (
     CallerContext,
     CompletionsResource,
@@ -19,19 +25,38 @@
     ReadyResource,
     StatusResource,
 )
+from mountstand.http.peers import PeerMessagesResource
 from mountstand.http.server import HttpServer
+from mountstand.membership.member import Member
+from mountstand.membership.service import MembershipService
+from mountstand.membership.state import MembershipConfig
 from mountstand.online.service import OnlineService
 from mountstand.platform.http_adapters import HttpMachineList, HttpObjects, HttpTable
-from mountstand.platform.ports import Machine
+from mountstand.platform.pacing import PacedObjects, PacedTable
 from mountstand.process_settings import DaemonSettings
 from mountstand.routing.observer import FleetObserver
 from mountstand.routing.router import Router
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
+from mountstand.wire.frames import Frame, FrameCodec
+from mountstand.wire.messages import (
+    CancelJob,
+    DropJob,
+    JobHint,
+    MembersSync,
+    Message,
+    PullRanges,
+    RenewRanges,
+    ReportRange,
+    WorkHint,
+)
+from mountstand.wire.peers import PeerClient, PeerServer
 
 logger = logging.getLogger(__name__)
 
 CONTROL_THREADS = 24
+BATCH_DRAIN_SHARE = 0.5
+"""Share of the stop time-out that held batch ranges may take; the rest is for streams."""
 
 
 class Daemon:
@@ -41,18 +66,19 @@
         self.settings = settings
         self.metrics = DaemonMetrics()
         self._stopping = threading.Event()
-        platform = settings.platform
-        self.table = HttpTable(platform.table_url, platform.table_timeout_s, self.metrics)
-        self.objects = HttpObjects(platform.objects_url, platform.objects_timeout_s, self.metrics)
+        self._incarnation = time.time_ns() // 1_000_000
+        self._build_platform()
         self.backend = HttpBackend()
         self.router = Router(settings.zone, settings.seed)
         self.online = OnlineService(self.router, self.backend, self.table, self.metrics)
+        self._build_membership()
+        self._build_batch()
         self.observer = FleetObserver(
             self.router,
-            HttpMachineList(platform.machines_url, metrics=self.metrics),
+            HttpMachineList(settings.platform.machines_url, metrics=self.metrics),
             self.backend,
-            self._handle_machines,
-            machines_poll_s=platform.machines_poll_s,
+            self.membership.handle_machines,
+            machines_poll_s=settings.platform.machines_poll_s,
             load_poll_s=settings.online.load_poll_s,
             cache_poll_s=settings.online.cache_poll_s,
         )
@@ -66,7 +92,10 @@
     def start(self) -> None:
         """Start every part; the callers' interface comes last."""
         self._control_server.start()
+        self.membership.start()
         self.observer.start()
+        self.owner.start()
+        self.executor.start()
         self._callers_server.start()
         log_state_change(logger, "daemon started", zone=self.settings.zone)
 
@@ -77,19 +106,115 @@
         """
         self._stopping.set()
         log_state_change(logger, "planned stop begins", streams=self.online.relay.held)
-        finished = self.online.wait_until_idle(self.settings.stop_timeout_s)
+        deadline_s = time.monotonic() + self.settings.stop_timeout_s
+        self.membership.announce_leaving()
+        drained = self.executor.drain(self.settings.stop_timeout_s * BATCH_DRAIN_SHARE)
+        finished = self.online.wait_until_idle(deadline_s - time.monotonic())
         self._callers_server.stop()
+        finished = self.online.wait_until_idle(deadline_s - time.monotonic()) and finished
+        self.owner.stop()
+        self.executor.stop()
         self.observer.stop()
+        self.membership.stop()
         self._control_server.stop()
-        log_state_change(logger, "daemon stopped", finished=finished)
+        log_state_change(logger, "daemon stopped", streams_ended=finished, batch_drained=drained)
         return finished
 
     def is_ready(self) -> bool:
         """Return whether the daemon takes callers' requests."""
         return self.observer.ready.is_set() and not self._stopping.is_set()
 
-    def _handle_machines(self, machines: list[Machine]) -> None:
-        return
+    def _build_platform(self) -> None:
+        platform = self.settings.platform
+        batch = self.settings.batch
+        self.table = HttpTable(platform.table_url, platform.table_timeout_s, self.metrics)
+        objects = HttpObjects(platform.objects_url, platform.objects_timeout_s, self.metrics)
+        self.objects = PacedObjects(objects, batch.object_ops_per_s)
+        self.batch_table = PacedTable(self.table, batch.table_ops_per_s)
+
+    def _build_membership(self) -> None:
+        settings = self.settings
+        codec = FrameCodec(settings.daemon_id, self._incarnation, settings.security.cluster_keys)
+        self.peers = PeerClient(codec)
+        self.peer_server = PeerServer(codec)
+        self.membership = MembershipService(
+            Member(
+                settings.daemon_id,
+                settings.address,
+                settings.control_port,
+                settings.zone,
+                self._incarnation,
+            ),
+            MembershipConfig(settings.membership.period_s, settings.membership.suspicion_periods),
+            codec,
+            self.peers,
+            self.metrics,
+            lambda: 0,
+            settings.seed,
+        )
+        self.peer_server.register(MembersSync, self._answer_members_sync)
+
+    def _answer_members_sync(self, frame: Frame) -> Message:
+        assert isinstance(frame.message, MembersSync)
+        return self.membership.handle_sync(frame.message)
+
+    def _build_batch(self) -> None:
+        settings = self.settings.batch
+        self.executor = BatchExecutor(
+            settings,
+            self.router,
+            self.backend,
+            self.objects,
+            self.membership,
+            self.peers,
+            self.metrics,
+        )
+        self.owner = JobOwner(
+            settings,
+            JobStore(self.batch_table, self.objects),
+            self.objects,
+            self.membership,
+            self.peers,
+            self.metrics,
+            self._incarnation,
+            self.executor.cancel_job,
+        )
+        self.batches = BatchService(
+            self.table,
+            self.objects,
+            self.membership,
+            self.peers,
+            self.owner,
+            settings.shards,
+            self.router.models,
+        )
+        self.executor.call_local_owner = self._answer_executor
+        self.owner.on_work = self.executor.pull_now
+        self.membership.on_hint = self._handle_hint
+        self.membership.on_member_change = self.owner.look_now
+        for message_type in (PullRanges, RenewRanges, ReportRange, CancelJob, DropJob):
+            self.peer_server.register(
+                message_type, lambda frame: self._answer_executor(frame.message)
+            )
+
+    def _answer_executor(self, message: Message) -> Message:
+        """Answer a message between an executor and an owner."""
+        if isinstance(message, PullRanges):
+            return self.owner.handle_pull(message)
+        if isinstance(message, RenewRanges):
+            return self.owner.handle_renew(message)
+        if isinstance(message, ReportRange):
+            return self.owner.handle_report(message)
+        if isinstance(message, CancelJob):
+            return self.owner.handle_cancel(message)
+        assert isinstance(message, DropJob)
+        return self.executor.handle_drop(message)
+
+    def _handle_hint(self, sender_id: str, message: Message) -> None:
+        if isinstance(message, WorkHint):
+            self.executor.handle_work_hint(sender_id, message)
+        elif isinstance(message, JobHint):
+            self.owner.look_now()
 
     def _callers_root(self) -> object:
         context = CallerContext(
@@ -105,14 +230,25 @@
                 completions=CompletionsResource(context, "/v1/completions"),
                 models=ModelsResource(context),
                 services=ServicesResource(context),
+                batches=BatchesResource(context, self.batches),
             )
         )
 
     def _control_root(self) -> object:
         tokens = frozenset(self.settings.security.operator_tokens)
+        status = StatusResource(
+            {
+                "workers": self.router.status,
+                "members": self.membership.status,
+                "owner": self.owner.status,
+                "executor": self.executor.status,
+            },
+            tokens,
+        )
         return Namespace(
             healthz=HealthResource(),
             readyz=ReadyResource(self.is_ready),
             metrics=MetricsResource(self.metrics),
-            status=StatusResource({"workers": self.router.status}, tokens),
+            status=status,
+            internal=Namespace(messages=PeerMessagesResource(self.peer_server)),
         )
--- a/mountstand/http/server.py
+++ b/mountstand/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import select
 import socket
 import threading
 from collections.abc import Callable
@@ -142,10 +143,13 @@
 
 def caller_is_gone(environ: dict[str, Any]) -> bool:
     """Return whether the caller of the present request has closed its connection."""
-    try:
-        peeked = environ[CONNECTION_KEY].socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except (BlockingIOError, InterruptedError):
+    caller: socket.socket = environ[CONNECTION_KEY].socket
+    # A socket with a time-out would wait for data even under MSG_DONTWAIT, so poll first.
+    poller = select.poll()
+    poller.register(caller, select.POLLIN)
+    if not poller.poll(0):
         return False
+    try:
+        return caller.recv(1, socket.MSG_PEEK) == b""
     except OSError:
         return True
-    return peeked == b""
--- /dev/null
+++ b/mountstand/lab/fleet.py
@@ -0,0 +1,370 @@
+"""A whole fleet on loopback as separate processes, for experiments and tests.
+
+The lab starts processes; daemons and stand-ins never do.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+import urllib3
+
+from mountstand.lab.ports import LOOPBACK, free_ports
+
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.05
+STOP_TIMEOUT_S = 30.0
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """What a fleet consists of.
+
+    ``engine_processes`` shares the engines out over that many processes.
+    """
+
+    zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
+    daemons: int = 3
+    engines: int = 6
+    applications: int = 3
+    engine_processes: int = 2
+    model_service: str = "caption"
+    application_service: str = "album"
+    engine: dict[str, Any] = field(default_factory=dict)
+    application: dict[str, Any] = field(default_factory=dict)
+    daemon: dict[str, Any] = field(default_factory=dict)
+    machines_lag_s: float = 0.2
+    seed: int = 0
+
+
+@dataclass
+class FleetProcess:
+    """One process of the fleet."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    log: Path
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process still runs."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+
+@dataclass(frozen=True)
+class DaemonAddress:
+    """Where one daemon listens."""
+
+    daemon_id: str
+    zone: str
+    port: int
+    control_port: int
+
+    @property
+    def callers_url(self) -> str:
+        """Base of the callers' interface."""
+        return f"http://{LOOPBACK}:{self.port}"
+
+    @property
+    def control_url(self) -> str:
+        """Base of the control interface."""
+        return f"http://{LOOPBACK}:{self.control_port}"
+
+
+@dataclass(frozen=True)
+class WorkerAddress:
+    """Where one worker listens."""
+
+    worker_id: str
+    role: str
+    zone: str
+    service: str
+    port: int
+
+    @property
+    def url(self) -> str:
+        """Base of the worker's interface."""
+        return f"http://{LOOPBACK}:{self.port}"
+
+    def machine(self) -> dict[str, Any]:
+        """Return the worker as the machine list shows it."""
+        return {
+            "machine_id": self.worker_id,
+            "role": self.role,
+            "address": LOOPBACK,
+            "port": self.port,
+            "zone": self.zone,
+            "service": self.service,
+        }
+
+
+class Fleet:
+    """Starts, disturbs and stops the processes of a :class:`FleetPlan`."""
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self.plan = plan
+        self.http = urllib3.PoolManager(num_pools=256, maxsize=32, retries=False)
+        self.processes: dict[str, FleetProcess] = {}
+        self._folder = tempfile.TemporaryDirectory(prefix="mountstand-lab-")
+        self._path = Path(self._folder.name)
+        ports = iter(free_ports(3 + plan.engines + plan.applications + 2 * plan.daemons))
+        self.table_port, self.objects_port, self.machines_port = (next(ports) for _ in range(3))
+        self.engines = [
+            self._worker("engine", n, plan.model_service, next(ports)) for n in range(plan.engines)
+        ]
+        self.applications = [
+            self._worker("application", n, plan.application_service, next(ports))
+            for n in range(plan.applications)
+        ]
+        self.daemons = [
+            DaemonAddress(f"daemon-{n}", self._zone(n), next(ports), next(ports))
+            for n in range(plan.daemons)
+        ]
+
+    def __enter__(self) -> Fleet:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    @property
+    def table_url(self) -> str:
+        """Base of the table stand-in."""
+        return f"http://{LOOPBACK}:{self.table_port}"
+
+    @property
+    def objects_url(self) -> str:
+        """Base of the object store stand-in."""
+        return f"http://{LOOPBACK}:{self.objects_port}"
+
+    @property
+    def machines_url(self) -> str:
+        """Base of the machine list stand-in."""
+        return f"http://{LOOPBACK}:{self.machines_port}"
+
+    def start(self) -> None:
+        """Start everything and wait until every daemon is ready and sees the others."""
+        self._start_stand_ins()
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
+        self.wait_ready(self.daemons)
+
+    def stop(self) -> None:
+        """End every process that this fleet started."""
+        for process in self.processes.values():
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGKILL)
+        for process in self.processes.values():
+            process.process.wait(STOP_TIMEOUT_S)
+        self._folder.cleanup()
+
+    def start_daemon(self, daemon: DaemonAddress, **changes: Any) -> FleetProcess:
+        """Start one daemon; ``changes`` are laid over its settings."""
+        settings: dict[str, Any] = {
+            "daemon_id": daemon.daemon_id,
+            "zone": daemon.zone,
+            "address": LOOPBACK,
+            "port": daemon.port,
+            "control_port": daemon.control_port,
+            "platform": {
+                "table_url": self.table_url,
+                "objects_url": self.objects_url,
+                "machines_url": self.machines_url,
+                "machines_poll_s": 0.3,
+            },
+            "seed": self.plan.seed,
+        }
+        for key, value in {**self.plan.daemon, **changes}.items():
+            merged = {**settings.get(key, {}), **value} if isinstance(value, dict) else value
+            settings[key] = merged
+        file = self._write_settings(daemon.daemon_id, settings)
+        return self._spawn(daemon.daemon_id, "serve", "--settings", str(file))
+
+    def kill(self, name: str) -> None:
+        """End a process at once, as a lost machine does."""
+        process = self.processes[name]
+        process.send(signal.SIGKILL)
+        process.process.wait(STOP_TIMEOUT_S)
+
+    def terminate(self, name: str) -> int:
+        """Ask a daemon for a planned stop; return its exit code."""
+        process = self.processes[name]
+        process.send(signal.SIGTERM)
+        return process.process.wait(STOP_TIMEOUT_S + 60.0)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process where it is."""
+        self.processes[name].send(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.processes[name].send(signal.SIGCONT)
+
+    def set_faults(self, url: str, **plan: Any) -> None:
+        """Set the faults of one stand-in; without arguments it works as it should."""
+        self.http.request("PUT", f"{url}/control/faults", body=json.dumps(plan))
+
+    def operations(self, url: str) -> int:
+        """Return how many operations a stand-in has run."""
+        answer = self.http.request("GET", f"{url}/control/operations")
+        return sum(orjson.loads(answer.data).values())
+
+    def executions(self) -> list[dict[str, Any]]:
+        """Return what every worker that can be asked has run."""
+        found = []
+        for worker in [*self.engines, *self.applications]:
+            answer = self.http.request("GET", f"{worker.url}/control/executions", timeout=10.0)
+            for execution in orjson.loads(answer.data)["executions"]:
+                found.append(execution | {"worker": worker.worker_id})
+        return found
+
+    def leave(self, worker: WorkerAddress) -> None:
+        """Make a worker leave by its own report and refuse new work."""
+        self.http.request("POST", f"{worker.url}/control/leave")
+
+    def status(self, daemon: DaemonAddress, part: str) -> Any:
+        """Return one part of a daemon's status."""
+        answer = self.http.request("GET", f"{daemon.control_url}/status/{part}", timeout=5.0)
+        return orjson.loads(answer.data)
+
+    def wait_ready(self, daemons: Iterable[DaemonAddress]) -> None:
+        """Wait until the daemons are ready and have load reports of every worker."""
+        for daemon in daemons:
+            self._wait_for(lambda d=daemon: self._is_ready(d), f"{daemon.daemon_id} is ready")
+
+    def _is_ready(self, daemon: DaemonAddress) -> bool:
+        answer = self.http.request("GET", f"{daemon.control_url}/readyz", timeout=2.0)
+        if answer.status != 200:
+            return False
+        live = [m for m in self.status(daemon, "members") if m["state"] == "alive"]
+        workers = len(self.status(daemon, "workers"))
+        running = sum(
+            self.processes[d.daemon_id].is_running
+            for d in self.daemons
+            if d.daemon_id in self.processes
+        )
+        return len(live) >= running and workers == self.plan.engines + self.plan.applications
+
+    def _wait_for(self, condition: Any, what: str) -> None:
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            try:
+                if condition():
+                    return
+            except (urllib3.exceptions.HTTPError, OSError):
+                pass
+            self._check_processes()
+            time.sleep(POLL_S)
+        raise TimeoutError(f"not so after {READY_TIMEOUT_S} s: {what}")
+
+    def _check_processes(self) -> None:
+        for process in self.processes.values():
+            code = process.process.poll()
+            if code is not None and code > 0:
+                text = process.log.read_text()[-2000:]
+                raise RuntimeError(f"{process.name} ended with {code}: {text}")
+
+    def _start_stand_ins(self) -> None:
+        machines = [worker.machine() for worker in [*self.engines, *self.applications]]
+        for daemon in self.daemons:
+            machines.append(
+                {
+                    "machine_id": daemon.daemon_id,
+                    "role": "daemon",
+                    "address": LOOPBACK,
+                    "port": daemon.control_port,
+                    "zone": daemon.zone,
+                    "service": "",
+                }
+            )
+        platform = [
+            {"kind": "table", "port": self.table_port, "seed": self.plan.seed},
+            {"kind": "objects", "port": self.objects_port, "seed": self.plan.seed},
+            {
+                "kind": "machines",
+                "port": self.machines_port,
+                "machines": machines,
+                "machines_lag_s": self.plan.machines_lag_s,
+            },
+        ]
+        self._spawn_stand_ins("platform", platform)
+        engines = [self._stand_in(worker, n) for n, worker in enumerate(self.engines)]
+        for n in range(self.plan.engine_processes):
+            share = engines[n :: self.plan.engine_processes]
+            if share:
+                self._spawn_stand_ins(f"engines-{n}", share)
+        if self.applications:
+            self._spawn_stand_ins(
+                "applications", [self._stand_in(w, n) for n, w in enumerate(self.applications)]
+            )
+
+    def _stand_in(self, worker: WorkerAddress, number: int) -> dict[str, Any]:
+        settings = {"kind": worker.role, "port": worker.port, "seed": self.plan.seed + number}
+        if worker.role == "engine":
+            settings["engine"] = {"model": worker.service, **self.plan.engine}
+        else:
+            settings["application"] = {"service": worker.service, **self.plan.application}
+        return settings
+
+    def _spawn_stand_ins(self, name: str, stand_ins: list[dict[str, Any]]) -> None:
+        file = self._write_settings(name, {"stand_in": stand_ins})
+        self._spawn(name, "emulate", "fleet", "--settings", str(file))
+
+    def _spawn(self, name: str, *arguments: str) -> FleetProcess:
+        log = self._path / f"{name}.log"
+        with log.open("ab") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "mountstand", *arguments],
+                stdout=output,
+                stderr=output,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        self.processes[name] = FleetProcess(name, process, log)
+        return self.processes[name]
+
+    def _write_settings(self, name: str, settings: dict[str, Any]) -> Path:
+        file = self._path / f"{name}.toml"
+        file.write_text(to_toml(settings))
+        return file
+
+    def _zone(self, number: int) -> str:
+        return self.plan.zones[number % len(self.plan.zones)]
+
+    def _worker(self, role: str, number: int, service: str, port: int) -> WorkerAddress:
+        return WorkerAddress(f"{role}-{number}", role, self._zone(number), service, port)
+
+
+def to_toml(settings: dict[str, Any]) -> str:
+    """Return settings as TOML, every nested table in line."""
+    return "".join(f"{key} = {toml_value(value)}\n" for key, value in settings.items())
+
+
+def toml_value(value: Any) -> str:
+    """Return one value as TOML; JSON's form serves for all but tables."""
+    if isinstance(value, dict):
+        inner = ", ".join(f"{key} = {toml_value(part)}" for key, part in value.items())
+        return "{" + inner + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(toml_value(part) for part in value) + "]"
+    return json.dumps(value)
--- a/mountstand/platform/http_adapters.py
+++ b/mountstand/platform/http_adapters.py
@@ -131,6 +131,10 @@
             raise NotFound(f"object {name} does not exist")
         return response.data
 
+    def delete(self, name: str) -> None:
+        """Remove an object, if it is there."""
+        self._client.call("DELETE", f"/v1/objects/{quote(name)}", writes=False)
+
 
 class HttpMachineList(MachineListPort):
     """The machine list over HTTP."""
--- a/mountstand/platform/memory_table.py
+++ b/mountstand/platform/memory_table.py
@@ -64,3 +64,7 @@
         if name not in self.objects:
             raise NotFound(f"object {name} does not exist")
         return self.objects[name]
+
+    def delete(self, name: str) -> None:
+        """Remove an object, if it is there."""
+        self.objects.pop(name, None)
--- a/mountstand/platform/ports.py
+++ b/mountstand/platform/ports.py
@@ -110,6 +110,10 @@
     def get(self, name: str) -> bytes:
         """Return an object. Raises ``NotFound`` or ``StoreUnavailable``."""
 
+    @abstractmethod
+    def delete(self, name: str) -> None:
+        """Remove an object, if it is there. Raises ``StoreUnavailable``."""
+
 
 class MachineRole(Enum):
     """What a machine of the fleet runs."""
--- a/mountstand/routing/router.py
+++ b/mountstand/routing/router.py
@@ -8,13 +8,17 @@
 from collections.abc import Iterable
 
 from mountstand.engines.port import CacheChange, LoadReport
-from mountstand.platform.ports import Machine
+from mountstand.platform.ports import Machine, MachineRole
 from mountstand.routing.chooser import RouteRequest, WorkerChooser
 from mountstand.routing.fleet_view import DispatchOutcome, FleetView
 
 MAX_POLLED_IN_USE = 64
 """With this many workers in use, idle ones are not polled; a dispatch brings them in."""
 
+BATCH_OVERCOMMIT = 1.125
+"""Batch items per idle slot: the surplus waits at the engine, so that a slot that falls free is
+taken without a round trip. The engine's priorities keep it behind online work."""
+
 
 class Router:
     """Front of :mod:`mountstand.routing` for threads."""
@@ -116,17 +120,37 @@
             candidates = self._view.candidates(service, time.monotonic())
             return sum(worker.slots for worker in candidates)
 
+    def engines(self) -> list[Machine]:
+        """Return the engines that may get work."""
+        with self._lock:
+            return [
+                worker.machine
+                for worker in self._view.workers.values()
+                if worker.machine.role is MachineRole.ENGINE and not worker.leaving
+            ]
+
+    def batch_slots(self, worker_id: str) -> int:
+        """Return how many batch items a worker should have, those it has now included."""
+        with self._lock:
+            return self._batch_slots(worker_id)
+
     def batch_headroom(self, worker_id: str) -> int:
         """Return how many more batch items a worker can take without displacing online work."""
         with self._lock:
             worker = self._view.workers.get(worker_id)
-            now_s = time.monotonic()
-            if worker is None or worker.leaving or worker.refused_until_s > now_s:
-                return 0
-            if worker.health.is_ejected(now_s) or worker.report is None:
+            if worker is None or worker.refused_until_s > time.monotonic():
                 return 0
-            online = worker.estimated_load(now_s) * worker.slots
-            return int(worker.slots - online) - worker.batch_in_flight
+            return max(0, self._batch_slots(worker_id) - worker.batch_in_flight)
+
+    def _batch_slots(self, worker_id: str) -> int:
+        worker = self._view.workers.get(worker_id)
+        now_s = time.monotonic()
+        if worker is None or worker.leaving or worker.report is None:
+            return 0
+        if worker.health.is_ejected(now_s):
+            return 0
+        idle = worker.slots - worker.estimated_load(now_s) * worker.slots
+        return max(0, int(idle * BATCH_OVERCOMMIT))
 
     def status(self) -> list[dict[str, object]]:
         """Return one line per worker for operators."""
