--- /dev/null
+++ b/mountstand/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checkers that read what happened and say whether the promises held."""
