--- /dev/null
+++ b/tests/contract/test_job_store.py
@@ -0,0 +1,100 @@
+"""Every fence of the job store, each against the write that it must stop."""
+
+from __future__ import annotations
+
+from testtools import TestCase
+
+from mountstand.batch.job_ledger import JobLedger
+from mountstand.batch.job_store import FencedPlan, JobStore
+from mountstand.batch.model import (
+    JobRecord,
+    JobState,
+    LeaseRecord,
+    RangeInfo,
+    job_row,
+    lease_row,
+    manifest_prefix,
+)
+from mountstand.batch.shard_leases import ClaimLease
+from mountstand.errors import WriteConflict
+from mountstand.platform.memory_table import MemoryObjects, MemoryTable
+from mountstand.platform.ports import Put, Transaction
+
+KEY = "tenant/job"
+SHARD = 3
+
+
+class JobStoreFences(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = MemoryTable()
+        self.store = JobStore(self.table, MemoryObjects())
+        self.record = JobRecord(
+            tenant="tenant",
+            job_id="job",
+            service="caption",
+            content_hash="",
+            upload_id="upload",
+            item_count=2,
+            range_count=2,
+        )
+        self.job_version = self.write(job_row(KEY), self.record.model_dump(mode="json"))
+        self.lease_version = self.store.write_lease(self.claim("first", 0))
+
+    def write(self, key: str, value: dict) -> int:
+        transaction = Transaction(write_id="test", puts=[Put(key=key, value=value)])
+        return self.table.commit(transaction).version
+
+    def claim(self, owner: str, version: int) -> ClaimLease:
+        return ClaimLease(
+            SHARD, version, LeaseRecord(owner_id=owner, incarnation=1, epoch=version + 1)
+        )
+
+    def fenced_plan(self) -> FencedPlan:
+        infos = [RangeInfo(first_item=n, item_count=1) for n in range(2)]
+        ledger = JobLedger.recover(self.record, self.job_version, 1, infos, [], [])
+        ledger.grant("executor", 1, 10.0)
+        ledger.report(0, "segment", 1, 0)
+        plan = ledger.plan_commit("write", 1.0)
+        assert plan is not None
+        return FencedPlan(KEY, SHARD, self.lease_version, plan)
+
+    def manifest(self) -> list:
+        return self.table.read(prefixes=(manifest_prefix(KEY),)).rows
+
+    def test_a_plan_commits_once(self) -> None:
+        plan = self.fenced_plan()
+        version = self.store.commit_plans("write", [plan], 16)
+        self.assertEqual(version, self.store.find_commit("write", [plan]))
+        self.assertRaises(WriteConflict, self.store.commit_plans, "write", [plan], 16)
+        self.assertEqual(1, len(self.manifest()))
+
+    def test_a_commit_after_a_cancel_fails(self) -> None:
+        plan = self.fenced_plan()
+        cancelled = self.record.model_copy(update={"state": JobState.CANCELLED})
+        self.write(job_row(KEY), cancelled.model_dump(mode="json"))
+        self.assertRaises(WriteConflict, self.store.commit_plans, "write", [plan], 16)
+        self.assertEqual([], self.manifest())
+
+    def test_a_commit_of_a_former_owner_fails(self) -> None:
+        plan = self.fenced_plan()
+        self.store.write_lease(self.claim("second", self.lease_version))
+        self.assertRaises(WriteConflict, self.store.commit_plans, "write", [plan], 16)
+        self.assertEqual([], self.manifest())
+
+    def test_a_lease_is_claimed_by_one_of_two(self) -> None:
+        self.store.write_lease(self.claim("second", self.lease_version))
+        late = self.claim("third", self.lease_version)
+        self.assertRaises(WriteConflict, self.store.write_lease, late)
+        row = self.table.read(lease_row(SHARD)).rows[0]
+        self.assertEqual("second", row.value["owner_id"])
+
+    def test_a_range_is_marked_once(self) -> None:
+        mark = (KEY, SHARD, self.lease_version, [1], "executor")
+        self.assertTrue(self.store.mark_attempts(*mark))
+        self.assertRaises(WriteConflict, self.store.mark_attempts, *mark)
+
+    def test_a_former_owner_marks_nothing(self) -> None:
+        self.store.write_lease(self.claim("second", self.lease_version))
+        mark = (KEY, SHARD, self.lease_version, [1], "executor")
+        self.assertRaises(WriteConflict, self.store.mark_attempts, *mark)
