--- a/mountstand/cli/main.py
+++ b/mountstand/cli/main.py
@@ -8,7 +8,10 @@
 import cappa
 
 from mountstand import __version__
+from mountstand.cli.check import Check
 from mountstand.cli.emulate import Emulate
+from mountstand.cli.job import Job
+from mountstand.cli.lab import Lab
 from mountstand.cli.serve import Serve
 from mountstand.errors import InvalidSettings, MountstandError
 
@@ -25,7 +28,7 @@
 class Mountstand:
     """The root command."""
 
-    command: cappa.Subcommands[Serve | Emulate]
+    command: cappa.Subcommands[Serve | Emulate | Job | Lab | Check]
 
 
 def main() -> None:
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import sys
 import threading
 import time
 
@@ -55,6 +56,10 @@
 logger = logging.getLogger(__name__)
 
 CONTROL_THREADS = 24
+THREAD_SWITCH_S = 0.0005
+"""The interpreter's default of 5 ms makes a request wait that long, several times over, whenever
+the stream relay has a burst of tokens in hand; see docs/design/stream-relay.md."""
+
 BATCH_DRAIN_SHARE = 0.5
 """Share of the stop time-out that held batch ranges may take; the rest is for streams."""
 
@@ -64,6 +69,7 @@
 
     def __init__(self, settings: DaemonSettings) -> None:
         self.settings = settings
+        sys.setswitchinterval(THREAD_SWITCH_S)
         self.metrics = DaemonMetrics()
         self._stopping = threading.Event()
         self._incarnation = time.time_ns() // 1_000_000
--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -27,6 +27,15 @@
 STOP_TIMEOUT_S = 30.0
 
 
+@dataclass(frozen=True)
+class EngineGroup:
+    """Engines of a further model service, in a process of their own."""
+
+    service: str
+    count: int
+    engine: dict[str, Any] = field(default_factory=dict)
+
+
 @dataclass(frozen=True)
 class FleetPlan:
     """What a fleet consists of.
@@ -44,6 +53,7 @@
     engine: dict[str, Any] = field(default_factory=dict)
     application: dict[str, Any] = field(default_factory=dict)
     daemon: dict[str, Any] = field(default_factory=dict)
+    groups: tuple[EngineGroup, ...] = ()
     machines_lag_s: float = 0.2
     seed: int = 0
 
@@ -123,7 +133,9 @@
         self.processes: dict[str, FleetProcess] = {}
         self._folder = tempfile.TemporaryDirectory(prefix="mountstand-lab-")
         self._path = Path(self._folder.name)
-        ports = iter(free_ports(3 + plan.engines + plan.applications + 2 * plan.daemons))
+        grouped = sum(group.count for group in plan.groups)
+        workers = plan.engines + plan.applications + grouped
+        ports = iter(free_ports(3 + workers + 2 * plan.daemons))
         self.table_port, self.objects_port, self.machines_port = (next(ports) for _ in range(3))
         self.engines = [
             self._worker("engine", n, plan.model_service, next(ports)) for n in range(plan.engines)
@@ -132,6 +144,12 @@
             self._worker("application", n, plan.application_service, next(ports))
             for n in range(plan.applications)
         ]
+        self.grouped_engines = {
+            group.service: [
+                self._worker("engine", n, group.service, next(ports)) for n in range(group.count)
+            ]
+            for group in plan.groups
+        }
         self.daemons = [
             DaemonAddress(f"daemon-{n}", self._zone(n), next(ports), next(ports))
             for n in range(plan.daemons)
@@ -163,6 +181,12 @@
         """Base of the machine list stand-in."""
         return f"http://{LOOPBACK}:{self.machines_port}"
 
+    @property
+    def workers(self) -> list[WorkerAddress]:
+        """Every worker of the fleet."""
+        grouped = [worker for group in self.grouped_engines.values() for worker in group]
+        return [*self.engines, *self.applications, *grouped]
+
     def start(self) -> None:
         """Start everything and wait until every daemon is ready and sees the others."""
         self._start_stand_ins()
@@ -233,7 +257,7 @@
     def executions(self) -> list[dict[str, Any]]:
         """Return what every worker that can be asked has run."""
         found = []
-        for worker in [*self.engines, *self.applications]:
+        for worker in self.workers:
             answer = self.http.request("GET", f"{worker.url}/control/executions", timeout=10.0)
             for execution in orjson.loads(answer.data)["executions"]:
                 found.append(execution | {"worker": worker.worker_id})
@@ -264,7 +288,7 @@
             for d in self.daemons
             if d.daemon_id in self.processes
         )
-        return len(live) >= running and workers == self.plan.engines + self.plan.applications
+        return len(live) >= running and workers == len(self.workers)
 
     def _wait_for(self, condition: Any, what: str) -> None:
         deadline_s = time.monotonic() + READY_TIMEOUT_S
@@ -286,7 +310,7 @@
                 raise RuntimeError(f"{process.name} ended with {code}: {text}")
 
     def _start_stand_ins(self) -> None:
-        machines = [worker.machine() for worker in [*self.engines, *self.applications]]
+        machines = [worker.machine() for worker in self.workers]
         for daemon in self.daemons:
             machines.append(
                 {
@@ -314,15 +338,24 @@
             share = engines[n :: self.plan.engine_processes]
             if share:
                 self._spawn_stand_ins(f"engines-{n}", share)
+        for group in self.plan.groups:
+            members = self.grouped_engines[group.service]
+            stand_ins = [self._stand_in(w, n, group.engine) for n, w in enumerate(members)]
+            self._spawn_stand_ins(f"engines-{group.service}", stand_ins)
         if self.applications:
             self._spawn_stand_ins(
                 "applications", [self._stand_in(w, n) for n, w in enumerate(self.applications)]
             )
 
-    def _stand_in(self, worker: WorkerAddress, number: int) -> dict[str, Any]:
+    def _stand_in(
+        self, worker: WorkerAddress, number: int, engine: dict[str, Any] | None = None
+    ) -> dict[str, Any]:
         settings = {"kind": worker.role, "port": worker.port, "seed": self.plan.seed + number}
         if worker.role == "engine":
-            settings["engine"] = {"model": worker.service, **self.plan.engine}
+            settings["engine"] = {
+                "model": worker.service,
+                **(self.plan.engine if engine is None else engine),
+            }
         else:
             settings["application"] = {"service": worker.service, **self.plan.application}
         return settings
@@ -352,7 +385,7 @@
         return self.plan.zones[number % len(self.plan.zones)]
 
     def _worker(self, role: str, number: int, service: str, port: int) -> WorkerAddress:
-        return WorkerAddress(f"{role}-{number}", role, self._zone(number), service, port)
+        return WorkerAddress(f"{role}-{service}-{number}", role, self._zone(number), service, port)
 
 
 def to_toml(settings: dict[str, Any]) -> str:
