--- a/mountstand/cli/main.py
+++ b/mountstand/cli/main.py
@@ -9,6 +9,7 @@
 
 from mountstand import __version__
 from mountstand.cli.check import Check
+from mountstand.cli.demo import Demo
 from mountstand.cli.emulate import Emulate
 from mountstand.cli.job import Job
 from mountstand.cli.lab import Lab
@@ -28,7 +29,7 @@
 class Mountstand:
     """The root command."""
 
-    command: cappa.Subcommands[Serve | Emulate | Job | Lab | Check]
+    command: cappa.Subcommands[Demo | Serve | Emulate | Job | Lab | Check]
 
 
 def main() -> None:
