--- a/mountstand/cli/emulate.py
+++ b/mountstand/cli/emulate.py
@@ -14,6 +14,8 @@
 from mountstand.emulator.engine_app import EngineApp, EngineSettings
 from mountstand.emulator.host import EmulatorHost, Listener
 from mountstand.emulator.platform_apps import MachinesApp, ObjectsApp, TableApp, WeightsApp
+from mountstand.emulator.tcp_proxy import ProxyApp
+from mountstand.errors import InvalidSettings
 from mountstand.platform.ports import Machine
 from mountstand.process_settings import (
     IpAddress,
@@ -23,7 +25,7 @@
     validate_settings,
 )
 
-StandInKind = Literal["engine", "application", "table", "objects", "machines", "weights"]
+StandInKind = Literal["engine", "application", "table", "objects", "machines", "weights", "proxy"]
 
 
 class StandInSettings(StrictModel):
@@ -37,6 +39,8 @@
     application: ApplicationSettings = ApplicationSettings()
     machines_lag_s: float = Field(0.5, ge=0.0)
     machines: list[Machine] = Field(default_factory=list)
+    proxied_port: Port | None = None
+    target_port: Port | None = None
 
 
 class EmulatorSettings(StrictModel):
@@ -57,12 +61,22 @@
         return ObjectsApp(settings.seed).build()
     if settings.kind == "weights":
         return WeightsApp(seed=settings.seed).build()
+    if settings.kind == "proxy":
+        return build_proxy(settings).build()
     machines = MachinesApp(settings.machines_lag_s, settings.seed)
     for machine in settings.machines:
         machines.put(machine)
     return machines.build()
 
 
+def build_proxy(settings: StandInSettings) -> ProxyApp:
+    """Return a fault-injecting proxy; its control interface is on the stand-in's port."""
+    if settings.proxied_port is None or settings.target_port is None:
+        raise InvalidSettings("stand_in: a proxy needs proxied_port and target_port")
+    address = settings.address
+    return ProxyApp(address, settings.proxied_port, address, settings.target_port)
+
+
 def build_host(settings: EmulatorSettings) -> EmulatorHost:
     """Return a host that serves every stand-in of ``settings``."""
     return EmulatorHost(
--- a/mountstand/cli/main.py
+++ b/mountstand/cli/main.py
@@ -14,6 +14,8 @@
 from mountstand.cli.job import Job
 from mountstand.cli.lab import Lab
 from mountstand.cli.serve import Serve
+from mountstand.cli.settings import Settings
+from mountstand.cli.status import Drain, ShowStatus
 from mountstand.errors import InvalidSettings, MountstandError
 
 EXIT_FAILURE = 1
@@ -29,7 +31,9 @@
 class Mountstand:
     """The root command."""
 
-    command: cappa.Subcommands[Demo | Serve | Emulate | Job | Lab | Check]
+    command: cappa.Subcommands[
+        Demo | Serve | Emulate | Job | Settings | ShowStatus | Drain | Lab | Check
+    ]
 
 
 def main() -> None:
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -28,6 +28,7 @@
 )
 from mountstand.http.peers import PeerMessagesResource
 from mountstand.http.server import HttpServer
+from mountstand.http.settings import SettingsResource
 from mountstand.membership.member import Member
 from mountstand.membership.service import MembershipService
 from mountstand.membership.state import MembershipConfig
@@ -37,6 +38,9 @@
 from mountstand.process_settings import DaemonSettings
 from mountstand.routing.observer import FleetObserver
 from mountstand.routing.router import Router
+from mountstand.settings.service import SettingsService
+from mountstand.settings.store import SettingsStore
+from mountstand.settings.tree import SettingsTree
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.wire.frames import Frame, FrameCodec
@@ -49,6 +53,7 @@
     PullRanges,
     RenewRanges,
     ReportRange,
+    SettingsRequest,
     WorkHint,
 )
 from mountstand.wire.peers import PeerClient, PeerServer
@@ -100,6 +105,7 @@
         self._control_server.start()
         self.membership.start()
         self.observer.start()
+        self.settings_service.start()
         self.owner.start()
         self.executor.start()
         self._callers_server.start()
@@ -121,6 +127,7 @@
         self.owner.stop()
         self.executor.stop()
         self.observer.stop()
+        self.settings_service.stop()
         self.membership.stop()
         self._control_server.stop()
         log_state_change(logger, "daemon stopped", streams_ended=finished, batch_drained=drained)
@@ -128,7 +135,8 @@
 
     def is_ready(self) -> bool:
         """Return whether the daemon takes callers' requests."""
-        return self.observer.ready.is_set() and not self._stopping.is_set()
+        informed = self.observer.ready.is_set() and self.settings_service.caught_up.is_set()
+        return informed and not self._stopping.is_set()
 
     def _build_platform(self) -> None:
         platform = self.settings.platform
@@ -155,15 +163,42 @@
             codec,
             self.peers,
             self.metrics,
-            lambda: 0,
+            lambda: self.settings_service.revision,
             settings.seed,
         )
         self.peer_server.register(MembersSync, self._answer_members_sync)
+        self.settings_service = SettingsService(
+            SettingsStore(self.table), self.membership, self.peers
+        )
+        self.settings_service.on_tree = self._apply_tree
+        self.membership.on_revision = self.settings_service.handle_revision
+        self.peer_server.register(SettingsRequest, self._answer_settings_request)
 
     def _answer_members_sync(self, frame: Frame) -> Message:
         assert isinstance(frame.message, MembersSync)
         return self.membership.handle_sync(frame.message)
 
+    def _answer_settings_request(self, frame: Frame) -> Message:
+        assert isinstance(frame.message, SettingsRequest)
+        return self.settings_service.answer(frame.message)
+
+    def _apply_tree(self, tree: SettingsTree) -> None:
+        """Put a new settings tree in force in every part that it concerns."""
+        self.router.apply_drains(
+            drained_names(tree, "workers"),
+            drained_names(tree, "zones"),
+            {
+                path.removeprefix("zones/"): tree.value(path, "traffic_percent") / 100
+                for path in tree.paths_below("zones")
+            },
+        )
+        self.online.gate.set_tenant_weights(
+            {
+                path.removeprefix("tenants/"): tree.value(path, "tenant_weight")
+                for path in tree.paths_below("tenants")
+            }
+        )
+
     def _build_batch(self) -> None:
         settings = self.settings.batch
         self.executor = BatchExecutor(
@@ -248,6 +283,7 @@
                 "members": self.membership.status,
                 "owner": self.owner.status,
                 "executor": self.executor.status,
+                "settings": self.settings_service.status,
             },
             tokens,
         )
@@ -256,5 +292,15 @@
             readyz=ReadyResource(self.is_ready),
             metrics=MetricsResource(self.metrics),
             status=status,
+            settings=SettingsResource(self.settings_service, tokens),
             internal=Namespace(messages=PeerMessagesResource(self.peer_server)),
         )
+
+
+def drained_names(tree: SettingsTree, kind: str) -> frozenset[str]:
+    """Return the names below branch ``kind`` whose effective value is drained."""
+    return frozenset(
+        path.removeprefix(f"{kind}/")
+        for path in tree.paths_below(kind)
+        if tree.value(path, "drained")
+    )
--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -40,7 +40,8 @@
 class FleetPlan:
     """What a fleet consists of.
 
-    ``engine_processes`` shares the engines out over that many processes.
+    ``engine_processes`` shares the engines out over that many processes. ``proxied`` puts a
+    fault-injecting proxy before every worker and before the table.
     """
 
     zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
@@ -53,6 +54,7 @@
     engine: dict[str, Any] = field(default_factory=dict)
     application: dict[str, Any] = field(default_factory=dict)
     daemon: dict[str, Any] = field(default_factory=dict)
+    proxied: bool = False
     groups: tuple[EngineGroup, ...] = ()
     machines_lag_s: float = 0.2
     seed: int = 0
@@ -106,10 +108,14 @@
     zone: str
     service: str
     port: int
+    listed_port: int
+    """Port in the machine list: the worker's own, or its proxy's."""
+
+    proxy_control_port: int = 0
 
     @property
     def url(self) -> str:
-        """Base of the worker's interface."""
+        """Base of the worker's interface, past any proxy."""
         return f"http://{LOOPBACK}:{self.port}"
 
     def machine(self) -> dict[str, Any]:
@@ -118,7 +124,7 @@
             "machine_id": self.worker_id,
             "role": self.role,
             "address": LOOPBACK,
-            "port": self.port,
+            "port": self.listed_port,
             "zone": self.zone,
             "service": self.service,
         }
@@ -135,18 +141,20 @@
         self._path = Path(self._folder.name)
         grouped = sum(group.count for group in plan.groups)
         workers = plan.engines + plan.applications + grouped
-        ports = iter(free_ports(3 + workers + 2 * plan.daemons))
+        per_worker = 3 if plan.proxied else 1
+        ports = iter(free_ports(5 + per_worker * workers + 2 * plan.daemons))
         self.table_port, self.objects_port, self.machines_port = (next(ports) for _ in range(3))
+        self._table_proxy_port, self._table_proxy_control_port = next(ports), next(ports)
         self.engines = [
-            self._worker("engine", n, plan.model_service, next(ports)) for n in range(plan.engines)
+            self._worker("engine", n, plan.model_service, ports) for n in range(plan.engines)
         ]
         self.applications = [
-            self._worker("application", n, plan.application_service, next(ports))
+            self._worker("application", n, plan.application_service, ports)
             for n in range(plan.applications)
         ]
         self.grouped_engines = {
             group.service: [
-                self._worker("engine", n, group.service, next(ports)) for n in range(group.count)
+                self._worker("engine", n, group.service, ports) for n in range(group.count)
             ]
             for group in plan.groups
         }
@@ -168,9 +176,14 @@
 
     @property
     def table_url(self) -> str:
-        """Base of the table stand-in."""
+        """Base of the table stand-in, past any proxy."""
         return f"http://{LOOPBACK}:{self.table_port}"
 
+    @property
+    def table_proxy_control_url(self) -> str:
+        """Control interface of the proxy before the table."""
+        return f"http://{LOOPBACK}:{self._table_proxy_control_port}"
+
     @property
     def objects_url(self) -> str:
         """Base of the object store stand-in."""
@@ -212,7 +225,7 @@
             "port": daemon.port,
             "control_port": daemon.control_port,
             "platform": {
-                "table_url": self.table_url,
+                "table_url": self._listed_table_url(),
                 "objects_url": self.objects_url,
                 "machines_url": self.machines_url,
                 "machines_poll_s": 0.3,
@@ -245,6 +258,14 @@
         """Let a frozen process go on."""
         self.processes[name].send(signal.SIGCONT)
 
+    def set_proxy(self, worker: WorkerAddress, **plan: Any) -> None:
+        """Set what the proxy before a worker does; without arguments it passes all on."""
+        self.set_faults(f"http://{LOOPBACK}:{worker.proxy_control_port}", **plan)
+
+    def _listed_table_url(self) -> str:
+        port = self._table_proxy_port if self.plan.proxied else self.table_port
+        return f"http://{LOOPBACK}:{port}"
+
     def set_faults(self, url: str, **plan: Any) -> None:
         """Set the faults of one stand-in; without arguments it works as it should."""
         self.http.request("PUT", f"{url}/control/faults", body=json.dumps(plan))
@@ -338,6 +359,8 @@
             share = engines[n :: self.plan.engine_processes]
             if share:
                 self._spawn_stand_ins(f"engines-{n}", share)
+        if self.plan.proxied:
+            self._spawn_stand_ins("proxies", self._proxies())
         for group in self.plan.groups:
             members = self.grouped_engines[group.service]
             stand_ins = [self._stand_in(w, n, group.engine) for n, w in enumerate(members)]
@@ -347,6 +370,14 @@
                 "applications", [self._stand_in(w, n) for n, w in enumerate(self.applications)]
             )
 
+    def _proxies(self) -> list[dict[str, Any]]:
+        ways = [(w.proxy_control_port, w.listed_port, w.port) for w in self.workers]
+        ways.append((self._table_proxy_control_port, self._table_proxy_port, self.table_port))
+        return [
+            {"kind": "proxy", "port": control, "proxied_port": proxied, "target_port": target}
+            for control, proxied, target in ways
+        ]
+
     def _stand_in(
         self, worker: WorkerAddress, number: int, engine: dict[str, Any] | None = None
     ) -> dict[str, Any]:
@@ -384,8 +415,20 @@
     def _zone(self, number: int) -> str:
         return self.plan.zones[number % len(self.plan.zones)]
 
-    def _worker(self, role: str, number: int, service: str, port: int) -> WorkerAddress:
-        return WorkerAddress(f"{role}-{service}-{number}", role, self._zone(number), service, port)
+    def _worker(self, role: str, number: int, service: str, ports: Iterator[int]) -> WorkerAddress:
+        port = next(ports)
+        listed_port, control_port = port, 0
+        if self.plan.proxied:
+            listed_port, control_port = next(ports), next(ports)
+        return WorkerAddress(
+            f"{role}-{service}-{number}",
+            role,
+            self._zone(number),
+            service,
+            port,
+            listed_port,
+            control_port,
+        )
 
 
 def to_toml(settings: dict[str, Any]) -> str:
--- a/mountstand/routing/fleet_view.py
+++ b/mountstand/routing/fleet_view.py
@@ -77,6 +77,7 @@
     def __init__(self) -> None:
         self.workers: dict[str, WorkerState] = {}
         self._drained_ids: frozenset[str] = frozenset()
+        self._drained_zones: frozenset[str] = frozenset()
 
     def update_machines(self, machines: Iterable[Machine]) -> None:
         """Take over the platform's list; what is known of workers that stay is kept."""
@@ -90,13 +91,18 @@
                 self.workers[worker_id] = WorkerState(machine)
             else:
                 worker.machine = machine
-            self.workers[worker_id].drained = worker_id in self._drained_ids
+            self._mark_drained(self.workers[worker_id])
 
-    def set_drained(self, worker_ids: frozenset[str]) -> None:
-        """Mark the workers that operators drain."""
+    def set_drained(self, worker_ids: frozenset[str], zones: frozenset[str]) -> None:
+        """Mark the workers that operators drain, one by one or with their zone."""
         self._drained_ids = worker_ids
-        for worker_id, worker in self.workers.items():
-            worker.drained = worker_id in worker_ids
+        self._drained_zones = zones
+        for worker in self.workers.values():
+            self._mark_drained(worker)
+
+    def _mark_drained(self, worker: WorkerState) -> None:
+        by_id = worker.worker_id in self._drained_ids
+        worker.drained = by_id or worker.machine.zone in self._drained_zones
 
     def record_load(self, worker_id: str, report: LoadReport, now_s: float) -> None:
         """Take a load report as of ``now_s``."""
--- a/mountstand/routing/outliers.py
+++ b/mountstand/routing/outliers.py
@@ -28,7 +28,12 @@
         self.ejected_until_s = 0.0
 
     def record_failure(self, now_s: float) -> None:
-        """Count a failure; eject for twice as long each time."""
+        """Count a failure; eject for twice as long each time.
+
+        Failures of one outage that are seen during the ejection do not lengthen it.
+        """
+        if self.is_ejected(now_s):
+            return
         self.failures_in_row += 1
         if self.failures_in_row < FAILURES_TO_EJECT and self.ejections == 0:
             return
--- a/mountstand/routing/router.py
+++ b/mountstand/routing/router.py
@@ -84,10 +84,15 @@
                 else:
                     index.record_evicted(change.block, worker_id)
 
-    def apply_drains(self, worker_ids: frozenset[str], zone_weights: dict[str, float]) -> None:
-        """Take over operators' drains of workers and weights of zones."""
-        with self._lock:
-            self._view.set_drained(worker_ids)
+    def apply_drains(
+        self,
+        worker_ids: frozenset[str],
+        zones: frozenset[str],
+        zone_weights: dict[str, float],
+    ) -> None:
+        """Take over operators' drains of workers and zones, and weights of zones."""
+        with self._lock:
+            self._view.set_drained(worker_ids, zones)
             self._chooser.zone_weights = dict(zone_weights)
 
     def machines(self) -> list[Machine]:
