Scale experiment with hollow daemons; control cost cut by caches, entity tags and poll budgets

Now: entity tag and compression for the list, own workers kept until members or machines change, shards recomputed on a change of members only, polls under a rate.

--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -122,6 +122,8 @@
         self._sequence = itertools.count()
         self._in_flight = 0
         self._known_work: dict[str, KnownWork] = {}
+        self._own_workers_versions = (-1, -1)
+        self._own_workers_found: list[Machine] = []
         self._stopping = False
         self._draining = False
         self.call_local_owner: Callable[[Message], Message] | None = None
@@ -201,7 +203,18 @@
     # Workers
 
     def _own_workers(self) -> list[Machine]:
-        """Return the workers whose batch work this daemon runs."""
+        """Return the workers whose batch work this daemon runs.
+
+        Hashing every worker against every member is dear in a large fleet, so the answer is kept
+        until members or machines change.
+        """
+        versions = (self._membership.version, self._router.version)
+        if versions != self._own_workers_versions:
+            self._own_workers_found = self._find_own_workers()
+            self._own_workers_versions = versions
+        return self._own_workers_found
+
+    def _find_own_workers(self) -> list[Machine]:
         members = [m for m in self._membership.live_members() if m.may_own]
         all_ids = sorted(member.member_id for member in members)
         by_zone: dict[str, list[str]] = {}
--- a/mountstand/batch/shard_leases.py
+++ b/mountstand/batch/shard_leases.py
@@ -66,10 +66,14 @@
     held: dict[int, HeldLease] = field(default_factory=dict)
     _first_seen_s: dict[int, tuple[int, float]] = field(default_factory=dict)
     _wanted: set[int] = field(default_factory=set)
+    _owners: tuple[str, ...] = ()
 
     def update_members(self, possible_owners: Iterable[str]) -> set[int]:
         """Take the present members; return the shards that this daemon should own."""
-        owners = sorted(possible_owners)
+        owners = tuple(sorted(possible_owners))
+        if owners == self._owners:
+            return self._wanted
+        self._owners = owners
         self._wanted = {
             shard for shard in range(self.shards) if preferred_owner(shard, owners) == self.self_id
         }
--- a/mountstand/cli/lab.py
+++ b/mountstand/cli/lab.py
@@ -15,9 +15,11 @@
 from mountstand.lab.batch_throughput import run_batch_throughput
 from mountstand.lab.configuration import run_configuration
 from mountstand.lab.online import run_online
+from mountstand.lab.scale import run_scale
 
 EXPERIMENTS: dict[str, Callable[[int, Path | None], dict[str, Any]]] = {
     "configuration": lambda seed, history: run_configuration(seed),
+    "scale": lambda seed, history: run_scale(seed),
     "online": lambda seed, history: run_online(seed),
     "batch-faults": run_batch_faults,
     "batch-throughput": lambda seed, history: run_batch_throughput(seed),
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -53,6 +53,7 @@
     PullRanges,
     RenewRanges,
     ReportRange,
+    SettingsReply,
     SettingsRequest,
     WorkHint,
 )
@@ -79,7 +80,7 @@
         self._stopping = threading.Event()
         self._incarnation = time.time_ns() // 1_000_000
         self._build_platform()
-        self.backend = HttpBackend()
+        self.backend = HttpBackend(self.metrics)
         self.router = Router(settings.zone, settings.seed)
         self.online = OnlineService(self.router, self.backend, self.table, self.metrics)
         self._build_membership()
@@ -92,6 +93,8 @@
             machines_poll_s=settings.platform.machines_poll_s,
             load_poll_s=settings.online.load_poll_s,
             cache_poll_s=settings.online.cache_poll_s,
+            load_polls_per_s=settings.online.load_polls_per_s,
+            cache_polls_per_s=settings.online.cache_polls_per_s,
         )
         self._callers_server = HttpServer(
             settings.address, settings.port, settings.online.threads, self._callers_root()
@@ -149,7 +152,7 @@
     def _build_membership(self) -> None:
         settings = self.settings
         codec = FrameCodec(settings.daemon_id, self._incarnation, settings.security.cluster_keys)
-        self.peers = PeerClient(codec)
+        self.peers = PeerClient(codec, self.metrics)
         self.peer_server = PeerServer(codec)
         self.membership = MembershipService(
             Member(
@@ -256,6 +259,8 @@
             self.executor.handle_work_hint(sender_id, message)
         elif isinstance(message, JobHint):
             self.owner.look_now()
+        elif isinstance(message, SettingsRequest | SettingsReply):
+            self.settings_service.handle_datagram(sender_id, message)
 
     def _callers_root(self) -> object:
         context = CallerContext(
--- a/mountstand/emulator/platform_apps.py
+++ b/mountstand/emulator/platform_apps.py
@@ -105,10 +105,13 @@
 
     def build(self) -> web.Application:
         """Return the aiohttp application."""
-        application = web.Application(middlewares=[self.faults.middleware])
+        application = web.Application(
+            middlewares=[self.faults.middleware], client_max_size=MAX_OBJECT_BYTES
+        )
         self.faults.install(application)
         application.router.add_get("/v1/machines", self._handle_list)
         application.router.add_put("/control/machines/{id}", self._handle_put)
+        application.router.add_post("/control/machines", self._handle_put_many)
         application.router.add_delete("/control/machines/{id}", self._handle_delete)
         return application
 
@@ -124,18 +127,27 @@
 
     async def _handle_list(self, request: web.Request) -> web.Response:
         visible_s = time.monotonic() - self.lag_s
-        machines = self._snapshots[0].machines
+        shown = self._snapshots[0]
         for snapshot in self._snapshots:
             if snapshot.time_s <= visible_s:
-                machines = snapshot.machines
-        return web.json_response(
-            {"machines": [m.model_dump(mode="json") for m in machines.values()]}
-        )
+                shown = snapshot
+        entity_tag = f'"{shown.time_s}"'
+        if request.headers.get("If-None-Match") == entity_tag:
+            return web.Response(status=304, headers={"ETag": entity_tag})
+        listed = [machine.model_dump(mode="json") for machine in shown.machines.values()]
+        response = web.json_response({"machines": listed}, headers={"ETag": entity_tag})
+        response.enable_compression()
+        return response
 
     async def _handle_put(self, request: web.Request) -> web.Response:
         self.put(Machine.model_validate_json(await request.read()))
         return web.json_response({"stored": True})
 
+    async def _handle_put_many(self, request: web.Request) -> web.Response:
+        found = [Machine.model_validate(line) for line in await request.json()]
+        self._change(self._snapshots[-1].machines | {m.machine_id: m for m in found})
+        return web.json_response({"stored": len(found)})
+
     async def _handle_delete(self, request: web.Request) -> web.Response:
         machines = dict(self._snapshots[-1].machines)
         machines.pop(request.match_info["id"], None)
--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -36,7 +36,9 @@
     DeadlineExceeded,
     Executed,
 )
+from mountstand.platform.http_adapters import HEADER_BYTES
 from mountstand.platform.ports import Machine
+from mountstand.telemetry.metrics import DaemonMetrics
 
 CONNECT_TIMEOUT_S = 1.0
 CALLER_CHECK_INTERVAL_S = 0.25
@@ -89,7 +91,8 @@
 class HttpBackend(BackendPort):
     """Back ends over HTTP; one instance serves all machines of a daemon."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: DaemonMetrics | None = None) -> None:
+        self._metrics = metrics
         self._pool = ConnectionPool()
         self._control = urllib3.PoolManager(
             num_pools=512, maxsize=2, retries=False, timeout=urllib3.Timeout(CONTROL_TIMEOUT_S)
@@ -200,7 +203,11 @@
     ) -> urllib3.BaseHTTPResponse:
         url = f"http://{machine.address}:{machine.port}{path}"
         try:
-            return self._control.request(method, url, body=body)
+            response = self._control.request(method, url, body=body)
+            if self._metrics is not None:
+                moved = 2 * HEADER_BYTES + len(body or b"") + len(response.data)
+                self._metrics.control_bytes.labels("worker").inc(moved)
+            return response
         except (NewConnectionError, ConnectTimeoutError):
             raise BackendUnreachable(f"{machine.machine_id}: no connection") from None
         except HTTPError as problem:
--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -194,6 +194,11 @@
         """Base of the machine list stand-in."""
         return f"http://{LOOPBACK}:{self.machines_port}"
 
+    @property
+    def folder(self) -> Path:
+        """Folder for files of this fleet's processes."""
+        return self._path
+
     @property
     def workers(self) -> list[WorkerAddress]:
         """Every worker of the fleet."""
--- a/mountstand/platform/http_adapters.py
+++ b/mountstand/platform/http_adapters.py
@@ -35,6 +35,12 @@
 THROTTLED_STATUS = 429
 CONFLICT_STATUS = 409
 NOT_FOUND_STATUS = 404
+NOT_MODIFIED_STATUS = 304
+HEADER_BYTES = 160
+"""Estimate of a request's or an answer's line and headers, for the count of control traffic."""
+
+CONTROL_STORES = ("table", "machines")
+"""Objects hold jobs' items and results, which are no control traffic."""
 
 
 class StoreClient:
@@ -54,7 +60,13 @@
         self._metrics = metrics
 
     def call(
-        self, method: str, path: str, body: bytes | None = None, *, writes: bool
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        *,
+        writes: bool,
+        headers: dict[str, str] | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Send one operation and return its answer.
 
@@ -66,7 +78,7 @@
             It writes, and whether it took effect is not known.
         """
         try:
-            response = self._pool.request(method, path, body=body)
+            response = self._pool.request(method, path, body=body, headers=headers)
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             raise self._failure(StoreUnavailable, "no connection") from None
         except urllib3.exceptions.HTTPError as problem:
@@ -78,6 +90,10 @@
             kind = WriteOutcomeUnknown if writes else StoreUnavailable
             raise self._failure(kind, f"status {response.status}")
         self._count("ok")
+        if self._metrics is not None and self._name in CONTROL_STORES:
+            received = int(response.headers.get("Content-Length", len(response.data)))
+            moved = 2 * HEADER_BYTES + len(body or b"") + received
+            self._metrics.control_bytes.labels(self._name).inc(moved)
         return response
 
     def _failure(self, kind: type[MountstandError], detail: str) -> MountstandError:
@@ -143,12 +159,25 @@
         self, base_url: str, timeout_s: float = 2.0, metrics: DaemonMetrics | None = None
     ) -> None:
         self._client = StoreClient("machines", base_url, timeout_s, metrics)
+        self._entity_tag = ""
+        self._machines: list[Machine] = []
 
     def machines(self) -> list[Machine]:
-        """Return the list as the platform shows it."""
-        response = self._client.call("GET", "/v1/machines", writes=False)
+        """Return the list as the platform shows it; the same object while it is unchanged.
+
+        The list of a large fleet is long and changes every few minutes, so it is asked for under
+        its entity tag, and compressed.
+        """
+        headers = {"Accept-Encoding": "gzip"}
+        if self._entity_tag:
+            headers["If-None-Match"] = self._entity_tag
+        response = self._client.call("GET", "/v1/machines", writes=False, headers=headers)
+        if response.status == NOT_MODIFIED_STATUS:
+            return self._machines
         try:
             records = orjson.loads(response.data)["machines"]
-            return [Machine.model_validate(record) for record in records]
+            self._machines = [Machine.model_validate(record) for record in records]
+            self._entity_tag = response.headers.get("ETag", "")
+            return self._machines
         except (ValueError, KeyError):
             raise StoreUnavailable("machines: the answer cannot be read") from None
--- a/mountstand/routing/fleet_view.py
+++ b/mountstand/routing/fleet_view.py
@@ -76,6 +76,7 @@
 
     def __init__(self) -> None:
         self.workers: dict[str, WorkerState] = {}
+        self._by_service: dict[str, list[WorkerState]] = {}
         self._drained_ids: frozenset[str] = frozenset()
         self._drained_zones: frozenset[str] = frozenset()
 
@@ -92,6 +93,9 @@
             else:
                 worker.machine = machine
             self._mark_drained(self.workers[worker_id])
+        self._by_service = {}
+        for worker in self.workers.values():
+            self._by_service.setdefault(worker.machine.service, []).append(worker)
 
     def set_drained(self, worker_ids: frozenset[str], zones: frozenset[str]) -> None:
         """Mark the workers that operators drain, one by one or with their zone."""
@@ -148,7 +152,7 @@
 
     def services(self) -> set[str]:
         """Return the services that some worker serves."""
-        return {worker.machine.service for worker in self.workers.values()}
+        return set(self._by_service)
 
     def models(self) -> dict[str, str]:
         """Return each model loaded anywhere with the service that has it."""
@@ -163,11 +167,7 @@
 
     def candidates(self, service: str, now_s: float) -> list[WorkerState]:
         """Return the workers of ``service`` that may get new work, worst ejected left out."""
-        serving = [
-            worker
-            for worker in self.workers.values()
-            if worker.machine.service == service and not worker.leaving
-        ]
+        serving = [w for w in self._by_service.get(service, []) if not w.leaving]
         ejected = [worker for worker in serving if worker.health.is_ejected(now_s)]
         ejected.sort(key=lambda worker: -worker.health.ejected_until_s)
         removed = {worker.worker_id for worker in ejected[: ejectable_count(len(serving))]}
--- a/mountstand/routing/observer.py
+++ b/mountstand/routing/observer.py
@@ -13,8 +13,6 @@
 from mountstand.routing.router import Router
 
 POLL_THREADS = 8
-MAX_POLLS_PER_ROUND = 16
-"""Bounds the cost of polling however many workers there are; workers in use come first."""
 
 MachineObserver = Callable[[list[Machine]], None]
 
@@ -32,6 +30,8 @@
         machines_poll_s: float,
         load_poll_s: float,
         cache_poll_s: float,
+        load_polls_per_s: float,
+        cache_polls_per_s: float,
     ) -> None:
         self._router = router
         self._machine_list = machine_list
@@ -41,7 +41,12 @@
         self._polling: set[str] = set()
         self._polling_lock = threading.Lock()
         self._cache_numbers: dict[str, int] = {}
-        self._rotation = 0
+        # Polls a round are bounded, so that their cost does not grow with the fleet.
+        self._load_round = max(1, int(load_polls_per_s * load_poll_s))
+        self._cache_round = max(1, int(cache_polls_per_s * cache_poll_s))
+        self._load_rotation = 0
+        self._cache_rotation = 0
+        self._last_machines: list[Machine] | None = None
         self.ready = threading.Event()
         self._tasks = [
             PeriodicTask("machine list", machines_poll_s, self.poll_machines),
@@ -63,27 +68,27 @@
     def poll_machines(self) -> None:
         """Take over the platform's machine list once."""
         machines = self._machine_list.machines()
+        if machines is self._last_machines:
+            return
+        self._last_machines = machines
         self._router.update_machines(machines)
         self._on_machines(machines)
         self.ready.set()
 
     def poll_loads(self) -> None:
         """Ask a bounded number of workers for their load."""
-        for machine in self._next_machines(self._router.poll_order()):
+        machines = self._router.poll_order()
+        self._load_rotation += self._load_round
+        for machine in rotate(machines, self._load_rotation, self._load_round):
             self._submit(machine, self._poll_load)
 
     def poll_caches(self) -> None:
         """Ask a bounded number of engines for their cache events."""
         engines = [m for m in self._router.machines() if m.role is MachineRole.ENGINE]
-        for machine in self._next_machines(engines):
+        self._cache_rotation += self._cache_round
+        for machine in rotate(engines, self._cache_rotation, self._cache_round):
             self._submit(machine, self._poll_cache)
 
-    def _next_machines(self, machines: list[Machine]) -> list[Machine]:
-        if len(machines) <= MAX_POLLS_PER_ROUND:
-            return machines
-        self._rotation = (self._rotation + MAX_POLLS_PER_ROUND) % len(machines)
-        return (machines[self._rotation :] + machines)[:MAX_POLLS_PER_ROUND]
-
     def _submit(self, machine: Machine, poll: Callable[[Machine], None]) -> None:
         key = f"{poll.__name__} {machine.machine_id}"
         with self._polling_lock:
@@ -115,3 +120,11 @@
             return
         self._cache_numbers[machine.machine_id] = last
         self._router.record_cache_changes(machine.machine_id, changes)
+
+
+def rotate(machines: list[Machine], start: int, count: int) -> list[Machine]:
+    """Return ``count`` machines from position ``start`` on, going round."""
+    if len(machines) <= count:
+        return machines
+    first = start % len(machines)
+    return (machines[first:] + machines[:first])[:count]
--- a/mountstand/routing/router.py
+++ b/mountstand/routing/router.py
@@ -15,6 +15,9 @@
 MAX_POLLED_IN_USE = 64
 """With this many workers in use, idle ones are not polled; a dispatch brings them in."""
 
+MODELS_KEPT_S = 0.5
+"""Reading the models off every worker for every request is dear in a large fleet."""
+
 BATCH_OVERCOMMIT = 1.125
 """Batch items per idle slot: the surplus waits at the engine, so that a slot that falls free is
 taken without a round trip. The engine's priorities keep it behind online work."""
@@ -27,6 +30,10 @@
         self._lock = threading.Lock()
         self._view = FleetView()
         self._chooser = WorkerChooser(self._view, home_zone, random.Random(seed))
+        self._models: dict[str, str] = {}
+        self._models_read_s = 0.0
+        self.version = 0
+        """Rises when workers come, go or are drained; for caches of what follows from them."""
 
     def begin(self, request: RouteRequest) -> Machine | None:
         """Choose a worker and count the dispatch; ``None`` when none may take it."""
@@ -61,6 +68,7 @@
         """Take over the platform's machine list."""
         with self._lock:
             self._view.update_machines(machines)
+            self.version += 1
 
     def record_load(self, worker_id: str, report: LoadReport) -> None:
         """Take a load report."""
@@ -93,6 +101,7 @@
         """Take over operators' drains of workers and zones, and weights of zones."""
         with self._lock:
             self._view.set_drained(worker_ids, zones)
+            self.version += 1
             self._chooser.zone_weights = dict(zone_weights)
 
     def machines(self) -> list[Machine]:
@@ -116,11 +125,15 @@
 
     def models(self) -> dict[str, str]:
         """Return each model with the service that has it."""
-        with self._lock:
-            return self._view.models()
+        now_s = time.monotonic()
+        if now_s - self._models_read_s > MODELS_KEPT_S or not self._models:
+            with self._lock:
+                self._models = self._view.models()
+            self._models_read_s = now_s
+        return self._models
 
     def capacity(self, service: str) -> int:
-        """Return the slots of all workers of ``service`` that may get work."""
+        """Return the slots of the workers of ``service`` that may get work, home zone first."""
         with self._lock:
             candidates = self._view.candidates(service, time.monotonic())
             return sum(worker.slots for worker in candidates)
--- a/mountstand/settings/service.py
+++ b/mountstand/settings/service.py
@@ -10,6 +10,7 @@
 
 import logging
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -36,6 +37,9 @@
 REPEATED_HINTS = 3
 TABLE_POLL_S = 5.0
 CATCH_UP_PEERS = 3
+MAX_DATAGRAM_DOCUMENT_BYTES = 1000
+DATAGRAM_ANSWER_S = 0.2
+DATAGRAM_CHECK_S = 0.01
 
 TreeObserver = Callable[[SettingsTree], None]
 
@@ -164,7 +168,7 @@
     def _fetch(self, sender_id: str) -> None:
         try:
             member = self._membership.member(sender_id)
-            if member is not None:
+            if member is not None and not self._fetch_by_datagram(member):
                 self._fetch_from(member)
         except PeerUnavailable:
             logger.debug("settings cannot be fetched", extra={"peer": sender_id})
@@ -174,14 +178,36 @@
             with self._lock:
                 self._fetching.discard(sender_id)
 
+    def _fetch_by_datagram(self, peer: Member) -> bool:
+        """Ask by datagram, which is enough for a few changes; return whether this caught up."""
+        wanted = self._heard.get(peer.member_id, 0)
+        self._membership.send_hint(peer, SettingsRequest(self.revision))
+        deadline_s = time.monotonic() + DATAGRAM_ANSWER_S
+        while self.revision < wanted and time.monotonic() < deadline_s:
+            time.sleep(DATAGRAM_CHECK_S)
+        return self.revision >= wanted
+
+    def handle_datagram(self, sender_id: str, message: SettingsRequest | SettingsReply) -> None:
+        """Answer a request by datagram if the answer is small, or take such an answer."""
+        if isinstance(message, SettingsReply):
+            self._take_reply(sender_id, message)
+            return
+        member = self._membership.member(sender_id)
+        reply = self.answer(message)
+        if member is not None and len(reply.document) <= MAX_DATAGRAM_DOCUMENT_BYTES:
+            self._membership.send_hint(member, reply)
+
     def _fetch_from(self, peer: Member) -> None:
         reply = self._peers.call(peer, SettingsRequest(self.revision))
         if not isinstance(reply, SettingsReply):
             raise PeerUnavailable(f"{peer.member_id}: unexpected answer")
+        self._take_reply(peer.member_id, reply)
+
+    def _take_reply(self, peer_id: str, reply: SettingsReply) -> None:
         try:
             document = SettingsDocument.model_validate_json(reply.document)
         except ValidationError:
-            raise PeerUnavailable(f"{peer.member_id}: settings cannot be read") from None
+            raise PeerUnavailable(f"{peer_id}: settings cannot be read") from None
         with self._lock:
             self._take(document)
 
--- a/mountstand/telemetry/metrics.py
+++ b/mountstand/telemetry/metrics.py
@@ -64,6 +64,12 @@
         self.datagram_bytes = Counter(
             "mountstand_datagram_bytes_total", "Gossip bytes", ["direction"], registry=registry
         )
+        self.control_bytes = Counter(
+            "mountstand_control_bytes_total",
+            "Bytes of control traffic over HTTP, headers estimated",
+            ["kind"],
+            registry=registry,
+        )
         self.members = Gauge("mountstand_members", "Members by state", ["state"], registry=registry)
 
     def render(self) -> bytes:
--- a/mountstand/wire/peers.py
+++ b/mountstand/wire/peers.py
@@ -9,6 +9,8 @@
 from urllib3.exceptions import HTTPError
 
 from mountstand.errors import MessageRejected, PeerUnavailable
+from mountstand.platform.http_adapters import HEADER_BYTES
+from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.wire.frames import MAX_FRAME_BYTES, Frame, FrameCodec
 from mountstand.wire.messages import Message
 
@@ -39,8 +41,9 @@
 class PeerClient:
     """Calls other daemons; thread-safe."""
 
-    def __init__(self, codec: FrameCodec) -> None:
+    def __init__(self, codec: FrameCodec, metrics: DaemonMetrics | None = None) -> None:
         self._codec = codec
+        self._metrics = metrics
         self._pool = urllib3.PoolManager(num_pools=512, maxsize=8, retries=False)
 
     def call(
@@ -48,17 +51,21 @@
     ) -> Message:
         """Send ``message`` and return the answer; raise ``PeerUnavailable`` without one."""
         url = f"http://{peer.address}:{peer.port}{PEER_PATH}"
+        sealed = self._codec.seal(message)
         try:
             response = self._pool.request(
                 "POST",
                 url,
-                body=self._codec.seal(message),
+                body=sealed,
                 timeout=urllib3.Timeout(connect=min(1.0, timeout_s), read=timeout_s),
             )
         except HTTPError as problem:
             raise PeerUnavailable(f"{peer.member_id}: {type(problem).__name__}") from None
         if response.status != OK_STATUS:
             raise PeerUnavailable(f"{peer.member_id}: status {response.status}")
+        if self._metrics is not None:
+            moved = 2 * HEADER_BYTES + len(sealed) + len(response.data)
+            self._metrics.control_bytes.labels("peer").inc(moved)
         try:
             return self._codec.open(response.data).message
         except MessageRejected as problem:
