--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -77,6 +77,7 @@
 WORK_HINT_LIFE_S = 2.0
 PULL_INTERVAL_S = 0.1
 SCHEDULE_INTERVAL_S = 0.05
+IDLE_SCHEDULE_INTERVAL_S = 0.5
 RETRY_PAUSE_S = 0.1
 STORE_RETRY_S = 0.5
 FINISH_THREADS = 4
@@ -122,7 +123,7 @@
         self._sequence = itertools.count()
         self._in_flight = 0
         self._known_work: dict[str, KnownWork] = {}
-        self._own_workers_versions = (-1, -1)
+        self._own_workers_basis: tuple[frozenset[str], int] = (frozenset(), -1)
         self._own_workers_found: list[Machine] = []
         self._stopping = False
         self._draining = False
@@ -174,10 +175,6 @@
             self._known_work[owner_id] = KnownWork(hint, expires_s)
         self._pull_task.trigger()
 
-    def pull_now(self) -> None:
-        """Ask for work at once: this daemon's own job owner has some."""
-        self._pull_task.trigger()
-
     def handle_drop(self, drop: DropJob) -> Confirmed:
         """Drop every range of a cancelled job and cancel its items at the engines."""
         self.cancel_job(drop.job_key)
@@ -208,10 +205,10 @@
         Hashing every worker against every member is dear in a large fleet, so the answer is kept
         until members or machines change.
         """
-        versions = (self._membership.version, self._router.version)
-        if versions != self._own_workers_versions:
+        basis = (frozenset(self._membership.possible_owners()), self._router.version)
+        if basis != self._own_workers_basis:
             self._own_workers_found = self._find_own_workers()
-            self._own_workers_versions = versions
+            self._own_workers_basis = basis
         return self._own_workers_found
 
     def _find_own_workers(self) -> list[Machine]:
@@ -230,25 +227,25 @@
     # Pulling
 
     def _pull(self) -> None:
+        owners = self._owners_with_work()
+        if not owners:
+            return
         workers = self._own_workers()
         wanted = self._wanted_items(workers)
-        if wanted <= 0:
-            return
         services = tuple(sorted({worker.service for worker in workers}))
+        for owner_id in owners:
+            if wanted <= 0:
+                return
+            wanted -= self._pull_from(owner_id, services, wanted)
+
+    def _owners_with_work(self) -> list[str]:
+        """Return the owners that told of work lately, by the priority of their work."""
         now_s = time.monotonic()
         with self._changed:
             self._known_work = {
                 owner: work for owner, work in self._known_work.items() if work.expires_s > now_s
             }
-            owners = sorted(
-                self._known_work, key=lambda owner: self._known_work[owner].hint.priority
-            )
-        if self.call_local_owner is not None and self._membership.self_id not in owners:
-            owners.append(self._membership.self_id)
-        for owner_id in owners:
-            if wanted <= 0:
-                return
-            wanted -= self._pull_from(owner_id, services, wanted)
+            return sorted(self._known_work, key=lambda owner: self._known_work[owner].hint.priority)
 
     def _wanted_items(self, workers: list[Machine]) -> int:
         with self._changed:
@@ -310,6 +307,9 @@
             with self._changed:
                 if self._stopping:
                     return
+                if not self._queue and not self._paused:
+                    self._changed.wait(IDLE_SCHEDULE_INTERVAL_S)
+                    continue
                 self._wake_paused()
             workers = self._own_workers()
             started = self._start_items(workers) if workers else 0
@@ -402,6 +402,7 @@
             answer = self._backend.call(worker, request, ITEM_TIMEOUT_S)
         except MountstandError as error:
             return self._handle_failure(held, item, worker, error)
+        self._router.record_figures(worker.machine_id, answer.load)
         self._record_answer(held, item, answer)
         return DispatchOutcome.SUCCESS
 
--- a/mountstand/batch/owner.py
+++ b/mountstand/batch/owner.py
@@ -101,7 +101,7 @@
         self._completing: set[tuple[str, int]] = set()
         self._commit: tuple[str, list[FencedPlan]] | None = None
         self._loaders = ThreadPoolExecutor(LOADER_THREADS, thread_name_prefix="job-loader")
-        self.on_work: Callable[[], None] = lambda: None
+        self.on_work: Callable[[WorkHint], None] = lambda hint: None
         self._poll_task = PeriodicTask("job poll", settings.poll_s, self.poll)
         self._tasks = [
             self._poll_task,
@@ -522,7 +522,7 @@
         hint = WorkHint(min(pending, 2**32 - 1), priority)
         for peer in self._membership.random_peers(HINTED_PEERS):
             self._membership.send_hint(peer, hint)
-        self.on_work()
+        self.on_work(hint)
 
 
 def build_grant(key: str, ledger: JobLedger, index: int) -> RangeGrant:
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -233,7 +233,9 @@
             self.router.models,
         )
         self.executor.call_local_owner = self._answer_executor
-        self.owner.on_work = self.executor.pull_now
+        self.owner.on_work = lambda hint: self.executor.handle_work_hint(
+            self.membership.self_id, hint
+        )
         self.membership.on_hint = self._handle_hint
         self.membership.on_member_change = self.owner.look_now
         for message_type in (PullRanges, RenewRanges, ReportRange, CancelJob, DropJob):
--- a/mountstand/emulator/engine_app.py
+++ b/mountstand/emulator/engine_app.py
@@ -204,6 +204,11 @@
         self._last_request_id = request_id
         return echoed
 
+    def _load_header(self) -> str:
+        load = self.core.load()
+        figures = (load.running, load.waiting, load.running_batch, load.waiting_batch, load.slots)
+        return ",".join(str(figure) for figure in figures)
+
     async def _send_whole(self, stream: LiveStream, call: CompletionCall) -> web.Response:
         stream.readers += 1
         try:
@@ -220,7 +225,10 @@
         return web.Response(
             body=orjson.dumps(body),
             content_type="application/json",
-            headers={"X-Request-Id": self._echoed_id(call.request_id)},
+            headers={
+                "X-Request-Id": self._echoed_id(call.request_id),
+                "X-Load": self._load_header(),
+            },
         )
 
     async def _send_stream(
@@ -230,6 +238,7 @@
             headers={
                 "Content-Type": "text/event-stream",
                 "X-Request-Id": self._echoed_id(request_id),
+                "X-Load": self._load_header(),
             }
         )
         stream.readers += 1
--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -25,6 +25,7 @@
     BackendRequest,
     CacheChange,
     CallerGone,
+    LoadFigures,
     LoadModelOrder,
     LoadReport,
     OpenStream,
@@ -49,6 +50,7 @@
 
 READ_CHUNK_BYTES = 65536
 GONE_STATUS = 499
+LOAD_FIGURES = 5
 
 
 class CallerLeft(BackendFailed):
@@ -115,7 +117,10 @@
             clean = not response.will_close
             check_answer(machine, request, response, body)
             return BackendAnswer(
-                response.status, response.getheader("Content-Type", "application/json"), body
+                response.status,
+                response.getheader("Content-Type", "application/json"),
+                body,
+                load_figures(response),
             )
         finally:
             if clean:
@@ -144,7 +149,12 @@
             stream_socket = connection.sock
             assert stream_socket is not None
             # A duplicate, because the connection object closes its own socket below.
-            return OpenStream(stream_socket.dup(), first_bytes, chunked=bool(response.chunked))
+            return OpenStream(
+                stream_socket.dup(),
+                first_bytes,
+                chunked=bool(response.chunked),
+                load=load_figures(response),
+            )
         finally:
             connection.close()
 
@@ -310,6 +320,14 @@
         return True
 
 
+def load_figures(response: http.client.HTTPResponse) -> LoadFigures | None:
+    """Return the load that an answer states in ``X-Load``: five numbers, comma-separated."""
+    numbers = response.getheader("X-Load", "").split(",")
+    if len(numbers) != LOAD_FIGURES or not all(number.isdigit() for number in numbers):
+        return None
+    return LoadFigures(*(int(number) for number in numbers))
+
+
 def check_answer(
     machine: Machine, request: BackendRequest, response: http.client.HTTPResponse, body: bytes
 ) -> None:
--- a/mountstand/engines/port.py
+++ b/mountstand/engines/port.py
@@ -30,6 +30,17 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
+@dataclass(frozen=True)
+class LoadFigures:
+    """Requests inside a back end, as it states them on its answers."""
+
+    running: int
+    waiting: int
+    running_batch: int
+    waiting_batch: int
+    slots: int
+
+
 @dataclass(frozen=True)
 class BackendAnswer:
     """A whole answer of a back end, known to be the answer to its request."""
@@ -37,6 +48,7 @@
     status: int
     content_type: str
     body: bytes
+    load: LoadFigures | None = None
 
 
 @dataclass
@@ -49,6 +61,7 @@
     socket: socket.socket
     first_bytes: bytes
     chunked: bool
+    load: LoadFigures | None = None
 
 
 @dataclass(frozen=True)
--- a/mountstand/membership/service.py
+++ b/mountstand/membership/service.py
@@ -59,8 +59,6 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((self_member.address, self_member.port))
         self._closing = False
-        self.version = 0
-        """Rises with every change of a member's state; for caches of what follows from it."""
         self._first_sync_done = False
         self.on_revision: RevisionObserver = lambda sender_id, revision: None
         self.on_hint: HintObserver = lambda sender_id, message: None
@@ -165,7 +163,6 @@
         ]
 
     def _announce(self, state: MemberState) -> None:
-        self.version += 1
         with self._lock:
             instructions = self._state.leave(state, time.monotonic())
         self._carry_out(instructions)
@@ -185,7 +182,6 @@
                 self._send(instruction.member, instruction.message)
             elif isinstance(instruction, MemberChanged):
                 member = instruction.member
-                self.version += 1
                 log_state_change(
                     logger, "member changed", member=member.member_id, state=member.state.name
                 )
--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -122,6 +122,7 @@
             dispatch = to_backend_request(request)
             try:
                 result = send(machine, dispatch, try_timeout_s(request))
+                self._router.record_figures(machine.machine_id, result.load)
                 return Dispatched(machine, dispatch.request_id, result)
             except MountstandError as error:
                 last_error = error
--- a/mountstand/routing/fleet_view.py
+++ b/mountstand/routing/fleet_view.py
@@ -6,10 +6,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from mountstand.engines.port import LoadReport
+from mountstand.engines.port import LoadFigures, LoadReport
 from mountstand.platform.ports import Machine, MachineRole
 from mountstand.routing.outliers import WorkerHealth, ejectable_count
 
@@ -97,12 +97,18 @@
         for worker in self.workers.values():
             self._by_service.setdefault(worker.machine.service, []).append(worker)
 
-    def set_drained(self, worker_ids: frozenset[str], zones: frozenset[str]) -> None:
-        """Mark the workers that operators drain, one by one or with their zone."""
+    def set_drained(self, worker_ids: frozenset[str], zones: frozenset[str]) -> bool:
+        """Mark the workers that operators drain, one by one or with their zone.
+
+        Returns whether anything changed.
+        """
+        if (worker_ids, zones) == (self._drained_ids, self._drained_zones):
+            return False
         self._drained_ids = worker_ids
         self._drained_zones = zones
         for worker in self.workers.values():
             self._mark_drained(worker)
+        return True
 
     def _mark_drained(self, worker: WorkerState) -> None:
         by_id = worker.worker_id in self._drained_ids
@@ -118,6 +124,15 @@
         worker.in_flight_at_report = worker.in_flight
         worker.reported_leaving = report.leaving
 
+    def record_figures(self, worker_id: str, figures: LoadFigures, now_s: float) -> None:
+        """Take the load that came with an answer; it is fresher than any polled report."""
+        worker = self.workers.get(worker_id)
+        if worker is None or worker.report is None:
+            return
+        worker.report = replace(worker.report, **figures.__dict__)
+        worker.report_time_s = now_s
+        worker.in_flight_at_report = worker.in_flight
+
     def begin_dispatch(self, worker_id: str, *, batch: bool = False) -> None:
         """Count a dispatch to a worker."""
         worker = self.workers.get(worker_id)
--- a/mountstand/routing/router.py
+++ b/mountstand/routing/router.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Iterable
 
-from mountstand.engines.port import CacheChange, LoadReport
+from mountstand.engines.port import CacheChange, LoadFigures, LoadReport
 from mountstand.platform.ports import Machine, MachineRole
 from mountstand.routing.chooser import RouteRequest, WorkerChooser
 from mountstand.routing.fleet_view import DispatchOutcome, FleetView
@@ -75,6 +75,12 @@
         with self._lock:
             self._view.record_load(worker_id, report, time.monotonic())
 
+    def record_figures(self, worker_id: str, figures: LoadFigures | None) -> None:
+        """Take the load that came with an answer, if it did."""
+        if figures is not None:
+            with self._lock:
+                self._view.record_figures(worker_id, figures, time.monotonic())
+
     def record_failure(self, worker_id: str) -> None:
         """Count a failure seen outside a dispatch, such as an unanswered load poll."""
         with self._lock:
@@ -100,8 +106,8 @@
     ) -> None:
         """Take over operators' drains of workers and zones, and weights of zones."""
         with self._lock:
-            self._view.set_drained(worker_ids, zones)
-            self.version += 1
+            if self._view.set_drained(worker_ids, zones):
+                self.version += 1
             self._chooser.zone_weights = dict(zone_weights)
 
     def machines(self) -> list[Machine]:
