--- a/mountstand/cli/lab.py
+++ b/mountstand/cli/lab.py
@@ -14,14 +14,18 @@
 from mountstand.lab.batch_faults import run_batch_faults
 from mountstand.lab.batch_throughput import run_batch_throughput
 from mountstand.lab.configuration import run_configuration
+from mountstand.lab.faults import run_faults
 from mountstand.lab.online import run_online
 from mountstand.lab.scale import run_scale
+from mountstand.lab.shared_fleet import run_shared_fleet
 
 EXPERIMENTS: dict[str, Callable[[int, Path | None], dict[str, Any]]] = {
     "configuration": lambda seed, history: run_configuration(seed),
+    "faults": lambda seed, history: run_faults(seed),
     "scale": lambda seed, history: run_scale(seed),
     "online": lambda seed, history: run_online(seed),
     "batch-faults": run_batch_faults,
+    "shared-fleet": lambda seed, history: run_shared_fleet("guild", seed),
     "batch-throughput": lambda seed, history: run_batch_throughput(seed),
 }
 
@@ -39,11 +43,17 @@
     experiment: Annotated[str, cappa.Arg(choices=list(EXPERIMENTS), help="Which")]
     seed: Annotated[int, cappa.Arg(long=True, help="Seed of load and faults")] = 1
     history: Annotated[Path | None, cappa.Arg(long=True, help="Write the history here")] = None
+    fleet: Annotated[
+        str, cappa.Arg(long=True, choices=["guild", "franchise"], help="For shared-fleet")
+    ] = "guild"
     json: Annotated[bool, cappa.Arg(long="--json", help="One closing JSON line")] = False
 
     def __call__(self) -> None:
         """Run, then print the closing line or a table."""
-        closing = EXPERIMENTS[self.experiment](self.seed, self.history)
+        if self.experiment == "shared-fleet":
+            closing = run_shared_fleet(self.fleet, self.seed)
+        else:
+            closing = EXPERIMENTS[self.experiment](self.seed, self.history)
         if self.json:
             print_json(closing)
             return
--- a/mountstand/emulator/application_app.py
+++ b/mountstand/emulator/application_app.py
@@ -31,7 +31,6 @@
         self.faults = FaultInjector(seed, time.monotonic)
         self.executions: list[Execution] = []
         self.leaving = False
-        self.dispatches_while_leaving = 0
         self._running = 0
 
     def build(self) -> web.Application:
@@ -46,7 +45,6 @@
 
     async def _handle(self, request: web.Request) -> web.Response:
         if self.leaving:
-            self.dispatches_while_leaving += 1
             return refuse_unexecuted(503, "this worker is leaving", 1.0)
         if self._running >= self.settings.concurrency:
             return refuse_unexecuted(503, "all slots are busy", self.settings.service_time_s)
@@ -84,7 +82,6 @@
             {
                 "executions": [asdict(execution) for execution in self.executions],
                 "preemptions": 0,
-                "dispatches_while_leaving": self.dispatches_while_leaving,
             }
         )
 
--- a/mountstand/emulator/engine_app.py
+++ b/mountstand/emulator/engine_app.py
@@ -97,7 +97,8 @@
         self.role = "mixed"
         self.leaving = False
         self.executions: list[Execution] = []
-        self.dispatches_while_leaving = 0
+        self.last_dispatch_after_leaving_s = 0.0
+        self._left_s = 0.0
         self._order_epoch = 0
         self._streams: OrderedDict[str, LiveStream] = OrderedDict()
         self._wake = asyncio.Event()
@@ -176,7 +177,7 @@
         except (ValueError, TypeError, KeyError) as problem:
             return web.json_response({"error": {"message": str(problem)}}, status=400)
         if self.leaving:
-            self.dispatches_while_leaving += 1
+            self.last_dispatch_after_leaving_s = time.monotonic() - self._left_s
             return refuse_unexecuted(503, "this engine is leaving", 1.0)
         if call.model not in self.models:
             return refuse_unexecuted(503, f"model {call.model} is not loaded", 1.0)
@@ -357,15 +358,22 @@
             {
                 "executions": [asdict(execution) for execution in self.executions],
                 "preemptions": self.core.preemptions,
-                "dispatches_while_leaving": self.dispatches_while_leaving,
+                "last_dispatch_after_leaving_s": self.last_dispatch_after_leaving_s,
             }
         )
 
     async def _handle_cache_statistics(self, request: web.Request) -> web.Response:
-        return web.json_response({"prefill_steps": self.core.prefill_steps})
+        return web.json_response(
+            {
+                "prefill_steps": self.core.prefill_steps,
+                "prompt_blocks": self.core.prompt_blocks,
+                "cached_blocks": self.core.cached_blocks,
+            }
+        )
 
     async def _handle_leave(self, request: web.Request) -> web.Response:
         self.leaving = True
+        self._left_s = time.monotonic()
         return web.json_response({"leaving": True})
 
 
--- a/mountstand/emulator/engine_core.py
+++ b/mountstand/emulator/engine_core.py
@@ -139,6 +139,8 @@
         self.cache = PrefixCache(cache_blocks)
         self.preemptions = 0
         self.prefill_steps = 0
+        self.prompt_blocks = 0
+        self.cached_blocks = 0
         self._prefill_tokens_per_step = prefill_tokens_per_step
         self._online_priority = online_priority
         self._arrivals = 0
@@ -245,6 +247,8 @@
         blocks = prefix_blocks(sequence.prompt)
         sequence.cached_blocks = self.cache.match(blocks)
         self.cache.store(blocks)
+        self.prompt_blocks += len(blocks)
+        self.cached_blocks += sequence.cached_blocks
         uncached_characters = len(sequence.prompt) - sequence.cached_blocks * BLOCK_CHARACTERS
         uncached_tokens = uncached_characters // CHARACTERS_PER_TOKEN
         sequence.prefill_steps_left = uncached_tokens // self._prefill_tokens_per_step
--- a/mountstand/lab/online_client.py
+++ b/mountstand/lab/online_client.py
@@ -14,6 +14,8 @@
 
 DONE_FRAME = b"data: [DONE]\n\n"
 FRAME_END = b"\n\n"
+ERROR_FRAME = b'data: {"error"'
+TOLD_BROKEN_STATUS = 502
 
 
 @dataclass(frozen=True)
@@ -118,6 +120,11 @@
             pieces.append(piece)
         data = b"".join(pieces)
         seen.whole = data.endswith(DONE_FRAME)
+        if not seen.whole and ERROR_FRAME in data:
+            # The daemon said that it could not go on: a failure that the caller was told of.
+            seen.status = TOLD_BROKEN_STATUS
+            seen.code = "stream_error"
+            seen.executed = "unknown"
         seen.text = "".join(
             orjson.loads(frame[6:])["choices"][0]["text"]
             for frame in data.split(FRAME_END)
@@ -145,10 +152,17 @@
 
 
 async def run_open_loop(
-    client: OnlineClient, base_urls: list[str], requests: list[tuple[float, LabRequest]]
+    client: OnlineClient,
+    base_urls: list[str],
+    requests: list[tuple[float, LabRequest]],
+    started_s: float | None = None,
 ) -> None:
-    """Send each request at its time (seconds from now), whatever became of earlier ones."""
-    started_s = time.monotonic()
+    """Send each request at its time after ``started_s``, whatever became of earlier ones.
+
+    ``started_s`` is of the monotonic clock, which all processes share; ``None`` is now.
+    """
+    if started_s is None:
+        started_s = time.monotonic()
     tasks = []
     for number, (at_s, request) in enumerate(requests):
         await asyncio.sleep(max(0.0, started_s + at_s - time.monotonic()))
--- a/mountstand/lab/scale.py
+++ b/mountstand/lab/scale.py
@@ -35,13 +35,19 @@
 CHANGE_INTERVAL_S = 1.0
 ZONES = tuple(f"zone-{n}" for n in range(14))
 
+CONTROL_KINDS = ("table", "machines", "worker", "peer")
+
 PLAN = FleetPlan(
     zones=ZONES,
     daemons=REAL_DAEMONS,
     engines=2,
     applications=0,
     engine_processes=1,
-    daemon={"membership": {"period_s": PERIOD_S}, "batch": {"shards": 512}},
+    daemon={
+        "membership": {"period_s": PERIOD_S},
+        "batch": {"shards": 512},
+        "platform": {"machines_poll_s": 1.0},
+    },
 )
 
 
@@ -84,6 +90,13 @@
     delays = in_force_delays_s(accepted_s, results)
     cpu = [b["cpu_s"] - a["cpu_s"] for a, b in zip(before, after, strict=True)]
     control = [b["control_bytes"] - a["control_bytes"] for a, b in zip(before, after, strict=True)]
+    by_kind = {
+        f"{kind}_bytes_per_s": round(
+            max(b[f"{kind}_bytes"] - a[f"{kind}_bytes"] for a, b in zip(before, after, strict=True))
+            / elapsed_s
+        )
+        for kind in CONTROL_KINDS
+    }
     gossip = [b["gossip_bytes"] - a["gossip_bytes"] for a, b in zip(before, after, strict=True)]
     return {
         "daemons": daemons,
@@ -93,6 +106,7 @@
         "per_daemon_core_share": round(max(cpu) / elapsed_s, 4),
         "per_daemon_bytes_per_s": round((max(control) + max(gossip)) / elapsed_s),
         "gossip_bytes_per_s": round(max(gossip) / elapsed_s),
+        **by_kind,
         "per_daemon_rss_mb": round(max(m["rss_mb"] for m in after), 1),
         "hollow_core_share": round(max(r["core_share"] for r in results), 4),
         "hollow_bytes_per_s": round(max(r["bytes_per_s"] for r in results)),
@@ -198,6 +212,10 @@
         "rss_mb": resident_mb(pid),
         "gossip_bytes": sum_metric(metrics, "mountstand_datagram_bytes_total"),
         "control_bytes": sum_metric(metrics, "mountstand_control_bytes_total"),
+        **{
+            f"{kind}_bytes": sum_metric(metrics, f'mountstand_control_bytes_total{{kind="{kind}"')
+            for kind in CONTROL_KINDS
+        },
     }
 
 
@@ -212,7 +230,5 @@
 def sum_metric(metrics: str, name: str) -> float:
     """Return the sum of a metric over its labels."""
     return sum(
-        float(line.rsplit(" ", 1)[1])
-        for line in metrics.splitlines()
-        if line.startswith(name + "{")
+        float(line.rsplit(" ", 1)[1]) for line in metrics.splitlines() if line.startswith(name)
     )
--- a/mountstand/membership/service.py
+++ b/mountstand/membership/service.py
@@ -30,7 +30,7 @@
 
 MAX_DATAGRAM_BYTES = 65507
 TICKS_PER_PERIOD = 5
-SYNC_INTERVAL_S = 15.0
+SYNC_INTERVAL_S = 120.0
 """Whole lists are exchanged with one peer this often; it repairs what gossip missed."""
 
 RevisionObserver = Callable[[str, int], None]
--- a/mountstand/process_settings.py
+++ b/mountstand/process_settings.py
@@ -60,8 +60,8 @@
     threads: int = Field(128, ge=4, le=2048)
     load_poll_s: float = Field(0.25, gt=0, le=10)
     cache_poll_s: float = Field(1.0, gt=0, le=60)
-    load_polls_per_s: float = Field(8.0, gt=0, description="Over all workers")
-    cache_polls_per_s: float = Field(2.0, gt=0, description="Over all engines")
+    load_polls_per_s: float = Field(6.0, gt=0, description="Over all workers")
+    cache_polls_per_s: float = Field(1.0, gt=0, description="Over all engines")
 
 
 class BatchSettings(StrictModel):
