--- a/mountstand/batch/owner.py
+++ b/mountstand/batch/owner.py
@@ -308,6 +308,13 @@
         with self._lock:
             return sum(ledger.pending_items for ledger in self._ledgers.values())
 
+    def shard_epoch(self, shard: int) -> int | None:
+        """Return the epoch under which this daemon verifiably holds a shard."""
+        with self._lock:
+            if not self._leases.is_verified(shard, time.monotonic(), VERIFY_WINDOW_S):
+                return None
+            return self._leases.held[shard].epoch
+
     def status(self) -> dict[str, object]:
         """Return what this daemon owns, for operators."""
         with self._lock:
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -33,6 +33,7 @@
 from mountstand.membership.service import MembershipService
 from mountstand.membership.state import MembershipConfig
 from mountstand.online.service import OnlineService
+from mountstand.placement.service import PlacementService
 from mountstand.platform.http_adapters import HttpMachineList, HttpObjects, HttpTable
 from mountstand.platform.pacing import PacedObjects, PacedTable
 from mountstand.process_settings import DaemonSettings
@@ -110,6 +111,7 @@
         self.observer.start()
         self.settings_service.start()
         self.owner.start()
+        self.placement.start()
         self.executor.start()
         self._callers_server.start()
         log_state_change(logger, "daemon started", zone=self.settings.zone)
@@ -127,6 +129,7 @@
         finished = self.online.wait_until_idle(deadline_s - time.monotonic())
         self._callers_server.stop()
         finished = self.online.wait_until_idle(deadline_s - time.monotonic()) and finished
+        self.placement.stop()
         self.owner.stop()
         self.executor.stop()
         self.observer.stop()
@@ -232,6 +235,13 @@
             settings.shards,
             self.router.models,
         )
+        self.placement = PlacementService(
+            self.router,
+            self.backend,
+            lambda: self.settings_service.tree,
+            self.owner.shard_epoch,
+            settings.shards,
+        )
         self.executor.call_local_owner = self._answer_executor
         self.owner.on_work = lambda hint: self.executor.handle_work_hint(
             self.membership.self_id, hint
@@ -271,6 +281,7 @@
             self.metrics,
             frozenset(self.settings.security.caller_tokens),
             self._stopping.is_set,
+            lambda path, key: self.settings_service.tree.value(path, key),
         )
         return Namespace(
             v1=Namespace(
--- a/mountstand/emulator/engine_app.py
+++ b/mountstand/emulator/engine_app.py
@@ -43,6 +43,7 @@
     cache_blocks: int = Field(2048, ge=1)
     load_lag_s: float = Field(0.2, ge=0.0)
     cache_event_lag_s: float = Field(0.5, ge=0.0)
+    load_time_s: float = Field(0.5, ge=0.0)
     cache_event_gap_share: float = Field(0.05, ge=0.0, le=1.0)
 
 
@@ -339,13 +340,19 @@
             return web.json_response({"accepted": False, "epoch": self._order_epoch}, status=409)
         self._order_epoch = int(order["epoch"])
         if order["kind"] == "load_model":
-            self.models[order["model"]] = order["version"]
+            self._begin_load(order["model"], order["version"])
         elif order["kind"] == "unload_model":
             self.models.pop(order["model"], None)
         elif order["kind"] == "set_role":
             self.role = order["role"]
         return web.json_response({"accepted": True, "epoch": self._order_epoch})
 
+    def _begin_load(self, model: str, version: str) -> None:
+        """Serve no version of the model until the new one is loaded."""
+        self.models.pop(model, None)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.settings.load_time_s, self.models.__setitem__, model, version)
+
     async def _handle_kv_export(self, request: web.Request) -> web.Response:
         return web.json_response({"blocks": self.core.cache.export()})
 
--- a/mountstand/http/batches.py
+++ b/mountstand/http/batches.py
@@ -20,16 +20,13 @@
 from mountstand.http.callers import CallerContext
 from mountstand.http.control import send_json
 from mountstand.http.requests import (
-    DEFAULT_TENANT,
     header,
-    identifier_header,
     repeatable_header,
+    tenant_header,
 )
 
 JOB_ID_FORM = re.compile(r"[A-Za-z0-9._-]{1,100}")
-DEFAULT_PRIORITY = 5
 MAX_PRIORITY = 9
-DEFAULT_ATTEMPTS = 3
 MAX_ATTEMPTS = 20
 STREAM_CONFIG = {"response.stream": True}
 
@@ -48,13 +45,16 @@
         self._context.check()
         if not JOB_ID_FORM.fullmatch(job_id):
             raise MalformedRequest("the job id must be 1 to 100 of A-Z a-z 0-9 . _ -")
+        branch = f"tenants/{tenant_header()}"
+        priority = int(self._context.setting(branch, "batch_priority"))
+        attempts = int(self._context.setting(branch, "max_batch_attempts"))
         submission = JobSubmission(
-            tenant=tenant(),
+            tenant=tenant_header(),
             job_id=job_id,
-            priority=number_header("X-Batch-Priority", DEFAULT_PRIORITY, 0, MAX_PRIORITY),
+            priority=number_header("X-Batch-Priority", priority, 0, MAX_PRIORITY),
             due_time_s=float(number_header("X-Due-Time", 0, 0, 2**40)),
             repeatable=repeatable_header(),
-            max_attempts=number_header("X-Max-Attempts", DEFAULT_ATTEMPTS, 1, MAX_ATTEMPTS),
+            max_attempts=number_header("X-Max-Attempts", attempts, 1, MAX_ATTEMPTS),
         )
         record, is_new = self._batches.accept(submission, cherrypy.request.rfile.readline)
         cherrypy.response.status = 201 if is_new else 200
@@ -64,10 +64,10 @@
         """Return one job, its results, or the list of the tenant's jobs."""
         self._context.check()
         if not job_id:
-            jobs = [job_document(record) for record in self._batches.jobs(tenant())]
+            jobs = [job_document(record) for record in self._batches.jobs(tenant_header())]
             return send_json({"object": "list", "data": jobs})
         if not part:
-            return send_json(job_document(self._batches.job(tenant(), job_id)))
+            return send_json(job_document(self._batches.job(tenant_header(), job_id)))
         if part == "results":
             return self._results(job_id, query)
         raise NotFound(f"/v1/batches/{job_id}/{part}")
@@ -77,14 +77,14 @@
         self._context.check()
         if action != "cancel":
             raise NotFound(f"/v1/batches/{job_id}/{action}")
-        return send_json(job_document(self._batches.cancel(tenant(), job_id)))
+        return send_json(job_document(self._batches.cancel(tenant_header(), job_id)))
 
     def _results(self, job_id: str, query: dict[str, str]) -> Iterable[bytes]:
         wanted = ResultRange(
             number_parameter(query, "first", 0), number_parameter(query, "count", MAX_JOB_ITEMS)
         )
         partial = query.get("partial", "no") == "yes"
-        lines = self._batches.results(tenant(), job_id, wanted, partial=partial)
+        lines = self._batches.results(tenant_header(), job_id, wanted, partial=partial)
         cherrypy.response.headers["Content-Type"] = "application/x-ndjson"
         return lines
 
@@ -92,11 +92,6 @@
     GET._cp_config = STREAM_CONFIG  # type: ignore[attr-defined]
 
 
-def tenant() -> str:
-    """Return the tenant of the request."""
-    return identifier_header("X-Tenant", DEFAULT_TENANT)
-
-
 def number_header(name: str, default: int, least: int, most: int) -> int:
     """Return a whole number from a header, within its bounds."""
     text = header(name, str(default))
--- a/mountstand/http/callers.py
+++ b/mountstand/http/callers.py
@@ -29,6 +29,7 @@
     has_body,
     parse_json_object,
     read_body,
+    tenant_header,
 )
 from mountstand.http.server import TAKE_OVER_KEY, TakeOver
 from mountstand.online.request import OnlineRequest
@@ -48,12 +49,15 @@
         metrics: DaemonMetrics,
         tokens: frozenset[str],
         is_stopping: Callable[[], bool],
+        setting: Callable[[str, str], Any],
     ) -> None:
         self.router = router
         self.online = online
         self.metrics = metrics
         self.tokens = tokens
         self.is_stopping = is_stopping
+        self.setting = setting
+        """Returns the value in force of a branch's setting, by path and key."""
 
     def check(self) -> None:
         """Refuse a request without a token or during a planned stop."""
@@ -61,6 +65,11 @@
         if self.is_stopping():
             raise Stopping()
 
+    def default_deadline_ms(self, service: str) -> int:
+        """Return the deadline of requests that name none, for this service and tenant."""
+        path = f"services/{service}/tenants/{tenant_header()}"
+        return int(self.setting(path, "default_deadline_ms"))
+
     def answer(self, request: OnlineRequest) -> bytes:
         """Run a request, count it, and fill in the response."""
         outcome = "ok"
@@ -102,7 +111,14 @@
         if not isinstance(stream, bool):
             raise MalformedRequest("stream must be true or false")
         prefix = tuple(prefix_blocks(prompt_text(document), MAX_HASHED_BLOCKS))
-        request = build_online_request(service, self._path, body, stream=stream, prefix=prefix)
+        request = build_online_request(
+            service,
+            self._path,
+            body,
+            default_deadline_ms=self._context.default_deadline_ms(service),
+            stream=stream,
+            prefix=prefix,
+        )
         if not stream:
             return self._context.answer(request)
         self._start_stream(request)
@@ -175,7 +191,9 @@
         target = "/" + "/".join(quote(part) for part in path)
         if cherrypy.request.query_string:
             target += "?" + cherrypy.request.query_string
-        return self._context.answer(build_online_request(service, target, body))
+        deadline_ms = self._context.default_deadline_ms(service)
+        request = build_online_request(service, target, body, default_deadline_ms=deadline_ms)
+        return self._context.answer(request)
 
 
 def find_service(document: dict[str, Any], models: dict[str, str]) -> str:
--- a/mountstand/http/requests.py
+++ b/mountstand/http/requests.py
@@ -14,7 +14,6 @@
 from mountstand.online.request import OnlineRequest
 
 MAX_ONLINE_BODY_BYTES = 8 * 1024 * 1024
-DEFAULT_DEADLINE_MS = 30_000
 MAX_DEADLINE_MS = 600_000
 MAX_HEADER_VALUE = 200
 DEFAULT_TENANT = "default"
@@ -57,6 +56,11 @@
     return value
 
 
+def tenant_header() -> str:
+    """Return the tenant of the request, from ``X-Tenant``."""
+    return identifier_header("X-Tenant", DEFAULT_TENANT)
+
+
 def identifier_header(name: str, default: str = "") -> str:
     """Return a header that names something; slashes would confuse it with other keys."""
     value = header(name, default)
@@ -65,9 +69,9 @@
     return value
 
 
-def deadline_header() -> float:
+def deadline_header(default_ms: int) -> float:
     """Return the seconds that the caller allows, from ``X-Deadline-Ms``."""
-    text = header("X-Deadline-Ms", str(DEFAULT_DEADLINE_MS))
+    text = header("X-Deadline-Ms", str(default_ms))
     if not text.isdigit() or not 1 <= int(text) <= MAX_DEADLINE_MS:
         raise MalformedRequest(f"header X-Deadline-Ms must be 1 to {MAX_DEADLINE_MS}")
     return int(text) / 1000.0
@@ -95,6 +99,7 @@
     path: str,
     body: bytes,
     *,
+    default_deadline_ms: int,
     stream: bool = False,
     prefix: tuple[str, ...] = (),
 ) -> OnlineRequest:
@@ -108,12 +113,12 @@
     return OnlineRequest(
         request_id=identifier_header("X-Request-Id") or uuid.uuid4().hex,
         service=service,
-        tenant=identifier_header("X-Tenant", DEFAULT_TENANT),
+        tenant=tenant_header(),
         method=cherrypy.request.method,
         path=path,
         body=body,
         arrival_s=arrival_s,
-        deadline_s=arrival_s + deadline_header(),
+        deadline_s=arrival_s + deadline_header(default_deadline_ms),
         repeatable=repeatable,
         idempotency_key=key,
         stream=stream,
--- /dev/null
+++ b/mountstand/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of model versions on engines: target against actual, by fenced orders."""
--- a/mountstand/settings/schema.py
+++ b/mountstand/settings/schema.py
@@ -47,7 +47,9 @@
         None, ge=0, le=100, description="Share of its ordinary traffic that a zone takes"
     )
     model_version: str | None = Field(
-        None, pattern=rf"^{NAME}$", description="Version of the service's model"
+        None,
+        pattern=rf"^{NAME}$",
+        description="Version of the service's model; none leaves engines as they are",
     )
     replicas: int | None = Field(
         None, ge=1, le=100_000, description="Workers that must have the model version"
@@ -61,7 +63,6 @@
     batch_priority=5,
     drained=False,
     traffic_percent=100,
-    model_version="1",
     replicas=1,
 )
 
