--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -14,7 +14,6 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
@@ -28,8 +27,9 @@
     failed_line,
     parse_items,
 )
-from mountstand.batch.model import ItemStatus, only_segment, shard_of
-from mountstand.batch.shard_leases import preferred_owner
+from mountstand.batch.model import ItemStatus, only_segment
+from mountstand.batch.owner_client import OwnerClient
+from mountstand.batch.worker_assignment import WorkerAssignment
 from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest
 from mountstand.errors import (
     BackendRefused,
@@ -38,8 +38,6 @@
     MountstandError,
     PeerUnavailable,
 )
-from mountstand.hashing import rendezvous_owner
-from mountstand.membership.service import MembershipService
 from mountstand.platform.ports import Machine, ObjectPort
 from mountstand.process_settings import BatchSettings
 from mountstand.routing.fleet_view import DispatchOutcome
@@ -50,7 +48,6 @@
     Confirmed,
     DropJob,
     GrantedRanges,
-    Message,
     PullRanges,
     RangeGrant,
     RangeKey,
@@ -59,7 +56,6 @@
     ReportRange,
     WorkHint,
 )
-from mountstand.wire.peers import PeerClient
 
 logger = logging.getLogger(__name__)
 
@@ -105,16 +101,18 @@
         router: Router,
         backend: BackendPort,
         objects: ObjectPort,
-        membership: MembershipService,
-        peers: PeerClient,
+        self_id: str,
+        assignment: WorkerAssignment,
+        owners: OwnerClient,
         metrics: DaemonMetrics,
     ) -> None:
         self._settings = settings
         self._router = router
         self._backend = backend
         self._objects = objects
-        self._membership = membership
-        self._peers = peers
+        self._self_id = self_id
+        self._assignment = assignment
+        self._owners = owners
         self._metrics = metrics
         self._changed = threading.Condition()
         self._held: dict[tuple[str, int], HeldRange] = {}
@@ -123,11 +121,8 @@
         self._sequence = itertools.count()
         self._in_flight = 0
         self._known_work: dict[str, KnownWork] = {}
-        self._own_workers_basis: tuple[frozenset[str], int] = (frozenset(), -1)
-        self._own_workers_found: list[Machine] = []
         self._stopping = False
         self._draining = False
-        self.call_local_owner: Callable[[Message], Message] | None = None
         self._runners = ThreadPoolExecutor(settings.max_in_flight, thread_name_prefix="batch-item")
         self._finishers = ThreadPoolExecutor(FINISH_THREADS, thread_name_prefix="batch-finish")
         self._scheduler = threading.Thread(
@@ -197,40 +192,13 @@
                 "buffered_bytes": self._buffered_bytes(),
             }
 
-    # Workers
-
-    def _own_workers(self) -> list[Machine]:
-        """Return the workers whose batch work this daemon runs.
-
-        Hashing every worker against every member is dear in a large fleet, so the answer is kept
-        until members or machines change.
-        """
-        basis = (frozenset(self._membership.possible_owners()), self._router.version)
-        if basis != self._own_workers_basis:
-            self._own_workers_found = self._find_own_workers()
-            self._own_workers_basis = basis
-        return self._own_workers_found
-
-    def _find_own_workers(self) -> list[Machine]:
-        members = [m for m in self._membership.live_members() if m.may_own]
-        all_ids = sorted(member.member_id for member in members)
-        by_zone: dict[str, list[str]] = {}
-        for member in members:
-            by_zone.setdefault(member.zone, []).append(member.member_id)
-        self_id = self._membership.self_id
-        return [
-            machine
-            for machine in self._router.engines()
-            if rendezvous_owner(machine.machine_id, by_zone.get(machine.zone, all_ids)) == self_id
-        ]
-
     # Pulling
 
     def _pull(self) -> None:
         owners = self._owners_with_work()
         if not owners:
             return
-        workers = self._own_workers()
+        workers = self._assignment.own_workers()
         wanted = self._wanted_items(workers)
         services = tuple(sorted({worker.service for worker in workers}))
         for owner_id in owners:
@@ -260,9 +228,9 @@
 
     def _pull_from(self, owner_id: str, services: tuple[str, ...], wanted: int) -> int:
         sent_s = time.monotonic()
-        request = PullRanges(self._membership.self_id, services, wanted)
+        request = PullRanges(self._self_id, services, wanted)
         try:
-            reply = self._call_owner(owner_id, request)
+            reply = self._owners.call(owner_id, request)
         except PeerUnavailable:
             with self._changed:
                 self._known_work.pop(owner_id, None)
@@ -311,7 +279,7 @@
                     self._changed.wait(IDLE_SCHEDULE_INTERVAL_S)
                     continue
                 self._wake_paused()
-            workers = self._own_workers()
+            workers = self._assignment.own_workers()
             started = self._start_items(workers) if workers else 0
             with self._changed:
                 if not started:
@@ -495,11 +463,11 @@
     def _report(self, held: HeldRange, name: str) -> bool:
         completed = held.completed
         failed = len(held.items) - completed
-        report = ReportRange(self._membership.self_id, held.grant.key, name, completed, failed)
-        reply = self._call_owner(held.owner_id, report)
+        report = ReportRange(self._self_id, held.grant.key, name, completed, failed)
+        reply = self._owners.call(held.owner_id, report)
         if isinstance(reply, Confirmed) and reply.confirmed:
             return True
-        held.owner_id = self._find_owner(held.grant.key) or held.owner_id
+        held.owner_id = self._owners.find(held.grant.key.job_key) or held.owner_id
         return False
 
     def _forget(self, held: HeldRange) -> None:
@@ -525,7 +493,7 @@
         kept: set[RangeKey] = set()
         dropped: set[RangeKey] = set()
         with contextlib.suppress(PeerUnavailable):
-            reply = self._call_owner(owner_id, RenewRanges(self._membership.self_id, keys))
+            reply = self._owners.call(owner_id, RenewRanges(self._self_id, keys))
             assert isinstance(reply, RenewedRanges)
             kept, dropped = set(reply.keys), set(reply.dropped)
         for held in ranges:
@@ -535,11 +503,7 @@
             elif key in dropped or sent_s - held.renewed_s > DROP_AFTER_S:
                 self._drop(key.job_key, key.range_index)
             else:
-                held.owner_id = self._find_owner(key) or held.owner_id
-
-    def _find_owner(self, key: RangeKey) -> str | None:
-        shard = shard_of(key.job_key, self._settings.shards)
-        return preferred_owner(shard, self._membership.possible_owners())
+                held.owner_id = self._owners.find(key.job_key) or held.owner_id
 
     def _drop(self, job_key: str, range_index: int) -> None:
         with self._changed:
@@ -552,14 +516,6 @@
         for item in running:
             self._backend.cancel(item.machine, item.request_id)
 
-    def _call_owner(self, owner_id: str, message: Message) -> Message:
-        if owner_id == self._membership.self_id and self.call_local_owner is not None:
-            return self.call_local_owner(message)
-        member = self._membership.member(owner_id)
-        if member is None:
-            raise PeerUnavailable(f"{owner_id} is not a member")
-        return self._peers.call(member, message)
-
 
 def is_past_due(held: HeldRange) -> bool:
     """Return whether the job's due time has passed."""
--- a/mountstand/batch/job_store.py
+++ b/mountstand/batch/job_store.py
@@ -122,7 +122,7 @@
             lost_after_s,
         )
 
-    def commit_plans(self, write_id: str, fenced: list[FencedPlan], shards: int) -> int:
+    def commit_plans(self, write_id: str, fenced: list[FencedPlan]) -> int:
         """Make all ``fenced`` plans durable in one transaction; return the rows' version."""
         leases = {plan.shard: plan.lease_version for plan in fenced}
         conditions = [Condition(key=lease_row(s), version=v) for s, v in leases.items()]
--- a/mountstand/batch/model.py
+++ b/mountstand/batch/model.py
@@ -35,6 +35,8 @@
 MAX_RANGE_BYTES = 1024 * 1024
 MAX_ITEM_BYTES = 1024 * 1024
 MAX_JOB_ITEMS = 1_000_000
+JOB_PREFIX = "job/"
+LEASE_PREFIX = "lease/"
 
 
 class JobState(Enum):
@@ -140,7 +142,7 @@
 
 def job_row(key: str) -> str:
     """Return the row key of a job's record."""
-    return f"job/{key}"
+    return f"{JOB_PREFIX}{key}"
 
 
 def open_prefix(shard: int) -> str:
@@ -175,7 +177,7 @@
 
 def lease_row(shard: int) -> str:
     """Return the row key of a shard's lease."""
-    return f"lease/{shard:04d}"
+    return f"{LEASE_PREFIX}{shard:04d}"
 
 
 def input_object(upload_id: str, range_index: int) -> str:
--- a/mountstand/batch/owner.py
+++ b/mountstand/batch/owner.py
@@ -9,28 +9,24 @@
 import logging
 import threading
 import time
-import uuid
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-import orjson
-
 from mountstand.background import PeriodicTask
+from mountstand.batch.commit_pipeline import CommitPipeline
 from mountstand.batch.job_ledger import JobLedger
-from mountstand.batch.job_store import FencedPlan, JobStore
+from mountstand.batch.job_store import JobStore
+from mountstand.batch.lost_ranges import complete_lost_range
 from mountstand.batch.model import (
-    ItemStatus,
     JobState,
     input_object,
-    only_segment,
     segment_prefix,
     shard_of,
 )
 from mountstand.batch.shard_leases import ClaimLease, ReleaseLease, ShardLeases
-from mountstand.errors import MountstandError, NotFound, WriteConflict
+from mountstand.errors import MountstandError, WriteConflict
 from mountstand.membership.service import MembershipService
-from mountstand.platform.memory_table import TransactionConflict
 from mountstand.platform.ports import ObjectPort
 from mountstand.process_settings import BatchSettings
 from mountstand.telemetry.logs import log_state_change
@@ -63,7 +59,6 @@
 
 HINT_INTERVAL_S = 0.3
 HINTED_PEERS = 8
-MAX_PLANS_PER_COMMIT = 50
 LOADER_THREADS = 4
 CONFIRM_TIMEOUT_S = 1.0
 
@@ -99,7 +94,17 @@
         self._ledgers: dict[str, JobLedger] = {}
         self._loading: set[str] = set()
         self._completing: set[tuple[str, int]] = set()
-        self._commit: tuple[str, list[FencedPlan]] | None = None
+        self._commits = CommitPipeline(
+            store,
+            settings.shards,
+            metrics,
+            self._lock,
+            self._ledgers,
+            self._leases,
+            lose_shard=self._lose_shard,
+            job_changed=self._handle_changed_job,
+            job_completed=lambda key: log_state_change(logger, "job completed", job=key),
+        )
         self._loaders = ThreadPoolExecutor(LOADER_THREADS, thread_name_prefix="job-loader")
         self.on_work: Callable[[WorkHint], None] = lambda hint: None
         self._poll_task = PeriodicTask("job poll", settings.poll_s, self.poll)
@@ -404,70 +409,12 @@
 
     def commit(self) -> None:
         """Make reported ranges durable, many jobs in one transaction."""
-        while True:
-            if self._commit is None:
-                self._commit = self._next_commit()
-            if self._commit is None:
-                return
-            write_id, fenced = self._commit
-            try:
-                version = self._store.commit_plans(write_id, fenced, self._settings.shards)
-            except TransactionConflict as conflict:
-                self._resolve_conflict(write_id, fenced, conflict)
-                continue
-            except MountstandError as error:
-                # The same transaction is tried again: its conditions let it take effect once.
-                self._metrics.batch_commits.labels(error.code).inc()
-                raise
-            self._finish_commit(fenced, version)
-
-    def _next_commit(self) -> tuple[str, list[FencedPlan]] | None:
-        write_id = uuid.uuid4().hex
-        fenced: list[FencedPlan] = []
-        with self._lock:
-            for key, ledger in self._ledgers.items():
-                shard = shard_of(key, self._settings.shards)
-                held = self._leases.held.get(shard)
-                if held is None or len(fenced) >= MAX_PLANS_PER_COMMIT:
-                    continue
-                plan = ledger.plan_commit(write_id, time.time())
-                if plan is not None:
-                    fenced.append(FencedPlan(key, shard, held.version, plan))
-        return (write_id, fenced) if fenced else None
-
-    def _finish_commit(self, fenced: list[FencedPlan], version: int) -> None:
-        self._commit = None
-        self._metrics.batch_commits.labels("ok").inc()
-        with self._lock:
-            for item in fenced:
-                ledger = self._ledgers.get(item.key)
-                if ledger is None or ledger.plan is not item.plan:
-                    continue
-                ledger.commit_succeeded(version)
-                if ledger.closed:
-                    del self._ledgers[item.key]
-                    log_state_change(logger, "job completed", job=item.key)
+        self._commits.run()
 
-    def _resolve_conflict(
-        self, write_id: str, fenced: list[FencedPlan], conflict: TransactionConflict
-    ) -> None:
-        """Find out whether an earlier try took effect; if not, drop what is out of date."""
-        version = self._store.find_commit(write_id, fenced)
-        if version is not None:
-            self._finish_commit(fenced, version)
-            return
-        self._metrics.batch_commits.labels("conflict").inc()
-        self._commit = None
-        with self._lock:
-            for item in fenced:
-                ledger = self._ledgers.get(item.key)
-                if ledger is not None and ledger.plan is item.plan:
-                    ledger.abandon_plan()
-        if conflict.key.startswith("lease/"):
-            self._lose_shard(int(conflict.key.removeprefix("lease/")))
-        else:
-            self._close_job(conflict.key.removeprefix("job/"))
-            self.look_now()
+    def _handle_changed_job(self, key: str) -> None:
+        """Give up a job whose row somebody else changed; read it anew if it still runs."""
+        self._close_job(key)
+        self.look_now()
 
     def _lose_shard(self, shard: int) -> None:
         with self._lock:
@@ -495,23 +442,11 @@
                 ledger = self._ledgers.get(key)
             if ledger is None:
                 return
-            upload_id = ledger.record.upload_id
-            prefix = segment_prefix(upload_id, index)
-            name = only_segment(prefix)
-            try:
-                lines = self._objects.get(name).splitlines()
-            except NotFound:
-                name = f"{prefix}-unknown-{uuid.uuid4().hex}"
-                lines = unknown_results(
-                    self._objects.get(input_object(upload_id, index)).splitlines(),
-                    ledger.ranges[index].info.first_item,
-                )
-                self._objects.put(name, b"\n".join(lines))
-            completed = sum(
-                orjson.loads(line)["status"] == ItemStatus.COMPLETED.value for line in lines
+            results = complete_lost_range(
+                self._objects, ledger.record.upload_id, index, ledger.ranges[index].info
             )
             with self._lock:
-                ledger.report(index, name, completed, len(lines) - completed)
+                ledger.report(index, results.segment_name, results.completed, results.failed)
         except MountstandError as error:
             log_state_change(logger, "lost range cannot be completed yet", code=error.code)
         finally:
@@ -549,19 +484,3 @@
         max_attempts=record.max_attempts,
         due_time_s=record.due_time_s,
     )
-
-
-def unknown_results(lines: list[bytes], first_item: int) -> list[bytes]:
-    """Return results that say that the outcome of items is not known."""
-    return [
-        orjson.dumps(
-            {
-                "index": first_item + offset,
-                "custom_id": orjson.loads(line).get("custom_id"),
-                "status": ItemStatus.OUTCOME_UNKNOWN.value,
-                "response": None,
-                "error": {"code": "outcome_unknown", "executed": "unknown"},
-            }
-        )
-        for offset, line in enumerate(lines)
-    ]
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -10,7 +10,9 @@
 from mountstand.batch.executor import BatchExecutor
 from mountstand.batch.job_store import JobStore
 from mountstand.batch.owner import JobOwner
+from mountstand.batch.owner_client import OwnerClient
 from mountstand.batch.service import BatchService
+from mountstand.batch.worker_assignment import WorkerAssignment
 from mountstand.engines.http_backend import HttpBackend
 from mountstand.http.batches import BatchesResource
 from mountstand.http.callers import (
@@ -207,13 +209,16 @@
 
     def _build_batch(self) -> None:
         settings = self.settings.batch
+        owners = OwnerClient(self.membership, self.peers, settings.shards)
+        owners.answer_locally = self._answer_executor
         self.executor = BatchExecutor(
             settings,
             self.router,
             self.backend,
             self.objects,
-            self.membership,
-            self.peers,
+            self.membership.self_id,
+            WorkerAssignment(self.membership, self.router),
+            owners,
             self.metrics,
         )
         self.owner = JobOwner(
@@ -242,7 +247,6 @@
             self.owner.shard_epoch,
             settings.shards,
         )
-        self.executor.call_local_owner = self._answer_executor
         self.owner.on_work = lambda hint: self.executor.handle_work_hint(
             self.membership.self_id, hint
         )
