--- a/mountstand/online/service.py
+++ b/mountstand/online/service.py
@@ -5,7 +5,6 @@
 import logging
 import socket
 import time
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
@@ -37,9 +36,6 @@
 MAX_RECOVERIES = 3
 """Times one stream is continued after a break; then the caller is told."""
 
-DispatchObserver = Callable[[Machine], None]
-"""Told of every online dispatch, to let batch work yield."""
-
 
 @dataclass
 class StreamLease:
