OpenAI-shaped files and batches

A form is read piece by piece and stored in blocks; a job is made from a file line by line, so memory holds one block. test_files_and_batches_as_openai_has_them passes on three daemons.

--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -8,6 +8,7 @@
 import time
 
 from mountstand.batch.executor import BatchExecutor
+from mountstand.batch.files import FileStore
 from mountstand.batch.job_store import JobStore
 from mountstand.batch.owner import JobOwner
 from mountstand.batch.owner_client import OwnerClient
@@ -28,6 +29,7 @@
     ReadyResource,
     StatusResource,
 )
+from mountstand.http.files import FilesResource
 from mountstand.http.peers import PeerMessagesResource
 from mountstand.http.server import HttpServer
 from mountstand.http.settings import SettingsResource
@@ -231,6 +233,7 @@
             self._incarnation,
             self.executor.cancel_job,
         )
+        self.files = FileStore(self.table, self.objects)
         self.batches = BatchService(
             self.table,
             self.objects,
@@ -293,7 +296,8 @@
                 completions=CompletionsResource(context, "/v1/completions"),
                 models=ModelsResource(context),
                 services=ServicesResource(context),
-                batches=BatchesResource(context, self.batches),
+                batches=BatchesResource(context, self.batches, self.files),
+                files=FilesResource(context, self.files, self.batches),
             )
         )
 
--- a/mountstand/http/requests.py
+++ b/mountstand/http/requests.py
@@ -18,6 +18,8 @@
 MAX_HEADER_VALUE = 200
 DEFAULT_TENANT = "default"
 READ_CHUNK_BYTES = 65536
+STREAM_CONFIG = {"response.stream": True}
+"""For handlers whose body must not be collected before it is sent."""
 
 
 def read_body(limit_bytes: int) -> bytes:
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -71,6 +71,29 @@
         part = results(self.fleet, self.fleet.daemons[0], "whole", "?first=40&count=10")
         self.assertEqual(list(range(40, 50)), [line["index"] for line in part])
 
+    def test_files_and_batches_as_openai_has_them(self) -> None:
+        lines = batch_lines(60, prefix="file")
+        uploaded = self.request(
+            "POST", "/v1/files", fields={"purpose": "batch", "file": ("items.jsonl", lines)}
+        )
+        self.assertEqual(200, uploaded.status, uploaded.data)
+        file = orjson.loads(uploaded.data)
+        self.assertEqual((len(lines), "items.jsonl"), (file["bytes"], file["filename"]))
+        content = self.request("GET", f"/v1/files/{file['id']}/content", daemon=1)
+        self.assertEqual(lines, content.data)
+
+        body = orjson.dumps({"input_file_id": file["id"], "endpoint": "/v1/completions"})
+        key = {"Idempotency-Key": "reunion"}
+        first = self.request("POST", "/v1/batches", body=body, headers=key)
+        again = self.request("POST", "/v1/batches", daemon=2, body=body, headers=key)
+        self.assertEqual((201, 200), (first.status, again.status), first.data)
+        batch = orjson.loads(first.data)
+        self.assertEqual(batch["id"], orjson.loads(again.data)["id"])
+        wait_completed(self.fleet, self.fleet.daemons[0], batch["id"])
+        output = self.request("GET", f"/v1/files/{batch['output_file_id']}/content", daemon=1)
+        found = [orjson.loads(line) for line in output.data.splitlines()]
+        check_results(found, 60, prefix="file")
+
     def test_faulty_requests_are_told_what_to_do(self) -> None:
         ok = orjson.dumps({"model": "caption", "prompt": "x"})
         unknown = orjson.dumps({"model": "no", "prompt": "x"})
@@ -91,6 +114,9 @@
             ("POST", "/v1/completions", ok, {"X-Repeatable": "maybe"}, 400, "malformed_request"),
             ("GET", "/v1/services/none/x", None, {}, 404, "unknown_service"),
             ("GET", "/v1/nothing", None, {}, 404, "not_found"),
+            ("POST", "/v1/files", b"x", {}, 400, "malformed_request"),
+            ("POST", "/v1/batches", b"{}", {}, 400, "malformed_request"),
+            ("GET", "/v1/files/none", None, {}, 404, "not_found"),
             ("PUT", "/v1/batches/job", b"not json", {}, 400, "malformed_request"),
             ("PUT", "/v1/batches/a%20b", b"{}", {}, 400, "malformed_request"),
             ("GET", "/v1/batches/none", None, {}, 404, "not_found"),
