--- a/mountstand/batch/files.py
+++ b/mountstand/batch/files.py
@@ -4,7 +4,7 @@
 
 import time
 import uuid
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from pydantic import BaseModel, ConfigDict
@@ -45,8 +45,13 @@
         self._table = table
         self._objects = objects
 
-    def write(self, tenant: str, purpose: str, name: str, pieces: Iterable[bytes]) -> FileRecord:
-        """Store a file; it exists once its record is durable."""
+    def write(
+        self, tenant: str, pieces: Iterable[bytes], describe: Callable[[], FileDescription]
+    ) -> FileRecord:
+        """Store a file; it exists once its record is durable.
+
+        ``describe`` is called after the last piece, because a form may name things after the file.
+        """
         file_id = f"file-{uuid.uuid4().hex}"
         blocks = 0
         size_bytes = 0
