Remove what nothing uses; one base for the commands that name a job

Gone: rendezvous_ranking, the members gauge that was never set, and YieldHint, a wire form that was never sent. status, watch and cancel of a job shared five flags word for word; they have one base now.

--- a/mountstand/cli/job.py
+++ b/mountstand/cli/job.py
@@ -110,10 +110,9 @@
         show(document, as_json=self.json)
 
 
-@cappa.command(name="status", help="Show one job.")
 @dataclass
-class Status:
-    """Show a job."""
+class OneJob:
+    """Flags of the commands that name one job and print it."""
 
     job_id: JobId
     url: Url = DEFAULT_CALLERS_URL
@@ -121,26 +120,30 @@
     tenant: Tenant = ""
     json: AsJson = False
 
+    def client(self) -> DaemonClient:
+        """Return a client for the flags."""
+        return DaemonClient(self.url, self.token, self.tenant)
+
+
+@cappa.command(name="status", help="Show one job.")
+@dataclass
+class Status(OneJob):
+    """Show a job."""
+
     def __call__(self) -> None:
         """Print the job."""
-        client = DaemonClient(self.url, self.token, self.tenant)
+        client = self.client()
         show(client.json("GET", f"/v1/batches/{self.job_id}"), as_json=self.json)
 
 
 @cappa.command(name="watch", help="Show a progress bar until a job ends.")
 @dataclass
-class Watch:
+class Watch(OneJob):
     """Watch a job."""
 
-    job_id: JobId
-    url: Url = DEFAULT_CALLERS_URL
-    token: Token = ""
-    tenant: Tenant = ""
-    json: AsJson = False
-
     def __call__(self) -> None:
         """Watch, then print the job."""
-        client = DaemonClient(self.url, self.token, self.tenant)
+        client = self.client()
         show(watch_job(client, self.job_id, Console(stderr=True)), as_json=self.json)
 
 
@@ -175,18 +178,12 @@
 
 @cappa.command(name="cancel", help="Cancel a job; what is finished stays readable.")
 @dataclass
-class Cancel:
+class Cancel(OneJob):
     """Cancel a job."""
 
-    job_id: JobId
-    url: Url = DEFAULT_CALLERS_URL
-    token: Token = ""
-    tenant: Tenant = ""
-    json: AsJson = False
-
     def __call__(self) -> None:
         """Cancel, then print the job."""
-        client = DaemonClient(self.url, self.token, self.tenant)
+        client = self.client()
         show(client.json("POST", f"/v1/batches/{self.job_id}/cancel"), as_json=self.json)
 
 
--- a/mountstand/hashing.py
+++ b/mountstand/hashing.py
@@ -15,8 +15,3 @@
 def rendezvous_owner(key: str, nodes: Iterable[str]) -> str | None:
     """Return the node that owns ``key``, or ``None`` when there are no nodes."""
     return max(nodes, key=lambda node: rendezvous_weight(key, node), default=None)
-
-
-def rendezvous_ranking(key: str, nodes: Iterable[str]) -> list[str]:
-    """Return the nodes from the one that owns ``key`` downwards."""
-    return sorted(nodes, key=lambda node: rendezvous_weight(key, node), reverse=True)
--- a/mountstand/telemetry/metrics.py
+++ b/mountstand/telemetry/metrics.py
@@ -70,7 +70,6 @@
             ["kind"],
             registry=registry,
         )
-        self.members = Gauge("mountstand_members", "Members by state", ["state"], registry=registry)
 
     def render(self) -> bytes:
         """Return all counters in the Prometheus text format."""
--- a/mountstand/wire/messages.py
+++ b/mountstand/wire/messages.py
@@ -77,13 +77,6 @@
     priority: int
 
 
-@dataclass(frozen=True)
-class YieldHint:
-    """The sender has just sent online work to a worker whose batch the receiver runs."""
-
-    worker_id: str
-
-
 @dataclass(frozen=True)
 class MembersSync:
     """A whole member list, asked for and answered with the same message."""
@@ -212,7 +205,6 @@
     | Ack
     | RevisionHint
     | WorkHint
-    | YieldHint
     | MembersSync
     | SettingsRequest
     | SettingsReply
@@ -260,7 +252,6 @@
     3: (Ack, Struct("number" / Int32ub, "subject_id" / ShortText, "updates" / UPDATES_FORM)),
     4: (RevisionHint, Struct()),
     5: (WorkHint, Struct("pending_items" / Int32ub, "priority" / Int8ub)),
-    6: (YieldHint, Struct("worker_id" / ShortText)),
     7: (MembersSync, Struct("members" / UPDATES_FORM)),
     8: (SettingsRequest, Struct("after_revision" / Int64ub)),
     9: (SettingsReply, Struct("document" / GreedyBytes)),
