A batch of unannounced length is accepted; one reader of lines for uploads and files

Cause: readline of cheroot's reader for chunked bodies spins at the end of the body and never returns, so 'mountstand job submit', which streams its file, hung and held a thread at full load. Found by running the job commands on a fleet; a stack dump of the daemon showed ChunkedRFile.readline.

--- a/mountstand/batch/acceptance.py
+++ b/mountstand/batch/acceptance.py
@@ -17,6 +17,7 @@
 
 import orjson
 
+from mountstand.batch.lines import ReadLine
 from mountstand.batch.model import (
     FIRST_RANGE_ITEMS,
     MAX_ITEM_BYTES,
@@ -64,9 +65,6 @@
 RESOLVE_TRIES = 4
 RESOLVE_PAUSE_S = 0.25
 
-ReadLine = Callable[[int], bytes]
-"""Returns the next line of the input, at most so many bytes; empty at the end."""
-
 
 @dataclass(frozen=True)
 class JobSubmission:
--- a/mountstand/batch/files.py
+++ b/mountstand/batch/files.py
@@ -9,7 +9,7 @@
 
 from pydantic import BaseModel, ConfigDict
 
-from mountstand.batch.acceptance import ReadLine
+from mountstand.batch.lines import ReadLine, line_reader
 from mountstand.errors import BodyTooLarge, MalformedRequest, NotFound
 from mountstand.platform.ports import ABSENT, Condition, ObjectPort, Put, TablePort, Transaction
 
@@ -96,22 +96,7 @@
 
     def line_reader(self, record: FileRecord) -> ReadLine:
         """Return a function that reads a file line by line, as an upload is read."""
-        blocks = self.content(record)
-        pending = b""
-        ended = False
-
-        def read_line(limit: int) -> bytes:
-            nonlocal pending, ended
-            while b"\n" not in pending and len(pending) < limit and not ended:
-                block = next(blocks, b"")
-                ended = not block
-                pending += block
-            line, newline, _ = pending[:limit].partition(b"\n")
-            taken = line + newline
-            pending = pending[len(taken) :]
-            return taken
-
-        return read_line
+        return line_reader(self.content(record))
 
 
 def iterate_blocks(pieces: Iterable[bytes]) -> Iterator[bytes]:
--- a/mountstand/batch/service.py
+++ b/mountstand/batch/service.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from mountstand.batch.acceptance import JobAcceptor, JobSubmission, ReadLine
+from mountstand.batch.acceptance import JobAcceptor, JobSubmission
 from mountstand.batch.executor import RENEW_WINDOW_S
 from mountstand.batch.job_store import manifest_entries
+from mountstand.batch.lines import ReadLine
 from mountstand.batch.model import (
     JobRecord,
     JobState,
--- a/mountstand/http/batches.py
+++ b/mountstand/http/batches.py
@@ -16,8 +16,9 @@
 
 import cherrypy
 
-from mountstand.batch.acceptance import JobSubmission, ReadLine
+from mountstand.batch.acceptance import JobSubmission
 from mountstand.batch.files import FileStore
+from mountstand.batch.lines import ReadLine, line_reader
 from mountstand.batch.model import MAX_JOB_ITEMS, JobRecord
 from mountstand.batch.service import BatchService, ResultRange
 from mountstand.errors import MalformedRequest, NotFound
@@ -26,6 +27,7 @@
 from mountstand.http.files import OUTPUT_SUFFIX
 from mountstand.http.requests import (
     STREAM_CONFIG,
+    body_blocks,
     header,
     identifier_header,
     parse_json_object,
@@ -55,7 +57,7 @@
         self._context.check()
         if not JOB_ID_FORM.fullmatch(job_id):
             raise MalformedRequest("the job id must be 1 to 100 of A-Z a-z 0-9 . _ -")
-        record, is_new = self._accept(job_id, cherrypy.request.rfile.readline)
+        record, is_new = self._accept(job_id, line_reader(body_blocks()))
         cherrypy.response.status = 201 if is_new else 200
         return send_json(job_document(record))
 
--- a/mountstand/http/files.py
+++ b/mountstand/http/files.py
@@ -21,7 +21,7 @@
 from mountstand.errors import MalformedRequest, NotFound
 from mountstand.http.callers import CallerContext
 from mountstand.http.control import send_json
-from mountstand.http.requests import READ_CHUNK_BYTES, STREAM_CONFIG, tenant_header
+from mountstand.http.requests import STREAM_CONFIG, body_blocks, tenant_header
 
 OUTPUT_SUFFIX = "-output"
 DEFAULT_PURPOSE = "batch"
@@ -54,7 +54,7 @@
             },
         )
         try:
-            while block := cherrypy.request.rfile.read(READ_CHUNK_BYTES):
+            for block in body_blocks():
                 parser.write(block)
                 yield from self._pieces
                 self._pieces.clear()
--- a/mountstand/http/requests.py
+++ b/mountstand/http/requests.py
@@ -4,6 +4,7 @@
 
 import time
 import uuid
+from collections.abc import Iterator
 from typing import Any
 
 import cherrypy
@@ -33,6 +34,15 @@
     return body
 
 
+def body_blocks() -> Iterator[bytes]:
+    """Yield the request's body block by block.
+
+    Not by lines: readline of cheroot's reader for chunked bodies never returns at the end.
+    """
+    while block := cherrypy.request.rfile.read(READ_CHUNK_BYTES):
+        yield block
+
+
 def has_body() -> bool:
     """Return whether the request announces a body."""
     headers = cherrypy.request.headers
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -71,6 +71,15 @@
         part = results(self.fleet, self.fleet.daemons[0], "whole", "?first=40&count=10")
         self.assertEqual(list(range(40, 50)), [line["index"] for line in part])
 
+    def test_a_batch_of_unannounced_length(self) -> None:
+        lines = batch_lines(40, prefix="chunked")
+        pieces = iter([lines[:1000], lines[1000:]])
+        answer = self.request("PUT", "/v1/batches/chunked", body=pieces, timeout=20.0)
+        self.assertEqual(201, answer.status, answer.data)
+        wait_completed(self.fleet, self.fleet.daemons[0], "chunked")
+        found = results(self.fleet, self.fleet.daemons[1], "chunked")
+        check_results(found, 40, prefix="chunked")
+
     def test_files_and_batches_as_openai_has_them(self) -> None:
         lines = batch_lines(60, prefix="file")
         uploaded = self.request(
