--- a/mountstand/batch/acceptance.py
+++ b/mountstand/batch/acceptance.py
@@ -47,7 +47,7 @@
     WriteConflict,
     WriteOutcomeUnknown,
 )
-from mountstand.platform.ports import (
+from mountstand.store.ports import (
     ABSENT,
     Condition,
     ObjectPort,
--- a/mountstand/batch/commit_pipeline.py
+++ b/mountstand/batch/commit_pipeline.py
@@ -17,7 +17,7 @@
 from mountstand.batch.model import JOB_PREFIX, LEASE_PREFIX, shard_of
 from mountstand.batch.shard_leases import ShardLeases
 from mountstand.errors import MountstandError
-from mountstand.platform.memory_table import TransactionConflict
+from mountstand.store.memory_table import TransactionConflict
 from mountstand.telemetry.metrics import DaemonMetrics
 
 MAX_PLANS_PER_COMMIT = 50
--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -38,10 +38,10 @@
     MountstandError,
     PeerUnavailable,
 )
-from mountstand.platform.ports import Machine, ObjectPort
 from mountstand.process_settings import BatchSettings
 from mountstand.routing.fleet_view import DispatchOutcome
 from mountstand.routing.router import Router
+from mountstand.store.ports import Machine, ObjectPort
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.wire.messages import (
--- a/mountstand/batch/files.py
+++ b/mountstand/batch/files.py
@@ -11,7 +11,7 @@
 
 from mountstand.batch.lines import ReadLine, line_reader
 from mountstand.errors import BodyTooLarge, MalformedRequest, NotFound
-from mountstand.platform.ports import ABSENT, Condition, ObjectPort, Put, TablePort, Transaction
+from mountstand.store.ports import ABSENT, Condition, ObjectPort, Put, TablePort, Transaction
 
 BLOCK_BYTES = 1024 * 1024
 MAX_FILE_BYTES = 4 * 1024 * 1024 * 1024
--- a/mountstand/batch/held_range.py
+++ b/mountstand/batch/held_range.py
@@ -10,7 +10,7 @@
 from mountstand.batch.model import ItemStatus
 from mountstand.engines.port import BackendAnswer
 from mountstand.errors import Executed, MountstandError
-from mountstand.platform.ports import Machine
+from mountstand.store.ports import Machine
 from mountstand.wire.messages import RangeGrant
 
 CHAT_PATH = "/v1/chat/completions"
--- a/mountstand/batch/job_store.py
+++ b/mountstand/batch/job_store.py
@@ -25,7 +25,7 @@
 )
 from mountstand.batch.shard_leases import LeaseInstruction, ObservedLease
 from mountstand.errors import StoreUnavailable, WriteConflict, WriteOutcomeUnknown
-from mountstand.platform.ports import (
+from mountstand.store.ports import (
     Condition,
     ObjectPort,
     Put,
--- a/mountstand/batch/lost_ranges.py
+++ b/mountstand/batch/lost_ranges.py
@@ -15,7 +15,7 @@
     segment_prefix,
 )
 from mountstand.errors import NotFound
-from mountstand.platform.ports import ObjectPort
+from mountstand.store.ports import ObjectPort
 
 
 @dataclass(frozen=True)
--- a/mountstand/batch/owner.py
+++ b/mountstand/batch/owner.py
@@ -27,8 +27,8 @@
 from mountstand.batch.shard_leases import ClaimLease, ReleaseLease, ShardLeases
 from mountstand.errors import MountstandError, WriteConflict
 from mountstand.membership.service import MembershipService
-from mountstand.platform.ports import ObjectPort
 from mountstand.process_settings import BatchSettings
+from mountstand.store.ports import ObjectPort
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.wire.messages import (
--- a/mountstand/batch/service.py
+++ b/mountstand/batch/service.py
@@ -36,7 +36,7 @@
 )
 from mountstand.membership.member import Member
 from mountstand.membership.service import MembershipService
-from mountstand.platform.ports import Condition, ObjectPort, Put, Row, TablePort, Transaction
+from mountstand.store.ports import Condition, ObjectPort, Put, Row, TablePort, Transaction
 from mountstand.wire.messages import CancelJob, Confirmed, JobHint
 from mountstand.wire.peers import PeerClient
 
--- a/mountstand/batch/shard_leases.py
+++ b/mountstand/batch/shard_leases.py
@@ -14,7 +14,7 @@
 
 from mountstand.batch.model import LeaseRecord
 from mountstand.hashing import rendezvous_owner
-from mountstand.platform.ports import ABSENT
+from mountstand.store.ports import ABSENT
 
 
 @dataclass(frozen=True)
--- a/mountstand/batch/worker_assignment.py
+++ b/mountstand/batch/worker_assignment.py
@@ -4,8 +4,8 @@
 
 from mountstand.hashing import rendezvous_owner
 from mountstand.membership.service import MembershipService
-from mountstand.platform.ports import Machine
 from mountstand.routing.router import Router
+from mountstand.store.ports import Machine
 
 
 class WorkerAssignment:
--- a/mountstand/cli/emulate.py
+++ b/mountstand/cli/emulate.py
@@ -16,7 +16,6 @@
 from mountstand.emulator.platform_apps import MachinesApp, ObjectsApp, TableApp, WeightsApp
 from mountstand.emulator.tcp_proxy import ProxyApp
 from mountstand.errors import InvalidSettings
-from mountstand.platform.ports import Machine
 from mountstand.process_settings import (
     IpAddress,
     Port,
@@ -24,6 +23,7 @@
     read_toml,
     validate_settings,
 )
+from mountstand.store.ports import Machine
 
 StandInKind = Literal["engine", "application", "table", "objects", "machines", "weights", "proxy"]
 
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -38,14 +38,14 @@
 from mountstand.membership.state import MembershipConfig
 from mountstand.online.service import OnlineService
 from mountstand.placement.service import PlacementService
-from mountstand.platform.http_adapters import HttpMachineList, HttpObjects, HttpTable
-from mountstand.platform.pacing import PacedObjects, PacedTable
 from mountstand.process_settings import DaemonSettings
 from mountstand.routing.observer import FleetObserver
 from mountstand.routing.router import Router
 from mountstand.settings.service import SettingsService
 from mountstand.settings.store import SettingsStore
 from mountstand.settings.tree import SettingsTree
+from mountstand.store.http_adapters import HttpMachineList, HttpObjects, HttpTable
+from mountstand.store.pacing import PacedObjects, PacedTable
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.wire.frames import Frame, FrameCodec
--- a/mountstand/emulator/platform_apps.py
+++ b/mountstand/emulator/platform_apps.py
@@ -12,8 +12,8 @@
 from aiohttp import web
 
 from mountstand.emulator.faults import FaultInjector
-from mountstand.platform.memory_table import MemoryTable, TransactionConflict
-from mountstand.platform.ports import Machine, Transaction
+from mountstand.store.memory_table import MemoryTable, TransactionConflict
+from mountstand.store.ports import Machine, Transaction
 
 MAX_OBJECT_BYTES = 64 * 1024 * 1024
 WEIGHT_CHUNK_BYTES = 1024 * 1024
--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -37,8 +37,8 @@
     DeadlineExceeded,
     Executed,
 )
-from mountstand.platform.http_adapters import HEADER_BYTES
-from mountstand.platform.ports import Machine
+from mountstand.store.http_adapters import HEADER_BYTES
+from mountstand.store.ports import Machine
 from mountstand.telemetry.metrics import DaemonMetrics
 
 CONNECT_TIMEOUT_S = 1.0
--- a/mountstand/engines/port.py
+++ b/mountstand/engines/port.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from mountstand.platform.ports import Machine
+from mountstand.store.ports import Machine
 
 CallerGone = Callable[[], bool]
 """Asks whether the caller has left; checked while waiting for a back end."""
--- /dev/null
+++ b/mountstand/jobs/repository.py
@@ -0,0 +1,220 @@
+"""Reads and writes batch jobs in the row store.
+
+A job's rows share one part, so that a transaction can cover them: its head in ``HEADS``, the
+submitted document in ``DOCUMENTS`` and the results in ``RESULTS``, cut to the store's row size. A
+result is at a position once the head that counts it is committed, never before.
+"""
+
+from __future__ import annotations
+
+import secrets
+import zlib
+from dataclasses import replace
+
+from mountstand.jobs.model import (
+    ItemResult,
+    JobHead,
+    JobSubmission,
+    decode_head,
+    decode_result,
+    encode_result,
+)
+from mountstand.store.rows import (
+    ABSENT,
+    Conflict,
+    ObjectStore,
+    RowKey,
+    RowStore,
+    Transaction,
+    read_all,
+)
+
+HEADS = "jobs"
+DOCUMENTS = "job_documents"
+RESULTS = "job_results"
+
+PARTITIONS = 16
+"""Parts that jobs are spread over. A part takes a limited rate of writes; sixteen of them pass
+the rate of the whole store on the deployments known, and a start reads each once."""
+
+MAX_ROWS_PER_WRITE = 90
+MAX_BYTES_PER_WRITE = 600_000
+"""Bounds of one transaction, below the store's 100 entries and 1 MB in base64."""
+
+BASE64_SHARE = 3 / 4
+
+
+def partitions() -> list[str]:
+    """Return the names of all parts."""
+    return [f"p{number:02d}" for number in range(PARTITIONS)]
+
+
+def partition(job_id: str) -> str:
+    """Return the part that holds a job's rows."""
+    return f"p{zlib.crc32(job_id.encode()) % PARTITIONS:02d}"
+
+
+def new_write_id() -> str:
+    """Return a name for one write, unlike any other."""
+    return secrets.token_hex(6)
+
+
+class JobEnded(Exception):
+    """The job was ended by its caller."""
+
+
+class OwnershipLost(Exception):
+    """Another process owns the job now."""
+
+
+class JobRepository:
+    """Batch jobs in the row store; errors are those of :mod:`mountstand.store.rows`."""
+
+    def __init__(self, rows: RowStore, objects: ObjectStore, row_bytes: int) -> None:
+        self._rows = rows
+        self._objects = objects
+        self._piece_bytes = int(row_bytes * BASE64_SHARE)
+
+    # Reading
+
+    async def load(self, job_id: str) -> tuple[JobHead, int] | None:
+        """Return a job's head and its version, or ``None`` if the store has no such job."""
+        page = await self._rows.read(HEADS, partition(job_id), job_id, job_id + "\x00", 1)
+        if not page.rows or page.rows[0].value is None:
+            return None
+        row = page.rows[0]
+        assert row.value is not None
+        return decode_head(job_id, row.value), row.version
+
+    async def document(self, head: JobHead) -> bytes | None:
+        """Return the submitted document, or ``None`` once it is dropped."""
+        if head.object_name:
+            return await self._objects.get_object(head.object_name)
+        first, end = _range_of(head.job_id)
+        page = await read_all(self._rows, DOCUMENTS, partition(head.job_id), first, end)
+        pieces = [row.value for row in page.rows if row.value is not None]
+        return zlib.decompress(b"".join(pieces)) if pieces else None
+
+    async def results(
+        self, head: JobHead, after: int, max_bytes: int
+    ) -> list[tuple[int, ItemResult]]:
+        """Return listed results from position ``after`` on, one at least, up to ``max_bytes``."""
+        job_id = head.job_id
+        first = f"{job_id}/{after:06d}/"
+        end = f"{job_id}/{head.listed:06d}/"
+        page = await self._rows.read(RESULTS, partition(job_id), first, end)
+        pieces: dict[int, list[bytes]] = {}
+        for row in page.rows:
+            position = int(row.key.key.split("/")[-2])
+            pieces.setdefault(position, []).append(row.value or b"")
+        if page.more and len(pieces) > 1:
+            pieces.popitem()
+        elif page.more:
+            rest = await read_all(
+                self._rows, RESULTS, partition(job_id), first, f"{job_id}/{after + 1:06d}/"
+            )
+            pieces = {after: [row.value or b"" for row in rest.rows]}
+        return _within(pieces, after, max_bytes)
+
+    # Writing
+
+    async def submit(self, submission: JobSubmission, head: JobHead) -> int:
+        """Store a new job; returns its version. Raises ``Conflict`` if there is one already."""
+        packed = zlib.compress(submission.document, 1)
+        part = partition(head.job_id)
+        transaction = Transaction(conditions=[(self._head_key(head.job_id), ABSENT)])
+        if len(packed) > MAX_BYTES_PER_WRITE:
+            name = f"{head.job_id}-{head.write_id}"
+            await self._objects.put_object(name, submission.document)
+            head = replace(head, object_name=name)
+        else:
+            for number, piece in enumerate(self._pieces(packed)):
+                key = RowKey(DOCUMENTS, part, f"{head.job_id}/{number:04d}")
+                transaction.puts.append((key, piece))
+        transaction.puts.append((self._head_key(head.job_id), head.encode()))
+        return await self._rows.commit(transaction)
+
+    async def change_head(
+        self, head: JobHead, version: int, results: list[ItemResult] | None = None
+    ) -> int:
+        """Write a head that replaces ``version``, with results behind the listed ones."""
+        part = partition(head.job_id)
+        transaction = Transaction(conditions=[(self._head_key(head.job_id), version)])
+        position = head.listed - len(results or [])
+        for result in results or []:
+            for number, piece in enumerate(self._pieces(encode_result(result))):
+                key = RowKey(RESULTS, part, f"{head.job_id}/{position:06d}/{number:04d}")
+                transaction.puts.append((key, piece))
+            position += 1
+        transaction.puts.append((self._head_key(head.job_id), head.encode()))
+        return await self._rows.commit(transaction)
+
+    async def end(self, job_id: str) -> bool:
+        """End a job for its caller; returns whether there is such a job."""
+        while True:
+            found = await self.load(job_id)
+            if found is None:
+                return False
+            head, version = found
+            if head.ended:
+                return True
+            try:
+                await self.change_head(replace(head, ended=True, write_id=new_write_id()), version)
+            except Conflict:
+                continue
+            return True
+
+    async def drop_document(self, head: JobHead) -> None:
+        """Drop the document of a job that needs it no longer."""
+        if head.object_name:
+            await self._objects.drop_object(head.object_name)
+            return
+        await self._drop_range(DOCUMENTS, head.job_id)
+
+    async def drop(self, head: JobHead, version: int) -> None:
+        """Drop everything of a job; its head goes last."""
+        await self.drop_document(head)
+        await self._drop_range(RESULTS, head.job_id)
+        key = self._head_key(head.job_id)
+        await self._rows.commit(Transaction(conditions=[(key, version)], removals=[key]))
+
+    def fits(self, results: list[ItemResult], result: ItemResult) -> bool:
+        """Return whether ``result`` may join ``results`` in one write."""
+        sizes = [len(encode_result(each)) for each in [*results, result]]
+        rows = sum(size // self._piece_bytes + 1 for size in sizes)
+        return not results or (rows <= MAX_ROWS_PER_WRITE and sum(sizes) <= MAX_BYTES_PER_WRITE)
+
+    def _pieces(self, value: bytes) -> list[bytes]:
+        size = self._piece_bytes
+        return [value[start : start + size] for start in range(0, max(1, len(value)), size)]
+
+    def _head_key(self, job_id: str) -> RowKey:
+        return RowKey(HEADS, partition(job_id), job_id)
+
+    async def _drop_range(self, table: str, job_id: str) -> None:
+        first, end = _range_of(job_id)
+        page = await read_all(self._rows, table, partition(job_id), first, end)
+        keys = [row.key for row in page.rows]
+        for start in range(0, len(keys), MAX_ROWS_PER_WRITE):
+            await self._rows.commit(Transaction(removals=keys[start : start + MAX_ROWS_PER_WRITE]))
+
+
+def _range_of(job_id: str) -> tuple[str, str]:
+    """Return the range of keys below a job: from its slash to the character after it."""
+    return f"{job_id}/", f"{job_id}0"
+
+
+def _within(
+    pieces: dict[int, list[bytes]], after: int, max_bytes: int
+) -> list[tuple[int, ItemResult]]:
+    found: list[tuple[int, ItemResult]] = []
+    size = 0
+    for position in sorted(pieces):
+        value = b"".join(pieces[position])
+        size += len(value)
+        if found and size > max_bytes:
+            break
+        if position != after + len(found):
+            break
+        found.append((position, decode_result(value)))
+    return found
--- /dev/null
+++ b/mountstand/jobs/service.py
@@ -0,0 +1,375 @@
+"""Batch jobs of one daemon: acceptance, reads, ends, and which jobs this daemon runs.
+
+Every answer follows from the store, or from results that cannot change any more. Which daemon runs
+a job is decided by a conditional write of its head; liveness of owners only decides who tries.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from mountstand.hashing import rendezvous_weight
+from mountstand.jobs.model import ItemResult, JobHead, JobItem, JobSubmission, decode_head
+from mountstand.jobs.repository import JobRepository, new_write_id
+from mountstand.jobs.runner import JobRunner, RunnerContext
+from mountstand.store.rows import Conflict, OutcomeUnknown, StoreError, StoreRefused
+from mountstand.store.watch import TableChange
+
+SCAN_S = 0.5
+"""How often a daemon looks for jobs without an owner."""
+
+RANK_DELAY_S = 1.0
+"""A daemon waits so much longer per better-ranked daemon before it adopts a job."""
+
+RETRY_S = 0.05
+"""Pause between tries of a call to the store on behalf of a waiting caller."""
+
+REFUSE_SHARE = 0.2
+"""Share of a job's target latency within which a job is refused if the store does nothing."""
+
+CACHED_RESULT_BYTES = 16 * 1024 * 1024
+CACHED_DOCUMENTS = 8
+"""Bounds of what is kept to spare reads of the store; everything kept is immutable."""
+
+
+class SubmitOutcome(Enum):
+    """What became of a submission."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNCLEAR = "unclear"
+
+
+@dataclass(frozen=True)
+class JobPage:
+    """Listed results of a job from one position on."""
+
+    total: int
+    next_position: int
+    results: list[ItemResult]
+
+
+class Owners:
+    """Who may own jobs, as this daemon believes."""
+
+    def __init__(
+        self, own_token: str, live_tokens: Callable[[], dict[str, str]], own_name: str
+    ) -> None:
+        self.own_token = own_token
+        self._live_tokens = live_tokens
+        self._own_name = own_name
+
+    def is_live(self, token: str) -> bool:
+        """Return whether the process named ``token`` is believed to run."""
+        return token == self.own_token or token in self._live_tokens().values()
+
+    def rank(self, job_id: str) -> int:
+        """Return how many live daemons come before this one for a job."""
+        names = set(self._live_tokens()) | {self._own_name}
+        own = rendezvous_weight(job_id, self._own_name)
+        return sum(rendezvous_weight(job_id, name) > own for name in names)
+
+
+class ResultCache:
+    """Listed results, bounded in bytes; the oldest go first."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self._bytes = 0
+        self._results: OrderedDict[tuple[str, int], ItemResult] = OrderedDict()
+
+    def put(self, job_id: str, position: int, result: ItemResult) -> None:
+        """Keep the result at a position."""
+        if (job_id, position) in self._results:
+            return
+        self._results[job_id, position] = result
+        self._bytes += len(result.text)
+        while self._bytes > self._limit_bytes:
+            _, dropped = self._results.popitem(last=False)
+            self._bytes -= len(dropped.text)
+
+    def run_from(self, job_id: str, position: int, max_bytes: int) -> list[ItemResult]:
+        """Return kept results from ``position`` on without a gap, up to ``max_bytes``."""
+        found: list[ItemResult] = []
+        size = 0
+        while (result := self._results.get((job_id, position + len(found)))) is not None:
+            size += len(result.text)
+            if found and size > max_bytes:
+                break
+            found.append(result)
+        return found
+
+
+class JobService:
+    """The batch jobs of one daemon."""
+
+    def __init__(
+        self,
+        context: RunnerContext,
+        owners: Owners,
+        parse_document: Callable[[bytes], tuple[JobItem, ...]],
+        keep_s: Callable[[JobHead], float],
+    ) -> None:
+        self._context = context
+        self._repository: JobRepository = context.repository
+        self._owners = owners
+        self._parse_document = parse_document
+        self._keep_s = keep_s
+        self._heads: dict[str, tuple[JobHead, int]] = {}
+        self._runners: dict[str, JobRunner] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._adopting: set[str] = set()
+        self._orphan_since_s: dict[str, float] = {}
+        self._waiters: dict[str, asyncio.Event] = {}
+        self._cache = ResultCache(CACHED_RESULT_BYTES)
+        self._documents: OrderedDict[str, tuple[JobItem, ...]] = OrderedDict()
+        self._draining = False
+
+    # Callers' calls
+
+    async def submit(
+        self, submission: JobSubmission, target_latency_s: float, deadline_s: float
+    ) -> SubmitOutcome:
+        """Take a job. Once a write may have reached the store, it is never called refused."""
+        if submission.job_id in self._heads:
+            return SubmitOutcome.ACCEPTED
+        loop = asyncio.get_running_loop()
+        refuse_at_s = min(deadline_s, loop.time() + target_latency_s * REFUSE_SHARE)
+        unclear = False
+        head = self._new_head(submission)
+        while True:
+            try:
+                version = await self._repository.submit(submission, head)
+            except Conflict:
+                return SubmitOutcome.ACCEPTED
+            except OutcomeUnknown:
+                unclear = True
+            except StoreRefused:
+                if not unclear and loop.time() >= refuse_at_s:
+                    return SubmitOutcome.REFUSED
+            else:
+                self._begin(head, version, submission.items)
+                return SubmitOutcome.ACCEPTED
+            if loop.time() + RETRY_S >= deadline_s:
+                return SubmitOutcome.UNCLEAR if unclear else SubmitOutcome.REFUSED
+            await asyncio.sleep(RETRY_S)
+
+    async def read(self, job_id: str, after: int, wait_s: float, max_bytes: int) -> JobPage | None:
+        """Return results from position ``after`` on; waits up to ``wait_s`` for the first.
+
+        Returns ``None`` if the store has no such job. Raises ``StoreError`` where unsure.
+        """
+        cached = self._read_cached(job_id, after, max_bytes)
+        if cached is not None:
+            return cached
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + wait_s
+        waiter = self._waiters.setdefault(job_id, asyncio.Event())
+        found = await self._repository.load(job_id)
+        if found is None:
+            return None
+        head = found[0]
+        if head.listed <= after and head.open and wait_s > 0:
+            try:
+                async with asyncio.timeout_at(deadline_s):
+                    await waiter.wait()
+            except TimeoutError:
+                pass
+            found = await self._repository.load(job_id)
+            if found is None:
+                return None
+            head = found[0]
+        return await self._page(head, after, max_bytes)
+
+    async def item_body(self, job_id: str, item_id: str) -> bytes | None:
+        """Return the body of an item, or ``None`` where the store has none."""
+        runner = self._runners.get(job_id)
+        items = runner.items if runner is not None else await self._items_of(job_id)
+        return next((item.body for item in items if item.item_id == item_id), None)
+
+    async def end(self, job_id: str) -> bool:
+        """End a job; returns whether there is one. Raises ``StoreError``."""
+        found = await self._repository.end(job_id)
+        runner = self._runners.get(job_id)
+        if found and runner is not None:
+            runner.handle_head(replace(runner.head, ended=True), self._latest_version(job_id) + 1)
+        return found
+
+    # The feed
+
+    def apply(self, change: TableChange) -> None:
+        """Take changed heads, or with a complete change all of them."""
+        if change.complete:
+            listed = {row.key.key for row in change.rows}
+            for job_id in [known for known in self._heads if known not in listed]:
+                del self._heads[job_id]
+        for row in change.rows:
+            if row.value is None:
+                self._heads.pop(row.key.key, None)
+                continue
+            self._apply_head(decode_head(row.key.key, row.value), row.version)
+
+    def _apply_head(self, head: JobHead, version: int) -> None:
+        if version <= self._latest_version(head.job_id):
+            return
+        self._heads[head.job_id] = (head, version)
+        runner = self._runners.get(head.job_id)
+        if runner is not None:
+            runner.handle_head(head, version)
+        waiter = self._waiters.pop(head.job_id, None)
+        if waiter is not None:
+            waiter.set()
+        if head.open and not head.owner:
+            self._consider(head, version)
+
+    def _latest_version(self, job_id: str) -> int:
+        known = self._heads.get(job_id)
+        return known[1] if known is not None else 0
+
+    # Ownership
+
+    async def run(self) -> None:
+        """Adopt jobs whose owner is gone, until cancelled."""
+        while True:
+            await asyncio.sleep(SCAN_S)
+            for head, version in list(self._heads.values()):
+                if head.open:
+                    self._consider(head, version)
+                else:
+                    self._orphan_since_s.pop(head.job_id, None)
+                    await self._drop_old(head, version)
+            self._context.metrics.jobs_owned(len(self._runners))
+
+    def _consider(self, head: JobHead, version: int) -> None:
+        job_id = head.job_id
+        if self._draining or job_id in self._runners or job_id in self._adopting:
+            return
+        if head.owner and head.owner != self._owners.own_token and self._owners.is_live(head.owner):
+            self._orphan_since_s.pop(job_id, None)
+            return
+        now_s = asyncio.get_running_loop().time()
+        since_s = self._orphan_since_s.setdefault(job_id, now_s)
+        if now_s - since_s < self._owners.rank(job_id) * RANK_DELAY_S:
+            return
+        self._adopting.add(job_id)
+        self._spawn(self._adopt(head, version))
+
+    async def _adopt(self, head: JobHead, version: int) -> None:
+        adopted = replace(head, owner=self._owners.own_token, write_id=new_write_id())
+        try:
+            items = await self._load_items(head)
+            if items is None:
+                return
+            version = await self._repository.change_head(adopted, version)
+        except StoreError as problem:
+            self._context.log.event(
+                "adoption_failed", job=head.job_id, version=version, cause=type(problem).__name__
+            )
+            return
+        finally:
+            self._adopting.discard(head.job_id)
+        self._context.log.event(
+            "job_adopted",
+            job=head.job_id,
+            former_owner=head.owner,
+            listed=head.listed,
+            total=head.total,
+            version=version,
+        )
+        self._begin(adopted, version, items)
+
+    def _begin(self, head: JobHead, version: int, items: tuple[JobItem, ...]) -> None:
+        self._orphan_since_s.pop(head.job_id, None)
+        known = self._heads.get(head.job_id)
+        if known is not None and known[1] > version:
+            head, version = known
+            if not head.open or head.owner != self._owners.own_token:
+                return
+        self._heads[head.job_id] = (head, version)
+        runner = JobRunner(self._context, head, version, items)
+        if self._draining:
+            runner.drain()
+        self._runners[head.job_id] = runner
+        self._spawn(self._run(runner))
+
+    async def _run(self, runner: JobRunner) -> None:
+        try:
+            await runner.run()
+        finally:
+            self._runners.pop(runner.head.job_id, None)
+
+    async def drain(self) -> None:
+        """Start no more items, and wait until every job here is finished or released."""
+        self._draining = True
+        for runner in list(self._runners.values()):
+            runner.drain()
+        while self._runners:
+            await asyncio.sleep(RETRY_S)
+
+    # Reads
+
+    def _read_cached(self, job_id: str, after: int, max_bytes: int) -> JobPage | None:
+        known = self._heads.get(job_id)
+        if known is None:
+            return None
+        results = self._cache.run_from(job_id, after, max_bytes)
+        if not results:
+            return None
+        return JobPage(known[0].total, after + len(results), results)
+
+    async def _page(self, head: JobHead, after: int, max_bytes: int) -> JobPage:
+        if head.listed <= after:
+            return JobPage(head.total, after, [])
+        listed = await self._repository.results(head, after, max_bytes)
+        for position, result in listed:
+            self._cache.put(head.job_id, position, result)
+        return JobPage(head.total, after + len(listed), [result for _, result in listed])
+
+    async def _items_of(self, job_id: str) -> tuple[JobItem, ...]:
+        cached = self._documents.get(job_id)
+        if cached is not None:
+            return cached
+        found = await self._repository.load(job_id)
+        items = await self._load_items(found[0]) if found is not None else None
+        if items is None:
+            return ()
+        self._documents[job_id] = items
+        while len(self._documents) > CACHED_DOCUMENTS:
+            self._documents.popitem(last=False)
+        return items
+
+    async def _load_items(self, head: JobHead) -> tuple[JobItem, ...] | None:
+        document = await self._repository.document(head)
+        return self._parse_document(document) if document is not None else None
+
+    # Small parts
+
+    def _new_head(self, submission: JobSubmission) -> JobHead:
+        return JobHead(
+            job_id=submission.job_id,
+            host=submission.host,
+            path=submission.path,
+            total=len(submission.items),
+            accepted_ms=self._context.store_now_ms(),
+            owner="" if self._draining else self._owners.own_token,
+            write_id=new_write_id(),
+        )
+
+    async def _drop_old(self, head: JobHead, version: int) -> None:
+        """Remove a job that nobody may ask for any more."""
+        age_s = (self._context.store_now_ms() - head.accepted_ms) / 1000
+        if age_s < self._keep_s(head) or self._owners.rank(head.job_id):
+            return
+        try:
+            await self._repository.drop(head, version)
+        except StoreError:
+            return
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/mountstand/membership/datagrams.py
@@ -0,0 +1,112 @@
+"""Membership on asyncio datagrams: drives :class:`MembershipState` and tells who is alive."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import cast
+
+from mountstand.errors import MessageRejected
+from mountstand.membership.member import Member, MemberState
+from mountstand.membership.state import (
+    Instruction,
+    MemberChanged,
+    MembershipConfig,
+    MembershipState,
+    SendMessage,
+)
+from mountstand.telemetry.decisions import DecisionLog
+from mountstand.wire.frames import FrameCodec
+
+TICKS_PER_PERIOD = 5
+
+
+class DatagramMembership(asyncio.DatagramProtocol):
+    """Failure detection between daemons, in one event loop."""
+
+    def __init__(
+        self,
+        self_member: Member,
+        config: MembershipConfig,
+        codec: FrameCodec,
+        log: DecisionLog,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._state = MembershipState(self_member, config, random.Random())
+        self._config = config
+        self._codec = codec
+        self._log = log
+        self._on_change = on_change
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self, address: str, port: int) -> None:
+        """Bind the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(address, port))
+
+    async def run(self) -> None:
+        """Advance probes and suspicions until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self._carry_out(self._state.handle_tick(loop.time()))
+            await asyncio.sleep(self._config.period_s / TICKS_PER_PERIOD)
+
+    def live_names(self) -> set[str]:
+        """Return the members believed to run and not to be leaving."""
+        return {
+            member.member_id
+            for member in self._state.members.values()
+            if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        }
+
+    def handle_seeds(self, seeds: Iterable[Member]) -> None:
+        """Learn members from the store."""
+        loop = asyncio.get_running_loop()
+        self._carry_out(self._state.handle_seeds(seeds, loop.time()))
+
+    def leave(self) -> None:
+        """Tell peers that this daemon is leaving."""
+        loop = asyncio.get_running_loop()
+        self._carry_out(self._state.leave(MemberState.LEAVING, loop.time()))
+
+    # asyncio.DatagramProtocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the bound socket."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Handle a peer's datagram; anything that is no frame of ours is dropped."""
+        try:
+            frame = self._codec.open(data)
+        except MessageRejected:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._carry_out(self._state.handle_message(frame.sender_id, frame.message, now_s))
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore a peer's closed port; its silence is noticed by the probes."""
+
+    def _carry_out(self, instructions: list[Instruction]) -> None:
+        changed = False
+        for instruction in instructions:
+            if isinstance(instruction, SendMessage):
+                self._send(instruction)
+            elif isinstance(instruction, MemberChanged):
+                changed = True
+                member = instruction.member
+                self._log.event(
+                    "member_changed",
+                    member=member.member_id,
+                    state=member.state.name.lower(),
+                    incarnation=member.incarnation,
+                )
+        if changed:
+            self._on_change()
+
+    def _send(self, instruction: SendMessage) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        frame = self._codec.seal(instruction.message)
+        self._transport.sendto(frame, (instruction.member.address, instruction.member.port))
--- /dev/null
+++ b/mountstand/membership/registry.py
@@ -0,0 +1,178 @@
+"""The daemons' own rows in the store: how daemons find each other, and what callers are told.
+
+A row says where a daemon is and which process it is. Whether that process still runs is decided by
+failure detection, not by the row; a row only has to be there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import orjson
+
+from mountstand.membership.datagrams import DatagramMembership
+from mountstand.membership.member import Member
+from mountstand.store.rows import Conflict, RowKey, RowStore, StoredRow, StoreError, Transaction
+from mountstand.store.watch import TableChange
+from mountstand.telemetry.decisions import DecisionLog
+
+DAEMONS = "daemons"
+RETRY_S = 0.25
+RECHECK_S = 2.0
+"""How often a daemon checks that its row is there, and rows of daemons long gone are dropped."""
+
+FORGET_S = 60.0
+"""A row is dropped when its daemon has been silent for so long."""
+
+
+@dataclass(frozen=True)
+class DaemonRow:
+    """Where one daemon is; ``token`` names the process."""
+
+    name: str
+    token: str
+    callers_address: str
+    address: str
+    gossip_port: int
+    zone: str
+    leaving: bool = False
+
+    def encode(self) -> bytes:
+        """Return the row's value."""
+        return orjson.dumps(
+            {
+                "token": self.token,
+                "callers_address": self.callers_address,
+                "address": self.address,
+                "gossip_port": self.gossip_port,
+                "zone": self.zone,
+                "leaving": self.leaving,
+            }
+        )
+
+
+def decode_daemon(row: StoredRow) -> DaemonRow:
+    """Return what a row says."""
+    assert row.value is not None
+    return DaemonRow(name=row.key.key, **orjson.loads(row.value))
+
+
+def new_token() -> str:
+    """Return a name for this process, unlike that of any other."""
+    return secrets.token_hex(6)
+
+
+class DaemonRegistry:
+    """Every daemon's row, and this daemon's own."""
+
+    def __init__(
+        self, store: RowStore, own: DaemonRow, log: DecisionLog, on_change: Callable[[], None]
+    ) -> None:
+        self._store = store
+        self.own = own
+        self._log = log
+        self._on_change = on_change
+        self._rows: dict[str, tuple[DaemonRow, int]] = {}
+        self._silent_since_s: dict[str, float] = {}
+        self.membership: DatagramMembership | None = None
+
+    def apply(self, change: TableChange) -> None:
+        """Take changed rows of the daemons' table."""
+        if change.complete:
+            self._rows.clear()
+        for row in change.rows:
+            known = self._rows.get(row.key.key)
+            if known is not None and known[1] >= row.version:
+                continue
+            if row.value is None:
+                self._rows.pop(row.key.key, None)
+            else:
+                self._rows[row.key.key] = (decode_daemon(row), row.version)
+        if self.membership is not None:
+            self.membership.handle_seeds(self._members())
+        self._on_change()
+
+    def live(self) -> list[DaemonRow]:
+        """Return the rows of daemons that run and are not leaving, this one included."""
+        live = self.membership.live_names() if self.membership is not None else set()
+        rows = [
+            row
+            for row, _ in self._rows.values()
+            if row.name != self.own.name and not row.leaving and row.name in live
+        ]
+        if not self.own.leaving:
+            rows.append(self.own)
+        return rows
+
+    def live_tokens(self) -> dict[str, str]:
+        """Return the processes that run, leaving ones included, by daemon name."""
+        live = self.membership.live_names() if self.membership is not None else set()
+        tokens = {
+            row.name: row.token
+            for row, _ in self._rows.values()
+            if row.name in live or (row.leaving and row.name not in self._silent_since_s)
+        }
+        tokens[self.own.name] = self.own.token
+        return tokens
+
+    async def run(self) -> None:
+        """Keep this daemon's row in the store, until cancelled."""
+        while True:
+            known = self._rows.get(self.own.name)
+            if known is None or known[0] != self.own:
+                pause_s = RETRY_S if not await self._write_own() else RECHECK_S
+            else:
+                pause_s = RECHECK_S
+            self._note_silent()
+            await self._drop_forgotten()
+            await asyncio.sleep(pause_s)
+
+    async def announce_leaving(self) -> None:
+        """Mark this daemon's row, so that callers are sent elsewhere."""
+        self.own = replace(self.own, leaving=True)
+        while not await self._write_own():
+            await asyncio.sleep(RETRY_S)
+
+    async def _write_own(self) -> bool:
+        key = RowKey(DAEMONS, "", self.own.name)
+        try:
+            version = await self._store.commit(Transaction(puts=[(key, self.own.encode())]))
+        except StoreError as problem:
+            self._log.event("own_row_delayed", cause=type(problem).__name__, detail=str(problem))
+            return False
+        self._rows[self.own.name] = (self.own, version)
+        return True
+
+    def _members(self) -> list[Member]:
+        return [
+            Member(row.name, row.address, row.gossip_port, row.zone, 0)
+            for row, _ in self._rows.values()
+            if row.name != self.own.name
+        ]
+
+    def _note_silent(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        live = self.membership.live_names() if self.membership is not None else set()
+        for name in self._rows:
+            if name in live or name == self.own.name:
+                self._silent_since_s.pop(name, None)
+            else:
+                self._silent_since_s.setdefault(name, now_s)
+
+    async def _drop_forgotten(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for name, since_s in list(self._silent_since_s.items()):
+            if now_s - since_s < FORGET_S or name not in self._rows:
+                continue
+            key = RowKey(DAEMONS, "", name)
+            version = self._rows[name][1]
+            try:
+                await self._store.commit(Transaction(conditions=[(key, version)], removals=[key]))
+            except Conflict:
+                continue
+            except StoreError:
+                return
+            self._silent_since_s.pop(name, None)
--- a/mountstand/membership/service.py
+++ b/mountstand/membership/service.py
@@ -19,7 +19,7 @@
     MembershipState,
     SendMessage,
 )
-from mountstand.platform.ports import Machine, MachineRole
+from mountstand.store.ports import Machine, MachineRole
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.wire.frames import Frame, FrameCodec
--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -29,10 +29,10 @@
 )
 from mountstand.online.request import OnlineRequest
 from mountstand.online.retry_budget import RetryBudget
-from mountstand.platform.ports import Machine
 from mountstand.routing.chooser import RouteRequest
 from mountstand.routing.fleet_view import DispatchOutcome
 from mountstand.routing.router import Router
+from mountstand.store.ports import Machine
 from mountstand.telemetry.metrics import DaemonMetrics
 
 ONLINE_PRIORITY = 0
--- a/mountstand/online/idempotency.py
+++ b/mountstand/online/idempotency.py
@@ -22,7 +22,7 @@
     WriteOutcomeUnknown,
 )
 from mountstand.online.request import OnlineRequest
-from mountstand.platform.ports import ABSENT, Condition, Put, Row, TablePort, Transaction
+from mountstand.store.ports import ABSENT, Condition, Put, Row, TablePort, Transaction
 
 FINISH_TRIES = 3
 INTENT_TRIES = 3
--- a/mountstand/online/service.py
+++ b/mountstand/online/service.py
@@ -25,9 +25,9 @@
     StreamRelay,
     abort_caller,
 )
-from mountstand.platform.ports import Machine, TablePort
 from mountstand.routing.fleet_view import DispatchOutcome
 from mountstand.routing.router import Router
+from mountstand.store.ports import Machine, TablePort
 from mountstand.telemetry.metrics import DaemonMetrics
 
 logger = logging.getLogger(__name__)
--- a/mountstand/placement/service.py
+++ b/mountstand/placement/service.py
@@ -17,9 +17,9 @@
 from mountstand.engines.port import BackendPort, LoadModelOrder
 from mountstand.errors import MountstandError
 from mountstand.placement.reconciler import EngineState, PlacementTarget, next_loads
-from mountstand.platform.ports import Machine
 from mountstand.routing.router import Router
 from mountstand.settings.tree import SettingsTree
+from mountstand.store.ports import Machine
 from mountstand.telemetry.logs import log_state_change
 
 logger = logging.getLogger(__name__)
--- a/mountstand/platform/__init__.py
+++ b/mountstand/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Ports to the platform's services (table, objects, machine list) and their adapters."""
+"""Translation between mountstand and the users' platform; nothing outside knows its names."""
--- /dev/null
+++ b/mountstand/platform/ingress.py
@@ -0,0 +1,246 @@
+"""The calls that callers make: requests, batch jobs, resolve and ready."""
+
+from __future__ import annotations
+
+import asyncio
+from base64 import b64decode
+from binascii import Error as Base64Error
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import orjson
+
+from mountstand.jobs.model import ItemResult, ItemState, JobItem, JobSubmission
+from mountstand.jobs.service import JobPage, SubmitOutcome
+from mountstand.platform import names
+from mountstand.platform.worker_protocol import parse_prompt
+from mountstand.serving.configuration import RequestKind, Route
+from mountstand.serving.forwarder import RETRY_UNAVAILABLE_S, refuse
+from mountstand.serving.worker_protocol import Call
+from mountstand.serving_node import ServingNode
+from mountstand.store.rows import StoreError
+from mountstand.transport.headers import Header, number
+from mountstand.transport.http_server import Responder, ServerRequest
+
+MAX_ITEMS = 200
+MAX_PAGE_BYTES = 900_000
+"""Results of one page; the platform's bound is 1 MB with its own framing."""
+
+MAX_WAIT_S = 1.0
+DELETE_TIMEOUT_S = 3.0
+RETRY_PAUSE_S = 0.1
+RESOLVE_TTL_S = 1.0
+"""How long callers keep the list of addresses; some keep it three times as long. A daemon that
+stops serves for longer than that."""
+
+JSON: list[Header] = [("Content-Type", "application/json")]
+
+
+class MalformedJob(Exception):
+    """The body of a submission is no batch job."""
+
+
+class Ingress:
+    """Turns callers' calls into calls of the product."""
+
+    def __init__(self, node: ServingNode) -> None:
+        self._node = node
+
+    async def handle_ready(self, request: ServerRequest, responder: Responder) -> None:
+        """Answer the platform's own checks."""
+        responder.send(200 if self._node.ready else 503)
+
+    async def handle_directory(self, request: ServerRequest, responder: Responder) -> None:
+        """Tell a caller which addresses to use."""
+        if request.path != names.RESOLVE_PATH:
+            responder.send(404)
+            return
+        addresses = self._node.callers_addresses()
+        if not addresses:
+            refuse(responder, RETRY_UNAVAILABLE_S)
+            return
+        ttl_s = min(RESOLVE_TTL_S, self._node.settings.resolve_ttl_max_s)
+        answer = {"addresses": addresses, "ttl_s": ttl_s}
+        responder.send(200, JSON, orjson.dumps(answer))
+
+    async def handle_request(self, request: ServerRequest, responder: Responder) -> None:
+        """Route one request of a caller."""
+        configuration = self._node.configuration
+        if configuration is None:
+            refuse(responder, RETRY_UNAVAILABLE_S)
+            return
+        host = request.headers.get("host") or ""
+        if request.path.startswith(names.JOB_PREFIX):
+            await self._handle_job(request, responder)
+            return
+        if request.path.startswith(names.ITEM_PREFIX):
+            await self._handle_item(request, responder)
+            return
+        route = configuration.match(host, request.path)
+        if route is None:
+            self._node.log.event(
+                "no_route", host=host, path=request.path, configuration=configuration.version
+            )
+            responder.send(404)
+        elif route.kind is RequestKind.BATCH:
+            await self._submit(route, request, responder)
+        else:
+            await self._forward(route, request, responder)
+
+    async def _forward(self, route: Route, request: ServerRequest, responder: Responder) -> None:
+        request_id = request.headers.get(names.REQUEST_ID.lower()) or ""
+        call = Call(
+            request_id=request_id,
+            host=request.headers.get("host") or "",
+            method=request.method,
+            target=request.target,
+            headers=tuple(request.headers.end_to_end()),
+            body=request.body,
+            prompt=parse_prompt(request.headers.get(names.PREFIX.lower())),
+            last_event_id=number(request.headers.get(names.LAST_EVENT_ID.lower())),
+        )
+        deadline_s = self._deadline_s(route, request)
+        await self._node.forwarder.forward(
+            route, call, responder, request.received_at_s, deadline_s
+        )
+
+    def _deadline_s(self, route: Route, request: ServerRequest) -> float:
+        limit_s = route.timeout_s
+        asked_ms = number(request.headers.get(names.DEADLINE_MS.lower()))
+        if asked_ms is not None:
+            limit_s = min(limit_s, asked_ms / 1000)
+        return request.received_at_s + limit_s
+
+    # Batch jobs
+
+    async def _submit(self, route: Route, request: ServerRequest, responder: Responder) -> None:
+        job_id = request.headers.get(names.REQUEST_ID.lower())
+        if request.method != "POST" or not job_id or len(job_id) > 100:
+            responder.send(400)
+            return
+        try:
+            items = parse_items(request.body)
+        except MalformedJob as problem:
+            self._node.log.event("job_malformed", job=job_id, cause=str(problem))
+            responder.send(400)
+            return
+        host = request.headers.get("host") or ""
+        submission = JobSubmission(job_id, host, request.path, items, request.body)
+        outcome = await self._node.jobs.submit(
+            submission, route.target_latency_s, self._deadline_s(route, request)
+        )
+        self._node.log.event(
+            "job_submitted",
+            job=job_id,
+            items=len(items),
+            outcome=outcome.value,
+            store_age_s=round(self._node.store_age_s(), 3),
+        )
+        if outcome is SubmitOutcome.ACCEPTED:
+            responder.send(202)
+        elif outcome is SubmitOutcome.REFUSED:
+            refuse(responder, RETRY_UNAVAILABLE_S)
+        else:
+            responder.send(504)
+
+    async def _handle_job(self, request: ServerRequest, responder: Responder) -> None:
+        job_id = unquote(request.path.removeprefix(names.JOB_PREFIX))
+        try:
+            if request.method == "DELETE":
+                await self._end_job(job_id, responder)
+            elif request.method == "GET":
+                await self._read_job(job_id, request, responder)
+            else:
+                responder.send(405)
+        except StoreError as problem:
+            self._node.log.event("job_unsure", job=job_id, cause=type(problem).__name__)
+            refuse(responder, RETRY_UNAVAILABLE_S)
+
+    async def _read_job(self, job_id: str, request: ServerRequest, responder: Responder) -> None:
+        query = parse_qs(request.query)
+        after = number(query.get("after", ["0"])[0])
+        if after is None or after < 0:
+            responder.send(400)
+            return
+        wait_ms = number(request.headers.get(names.WAIT_MS.lower())) or 0
+        wait_s = min(MAX_WAIT_S, wait_ms / 1000)
+        page = await self._node.jobs.read(job_id, after, wait_s, MAX_PAGE_BYTES)
+        if page is None:
+            self._node.log.event("job_unknown", job=job_id)
+            responder.send(404)
+            return
+        responder.send(200, JSON, encode_page(page))
+
+    async def _end_job(self, job_id: str, responder: Responder) -> None:
+        deadline_s = asyncio.get_running_loop().time() + DELETE_TIMEOUT_S
+        while True:
+            try:
+                found = await self._node.jobs.end(job_id)
+            except StoreError:
+                if asyncio.get_running_loop().time() > deadline_s:
+                    raise
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            self._node.log.event("job_ended", job=job_id, found=found)
+            responder.send(200 if found else 404)
+            return
+
+    async def _handle_item(self, request: ServerRequest, responder: Responder) -> None:
+        job_id = unquote(request.path.removeprefix(names.ITEM_PREFIX))
+        item_id = parse_qs(request.query).get("id", [""])[0]
+        try:
+            body = await self._node.jobs.item_body(job_id, item_id)
+        except StoreError:
+            refuse(responder, RETRY_UNAVAILABLE_S)
+            return
+        if body is None:
+            responder.send(404)
+        else:
+            responder.send(200, [("Content-Type", "application/octet-stream")], body)
+
+
+def parse_items(document: bytes) -> tuple[JobItem, ...]:
+    """Return the items of a submission. Raises ``MalformedJob``."""
+    try:
+        entries = orjson.loads(document)["items"]
+        items = tuple(_item(entry) for entry in entries)
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, Base64Error) as problem:
+        raise MalformedJob(f"{type(problem).__name__}: {problem}") from None
+    if not 0 < len(items) <= MAX_ITEMS:
+        raise MalformedJob(f"{len(items)} items; 1 to {MAX_ITEMS} are allowed")
+    if len({item.item_id for item in items}) != len(items):
+        raise MalformedJob("two items with one id")
+    return items
+
+
+def _item(entry: dict[str, Any]) -> JobItem:
+    headers = {str(name): str(value) for name, value in (entry.get("headers") or {}).items()}
+    prefix = next((v for n, v in headers.items() if n.lower() == names.PREFIX.lower()), None)
+    return JobItem(
+        item_id=str(entry["id"]),
+        target=str(entry["path"]),
+        headers=tuple(headers.items()),
+        body=b64decode(entry.get("body") or "", validate=True),
+        prompt=parse_prompt(prefix),
+        tokens=int(entry.get("tokens") or 0),
+    )
+
+
+def encode_page(page: JobPage) -> bytes:
+    """Return a page of results as callers read it."""
+    return orjson.dumps(
+        {
+            "total": page.total,
+            "next_token": page.next_position,
+            "results": [_result(result) for result in page.results],
+        }
+    )
+
+
+def _result(result: ItemResult) -> dict[str, str]:
+    completed = result.state is ItemState.COMPLETED
+    return {
+        "id": result.item_id,
+        "state": names.COMPLETED if completed else names.GIVEN_UP,
+        "text": result.text,
+    }
--- /dev/null
+++ b/mountstand/platform/operator_rows.py
@@ -0,0 +1,89 @@
+"""The operator's configuration and the workers' records, put into the product's own types."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from mountstand.platform import names
+from mountstand.serving.configuration import (
+    Configuration,
+    RequestKind,
+    Route,
+    Service,
+    ServiceShare,
+)
+from mountstand.serving.workers import WorkerRecord
+from mountstand.store.rows import StoredRow
+from mountstand.transport.http_server import ServerLimits
+
+KINDS = {
+    names.IDEMPOTENT: RequestKind.REPEATABLE,
+    names.NON_IDEMPOTENT: RequestKind.AT_MOST_ONCE,
+    names.STREAMING: RequestKind.STREAM,
+    names.BATCH: RequestKind.BATCH,
+}
+DEFAULT_CONNECTIONS = 100
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Return the configuration that a row holds."""
+    fields = orjson.loads(value)
+    limits = fields.get("limits", {})
+    return Configuration(
+        version=int(fields["version"]),
+        routes=tuple(_route(route) for route in fields["routes"]),
+        services={
+            service["name"]: Service(
+                service["name"], int(service.get("max_conns") or DEFAULT_CONNECTIONS)
+            )
+            for service in fields["services"]
+        },
+        limits=ServerLimits(
+            max_header_bytes=int(limits.get("max_header_bytes", 16384)),
+            max_body_bytes=int(limits.get("max_body_bytes", 4194304)),
+            header_timeout_s=limits.get("header_timeout_ms", 3000) / 1000,
+            idle_timeout_s=limits.get("idle_timeout_ms", 15000) / 1000,
+        ),
+    )
+
+
+def decode_worker(row: StoredRow) -> WorkerRecord:
+    """Return the worker that a row describes."""
+    assert row.value is not None
+    fields = orjson.loads(row.value)
+    host, _, port = fields["address"].rpartition(":")
+    return WorkerRecord(
+        worker_id=row.key.key,
+        service=fields["service"],
+        host=host,
+        port=int(port),
+        zone=fields.get("zone", ""),
+        slots=int(fields.get("slots") or 1),
+        draining=fields.get("state") == names.DRAINING,
+        version=row.version,
+    )
+
+
+def _route(fields: dict[str, Any]) -> Route:
+    split = fields.get("traffic_split")
+    if split:
+        shares = tuple(ServiceShare(part["service"], float(part["weight"])) for part in split)
+    else:
+        shares = (ServiceShare(fields["service"], 1.0),)
+    gap_ms = fields.get("gap_aim_ms")
+    return Route(
+        name=fields["name"],
+        host=fields["host"],
+        path_prefix=fields["path_prefix"],
+        kind=KINDS.get(fields["kind"], RequestKind.AT_MOST_ONCE),
+        timeout_s=fields.get("timeout_ms", 30000) / 1000,
+        target_latency_s=fields.get("target_latency_ms", 1000) / 1000,
+        max_attempts=max(1, int(fields.get("max_attempts") or 1)),
+        shares=tuple(share for share in shares if share.weight > 0) or shares,
+        resumable=bool(fields.get("resumable")),
+        event_gap_s=gap_ms / 1000 if gap_ms else None,
+        retention_s=float(fields.get("retention_s") or 0),
+        completion_target_s=(fields.get("completion_target_ms") or 0) / 1000,
+    )
--- /dev/null
+++ b/mountstand/platform/settings.py
@@ -0,0 +1,109 @@
+"""Reads the platform's settings file into the product's own process settings."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from mountstand.errors import InvalidSettings
+from mountstand.platform.names import SETTINGS_VARIABLE
+from mountstand.serving_settings import Listeners, ServingSettings, SocketAddress, StoreSettings
+
+Fields = dict[str, Any]
+
+
+def load_settings(path: str | None = None) -> ServingSettings:
+    """Return the checked settings. Raises ``InvalidSettings`` naming the key and the remedy."""
+    file = path or os.environ.get(SETTINGS_VARIABLE)
+    if not file:
+        raise InvalidSettings(f"{SETTINGS_VARIABLE} is not set; give the path of a settings file")
+    try:
+        fields = orjson.loads(Path(file).read_bytes())
+    except OSError as problem:
+        raise InvalidSettings(f"{file}: {problem.strerror}") from None
+    except orjson.JSONDecodeError as problem:
+        raise InvalidSettings(f"{file}: not JSON: {problem}") from None
+    if not isinstance(fields, dict):
+        raise InvalidSettings(f"{file}: must hold one JSON object")
+    return settings_from(fields)
+
+
+def settings_from(fields: Fields) -> ServingSettings:
+    """Translate the platform's fields."""
+    bounds = _table(fields, "bounds")
+    store = _table(fields, "platform")
+    limits = _table(fields, "limits")
+    ports = fields.get("internal_ports")
+    if not isinstance(ports, list) or len(ports) != 2:
+        raise InvalidSettings("internal_ports: must be a list of the first and the last port")
+    return ServingSettings(
+        name=_text(fields, "node"),
+        zone=_text(fields, "zone"),
+        address=_text(fields, "ip"),
+        gossip_port=int(ports[0]),
+        listeners=_listeners(_table(fields, "listen")),
+        metrics=_metrics(fields),
+        store=StoreSettings(
+            address=_address(store.get("address"), "platform.address"),
+            row_bytes=int(_number(store, "row_bytes", 65536)),
+        ),
+        grace_s=_number(bounds, "grace_s", 8.0),
+        resolve_ttl_max_s=_number(bounds, "ttl_max_s", 5.0),
+        contact_s=_number(bounds, "contact_ms", 3000.0) / 1000,
+        cancel_s=_number(bounds, "cancel_ms", 3000.0) / 1000,
+        status_s=_number(bounds, "status_s", 120.0),
+        memory_mb=_number(limits, "memory_mb", 256.0),
+        max_descriptors=int(_number(limits, "max_fds", 1024.0)),
+    )
+
+
+def _listeners(listen: Fields) -> Listeners:
+    return Listeners(
+        callers=_address(listen.get("front"), "listen.front"),
+        ready=_address(listen["ready"], "listen.ready") if "ready" in listen else None,
+        directory=(
+            _address(listen["directory"], "listen.directory") if "directory" in listen else None
+        ),
+    )
+
+
+def _metrics(fields: Fields) -> tuple[int, str] | None:
+    """Return port and path of ``"PORT/PATH"``, if given."""
+    text = fields.get("metrics")
+    if not text:
+        return None
+    port, _, path = str(text).partition("/")
+    if not port.isdigit():
+        raise InvalidSettings(f"metrics: must be PORT/PATH (got {text!r})")
+    return int(port), "/" + path
+
+
+def _table(fields: Fields, key: str) -> Fields:
+    value = fields.get(key)
+    if not isinstance(value, dict):
+        raise InvalidSettings(f"{key}: missing; the platform must fill this table")
+    return value
+
+
+def _text(fields: Fields, key: str) -> str:
+    value = fields.get(key)
+    if not isinstance(value, str) or not value:
+        raise InvalidSettings(f"{key}: must be a text (got {value!r})")
+    return value
+
+
+def _number(fields: Fields, key: str, default: float) -> float:
+    value = fields.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise InvalidSettings(f"{key}: must be a number of 0 or more (got {value!r})")
+    return float(value)
+
+
+def _address(value: Any, key: str) -> SocketAddress:
+    host, separator, port = str(value or "").rpartition(":")
+    if not separator or not port.isdigit():
+        raise InvalidSettings(f"{key}: must be IP:PORT (got {value!r})")
+    return SocketAddress(host, int(port))
--- /dev/null
+++ b/mountstand/platform/store_client.py
@@ -0,0 +1,188 @@
+"""The platform's store behind the product's row and object ports."""
+
+from __future__ import annotations
+
+import asyncio
+from base64 import b64decode, b64encode
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import orjson
+
+from mountstand.platform import names
+from mountstand.serving_settings import SocketAddress
+from mountstand.store.rows import (
+    Conflict,
+    HistoryGone,
+    OutcomeUnknown,
+    RowKey,
+    RowPage,
+    StoredRow,
+    StoreRefused,
+    Transaction,
+)
+from mountstand.telemetry.serving_metrics import ServingMetrics
+from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken, connect
+
+CONNECT_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 2.0
+"""A call without an answer for so long counts as lost; a slow store answers in under a second."""
+
+FEED_SLACK_S = 1.5
+"""A held feed call that is not answered so long after its wait counts as lost."""
+
+MAX_IDLE = 8
+IDLE_S = 5.0
+
+JSON_TYPE = ("Content-Type", "application/json")
+
+
+class PlatformStore:
+    """Calls to the store over pooled connections."""
+
+    def __init__(self, address: SocketAddress, metrics: ServingMetrics) -> None:
+        self._address = address
+        self._metrics = metrics
+        self._idle: list[ClientConnection] = []
+
+    # RowStore
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = "", limit: int = 500
+    ) -> RowPage:
+        """Read a range of rows."""
+        query = {"table": table, "part": part, "limit": str(limit)}
+        if first:
+            query["from"] = first
+        if end:
+            query["target_version"] = end
+        body = await self._call("GET", f"{names.ROWS_READ}?{urlencode(query)}")
+        return _page(body)
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Run a transaction."""
+        request = orjson.dumps(
+            {
+                "expected_rev": [
+                    {**_key_fields(key), "ver": version} for key, version in transaction.conditions
+                ],
+                "put": [
+                    {**_key_fields(key), "value": b64encode(value).decode()}
+                    for key, value in transaction.puts
+                ],
+                "remove": [_key_fields(key) for key in transaction.removals],
+            }
+        )
+        body = await self._call("POST", names.ROWS_COMMIT, request)
+        return int(orjson.loads(body)["ver"])
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
+        """Wait for changed rows."""
+        query = urlencode({"table": table, "after": after, "wait_ms": wait_ms})
+        timeout_s = wait_ms / 1000 + FEED_SLACK_S
+        return _page(await self._call("GET", f"{names.ROWS_CHANGES}?{query}", b"", timeout_s))
+
+    # ObjectStore
+
+    async def put_object(self, name: str, body: bytes) -> None:
+        """Store an object."""
+        await self._call("PUT", names.OBJECT_PUT + quote(name, safe=""), body)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Return an object."""
+        try:
+            return await self._call("GET", names.OBJECT_GET + quote(name, safe=""))
+        except KeyError:
+            return None
+
+    async def drop_object(self, name: str) -> None:
+        """Remove an object."""
+        try:
+            await self._call("DELETE", names.OBJECT_DROP + quote(name, safe=""))
+        except KeyError:
+            return
+
+    # Calls
+
+    async def _call(
+        self, method: str, target: str, body: bytes = b"", timeout_s: float = CALL_TIMEOUT_S
+    ) -> bytes:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        outcome = "error"
+        try:
+            status, answer = await self._exchange(method, target, body, timeout_s)
+            outcome = str(status)
+            return _checked(status, answer)
+        finally:
+            name = target.partition("?")[0].split("/")[1]
+            self._metrics.store_called(name, outcome, loop.time() - began_s)
+
+    async def _exchange(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        connection = await self._connection()
+        headers = [("Host", str(self._address)), JSON_TYPE]
+        done = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection.send(method, target, headers, body)
+                head = await connection.read_head()
+                answer = await connection.read_body()
+                done = True
+                return head.status, answer
+        except (ReplyBroken, TimeoutError) as problem:
+            raise OutcomeUnknown(str(problem) or "no answer in time") from None
+        finally:
+            if done and connection.end_exchange() and len(self._idle) < MAX_IDLE:
+                self._idle.append(connection)
+            else:
+                connection.close()
+
+    async def _connection(self) -> ClientConnection:
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.open and now_s - connection.idle_since_s < IDLE_S:
+                return connection
+            connection.close()
+        try:
+            return await connect(self._address.host, self._address.port, CONNECT_TIMEOUT_S)
+        except ConnectFailed as problem:
+            raise StoreRefused(f"no connection: {problem}") from None
+
+
+def _checked(status: int, answer: bytes) -> bytes:
+    """Return the body of a success; raise what any other status means."""
+    if status == 200:
+        return answer
+    if status == 412:
+        raise Conflict
+    if status == 410:
+        raise HistoryGone
+    if status == 404:
+        raise KeyError
+    if status in (429, 503, 507) or 400 <= status < 500:
+        raise StoreRefused(f"status {status}")
+    raise OutcomeUnknown(f"status {status}")
+
+
+def _key_fields(key: RowKey) -> dict[str, Any]:
+    return {"table": key.table, "part": key.part, "key": key.key}
+
+
+def _page(body: bytes) -> RowPage:
+    fields = orjson.loads(body)
+    return RowPage(
+        [_row(row) for row in fields["rows"]],
+        bool(fields.get("more")),
+        int(fields["ver"]),
+        int(fields.get("now_ms", 0)),
+    )
+
+
+def _row(fields: dict[str, Any]) -> StoredRow:
+    gone = bool(fields.get("gone"))
+    value = None if gone else b64decode(fields.get("value", ""))
+    key = RowKey(fields["table"], fields.get("part", ""), fields["key"])
+    return StoredRow(key, int(fields["ver"]), value)
--- /dev/null
+++ b/mountstand/platform/worker_protocol.py
@@ -0,0 +1,68 @@
+"""The workers' headers and what their answers say."""
+
+from __future__ import annotations
+
+from mountstand.platform import names
+from mountstand.serving.prompt import Prompt, PromptPart
+from mountstand.serving.worker_protocol import Call, ReplyKind, ReplyMeaning
+from mountstand.serving.workers import LoadReport, Worker
+from mountstand.transport.headers import Header, Headers, number
+from mountstand.transport.http_client import ReplyHead
+
+REPLACED = frozenset(
+    name.lower() for name in (names.DEADLINE_MS, names.EXPECTED_WORKER, names.LAST_EVENT_ID, "Host")
+)
+"""Headers of a caller that the system sets itself."""
+
+
+class PlatformWorkerProtocol:
+    """Implements the port to the workers."""
+
+    def request_headers(
+        self, call: Call, worker: Worker, time_left_ms: int | None, resume_after: int | None
+    ) -> list[Header]:
+        """Return all headers of a dispatch, but for its framing."""
+        headers: list[Header] = [("Host", call.host)]
+        headers += [item for item in call.headers if item[0].lower() not in REPLACED]
+        if not any(name.lower() == names.REQUEST_ID.lower() for name, _ in call.headers):
+            headers.append((names.REQUEST_ID, call.request_id))
+        headers.append((names.EXPECTED_WORKER, worker.record.worker_id))
+        if time_left_ms is not None:
+            headers.append((names.DEADLINE_MS, str(time_left_ms)))
+        if resume_after is not None:
+            headers.append((names.LAST_EVENT_ID, str(resume_after)))
+        return headers
+
+    def belongs_to(self, call: Call, headers: Headers) -> bool:
+        """Return whether an answer echoes the id of ``call``."""
+        return headers.get(names.REQUEST_ID.lower()) == call.request_id
+
+    def meaning(self, head: ReplyHead) -> ReplyMeaning:
+        """Return what an answer's head says."""
+        kind = ReplyKind.ANSWERED
+        if head.status == names.STATUS_OTHER_WORKER:
+            kind = ReplyKind.OTHER_WORKER
+        elif head.headers.get(names.NOT_RUN.lower()) is not None:
+            kind = ReplyKind.NOT_RUN
+        return ReplyMeaning(kind, _load(head.headers.get(names.LOAD.lower())))
+
+
+def parse_prompt(text: str | None) -> Prompt:
+    """Return the parts that a header lists as ``ID:TOKENS`` joined by commas."""
+    if not text:
+        return Prompt()
+    parts = []
+    for word in text.split(","):
+        part_id, _, tokens = word.strip().partition(":")
+        parts.append(PromptPart(part_id, number(tokens) or 0))
+    return Prompt(tuple(parts))
+
+
+def _load(text: str | None) -> LoadReport | None:
+    if text is None:
+        return None
+    counts = [number(word.strip()) for word in text.split(",")]
+    if len(counts) != 3 or None in counts:
+        return None
+    running, waiting, slots = (int(count or 0) for count in counts)
+    return LoadReport(running, waiting, slots)
--- a/mountstand/routing/fleet_view.py
+++ b/mountstand/routing/fleet_view.py
@@ -10,8 +10,8 @@
 from enum import Enum
 
 from mountstand.engines.port import LoadFigures, LoadReport
-from mountstand.platform.ports import Machine, MachineRole
 from mountstand.routing.outliers import WorkerHealth, ejectable_count
+from mountstand.store.ports import Machine, MachineRole
 
 LOAD_REPORT_HALF_LIFE_S = 0.5
 """Age at which a load report counts half; engine work turns over within about a second."""
--- a/mountstand/routing/observer.py
+++ b/mountstand/routing/observer.py
@@ -9,8 +9,8 @@
 from mountstand.background import PeriodicTask
 from mountstand.engines.port import BackendPort
 from mountstand.errors import MountstandError
-from mountstand.platform.ports import Machine, MachineListPort, MachineRole
 from mountstand.routing.router import Router
+from mountstand.store.ports import Machine, MachineListPort, MachineRole
 
 POLL_THREADS = 8
 
--- a/mountstand/routing/router.py
+++ b/mountstand/routing/router.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable
 
 from mountstand.engines.port import CacheChange, LoadFigures, LoadReport
-from mountstand.platform.ports import Machine, MachineRole
 from mountstand.routing.chooser import RouteRequest, WorkerChooser
 from mountstand.routing.fleet_view import DispatchOutcome, FleetView
+from mountstand.store.ports import Machine, MachineRole
 
 MAX_POLLED_IN_USE = 64
 """With this many workers in use, idle ones are not polled; a dispatch brings them in."""
--- /dev/null
+++ b/mountstand/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Online requests: routes, workers, the choice between them, and forwarding."""
--- /dev/null
+++ b/mountstand/serving/configuration.py
@@ -0,0 +1,121 @@
+"""What the operator configures: routes, services and limits, as immutable values."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import Enum
+
+from mountstand.transport.http_server import ServerLimits
+
+
+class RequestKind(Enum):
+    """What may be done with a request whose outcome is unknown."""
+
+    REPEATABLE = "repeatable"
+    AT_MOST_ONCE = "at most once"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+@dataclass(frozen=True)
+class ServiceShare:
+    """A service and its weight among those of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Where requests of one host and path prefix go, and within which bounds."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int
+    shares: tuple[ServiceShare, ...]
+    resumable: bool = False
+    event_gap_s: float | None = None
+    retention_s: float = 0.0
+    completion_target_s: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        if self.kind is RequestKind.STREAM:
+            return self.resumable
+        return self.kind is RequestKind.REPEATABLE
+
+
+@dataclass(frozen=True)
+class Service:
+    """A service and how many connections one of its workers takes from everybody."""
+
+    name: str
+    max_connections: int
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One version of everything that the operator configures."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: ServerLimits
+    _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False, repr=False)
+
+    def __post_init__(self) -> None:
+        """Index the routes: by host, longest prefix first."""
+        by_host: dict[str, list[Route]] = defaultdict(list)
+        for route in self.routes:
+            by_host[route.host.lower()].append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+        self._by_host.update(by_host)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of ``host`` with the longest prefix of ``path``."""
+        name = host.lower()
+        routes = self._by_host.get(name)
+        if routes is None:
+            routes = self._by_host.get(name.rpartition(":")[0], [])
+        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+
+
+class ShareChooser:
+    """Deals the requests of a route to its services exactly by weight.
+
+    Smooth weighted round robin per route, from a random start so that many daemons together keep
+    the weights too.
+    """
+
+    def __init__(self, source: random.Random) -> None:
+        self._source = source
+        self._credit: dict[tuple[str, tuple[ServiceShare, ...]], list[float]] = {}
+
+    def choose(self, route: Route) -> str:
+        """Return the service for the next request of ``route``."""
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        total = sum(share.weight for share in shares)
+        credit = self._credit.get((route.name, shares))
+        if credit is None:
+            self._drop_other_versions(route)
+            credit = [self._source.uniform(0, total) for _ in shares]
+            self._credit[route.name, shares] = credit
+        for position, share in enumerate(shares):
+            credit[position] += share.weight
+        winner = max(range(len(shares)), key=lambda position: credit[position])
+        credit[winner] -= total
+        return shares[winner].service
+
+    def _drop_other_versions(self, route: Route) -> None:
+        for key in [key for key in self._credit if key[0] == route.name]:
+            del self._credit[key]
--- /dev/null
+++ b/mountstand/serving/connections.py
@@ -0,0 +1,97 @@
+"""Connections to workers, pooled per worker.
+
+A pooled connection to a worker that died silently would cost a request that may run only once, so
+a connection is used again only while the worker was heard from a moment ago, on any connection.
+Otherwise a new one is made: a failed connect is a safe reason to try another worker.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from mountstand.serving.workers import Worker
+from mountstand.transport.http_client import ClientConnection, ConnectFailed, connect
+
+CONNECT_TIMEOUT_S = 0.25
+"""A worker that takes longer to accept is treated as unreachable: zones are milliseconds apart."""
+
+HEARD_S = 0.15
+"""How recent the last sign of life must be for a pooled connection to be used."""
+
+KEEP_ALIVE_MARGIN_S = 0.5
+"""Workers tell their idle time in whole seconds; a connection is left alone this long before."""
+
+UNTOLD_IDLE_S = 0.3
+"""Idle time assumed where a worker tells none: it is then less than a second."""
+
+
+class WorkerConnections:
+    """Opens and keeps connections to workers."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[ClientConnection]] = {}
+        self.opened = 0
+        self.reused = 0
+
+    async def acquire(self, worker: Worker) -> ClientConnection:
+        """Return an open connection to ``worker``. Raises ``ConnectFailed``."""
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        pooled = self._take_pooled(worker, now_s)
+        if pooled is not None:
+            self.reused += 1
+            return pooled
+        self.opened += 1
+        try:
+            connection = await connect(worker.record.host, worker.record.port, CONNECT_TIMEOUT_S)
+        except ConnectFailed:
+            worker.note_connect_failed(loop.time())
+            raise
+        worker.note_heard(loop.time())
+        return connection
+
+    def release(self, worker: Worker, connection: ClientConnection, limit: int) -> None:
+        """Take a connection back; at most ``limit`` idle ones per worker are kept."""
+        worker.last_heard_s = max(worker.last_heard_s, connection.last_received_at_s)
+        if not connection.end_exchange():
+            return
+        idle = self._idle.setdefault(worker.record.worker_id, [])
+        if len(idle) >= limit:
+            connection.close()
+        else:
+            idle.append(connection)
+
+    def sweep(self, listed: set[str], now_s: float) -> None:
+        """Close connections that rested too long or whose worker is gone."""
+        for worker_id, idle in list(self._idle.items()):
+            kept = []
+            for connection in idle:
+                if worker_id in listed and connection.open and rested_well(connection, now_s):
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle[worker_id] = kept
+            else:
+                del self._idle[worker_id]
+
+    def _take_pooled(self, worker: Worker, now_s: float) -> ClientConnection | None:
+        idle = self._idle.get(worker.record.worker_id, [])
+        heard_s = worker.last_heard_s
+        while idle:
+            connection = idle.pop()
+            heard_s = max(heard_s, connection.last_received_at_s)
+            usable = connection.open and rested_well(connection, now_s)
+            if usable and now_s - heard_s <= HEARD_S:
+                return connection
+            connection.close()
+        return None
+
+
+def rested_well(connection: ClientConnection, now_s: float) -> bool:
+    """Return whether a connection's peer surely has not begun to close it for resting."""
+    if connection.keep_alive_s is None:
+        allowed_s = UNTOLD_IDLE_S
+    else:
+        allowed_s = connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
+    return now_s - connection.idle_since_s < allowed_s
--- /dev/null
+++ b/mountstand/serving/forwarder.py
@@ -0,0 +1,400 @@
+"""Forwards online requests to workers, with retries only where they are safe.
+
+What may be repeated follows from the route: a request that was surely not run may go to another
+worker; one that may have run goes to another only if its route allows, within the route's
+attempts. Every request gets its final answer at its deadline at the latest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+
+from mountstand.serving.configuration import Route, ShareChooser
+from mountstand.serving.connections import WorkerConnections
+from mountstand.serving.events import EventSplitter, StreamEvent
+from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
+from mountstand.serving.workers import Worker, WorkerDirectory
+from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.serving_metrics import ServingMetrics
+from mountstand.transport.headers import Header
+from mountstand.transport.http_client import (
+    ClientConnection,
+    ConnectFailed,
+    ReplyBroken,
+    ReplyHead,
+)
+from mountstand.transport.http_server import Responder
+
+MAX_REFUSALS = 4
+"""Workers asked before a request that none took is refused; each costs a round trip."""
+
+MAX_UNREACHABLE = 4
+"""Workers tried in vain before a request is refused; each costs a connect time-out at most."""
+
+RETRY_FULL_S = 0.2
+RETRY_UNAVAILABLE_S = 0.5
+"""When a refused caller is told to come back."""
+
+WHOLE_ANSWER_BYTES = 512 * 1024
+"""Answers up to this size are held until they are whole, so that a broken one can be retried."""
+
+SUSPICION_S = 0.5
+"""Silence of a worker after which it is checked by a new connection."""
+
+STALL_GAPS = 2.0
+"""A resumable stream is resumed elsewhere after so many of the longest pauses that are in time."""
+
+EVENT_STREAM = "text/event-stream"
+
+
+class Outcome(Enum):
+    """How one attempt ended."""
+
+    DELIVERED = "delivered"
+    NOT_SENT = "not sent"
+    NOT_RUN = "not run"
+    OTHER_WORKER = "other worker"
+    MAY_HAVE_RUN = "may have run"
+    FAILED = "failed"
+    BROKEN_MIDWAY = "broken midway"
+
+
+class WorkerSilent(Exception):
+    """A worker neither answers nor accepts connections."""
+
+
+@dataclass
+class Exchange:
+    """Progress of one request over its attempts."""
+
+    route: Route
+    call: Call
+    responder: Responder
+    service: str
+    deadline_s: float
+    runs: int = 0
+    refusals: int = 0
+    unreachable: int = 0
+    tried: set[str] = field(default_factory=set)
+    last_event_id: int | None = None
+    worker_id: str = ""
+    cause: str = ""
+    first_byte_at_s: float | None = None
+
+
+class Forwarder:
+    """Runs online requests at workers."""
+
+    def __init__(
+        self,
+        directory: WorkerDirectory,
+        connections: WorkerConnections,
+        protocol: WorkerProtocol,
+        shares: ShareChooser,
+        metrics: ServingMetrics,
+        log: DecisionLog,
+    ) -> None:
+        self._directory = directory
+        self._connections = connections
+        self._protocol = protocol
+        self._shares = shares
+        self._metrics = metrics
+        self._log = log
+        self.idle_per_worker = 4
+
+    async def forward(
+        self,
+        route: Route,
+        call: Call,
+        responder: Responder,
+        received_at_s: float,
+        deadline_s: float,
+    ) -> None:
+        """Answer ``call``; ``deadline_s`` is on the loop's clock."""
+        loop = asyncio.get_running_loop()
+        exchange = Exchange(route, call, responder, self._shares.choose(route), deadline_s)
+        exchange.last_event_id = call.last_event_id
+        gone = True
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                await self._run_attempts(exchange)
+            gone = False
+        except TimeoutError:
+            gone = False
+            exchange.cause = "deadline"
+            self._end_unfinished(exchange)
+        finally:
+            self._report(exchange, loop.time() - received_at_s, gone)
+
+    async def _run_attempts(self, exchange: Exchange) -> None:
+        while not exchange.responder.finished:
+            worker = self._choose(exchange)
+            if worker is None:
+                exchange.cause = exchange.cause or "no worker"
+                self._end_unfinished(exchange)
+                return
+            outcome = await self._attempt(exchange, worker)
+            if outcome is Outcome.DELIVERED:
+                return
+            self._log_attempt(exchange, worker, outcome)
+            if not self._may_go_on(exchange, outcome):
+                self._end_unfinished(exchange)
+                return
+
+    def _choose(self, exchange: Exchange) -> Worker | None:
+        now_s = asyncio.get_running_loop().time()
+        return self._directory.choose(exchange.service, exchange.call.prompt, exchange.tried, now_s)
+
+    def _may_go_on(self, exchange: Exchange, outcome: Outcome) -> bool:
+        """Decide whether another worker may be tried after ``outcome``."""
+        if outcome in (Outcome.NOT_RUN, Outcome.OTHER_WORKER):
+            exchange.refusals += 1
+            return exchange.refusals < MAX_REFUSALS
+        if outcome is Outcome.NOT_SENT:
+            exchange.unreachable += 1
+            return exchange.unreachable < MAX_UNREACHABLE
+        return exchange.route.repeatable and exchange.runs < exchange.route.max_attempts
+
+    # One attempt
+
+    async def _attempt(self, exchange: Exchange, worker: Worker) -> Outcome:
+        exchange.tried.add(worker.record.worker_id)
+        exchange.worker_id = worker.record.worker_id
+        worker.in_flight += 1
+        connection: ClientConnection | None = None
+        try:
+            connection = await self._connections.acquire(worker)
+            return await self._exchange_with(exchange, worker, connection)
+        except ConnectFailed as problem:
+            exchange.cause = f"connect: {problem}"
+            return Outcome.NOT_SENT
+        finally:
+            worker.in_flight -= 1
+            if connection is not None:
+                self._connections.release(worker, connection, self.idle_per_worker)
+
+    async def _exchange_with(
+        self, exchange: Exchange, worker: Worker, connection: ClientConnection
+    ) -> Outcome:
+        now_s = asyncio.get_running_loop().time()
+        left_ms = max(1, int((exchange.deadline_s - now_s) * 1000))
+        call = exchange.call
+        headers = self._protocol.request_headers(call, worker, left_ms, exchange.last_event_id)
+        try:
+            connection.send(
+                call.method,
+                call.target,
+                headers,
+                call.body,
+                lambda reply: self._protocol.belongs_to(call, reply),
+            )
+        except ReplyBroken as problem:
+            exchange.cause = problem.reason
+            return Outcome.NOT_SENT
+        exchange.runs += 1
+        try:
+            head = await self._read_head(exchange, worker, connection)
+            return await self._relay(exchange, worker, connection, head)
+        except (ReplyBroken, WorkerSilent) as problem:
+            exchange.cause = str(problem)
+            midway = exchange.responder.started
+            return Outcome.BROKEN_MIDWAY if midway else Outcome.MAY_HAVE_RUN
+
+    async def _read_head(
+        self, exchange: Exchange, worker: Worker, connection: ClientConnection
+    ) -> ReplyHead:
+        while True:
+            try:
+                async with asyncio.timeout(SUSPICION_S):
+                    return await connection.read_head()
+            except TimeoutError:
+                if exchange.route.repeatable:
+                    await self._check_alive(worker)
+
+    async def _check_alive(self, worker: Worker) -> None:
+        """Check a silent worker. Raises ``WorkerSilent`` if it accepts no connection either."""
+        loop = asyncio.get_running_loop()
+        if loop.time() - worker.last_heard_s < SUSPICION_S:
+            return
+        try:
+            probe = await self._connections.acquire(worker)
+        except ConnectFailed:
+            raise WorkerSilent("silent and unreachable") from None
+        probe.close()
+
+    async def _relay(
+        self, exchange: Exchange, worker: Worker, connection: ClientConnection, head: ReplyHead
+    ) -> Outcome:
+        now_s = asyncio.get_running_loop().time()
+        worker.note_heard(now_s)
+        meaning = self._protocol.meaning(head)
+        if meaning.load is not None:
+            worker.note_load(meaning.load, now_s)
+            preempt_for_online(worker)
+        if meaning.kind is not ReplyKind.ANSWERED:
+            exchange.runs -= 1
+            return self._note_refusal(exchange, worker, meaning.kind, now_s)
+        content_type = (head.headers.get("content-type") or "").lower()
+        if head.status == 200 and content_type.startswith(EVENT_STREAM):
+            return await self._relay_stream(exchange, worker, connection, head)
+        if exchange.responder.started:
+            exchange.cause = f"status {head.status} on resuming"
+            return Outcome.BROKEN_MIDWAY
+        return await self._relay_whole(exchange, connection, head)
+
+    def _note_refusal(
+        self, exchange: Exchange, worker: Worker, kind: ReplyKind, now_s: float
+    ) -> Outcome:
+        if kind is ReplyKind.OTHER_WORKER:
+            exchange.cause = "another worker at the address"
+            self._directory.forget(worker)
+            return Outcome.OTHER_WORKER
+        exchange.cause = "worker full"
+        worker.note_full(now_s)
+        return Outcome.NOT_RUN
+
+    async def _relay_whole(
+        self, exchange: Exchange, connection: ClientConnection, head: ReplyHead
+    ) -> Outcome:
+        """Pass on an answer that is no event stream; a small one only once it is whole."""
+        responder = exchange.responder
+        pieces: list[bytes] = []
+        held_bytes = 0
+        while (piece := await connection.read_piece()) is not None:
+            if responder.started:
+                responder.write(piece)
+                await responder.drain()
+                continue
+            pieces.append(piece)
+            held_bytes += len(piece)
+            if held_bytes > WHOLE_ANSWER_BYTES:
+                responder.start(head.status, head.headers.end_to_end(), head.length)
+                responder.write(b"".join(pieces))
+        if head.status >= 500 and self._may_go_on(exchange, Outcome.FAILED):
+            exchange.cause = f"status {head.status}"
+            return Outcome.FAILED
+        if responder.started:
+            responder.finish()
+        else:
+            responder.send(head.status, head.headers.end_to_end(), b"".join(pieces))
+        return Outcome.DELIVERED
+
+    async def _relay_stream(
+        self, exchange: Exchange, worker: Worker, connection: ClientConnection, head: ReplyHead
+    ) -> Outcome:
+        """Pass whole events on as they come; a stream resumed here keeps its first head."""
+        responder = exchange.responder
+        splitter = EventSplitter()
+        stall_s = self._stall_limit_s(exchange.route)
+        if not responder.started:
+            responder.start(head.status, head.headers.end_to_end(), head.length)
+        while True:
+            piece = await self._read_event_bytes(worker, connection, stall_s)
+            if piece is None:
+                break
+            events = splitter.feed(piece)
+            if events:
+                await self._pass_on(exchange, events)
+        if splitter.partial:
+            exchange.cause = "ended within an event"
+            return Outcome.BROKEN_MIDWAY
+        responder.finish()
+        return Outcome.DELIVERED
+
+    async def _read_event_bytes(
+        self, worker: Worker, connection: ClientConnection, stall_s: float | None
+    ) -> bytes | None:
+        if stall_s is None:
+            return await connection.read_piece()
+        try:
+            async with asyncio.timeout(stall_s):
+                return await connection.read_piece()
+        except TimeoutError:
+            worker.note_full(asyncio.get_running_loop().time())
+            raise WorkerSilent("stalled between events") from None
+
+    async def _pass_on(self, exchange: Exchange, events: list[StreamEvent]) -> None:
+        for event in events:
+            if event.event_id is not None:
+                exchange.last_event_id = event.event_id
+        if exchange.first_byte_at_s is None:
+            exchange.first_byte_at_s = asyncio.get_running_loop().time()
+        exchange.responder.write(b"".join(event.raw for event in events))
+        await exchange.responder.drain()
+
+    def _stall_limit_s(self, route: Route) -> float | None:
+        if not route.resumable or route.event_gap_s is None:
+            return None
+        return max(SUSPICION_S, route.event_gap_s * STALL_GAPS)
+
+    # Ends
+
+    def _end_unfinished(self, exchange: Exchange) -> None:
+        """Give the final answer to a request that no worker answered whole."""
+        responder = exchange.responder
+        if responder.finished:
+            return
+        if responder.started:
+            responder.abort()
+            return
+        if exchange.runs == 0:
+            full = exchange.refusals > 0
+            refuse(responder, RETRY_FULL_S if full else RETRY_UNAVAILABLE_S)
+            return
+        responder.send(504 if exchange.cause == "deadline" else 502)
+
+    def _log_attempt(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
+        self._metrics.attempt_failed(outcome.value)
+        loop_s = asyncio.get_running_loop().time()
+        self._log.event(
+            "attempt_failed",
+            request=exchange.call.request_id,
+            route=exchange.route.name,
+            worker=worker.record.worker_id,
+            worker_version=worker.record.version,
+            outcome=outcome.value,
+            cause=exchange.cause,
+            runs=exchange.runs,
+            max_attempts=exchange.route.max_attempts,
+            repeatable=exchange.route.repeatable,
+            last_event=exchange.last_event_id,
+            load=worker.load.total if worker.load else None,
+            load_age_s=round(loop_s - worker.load_at_s, 3) if worker.load else None,
+            in_flight=worker.in_flight,
+        )
+
+    def _report(self, exchange: Exchange, duration_s: float, caller_gone: bool) -> None:
+        status = exchange.responder.status
+        gone = caller_gone and not exchange.responder.finished
+        self._metrics.request_ended(
+            exchange.route.name, "gone" if gone else str(status), duration_s
+        )
+        self._log.event(
+            "request_ended",
+            request=exchange.call.request_id,
+            route=exchange.route.name,
+            service=exchange.service,
+            worker=exchange.worker_id,
+            status=status,
+            outcome="caller gone" if gone else ("broken" if exchange.cause else "ok"),
+            cause=exchange.cause,
+            runs=exchange.runs,
+            refusals=exchange.refusals,
+            unreachable=exchange.unreachable,
+            ms=round(duration_s * 1000, 1),
+        )
+
+
+def refuse(responder: Responder, retry_after_s: float, status: int = 503) -> None:
+    """Refuse a request that has not run and say when to come back."""
+    headers: list[Header] = [("Retry-After", f"{retry_after_s:g}")]
+    responder.send(status, headers)
+
+
+def preempt_for_online(worker: Worker) -> None:
+    """Take one batch item off a worker where requests wait."""
+    if worker.load is not None and worker.load.waiting and worker.preemptible:
+        _, preempt = worker.preemptible.popitem()
+        preempt()
--- /dev/null
+++ b/mountstand/serving/worker_protocol.py
@@ -0,0 +1,60 @@
+"""Port to the workers: how a request is put to one, and what its answer says."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
+from mountstand.serving.workers import LoadReport, Worker
+from mountstand.transport.headers import Header, Headers
+from mountstand.transport.http_client import ReplyHead
+
+
+@dataclass(frozen=True)
+class Call:
+    """A request as it is put to workers, online or from a batch job.
+
+    ``time_left_ms`` of a dispatch is given apart, since it shrinks from one to the next.
+    """
+
+    request_id: str
+    host: str
+    method: str
+    target: str
+    headers: tuple[Header, ...]
+    body: bytes
+    prompt: Prompt = EMPTY_PROMPT
+    last_event_id: int | None = None
+
+
+class ReplyKind(Enum):
+    """What an answer says about the request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+    OTHER_WORKER = "other worker"
+
+
+@dataclass(frozen=True)
+class ReplyMeaning:
+    """An answer as the product understands it."""
+
+    kind: ReplyKind
+    load: LoadReport | None
+
+
+class WorkerProtocol(Protocol):
+    """What workers of a platform understand."""
+
+    def request_headers(
+        self, call: Call, worker: Worker, time_left_ms: int | None, resume_after: int | None
+    ) -> list[Header]:
+        """Return all headers of a dispatch, but for its framing."""
+
+    def belongs_to(self, call: Call, headers: Headers) -> bool:
+        """Return whether an answer is the one to ``call``."""
+
+    def meaning(self, head: ReplyHead) -> ReplyMeaning:
+        """Return what an answer's head says."""
--- /dev/null
+++ b/mountstand/serving/workers.py
@@ -0,0 +1,221 @@
+"""What this daemon knows of each worker: the platform's word, load, and own observations."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from mountstand.hashing import rendezvous_weight
+from mountstand.serving.prompt import Prompt
+
+LOAD_TRUST_S = 2.0
+"""A load report older than this says nothing: requests last about as long."""
+
+SAMPLE_SIZE = 4
+"""Workers compared per choice. Few enough that daemons with equal pictures do not all pick one."""
+
+UNREACHABLE_S = 1.0
+"""First pause after a connection that failed; doubled on each further failure."""
+
+LONGEST_UNREACHABLE_S = 4.0
+
+FULL_S = 0.1
+"""Pause after a worker refused because it was full."""
+
+AFFINITY_FILL = 0.9
+"""A home worker filled beyond this share of its slots gives the request to the next home."""
+
+
+@dataclass(frozen=True)
+class WorkerRecord:
+    """A worker as the platform lists it; every start has an id of its own."""
+
+    worker_id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    draining: bool
+    version: int
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """Load that a worker told with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+    @property
+    def total(self) -> int:
+        """Requests that run or wait."""
+        return self.running + self.waiting
+
+
+@dataclass
+class Worker:
+    """One worker and what was observed of it."""
+
+    record: WorkerRecord
+    in_flight: int = 0
+    batch_in_flight: int = 0
+    load: LoadReport | None = None
+    load_at_s: float = float("-inf")
+    in_flight_at_load: int = 0
+    avoid_until_s: float = 0.0
+    connect_failures: int = 0
+    last_heard_s: float = float("-inf")
+    preemptible: dict[int, Callable[[], None]] = field(default_factory=dict)
+
+    def note_load(self, load: LoadReport, now_s: float) -> None:
+        """Take a load report."""
+        self.load = load
+        self.load_at_s = now_s
+        self.in_flight_at_load = self.in_flight
+
+    def note_heard(self, now_s: float) -> None:
+        """Note that the worker said something."""
+        self.last_heard_s = now_s
+        self.connect_failures = 0
+
+    def note_connect_failed(self, now_s: float) -> None:
+        """Avoid the worker for a while, longer each time."""
+        pause_s = min(LONGEST_UNREACHABLE_S, UNREACHABLE_S * 2**self.connect_failures)
+        self.connect_failures += 1
+        self.avoid_until_s = now_s + pause_s
+
+    def note_full(self, now_s: float) -> None:
+        """Avoid the worker for a moment."""
+        self.avoid_until_s = max(self.avoid_until_s, now_s + FULL_S)
+
+    def slots(self) -> int:
+        """Return how many requests run at once."""
+        return max(1, self.record.slots)
+
+    def estimated_load(self, now_s: float, daemons: int) -> float:
+        """Estimate how many requests run or wait there.
+
+        A fresh report plus what this daemon sent since; without one, every daemon is assumed to
+        send as much as this one.
+        """
+        if self.load is not None and now_s - self.load_at_s <= LOAD_TRUST_S:
+            change = self.in_flight - self.in_flight_at_load
+            return max(float(self.in_flight), float(self.load.total + change))
+        return float(self.in_flight * max(1, daemons))
+
+
+class WorkerDirectory:
+    """All workers that the platform lists."""
+
+    def __init__(self, zone: str, source: random.Random) -> None:
+        self.workers: dict[str, Worker] = {}
+        self._by_service: dict[str, list[Worker]] = {}
+        self._zone = zone
+        self._source = source
+        self.daemons = 1
+
+    def put(self, record: WorkerRecord) -> bool:
+        """Take a worker's newest record; returns whether it says something new."""
+        known = self.workers.get(record.worker_id)
+        if known is None:
+            self.workers[record.worker_id] = Worker(record)
+        elif known.record.version > record.version:
+            return False
+        else:
+            changed = known.record.draining != record.draining
+            known.record = record
+            self._index()
+            return changed
+        self._index()
+        return True
+
+    def remove(self, worker_id: str) -> bool:
+        """Drop a worker that the platform lists no longer."""
+        removed = self.workers.pop(worker_id, None)
+        self._index()
+        return removed is not None
+
+    def replace_all(self, records: Iterable[WorkerRecord]) -> None:
+        """Take a complete list."""
+        listed = {record.worker_id: record for record in records}
+        for worker_id in [known for known in self.workers if known not in listed]:
+            del self.workers[worker_id]
+        for record in listed.values():
+            self.put(record)
+        self._index()
+
+    def forget(self, worker: Worker) -> None:
+        """Drop a worker that another one answered for at its address."""
+        if self.workers.get(worker.record.worker_id) is worker:
+            self.remove(worker.record.worker_id)
+
+    def of_service(self, service: str) -> list[Worker]:
+        """Return the workers of a service that take new work."""
+        return [w for w in self._by_service.get(service, []) if not w.record.draining]
+
+    def choose(self, service: str, prompt: Prompt, tried: set[str], now_s: float) -> Worker | None:
+        """Choose the worker for an online request, or ``None`` where there is none left."""
+        candidates = self._candidates(service, tried, now_s)
+        if not candidates:
+            return None
+        key = prompt.affinity_key
+        if key is not None:
+            return self._choose_home(candidates, key, now_s)
+        return self._choose_least_loaded(candidates, now_s)
+
+    def choose_idle(
+        self, service: str, tried: set[str], fill: float, now_s: float
+    ) -> Worker | None:
+        """Choose a worker filled below ``fill`` of its slots, with nothing waiting there."""
+        candidates = [
+            worker
+            for worker in self._candidates(service, tried, now_s, allow_avoided=False)
+            if worker.estimated_load(now_s, self.daemons) + 1 <= worker.slots() * fill
+        ]
+        if not candidates:
+            return None
+        return self._choose_least_loaded(candidates, now_s)
+
+    def utilisation(self, service: str, now_s: float) -> float:
+        """Return the share of a service's slots that is estimated to be taken."""
+        workers = self.of_service(service)
+        slots = sum(worker.slots() for worker in workers)
+        load = sum(worker.estimated_load(now_s, self.daemons) for worker in workers)
+        return load / slots if slots else 1.0
+
+    def _candidates(
+        self, service: str, tried: set[str], now_s: float, *, allow_avoided: bool = True
+    ) -> list[Worker]:
+        untried = [w for w in self.of_service(service) if w.record.worker_id not in tried]
+        sound = [worker for worker in untried if worker.avoid_until_s <= now_s]
+        return sound or (untried if allow_avoided else [])
+
+    def _choose_home(self, candidates: list[Worker], key: str, now_s: float) -> Worker:
+        homes = sorted(
+            candidates, key=lambda w: rendezvous_weight(key, w.record.worker_id), reverse=True
+        )
+        for worker in homes:
+            if worker.estimated_load(now_s, self.daemons) < worker.slots() * AFFINITY_FILL:
+                return worker
+        return self._choose_least_loaded(candidates, now_s)
+
+    def _choose_least_loaded(self, candidates: list[Worker], now_s: float) -> Worker:
+        sample = candidates
+        if len(candidates) > SAMPLE_SIZE:
+            sample = self._source.sample(candidates, SAMPLE_SIZE)
+
+        def cost(worker: Worker) -> tuple[float, bool, float]:
+            fill = worker.estimated_load(now_s, self.daemons) / worker.slots()
+            elsewhere = worker.record.zone != self._zone
+            return (round(fill, 1), elsewhere, self._source.random())
+
+        return min(sample, key=cost)
+
+    def _index(self) -> None:
+        by_service: dict[str, list[Worker]] = {}
+        for worker in self.workers.values():
+            by_service.setdefault(worker.record.service, []).append(worker)
+        self._by_service = by_service
--- /dev/null
+++ b/mountstand/serving_node.py
@@ -0,0 +1,340 @@
+"""One serving process: wires routing, workers, jobs, membership and the store, and stops whole."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from mountstand.jobs.model import JobHead, JobItem
+from mountstand.jobs.repository import HEADS, JobRepository, partitions
+from mountstand.jobs.runner import RunnerContext
+from mountstand.jobs.service import JobService, Owners
+from mountstand.membership.datagrams import DatagramMembership
+from mountstand.membership.member import Member
+from mountstand.membership.registry import DAEMONS, DaemonRegistry, DaemonRow, new_token
+from mountstand.membership.state import MembershipConfig
+from mountstand.serving.configuration import Configuration, ShareChooser
+from mountstand.serving.connections import WorkerConnections
+from mountstand.serving.forwarder import Forwarder
+from mountstand.serving.worker_protocol import WorkerProtocol
+from mountstand.serving.workers import WorkerDirectory, WorkerRecord
+from mountstand.serving_settings import ServingSettings
+from mountstand.store.rows import ObjectStore, RowStore, StoredRow
+from mountstand.store.watch import TableChange, TableWatcher
+from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.serving_metrics import ServingMetrics
+from mountstand.transport.http_server import HttpServer, Responder, ServerLimits, ServerRequest
+from mountstand.wire.frames import FrameCodec
+
+CLUSTER_KEY = "insecure-development-key"
+"""The platform gives no secret to its processes; the frames' hash only keeps strangers' datagrams
+and damaged ones apart."""
+
+SWEEP_S = 0.25
+BATCH_ITEMS = 256
+"""Batch items that one daemon runs at once at most; each holds its output in memory."""
+
+DESCRIPTOR_SHARE = 0.6
+"""Share of the descriptors that callers' connections may take."""
+
+CLOSE_LISTENERS_AFTER_S = 3.2
+"""A stopping daemon takes new connections until lists of addresses kept thrice their time ran
+out."""
+
+STOP_MARGIN_S = 0.6
+"""What still runs so long before the process is killed is broken off."""
+
+
+class Store(RowStore, ObjectStore, Protocol):
+    """Rows and objects."""
+
+
+class ConfigurationSource(Protocol):
+    """Where the platform keeps what the operator configures, and its workers."""
+
+    configuration_table: str
+    configuration_key: str
+    workers_table: str
+
+    def decode_configuration(self, value: bytes) -> Configuration:
+        """Return the configuration that a row holds."""
+
+    def decode_worker(self, row: StoredRow) -> WorkerRecord:
+        """Return the worker that a row describes."""
+
+
+class CallerInterface(Protocol):
+    """What callers and the platform's checks speak."""
+
+    async def handle_request(self, request: ServerRequest, responder: Responder) -> None:
+        """Answer a request of a caller."""
+
+    async def handle_ready(self, request: ServerRequest, responder: Responder) -> None:
+        """Tell whether callers may be sent here."""
+
+    async def handle_directory(self, request: ServerRequest, responder: Responder) -> None:
+        """Tell a caller which addresses to use."""
+
+
+class ServingNode:
+    """The process that serves callers on one machine."""
+
+    def __init__(
+        self,
+        settings: ServingSettings,
+        store: Store,
+        source: ConfigurationSource,
+        protocol: WorkerProtocol,
+        parse_document: Callable[[bytes], tuple[JobItem, ...]],
+        metrics: ServingMetrics,
+        log: DecisionLog,
+    ) -> None:
+        self.settings = settings
+        self.metrics = metrics
+        self.log = log
+        self.configuration: Configuration | None = None
+        self._configuration_row = 0
+        self._source = source
+        self._store = store
+        self._stopping = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._servers: list[HttpServer] = []
+        source_of_chance = random.Random()
+        self.directory = WorkerDirectory(settings.zone, source_of_chance)
+        self.connections = WorkerConnections()
+        shares = ShareChooser(source_of_chance)
+        self.forwarder = Forwarder(self.directory, self.connections, protocol, shares, metrics, log)
+        self._build_membership(store)
+        self._build_watchers(store)
+        self._build_jobs(store, protocol, shares, parse_document)
+
+    # Construction
+
+    def _build_membership(self, store: Store) -> None:
+        settings = self.settings
+        own = DaemonRow(
+            settings.name,
+            new_token(),
+            str(settings.listeners.callers),
+            settings.address,
+            settings.gossip_port,
+            settings.zone,
+        )
+        incarnation = time.time_ns() // 1_000_000
+        self.registry = DaemonRegistry(store, own, self.log, self._handle_members)
+        self.membership = DatagramMembership(
+            Member(
+                settings.name, settings.address, settings.gossip_port, settings.zone, incarnation
+            ),
+            MembershipConfig(),
+            FrameCodec(settings.name, incarnation, [CLUSTER_KEY]),
+            self.log,
+            self._handle_members,
+        )
+        self.registry.membership = self.membership
+
+    def _build_watchers(self, store: Store) -> None:
+        def watcher(
+            table: str, parts: list[str], apply: Callable[[TableChange], None]
+        ) -> TableWatcher:
+            return TableWatcher(store, table, parts, apply, self.log)
+
+        source = self._source
+        self._configuration_feed = watcher(
+            source.configuration_table, [""], self._apply_configuration
+        )
+        self._workers_feed = watcher(source.workers_table, [""], self._apply_workers)
+        self._daemons_feed = watcher(DAEMONS, [""], self.registry.apply)
+        self._jobs_feed = watcher(HEADS, partitions(), self._apply_jobs)
+
+    def _build_jobs(
+        self,
+        store: Store,
+        protocol: WorkerProtocol,
+        shares: ShareChooser,
+        parse_document: Callable[[bytes], tuple[JobItem, ...]],
+    ) -> None:
+        context = RunnerContext(
+            repository=JobRepository(store, store, self.settings.store.row_bytes),
+            directory=self.directory,
+            connections=self.connections,
+            protocol=protocol,
+            shares=shares,
+            metrics=self.metrics,
+            log=self.log,
+            configuration=lambda: self.configuration,
+            store_age_s=self.store_age_s,
+            store_now_ms=self._store_now_ms,
+            contact_limit_s=min(self.settings.contact_s, self.settings.cancel_s),
+            slots=asyncio.Semaphore(BATCH_ITEMS),
+        )
+        owners = Owners(self.registry.own.token, self.registry.live_tokens, self.settings.name)
+        self.jobs = JobService(context, owners, parse_document, self._keep_s)
+
+    # State
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        informed = self.configuration is not None and self._workers_feed.loaded.is_set()
+        return informed and not self._stopping
+
+    def callers_addresses(self) -> list[str]:
+        """Return the addresses that callers may use."""
+        if self.configuration is None:
+            return []
+        rows = self.registry.live()
+        return [row.callers_address for row in rows]
+
+    def store_age_s(self) -> float:
+        """Return how old this daemon's picture of the jobs may be."""
+        return self._jobs_feed.age_s(asyncio.get_running_loop().time())
+
+    def _store_now_ms(self) -> int:
+        feed = self._jobs_feed
+        return feed.now_ms + int((asyncio.get_running_loop().time() - feed.now_read_at_s) * 1000)
+
+    def _keep_s(self, head: JobHead) -> float:
+        """Return how long a job is kept after its acceptance."""
+        route = self.configuration.match(head.host, head.path) if self.configuration else None
+        retention_s = route.retention_s if route is not None else 0.0
+        return 2 * self.settings.status_s + retention_s
+
+    # Feeds
+
+    def _apply_configuration(self, change: TableChange) -> None:
+        for row in change.rows:
+            if row.key.key != self._source.configuration_key or row.value is None:
+                continue
+            if row.version <= self._configuration_row:
+                continue
+            configuration = self._source.decode_configuration(row.value)
+            self._configuration_row = row.version
+            self.configuration = configuration
+            self._apply_limits(configuration.limits)
+            self.log.event(
+                "configuration_applied",
+                version=configuration.version,
+                row_version=row.version,
+                routes=len(configuration.routes),
+            )
+
+    def _apply_limits(self, limits: ServerLimits) -> None:
+        for server in self._servers:
+            server.limits = limits
+
+    def _apply_workers(self, change: TableChange) -> None:
+        if change.complete:
+            records = [self._source.decode_worker(row) for row in change.rows]
+            self.directory.replace_all(records)
+            self.log.event("workers_listed", count=len(records))
+            return
+        for row in change.rows:
+            if row.value is None:
+                if self.directory.remove(row.key.key):
+                    self.log.event("worker_removed", worker=row.key.key, version=row.version)
+                continue
+            record = self._source.decode_worker(row)
+            if self.directory.put(record):
+                self.log.event(
+                    "worker_changed",
+                    worker=record.worker_id,
+                    address=f"{record.host}:{record.port}",
+                    draining=record.draining,
+                    version=row.version,
+                )
+
+    def _apply_jobs(self, change: TableChange) -> None:
+        self.jobs.apply(change)
+
+    def _handle_members(self) -> None:
+        self.directory.daemons = max(1, len(self.registry.live()))
+
+    # Life
+
+    async def start(self, interface: CallerInterface) -> None:
+        """Listen and begin to follow the store."""
+        listeners = self.settings.listeners
+        await self.membership.start(self.settings.address, self.settings.gossip_port)
+        limit = int(self.settings.max_descriptors * DESCRIPTOR_SHARE)
+        callers = HttpServer(
+            interface.handle_request, ServerLimits(), self._note_rejected, max_connections=limit
+        )
+        self._callers = callers
+        self._servers.append(callers)
+        await callers.start(listeners.callers.host, listeners.callers.port)
+        for address, handler in (
+            (listeners.ready, interface.handle_ready),
+            (listeners.directory, interface.handle_directory),
+        ):
+            if address is not None:
+                server = HttpServer(handler, ServerLimits(), self._note_rejected)
+                await server.start(address.host, address.port)
+                self._servers.append(server)
+        for work in (
+            self._configuration_feed.run(),
+            self._workers_feed.run(),
+            self._daemons_feed.run(),
+            self._jobs_feed.run(),
+            self._register(),
+            self.membership.run(),
+            self.jobs.run(),
+            self._sweep(),
+        ):
+            self._spawn(work)
+        self.log.event("daemon_started", zone=self.settings.zone, token=self.registry.own.token)
+
+    async def stop(self) -> None:
+        """Stop as planned: leave the list, finish what is in progress, hand the jobs on."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        end_s = began_s + self.settings.grace_s - STOP_MARGIN_S
+        self._stopping = True
+        self.log.event("stop_begun", connections=len(self._callers.connections))
+        self.membership.leave()
+        self._callers.announce_close()
+        self._spawn(self.registry.announce_leaving())
+        drained = asyncio.create_task(self.jobs.drain())
+        await asyncio.sleep(CLOSE_LISTENERS_AFTER_S)
+        self._callers.stop_listening()
+        self._callers.close_idle()
+        while loop.time() < end_s and not (drained.done() and not self._callers.connections):
+            await asyncio.sleep(0.05)
+        self.log.event(
+            "daemon_stopped",
+            connections_left=len(self._callers.connections),
+            jobs_handed_on=drained.done(),
+            after_s=round(loop.time() - began_s, 3),
+        )
+
+    def reload(self) -> None:
+        """Note a request to read the settings again; none of them can change while running."""
+        self.log.event("reload")
+
+    async def _register(self) -> None:
+        """Enter the list of daemons once this one can serve."""
+        while not self.ready:
+            await asyncio.sleep(0.02)
+        await self.registry.run()
+
+    async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.connections.sweep(set(self.directory.workers), loop.time())
+
+    def _note_rejected(self, status: int) -> None:
+        self.log.event("request_malformed", status=status)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_ended)
+
+    def _note_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.log.event("task_failed", cause=repr(task.exception()))
--- a/mountstand/settings/store.py
+++ b/mountstand/settings/store.py
@@ -19,7 +19,9 @@
     WriteConflict,
     WriteOutcomeUnknown,
 )
-from mountstand.platform.ports import (
+from mountstand.settings.schema import BranchValues
+from mountstand.settings.tree import Branch, BranchChange, Revision, SettingsTree
+from mountstand.store.ports import (
     ABSENT,
     Condition,
     Outcome,
@@ -28,8 +30,6 @@
     TablePort,
     Transaction,
 )
-from mountstand.settings.schema import BranchValues
-from mountstand.settings.tree import Branch, BranchChange, Revision, SettingsTree
 
 HEAD_ROW = "settings/head"
 BRANCH_PREFIX = "settings/branch/"
--- a/mountstand/platform/http_adapters.py
+++ b/mountstand/store/http_adapters.py
@@ -19,8 +19,8 @@
     StoreUnavailable,
     WriteOutcomeUnknown,
 )
-from mountstand.platform.memory_table import TransactionConflict
-from mountstand.platform.ports import (
+from mountstand.store.memory_table import TransactionConflict
+from mountstand.store.ports import (
     Machine,
     MachineListPort,
     ObjectPort,
--- /dev/null
+++ b/mountstand/store/memory_rows.py
@@ -0,0 +1,125 @@
+"""The row store in memory, for tests: the same promises, with faults to order."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+
+from mountstand.store.rows import (
+    ABSENT,
+    Conflict,
+    HistoryGone,
+    OutcomeUnknown,
+    RowKey,
+    RowPage,
+    StoredRow,
+    StoreRefused,
+    Transaction,
+)
+
+
+class MemoryRowStore:
+    """A row store and object store in this process.
+
+    ``fault`` is asked before every call with the call's name and returns ``"refuse"``, ``"lose"``
+    (do the call, lose the answer), ``"drop"`` (lose the call), or ``""``.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[RowKey, StoredRow] = {}
+        self.objects: dict[str, bytes] = {}
+        self.version = 0
+        self.calls = 0
+        self.fault: Callable[[str], str] = lambda call: ""
+        self._history: deque[StoredRow] = deque()
+        self._history_from = 0
+        self._changed = asyncio.Event()
+
+    def forget_history(self) -> None:
+        """Drop the history, as a store does that compacts."""
+        self._history.clear()
+        self._history_from = self.version
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = "", limit: int = 500
+    ) -> RowPage:
+        """Read a range of rows."""
+        self._begin("read")
+        found = sorted(
+            (row for row in self.rows.values() if (row.key.table, row.key.part) == (table, part)),
+            key=lambda row: row.key.key,
+        )
+        wanted = [row for row in found if row.key.key >= first and (not end or row.key.key < end)]
+        return RowPage(wanted[:limit], len(wanted) > limit, self.version, self._now_ms())
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Run a transaction."""
+        fault = self._begin("commit")
+        await asyncio.sleep(0)
+        for key, version in transaction.conditions:
+            present = self.rows.get(key)
+            if (present.version if present else ABSENT) != version:
+                raise Conflict(key.key)
+        self.version += 1
+        for key, value in transaction.puts:
+            self._change(StoredRow(key, self.version, value))
+        for key in transaction.removals:
+            self._change(StoredRow(key, self.version, None))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if fault == "lose":
+            raise OutcomeUnknown("answer lost")
+        return self.version
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
+        """Wait for changed rows."""
+        self._begin("changes")
+        if after < self._history_from:
+            raise HistoryGone
+        deadline_s = time.monotonic() + wait_ms / 1000
+        while True:
+            rows = [r for r in self._history if r.version > after and r.key.table == table]
+            left_s = deadline_s - time.monotonic()
+            if rows or left_s <= 0:
+                return RowPage(rows, False, self.version, self._now_ms())
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    async def put_object(self, name: str, body: bytes) -> None:
+        """Store an object."""
+        self._begin("put_object")
+        self.objects[name] = body
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Return an object."""
+        self._begin("get_object")
+        return self.objects.get(name)
+
+    async def drop_object(self, name: str) -> None:
+        """Remove an object."""
+        self._begin("drop_object")
+        self.objects.pop(name, None)
+
+    def _begin(self, call: str) -> str:
+        self.calls += 1
+        fault = self.fault(call)
+        if fault == "refuse":
+            raise StoreRefused(call)
+        if fault == "drop":
+            raise OutcomeUnknown(call)
+        return fault
+
+    def _change(self, row: StoredRow) -> None:
+        if row.value is None:
+            self.rows.pop(row.key, None)
+        else:
+            self.rows[row.key] = row
+        self._history.append(row)
+
+    def _now_ms(self) -> int:
+        return int(time.monotonic() * 1000)
--- a/mountstand/platform/memory_table.py
+++ b/mountstand/store/memory_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from mountstand.errors import NotFound, WriteConflict
-from mountstand.platform.ports import ABSENT, ObjectPort, Outcome, Row, TablePort, Transaction
+from mountstand.store.ports import ABSENT, ObjectPort, Outcome, Row, TablePort, Transaction
 
 
 class TransactionConflict(WriteConflict):
--- a/mountstand/platform/pacing.py
+++ b/mountstand/store/pacing.py
@@ -8,7 +8,7 @@
 from typing import TypeVar
 
 from mountstand.errors import StoreThrottled
-from mountstand.platform.ports import ObjectPort, Outcome, TablePort, Transaction
+from mountstand.store.ports import ObjectPort, Outcome, TablePort, Transaction
 
 THROTTLE_TRIES = 5
 THROTTLE_PAUSE_S = 0.1
--- /dev/null
+++ b/mountstand/store/watch.py
@@ -0,0 +1,117 @@
+"""Follows one table through its feed, with a full read wherever the feed cannot continue."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from mountstand.store.rows import HistoryGone, RowStore, StoredRow, StoreError, read_all
+from mountstand.telemetry.decisions import DecisionLog
+
+WAIT_MS = 1000
+"""How long a feed call is held. It bounds how late a broken feed is noticed, so it is a fraction
+of every bound that depends on a feed; a held call costs nothing but itself."""
+
+FIRST_RETRY_S = 0.05
+LONGEST_RETRY_S = 0.5
+"""Pause after a failed call: doubled from the first to the longest, each with jitter."""
+
+
+@dataclass(frozen=True)
+class TableChange:
+    """Rows that changed, or with ``complete`` all rows that exist."""
+
+    rows: list[StoredRow]
+    complete: bool
+
+
+class TableWatcher:
+    """Keeps ``apply`` told of every change of one table.
+
+    ``parts`` are the parts that a full read covers. ``fresh_at_s`` is the loop's time at which the
+    last successful call began: everything committed before then has been applied.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        parts: Sequence[str],
+        apply: Callable[[TableChange], None],
+        log: DecisionLog,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._parts = parts
+        self._apply = apply
+        self._log = log
+        self._version: int | None = None
+        self._failing_since_s: float | None = None
+        self.now_ms = 0
+        self.now_read_at_s = 0.0
+        self.fresh_at_s = float("-inf")
+        self.loaded = asyncio.Event()
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        pause_s = FIRST_RETRY_S
+        loop = asyncio.get_running_loop()
+        while True:
+            began_s = loop.time()
+            try:
+                await self._step()
+            except HistoryGone:
+                self._log.event("feed_history_gone", table=self._table, after=self._version)
+                self._version = None
+                continue
+            except StoreError as problem:
+                self._note_failure(loop.time(), problem)
+                await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+                pause_s = min(LONGEST_RETRY_S, pause_s * 2)
+                continue
+            pause_s = FIRST_RETRY_S
+            self.fresh_at_s = began_s
+            self._note_success(loop.time())
+
+    def age_s(self, now_s: float) -> float:
+        """Return how old the picture may be."""
+        return now_s - self.fresh_at_s
+
+    async def _step(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self._version is None:
+            pages = [await read_all(self._store, self._table, part) for part in self._parts]
+            self._version = min(page.version for page in pages)
+            self._apply(TableChange([row for page in pages for row in page.rows], True))
+            self.loaded.set()
+        else:
+            page = await self._store.changes(self._table, self._version, WAIT_MS)
+            pages = [page]
+            self._version = max(self._version, page.version)
+            if page.rows:
+                self._apply(TableChange(page.rows, False))
+        self.now_ms = pages[-1].now_ms
+        self.now_read_at_s = loop.time()
+
+    def _note_failure(self, now_s: float, problem: StoreError) -> None:
+        if self._failing_since_s is None:
+            self._failing_since_s = now_s
+            self._log.event(
+                "dependency_lost",
+                dependency=f"feed:{self._table}",
+                cause=type(problem).__name__,
+                detail=str(problem),
+                version=self._version,
+            )
+
+    def _note_success(self, now_s: float) -> None:
+        if self._failing_since_s is not None:
+            self._log.event(
+                "dependency_regained",
+                dependency=f"feed:{self._table}",
+                after_s=round(now_s - self._failing_since_s, 3),
+                version=self._version,
+            )
+            self._failing_since_s = None
--- /dev/null
+++ b/mountstand/transport/http_server.py
@@ -0,0 +1,469 @@
+"""An HTTP/1.1 server on asyncio, parsed by httptools.
+
+Each connection runs one request at a time in a task of its own. The task is cancelled as soon as
+the caller closes the connection, so that work at a worker ends with it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import httptools
+
+from mountstand.transport.headers import Header, Headers
+
+logger = logging.getLogger(__name__)
+
+MAX_PIPELINED_REQUESTS = 8
+"""Requests that a caller may send ahead; one that sends more is cut off."""
+
+WRITE_BUFFER_BYTES = 256 * 1024
+BACKLOG = 1024
+TIMER_SLACK_S = 0.05
+
+
+@dataclass
+class ServerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass
+class ServerRequest:
+    """One whole request; ``received_at_s`` is the loop's time of its first byte."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    received_at_s: float
+    keep_alive: bool
+    http_minor: int = 1
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> str:
+        """What follows the first question mark, or an empty text."""
+        return self.target.partition("?")[2]
+
+
+Handler = Callable[[ServerRequest, "Responder"], Awaitable[None]]
+
+
+class CallerGone(Exception):
+    """The caller closed the connection before the answer was written."""
+
+
+def head_bytes(status: int, headers: Iterable[Header]) -> bytes:
+    """Return the bytes of an answer's head."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Status"
+    lines = [f"HTTP/1.1 {status} {phrase}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+class Responder:
+    """Writes the answer to one request."""
+
+    def __init__(self, connection: ServerConnection, request: ServerRequest) -> None:
+        self._connection = connection
+        self._request = request
+        self._chunked = False
+        self.started = False
+        self.finished = False
+        self.status = 0
+
+    def send(self, status: int, headers: Iterable[Header] = (), body: bytes = b"") -> None:
+        """Send a whole answer."""
+        complete = [*headers, ("Content-Length", str(len(body)))]
+        self._begin(status, complete)
+        if self._request.method != "HEAD":
+            self._connection.write(body)
+        self.finished = True
+
+    def start(self, status: int, headers: Iterable[Header], length: int | None) -> None:
+        """Send the head of an answer whose body follows piece by piece."""
+        complete = list(headers)
+        if length is not None:
+            complete.append(("Content-Length", str(length)))
+        elif self._request.http_minor >= 1:
+            complete.append(("Transfer-Encoding", "chunked"))
+            self._chunked = True
+        else:
+            self._connection.close_after_answer = True
+        self._begin(status, complete)
+
+    def write(self, piece: bytes) -> None:
+        """Send a piece of the body."""
+        if not piece:
+            return
+        if self._chunked:
+            piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+        self._connection.write(piece)
+
+    async def drain(self) -> None:
+        """Wait until the caller has taken enough of what was written."""
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        """End a body that was started."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self.finished = True
+
+    def abort(self) -> None:
+        """Break the connection off, so that the answer cannot look whole."""
+        self.finished = True
+        self._connection.abort()
+
+    def _begin(self, status: int, headers: list[Header]) -> None:
+        self.started = True
+        self.status = status
+        if self._connection.close_after_answer:
+            headers.append(("Connection", "close"))
+        elif self._request.http_minor == 0:
+            headers.append(("Connection", "keep-alive"))
+        self._connection.write(head_bytes(status, headers))
+
+
+@dataclass
+class _Incoming:
+    """A request while it is being read."""
+
+    received_at_s: float
+    url: bytes = b""
+    headers: list[Header] = field(default_factory=list)
+    body: list[bytes] = field(default_factory=list)
+    body_bytes: int = 0
+    head_bytes: int = 0
+    head_complete: bool = False
+
+
+class _Rejected(Exception):
+    """A request that is answered by the connection itself."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._incoming: _Incoming | None = None
+        self._waiting: deque[ServerRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._rejected = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._expires_at_s = 0.0
+        self.close_after_answer = False
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a new connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._server.connections.add(self)
+        self._expire_after(self._server.limits.idle_timeout_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the request in progress, since nobody waits for its answer."""
+        self._transport = None
+        self._server.connections.discard(self)
+        self._writable.set()
+        self._waiting.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Treat a caller that stops sending as gone."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Stop writers until the caller reads."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the caller."""
+        if self._rejected:
+            return
+        if self._incoming is None and self._task is None:
+            self._begin_message()
+        incoming = self._incoming
+        if incoming is not None and not incoming.head_complete:
+            incoming.head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+            self._check_head_size(data)
+        except _Rejected as rejection:
+            self._reject(rejection.status)
+        except httptools.HttpParserUpgrade:
+            self._reject(400)
+        except (httptools.HttpParserError, httptools.HttpParserCallbackError) as problem:
+            cause = problem.__context__
+            self._reject(cause.status if isinstance(cause, _Rejected) else 400)
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        if self._incoming is None:
+            self._begin_message()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target."""
+        assert self._incoming is not None
+        self._incoming.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        assert self._incoming is not None
+        self._incoming.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        incoming = self._incoming
+        assert incoming is not None
+        incoming.head_complete = True
+        headers = Headers(incoming.headers)
+        hosts = headers.all("host")
+        if len(hosts) != 1 or not incoming.url.startswith(b"/"):
+            raise _Rejected(400)
+        encoding = headers.get("transfer-encoding")
+        if encoding is not None and encoding.strip().lower() != "chunked":
+            raise _Rejected(400)
+        length = headers.get("content-length")
+        if length is not None and int(length) > self._server.limits.max_body_bytes:
+            raise _Rejected(413)
+        self._expire_after(self._server.limits.idle_timeout_s)
+        if (headers.get("expect") or "").lower() == "100-continue" and self._task is None:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the body."""
+        incoming = self._incoming
+        assert incoming is not None
+        incoming.body_bytes += len(body)
+        if incoming.body_bytes > self._server.limits.max_body_bytes:
+            raise _Rejected(413)
+        incoming.body.append(body)
+        self._expire_after(self._server.limits.idle_timeout_s)
+
+    def on_message_complete(self) -> None:
+        """Hand a whole request on."""
+        incoming = self._incoming
+        assert incoming is not None
+        self._incoming = None
+        request = ServerRequest(
+            self._parser.get_method().decode("latin-1"),
+            incoming.url.decode("latin-1"),
+            Headers(incoming.headers),
+            b"".join(incoming.body),
+            incoming.received_at_s,
+            self._parser.should_keep_alive(),
+            0 if self._parser.get_http_version() == "1.0" else 1,
+        )
+        self._waiting.append(request)
+        if len(self._waiting) > MAX_PIPELINED_REQUESTS:
+            raise _Rejected(400)
+        if self._task is None:
+            self._start_next()
+
+    # Writing
+
+    def write(self, data: bytes) -> None:
+        """Write bytes, unless the caller is gone."""
+        if self._transport is None:
+            raise CallerGone
+        self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the write buffer is below its limit."""
+        await self._writable.wait()
+        if self._transport is None:
+            raise CallerGone
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_when_idle(self) -> None:
+        """Close now if no request is being read or answered, else after the answer."""
+        self.close_after_answer = True
+        if self.idle and self._transport is not None:
+            self._transport.close()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self._task is None and self._incoming is None and not self._waiting
+
+    # Requests
+
+    def _begin_message(self) -> None:
+        self._incoming = _Incoming(self._loop.time())
+        self._expire_after(self._server.limits.header_timeout_s)
+
+    def _check_head_size(self, data: bytes) -> None:
+        incoming = self._incoming
+        limit = self._server.limits.max_header_bytes
+        if incoming is None or incoming.head_complete:
+            return
+        if incoming.head_bytes > limit:
+            raise _Rejected(431)
+
+    def _reject(self, status: int) -> None:
+        """Answer a malformed request and close; requests before it keep their answers."""
+        self._rejected = True
+        self.close_after_answer = True
+        if self._task is not None or self._transport is None:
+            return
+        self._server.on_rejected(status)
+        headers = [("Content-Length", "0"), ("Connection", "close")]
+        self._transport.write(head_bytes(status, headers))
+        self._transport.close()
+
+    def _start_next(self) -> None:
+        request = self._waiting.popleft()
+        self._expires_at_s = 0.0
+        self._task = self._loop.create_task(self._run(request))
+
+    async def _run(self, request: ServerRequest) -> None:
+        if not request.keep_alive:
+            self.close_after_answer = True
+        responder = Responder(self, request)
+        try:
+            await self._server.handler(request, responder)
+            if not responder.finished:
+                responder.abort()
+        except CallerGone:
+            pass
+        except Exception:
+            logger.exception("handler failed")
+            self._fail(responder)
+        finally:
+            self._task = None
+            self._after_answer()
+
+    def _fail(self, responder: Responder) -> None:
+        if responder.started:
+            self.abort()
+        elif self._transport is not None:
+            responder.send(500)
+
+    def _after_answer(self) -> None:
+        if self._transport is None:
+            return
+        if self._waiting and not self.close_after_answer:
+            self._start_next()
+        elif self.close_after_answer:
+            self._transport.close()
+        else:
+            self._expire_after(self._server.limits.idle_timeout_s)
+
+    # Timer
+
+    def _expire_after(self, seconds: float) -> None:
+        """Close the connection in ``seconds`` unless called again; one timer, moved lazily."""
+        self._expires_at_s = self._loop.time() + seconds
+        if self._timer is None or self._timer.when() > self._expires_at_s + TIMER_SLACK_S:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = self._loop.call_at(self._expires_at_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self._transport is None or self._expires_at_s == 0.0:
+            return
+        if self._loop.time() + TIMER_SLACK_S < self._expires_at_s:
+            self._timer = self._loop.call_at(self._expires_at_s, self._on_timer)
+        elif self._incoming is not None and self._task is None:
+            self._reject(408)
+        else:
+            self._transport.close()
+
+
+class HttpServer:
+    """Listens on one address and hands whole requests to ``handler``."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        on_rejected: Callable[[int], None] = lambda status: None,
+        max_connections: int = 4096,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.on_rejected = on_rejected
+        self.connections: set[ServerConnection] = set()
+        self._max_connections = max_connections
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str, port: int) -> int:
+        """Listen; returns the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._connection, address, port, backlog=BACKLOG, reuse_address=True
+        )
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def _connection(self) -> asyncio.BaseProtocol:
+        if len(self.connections) >= self._max_connections:
+            return _Refusal()
+        return ServerConnection(self)
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close connections that rest; others close after their answer."""
+        for connection in list(self.connections):
+            connection.close_when_idle()
+
+    def announce_close(self) -> None:
+        """Let every connection end with its next answer, without closing those that rest."""
+        for connection in self.connections:
+            connection.close_after_answer = True
+
+
+class _Refusal(asyncio.Protocol):
+    """A connection over the limit: closed unread, which lets the caller try elsewhere."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close at once."""
+        transport.close()
--- a/mountstand/wire/peers.py
+++ b/mountstand/wire/peers.py
@@ -9,7 +9,7 @@
 from urllib3.exceptions import HTTPError
 
 from mountstand.errors import MessageRejected, PeerUnavailable
-from mountstand.platform.http_adapters import HEADER_BYTES
+from mountstand.store.http_adapters import HEADER_BYTES
 from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.wire.frames import MAX_FRAME_BYTES, Frame, FrameCodec
 from mountstand.wire.messages import Message
--- a/tests/contract/test_job_store.py
+++ b/tests/contract/test_job_store.py
@@ -17,8 +17,8 @@
 )
 from mountstand.batch.shard_leases import ClaimLease
 from mountstand.errors import WriteConflict
-from mountstand.platform.memory_table import MemoryObjects, MemoryTable
-from mountstand.platform.ports import Put, Transaction
+from mountstand.store.memory_table import MemoryObjects, MemoryTable
+from mountstand.store.ports import Put, Transaction
 
 KEY = "tenant/job"
 SHARD = 3
--- a/tests/contract/test_platform_ports.py
+++ b/tests/contract/test_platform_ports.py
@@ -15,9 +15,9 @@
     WriteOutcomeUnknown,
 )
 from mountstand.lab.ports import LOOPBACK, free_ports
-from mountstand.platform.http_adapters import HttpMachineList, HttpObjects, HttpTable
-from mountstand.platform.memory_table import MemoryTable
-from mountstand.platform.ports import Condition, Machine, MachineRole, Put, TablePort, Transaction
+from mountstand.store.http_adapters import HttpMachineList, HttpObjects, HttpTable
+from mountstand.store.memory_table import MemoryTable
+from mountstand.store.ports import Condition, Machine, MachineRole, Put, TablePort, Transaction
 
 
 def put(key: str, number: int, version: int | None = None, write_id: str = "w") -> Transaction:
--- a/tests/model/test_job_ownership.py
+++ b/tests/model/test_job_ownership.py
@@ -28,8 +28,8 @@
 )
 from mountstand.batch.shard_leases import ClaimLease, ShardLeases
 from mountstand.errors import WriteConflict, WriteOutcomeUnknown
-from mountstand.platform.memory_table import MemoryObjects, MemoryTable
-from mountstand.platform.ports import Condition, Outcome, Put, Transaction
+from mountstand.store.memory_table import MemoryObjects, MemoryTable
+from mountstand.store.ports import Condition, Outcome, Put, Transaction
 
 KEY = "tenant/job"
 SHARD = 0
--- a/tests/model/test_settings.py
+++ b/tests/model/test_settings.py
@@ -7,10 +7,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from mountstand.errors import SettingsConflict
-from mountstand.platform.ports import Outcome, Transaction
 from mountstand.settings.schema import BranchValues
 from mountstand.settings.store import RequestedChange, SettingsStore
 from mountstand.settings.tree import SettingsReplica
+from mountstand.store.ports import Outcome, Transaction
 from tests.model.test_job_ownership import LossyTable
 
 PATHS = ("", "services/caption", "services/caption/tenants/guild", "tenants/guild")
--- a/tests/unit/test_chooser.py
+++ b/tests/unit/test_chooser.py
@@ -7,9 +7,9 @@
 from testtools import TestCase
 
 from mountstand.engines.port import LoadReport
-from mountstand.platform.ports import Machine, MachineRole, MachineState
 from mountstand.routing.chooser import RouteRequest, WorkerChooser
 from mountstand.routing.fleet_view import DispatchOutcome, FleetView
+from mountstand.store.ports import Machine, MachineRole, MachineState
 
 PREFIX = ("block1", "block2", "block3")
 
