Load digests between daemons; slots kept for the recent online peak

Cause: first events were late because some workers were full while others had free slots: a daemon knew a worker's load only from its own answers, and batch work filled 70 % of every worker. Change: daemons tell each other what they have in flight, bounded in datagrams a second; batch work leaves room for the decaying peak of online work; failure detection 0.2 s a probe, suspects are left out of resolve; late causes in the request's log line.

--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -20,6 +20,7 @@
 from mountstand.serving.configuration import Configuration, Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter
+from mountstand.serving.online_peak import OnlinePeak
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory
 from mountstand.store.rows import Conflict, OutcomeUnknown, StoreError
@@ -27,10 +28,6 @@
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken
 
-BATCH_FILL = 0.7
-"""Share of a worker's slots that batch work may fill up to; the rest is kept for a burst, which
-may double online traffic between two load reports."""
-
 SLOT_POLL_S = 0.1
 """How often an item looks for an idle worker, with jitter."""
 
@@ -76,6 +73,7 @@
     connections: WorkerConnections
     protocol: WorkerProtocol
     shares: ShareChooser
+    online_peak: OnlinePeak
     metrics: ServingMetrics
     log: DecisionLog
     configuration: Callable[[], Configuration | None]
@@ -243,7 +241,8 @@
             return None
         now_s = asyncio.get_running_loop().time()
         service = self._context.shares.choose(route)
-        worker = self._context.directory.choose_idle(service, set(), BATCH_FILL, now_s)
+        reserve = self._context.online_peak.reserve(service)
+        worker = self._context.directory.choose_for_batch(service, reserve, now_s)
         if worker is None:
             return None
         return await self._attempt(progress, route, worker)
--- a/mountstand/membership/datagrams.py
+++ b/mountstand/membership/datagrams.py
@@ -18,8 +18,13 @@
 )
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.wire.frames import FrameCodec
+from mountstand.wire.messages import Ack, Message, Ping, PingRequest
 
-TICKS_PER_PERIOD = 5
+TICKS_PER_PERIOD = 4
+
+FAILURE_DETECTION = MembershipConfig(period_s=0.2, suspicion_periods=6)
+"""A daemon that died is suspected within about half a second and given up a second later. A probe
+costs two datagrams, whatever the number of daemons."""
 
 
 class DatagramMembership(asyncio.DatagramProtocol):
@@ -39,6 +44,7 @@
         self._log = log
         self._on_change = on_change
         self._transport: asyncio.DatagramTransport | None = None
+        self.on_message: Callable[[str, Message], None] = lambda sender_id, message: None
 
     async def start(self, address: str, port: int) -> None:
         """Bind the socket."""
@@ -60,11 +66,28 @@
             if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
         }
 
+    def sound_names(self) -> set[str]:
+        """Return the live members that answered their last probe."""
+        return {
+            member.member_id
+            for member in self._state.members.values()
+            if member.state is MemberState.ALIVE
+        }
+
     def handle_seeds(self, seeds: Iterable[Member]) -> None:
         """Learn members from the store."""
         loop = asyncio.get_running_loop()
         self._carry_out(self._state.handle_seeds(seeds, loop.time()))
 
+    def broadcast(self, message: Message) -> None:
+        """Send a message to every live member, sealed once."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        frame = self._codec.seal(message)
+        for member in self._state.live_members():
+            if member.member_id != self._state.self_member.member_id:
+                self._transport.sendto(frame, (member.address, member.port))
+
     def leave(self) -> None:
         """Tell peers that this daemon is leaving."""
         loop = asyncio.get_running_loop()
@@ -83,7 +106,10 @@
         except MessageRejected:
             return
         now_s = asyncio.get_running_loop().time()
-        self._carry_out(self._state.handle_message(frame.sender_id, frame.message, now_s))
+        if isinstance(frame.message, Ping | PingRequest | Ack):
+            self._carry_out(self._state.handle_message(frame.sender_id, frame.message, now_s))
+        else:
+            self.on_message(frame.sender_id, frame.message)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore a peer's closed port; its silence is noticed by the probes."""
--- a/mountstand/membership/registry.py
+++ b/mountstand/membership/registry.py
@@ -107,6 +107,16 @@
             rows.append(self.own)
         return rows
 
+    def sound(self) -> list[DaemonRow]:
+        """Return the live daemons without suspected ones, unless most are suspected.
+
+        A daemon that suspects most others is more likely cut off itself.
+        """
+        live = self.live()
+        names = self.membership.sound_names() if self.membership is not None else set()
+        sound = [row for row in live if row.name in names or row.name == self.own.name]
+        return sound if 2 * len(sound) >= len(live) else live
+
     def live_tokens(self) -> dict[str, str]:
         """Return the processes that run, leaving ones included, by daemon name."""
         live = self.membership.live_names() if self.membership is not None else set()
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -15,7 +15,7 @@
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
-from mountstand.serving.workers import Worker, WorkerDirectory
+from mountstand.serving.workers import LoadReport, Worker, WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.headers import Header
@@ -81,7 +81,9 @@
     last_event_id: int | None = None
     worker_id: str = ""
     cause: str = ""
-    first_byte_at_s: float | None = None
+    first_event_at_s: float | None = None
+    sent_at_s: float = 0.0
+    load: LoadReport | None = None
 
 
 class Forwarder:
@@ -126,7 +128,7 @@
             exchange.cause = "deadline"
             self._end_unfinished(exchange)
         finally:
-            self._report(exchange, loop.time() - received_at_s, gone)
+            self._report(exchange, received_at_s, loop.time(), gone)
 
     async def _run_attempts(self, exchange: Exchange) -> None:
         while not exchange.responder.finished:
@@ -194,6 +196,7 @@
             exchange.cause = problem.reason
             return Outcome.NOT_SENT
         exchange.runs += 1
+        exchange.sent_at_s = now_s
         try:
             head = await self._read_head(exchange, worker, connection)
             return await self._relay(exchange, worker, connection, head)
@@ -231,6 +234,7 @@
         worker.note_heard(now_s)
         meaning = self._protocol.meaning(head)
         if meaning.load is not None:
+            exchange.load = meaning.load
             worker.note_load(meaning.load, now_s)
             preempt_for_online(worker)
         if meaning.kind is not ReplyKind.ANSWERED:
@@ -319,8 +323,8 @@
         for event in events:
             if event.event_id is not None:
                 exchange.last_event_id = event.event_id
-        if exchange.first_byte_at_s is None:
-            exchange.first_byte_at_s = asyncio.get_running_loop().time()
+        if exchange.first_event_at_s is None:
+            exchange.first_event_at_s = asyncio.get_running_loop().time()
         exchange.responder.write(b"".join(event.raw for event in events))
         await exchange.responder.drain()
 
@@ -365,12 +369,17 @@
             in_flight=worker.in_flight,
         )
 
-    def _report(self, exchange: Exchange, duration_s: float, caller_gone: bool) -> None:
+    def _report(
+        self, exchange: Exchange, received_at_s: float, now_s: float, caller_gone: bool
+    ) -> None:
         status = exchange.responder.status
         gone = caller_gone and not exchange.responder.finished
+        duration_s = now_s - received_at_s
         self._metrics.request_ended(
             exchange.route.name, "gone" if gone else str(status), duration_s
         )
+        first_s = exchange.first_event_at_s
+        load = exchange.load
         self._log.event(
             "request_ended",
             request=exchange.call.request_id,
@@ -383,10 +392,18 @@
             runs=exchange.runs,
             refusals=exchange.refusals,
             unreachable=exchange.unreachable,
-            ms=round(duration_s * 1000, 1),
+            sent_ms=milliseconds(exchange.sent_at_s - received_at_s),
+            first_event_ms=None if first_s is None else milliseconds(first_s - received_at_s),
+            ms=milliseconds(duration_s),
+            load=None if load is None else [load.running, load.waiting, load.slots],
         )
 
 
+def milliseconds(seconds: float) -> float:
+    """Return a duration as it is logged."""
+    return round(seconds * 1000, 1)
+
+
 def refuse(responder: Responder, retry_after_s: float, status: int = 503) -> None:
     """Refuse a request that has not run and say when to come back."""
     headers: list[Header] = [("Retry-After", f"{retry_after_s:g}")]
@@ -394,7 +411,11 @@
 
 
 def preempt_for_online(worker: Worker) -> None:
-    """Take one batch item off a worker where requests wait."""
-    if worker.load is not None and worker.load.waiting and worker.preemptible:
+    """Take one batch item off a worker where several requests wait.
+
+    A batch item that is taken off must have its prompt read again, so one waiting request is not
+    worth it.
+    """
+    if worker.load is not None and worker.load.waiting >= 2 and worker.preemptible:
         _, preempt = worker.preemptible.popitem()
         preempt()
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -23,6 +24,9 @@
 FULL_S = 0.1
 """Pause after a worker refused because it was full."""
 
+BATCH_MINIMUM = 0.15
+"""Share of a worker's slots that batch work may take even when online work fills the rest."""
+
 AFFINITY_FILL = 0.9
 """A home worker filled beyond this share of its slots gives the request to the next home."""
 
@@ -62,19 +66,41 @@
     record: WorkerRecord
     in_flight: int = 0
     batch_in_flight: int = 0
+    peer_online: int = 0
+    peer_batch: int = 0
     load: LoadReport | None = None
     load_at_s: float = float("-inf")
-    in_flight_at_load: int = 0
+    known_at_load: int = 0
     avoid_until_s: float = 0.0
     connect_failures: int = 0
     last_heard_s: float = float("-inf")
     preemptible: dict[int, Callable[[], None]] = field(default_factory=dict)
 
+    @property
+    def key(self) -> int:
+        """The number that stands for this worker among daemons."""
+        return zlib.crc32(self.record.worker_id.encode())
+
+    @property
+    def known(self) -> int:
+        """What all daemons are known to have in flight here."""
+        return self.in_flight + self.peer_online + self.peer_batch
+
+    @property
+    def online(self) -> int:
+        """Online requests that all daemons are known to have in flight here."""
+        return self.in_flight - self.batch_in_flight + self.peer_online
+
+    @property
+    def batch(self) -> int:
+        """Batch items that all daemons are known to have in flight here."""
+        return self.batch_in_flight + self.peer_batch
+
     def note_load(self, load: LoadReport, now_s: float) -> None:
         """Take a load report."""
         self.load = load
         self.load_at_s = now_s
-        self.in_flight_at_load = self.in_flight
+        self.known_at_load = self.known
 
     def note_heard(self, now_s: float) -> None:
         """Note that the worker said something."""
@@ -95,16 +121,20 @@
         """Return how many requests run at once."""
         return max(1, self.record.slots)
 
-    def estimated_load(self, now_s: float, daemons: int) -> float:
+    def estimated_load(self, now_s: float) -> float:
         """Estimate how many requests run or wait there.
 
-        A fresh report plus what this daemon sent since; without one, every daemon is assumed to
-        send as much as this one.
+        A fresh report plus what became known since; without one, what is known.
         """
         if self.load is not None and now_s - self.load_at_s <= LOAD_TRUST_S:
-            change = self.in_flight - self.in_flight_at_load
+            change = self.known - self.known_at_load
             return max(float(self.in_flight), float(self.load.total + change))
-        return float(self.in_flight * max(1, daemons))
+        return float(self.known)
+
+
+def batch_limit(worker: Worker, reserve: float) -> float:
+    """Return how many batch items may be in flight at a worker."""
+    return max(worker.slots() * BATCH_MINIMUM, worker.slots() - reserve)
 
 
 class WorkerDirectory:
@@ -115,7 +145,6 @@
         self._by_service: dict[str, list[Worker]] = {}
         self._zone = zone
         self._source = source
-        self.daemons = 1
 
     def put(self, record: WorkerRecord) -> bool:
         """Take a worker's newest record; returns whether it says something new."""
@@ -166,25 +195,29 @@
             return self._choose_home(candidates, key, now_s)
         return self._choose_least_loaded(candidates, now_s)
 
-    def choose_idle(
-        self, service: str, tried: set[str], fill: float, now_s: float
-    ) -> Worker | None:
-        """Choose a worker filled below ``fill`` of its slots, with nothing waiting there."""
+    def choose_for_batch(self, service: str, reserve: float, now_s: float) -> Worker | None:
+        """Choose the worker for a batch item, or ``None`` where online work needs all slots.
+
+        ``reserve`` is how many slots of each worker are kept for online work.
+        """
         candidates = [
             worker
-            for worker in self._candidates(service, tried, now_s, allow_avoided=False)
-            if worker.estimated_load(now_s, self.daemons) + 1 <= worker.slots() * fill
+            for worker in self._candidates(service, set(), now_s, allow_avoided=False)
+            if worker.batch < batch_limit(worker, reserve)
+            and worker.estimated_load(now_s) + 1 < worker.slots()
         ]
         if not candidates:
             return None
         return self._choose_least_loaded(candidates, now_s)
 
-    def utilisation(self, service: str, now_s: float) -> float:
-        """Return the share of a service's slots that is estimated to be taken."""
+    def online_per_worker(self, service: str) -> float:
+        """Return the online requests in flight per worker of a service."""
         workers = self.of_service(service)
-        slots = sum(worker.slots() for worker in workers)
-        load = sum(worker.estimated_load(now_s, self.daemons) for worker in workers)
-        return load / slots if slots else 1.0
+        return sum(worker.online for worker in workers) / len(workers) if workers else 0.0
+
+    def services(self) -> list[str]:
+        """Return the services that have workers."""
+        return list(self._by_service)
 
     def _candidates(
         self, service: str, tried: set[str], now_s: float, *, allow_avoided: bool = True
@@ -198,7 +231,7 @@
             candidates, key=lambda w: rendezvous_weight(key, w.record.worker_id), reverse=True
         )
         for worker in homes:
-            if worker.estimated_load(now_s, self.daemons) < worker.slots() * AFFINITY_FILL:
+            if worker.estimated_load(now_s) < worker.slots() * AFFINITY_FILL:
                 return worker
         return self._choose_least_loaded(candidates, now_s)
 
@@ -208,9 +241,9 @@
             sample = self._source.sample(candidates, SAMPLE_SIZE)
 
         def cost(worker: Worker) -> tuple[float, bool, float]:
-            fill = worker.estimated_load(now_s, self.daemons) / worker.slots()
+            fill = worker.estimated_load(now_s) / worker.slots()
             elsewhere = worker.record.zone != self._zone
-            return (round(fill, 1), elsewhere, self._source.random())
+            return (round(fill, 2), elsewhere, self._source.random())
 
         return min(sample, key=cost)
 
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -12,13 +12,14 @@
 from mountstand.jobs.repository import HEADS, JobRepository, partitions
 from mountstand.jobs.runner import RunnerContext
 from mountstand.jobs.service import JobService, Owners
-from mountstand.membership.datagrams import DatagramMembership
+from mountstand.membership.datagrams import FAILURE_DETECTION, DatagramMembership
 from mountstand.membership.member import Member
 from mountstand.membership.registry import DAEMONS, DaemonRegistry, DaemonRow, new_token
-from mountstand.membership.state import MembershipConfig
 from mountstand.serving.configuration import Configuration, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.forwarder import Forwarder
+from mountstand.serving.load_sharing import LoadSharing
+from mountstand.serving.online_peak import OnlinePeak
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory, WorkerRecord
 from mountstand.serving_settings import ServingSettings
@@ -28,6 +29,7 @@
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_server import HttpServer, Responder, ServerLimits, ServerRequest
 from mountstand.wire.frames import FrameCodec
+from mountstand.wire.messages import LoadDigest, Message
 
 CLUSTER_KEY = "insecure-development-key"
 """The platform gives no secret to its processes; the frames' hash only keeps strangers' datagrams
@@ -40,6 +42,11 @@
 DESCRIPTOR_SHARE = 0.6
 """Share of the descriptors that callers' connections may take."""
 
+DEFAULT_ALLOWED = 100
+IDLE_SHARE = 0.5
+MOST_IDLE = 8
+"""Idle connections that one daemon keeps to a worker: a share of those that the worker allows."""
+
 CLOSE_LISTENERS_AFTER_S = 3.2
 """A stopping daemon takes new connections until lists of addresses kept thrice their time ran
 out."""
@@ -105,6 +112,7 @@
         source_of_chance = random.Random()
         self.directory = WorkerDirectory(settings.zone, source_of_chance)
         self.connections = WorkerConnections()
+        self.online_peak = OnlinePeak(self.directory)
         shares = ShareChooser(source_of_chance)
         self.forwarder = Forwarder(self.directory, self.connections, protocol, shares, metrics, log)
         self._build_membership(store)
@@ -129,12 +137,18 @@
             Member(
                 settings.name, settings.address, settings.gossip_port, settings.zone, incarnation
             ),
-            MembershipConfig(),
+            FAILURE_DETECTION,
             FrameCodec(settings.name, incarnation, [CLUSTER_KEY]),
             self.log,
             self._handle_members,
         )
         self.registry.membership = self.membership
+        self.load_sharing = LoadSharing(
+            self.directory,
+            lambda: len(self.membership.live_names()),
+            self.membership.broadcast,
+        )
+        self.membership.on_message = self._handle_peer_message
 
     def _build_watchers(self, store: Store) -> None:
         def watcher(
@@ -163,6 +177,7 @@
             connections=self.connections,
             protocol=protocol,
             shares=shares,
+            online_peak=self.online_peak,
             metrics=self.metrics,
             log=self.log,
             configuration=lambda: self.configuration,
@@ -186,7 +201,7 @@
         """Return the addresses that callers may use."""
         if self.configuration is None:
             return []
-        rows = self.registry.live()
+        rows = self.registry.sound()
         return [row.callers_address for row in rows]
 
     def store_age_s(self) -> float:
@@ -251,7 +266,17 @@
         self.jobs.apply(change)
 
     def _handle_members(self) -> None:
-        self.directory.daemons = max(1, len(self.registry.live()))
+        """Share the connections that workers allow out among the daemons."""
+        daemons = max(1, len(self.registry.live()))
+        services = self.configuration.services.values() if self.configuration else []
+        allowed = min((service.max_connections for service in services), default=DEFAULT_ALLOWED)
+        share = int(allowed * IDLE_SHARE / daemons)
+        self.forwarder.idle_per_worker = max(1, min(MOST_IDLE, share))
+
+    def _handle_peer_message(self, sender_id: str, message: Message) -> None:
+        if isinstance(message, LoadDigest):
+            now_s = asyncio.get_running_loop().time()
+            self.load_sharing.handle(sender_id, message, now_s)
 
     # Life
 
@@ -283,6 +308,7 @@
             self.membership.run(),
             self.jobs.run(),
             self._sweep(),
+            self._share_load(),
         ):
             self._spawn(work)
         self.log.event("daemon_started", zone=self.settings.zone, token=self.registry.own.token)
@@ -326,6 +352,13 @@
             await asyncio.sleep(SWEEP_S)
             self.connections.sweep(set(self.directory.workers), loop.time())
 
+    async def _share_load(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self.load_sharing.period_s)
+            self.load_sharing.tick(loop.time())
+            self.online_peak.update(loop.time())
+
     def _note_rejected(self, status: int) -> None:
         self.log.event("request_malformed", status=status)
 
--- a/mountstand/wire/messages.py
+++ b/mountstand/wire/messages.py
@@ -77,6 +77,18 @@
     priority: int
 
 
+@dataclass(frozen=True)
+class LoadDigest:
+    """What the sender has in flight at workers: parallel lists by worker key.
+
+    A worker key is the CRC-32 of the worker's id.
+    """
+
+    worker_keys: tuple[int, ...]
+    online: tuple[int, ...]
+    batch: tuple[int, ...]
+
+
 @dataclass(frozen=True)
 class MembersSync:
     """A whole member list, asked for and answered with the same message."""
@@ -200,7 +212,8 @@
 
 
 Message = (
-    Ping
+    LoadDigest
+    | Ping
     | PingRequest
     | Ack
     | RevisionHint
@@ -257,6 +270,14 @@
     9: (SettingsReply, Struct("document" / GreedyBytes)),
     10: (JobHint, Struct("job_key" / Text)),
     11: (CancelJob, Struct("job_key" / Text)),
+    19: (
+        LoadDigest,
+        Struct(
+            "worker_keys" / PrefixedArray(Int16ub, Int32ub),
+            "online" / PrefixedArray(Int16ub, Int16ub),
+            "batch" / PrefixedArray(Int16ub, Int16ub),
+        ),
+    ),
     18: (DropJob, Struct("job_key" / Text)),
     12: (Confirmed, Struct("confirmed" / Flag)),
     13: (
