Batch work fills free slots and yields when a worker is full

Change: batch items start below 0.8 of a worker's slots, shared out among daemons, and are taken off above 0.95; a worker that left the list a moment ago is used where no other is left.

--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -17,10 +17,10 @@
 
 from mountstand.jobs.model import ItemResult, ItemState, JobHead, JobItem
 from mountstand.jobs.repository import JobRepository, new_write_id
+from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Configuration, Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter
-from mountstand.serving.online_peak import OnlinePeak
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory
 from mountstand.store.rows import Conflict, OutcomeUnknown, StoreError
@@ -73,7 +73,7 @@
     connections: WorkerConnections
     protocol: WorkerProtocol
     shares: ShareChooser
-    online_peak: OnlinePeak
+    room: BatchRoom
     metrics: ServingMetrics
     log: DecisionLog
     configuration: Callable[[], Configuration | None]
@@ -241,8 +241,7 @@
             return None
         now_s = asyncio.get_running_loop().time()
         service = self._context.shares.choose(route)
-        reserve = self._context.online_peak.reserve(service)
-        worker = self._context.directory.choose_for_batch(service, reserve, now_s)
+        worker = self._context.room.choose(service, now_s)
         if worker is None:
             return None
         return await self._attempt(progress, route, worker)
--- a/mountstand/platform/settings.py
+++ b/mountstand/platform/settings.py
@@ -50,6 +50,7 @@
             address=_address(store.get("address"), "platform.address"),
             row_bytes=int(_number(store, "row_bytes", 65536)),
         ),
+        drain_s=_number(bounds, "drain_ms", 2000.0) / 1000,
         grace_s=_number(bounds, "grace_s", 8.0),
         resolve_ttl_max_s=_number(bounds, "ttl_max_s", 5.0),
         contact_s=_number(bounds, "contact_ms", 3000.0) / 1000,
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from mountstand.serving.batch_room import yield_to_online
 from mountstand.serving.configuration import Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
@@ -165,6 +166,7 @@
         exchange.tried.add(worker.record.worker_id)
         exchange.worker_id = worker.record.worker_id
         worker.in_flight += 1
+        yield_to_online(worker, asyncio.get_running_loop().time())
         connection: ClientConnection | None = None
         try:
             connection = await self._connections.acquire(worker)
@@ -236,7 +238,7 @@
         if meaning.load is not None:
             exchange.load = meaning.load
             worker.note_load(meaning.load, now_s)
-            preempt_for_online(worker)
+            yield_to_online(worker, now_s)
         if meaning.kind is not ReplyKind.ANSWERED:
             exchange.runs -= 1
             return self._note_refusal(exchange, worker, meaning.kind, now_s)
@@ -408,14 +410,3 @@
     """Refuse a request that has not run and say when to come back."""
     headers: list[Header] = [("Retry-After", f"{retry_after_s:g}")]
     responder.send(status, headers)
-
-
-def preempt_for_online(worker: Worker) -> None:
-    """Take one batch item off a worker where several requests wait.
-
-    A batch item that is taken off must have its prompt read again, so one waiting request is not
-    worth it.
-    """
-    if worker.load is not None and worker.load.waiting >= 2 and worker.preemptible:
-        _, preempt = worker.preemptible.popitem()
-        preempt()
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -24,8 +24,8 @@
 FULL_S = 0.1
 """Pause after a worker refused because it was full."""
 
-BATCH_MINIMUM = 0.15
-"""Share of a worker's slots that batch work may take even when online work fills the rest."""
+FORGET_S = 10.0
+"""A worker that left is forgotten after so long, so that it may still be listed again."""
 
 AFFINITY_FILL = 0.9
 """A home worker filled beyond this share of its slots gives the request to the next home."""
@@ -74,6 +74,7 @@
     avoid_until_s: float = 0.0
     connect_failures: int = 0
     last_heard_s: float = float("-inf")
+    leaving_since_s: float | None = None
     preemptible: dict[int, Callable[[], None]] = field(default_factory=dict)
 
     @property
@@ -132,58 +133,88 @@
         return float(self.known)
 
 
-def batch_limit(worker: Worker, reserve: float) -> float:
-    """Return how many batch items may be in flight at a worker."""
-    return max(worker.slots() * BATCH_MINIMUM, worker.slots() - reserve)
-
-
 class WorkerDirectory:
-    """All workers that the platform lists."""
+    """All workers that the platform lists, and those that left a moment ago.
 
-    def __init__(self, zone: str, source: random.Random) -> None:
+    ``leaving_use_s`` is how long a worker that is leaving may still be used where no other is left.
+    """
+
+    def __init__(self, zone: str, source: random.Random, leaving_use_s: float = 1.0) -> None:
         self.workers: dict[str, Worker] = {}
         self._by_service: dict[str, list[Worker]] = {}
         self._zone = zone
         self._source = source
+        self.leaving_use_s = leaving_use_s
 
-    def put(self, record: WorkerRecord) -> bool:
+    def put(self, record: WorkerRecord, now_s: float) -> bool:
         """Take a worker's newest record; returns whether it says something new."""
         known = self.workers.get(record.worker_id)
         if known is None:
-            self.workers[record.worker_id] = Worker(record)
+            known = Worker(record)
+            self.workers[record.worker_id] = known
+            changed = True
         elif known.record.version > record.version:
             return False
         else:
             changed = known.record.draining != record.draining
+            changed = changed or (known.leaving_since_s is not None and not record.draining)
             known.record = record
-            self._index()
-            return changed
+        if not record.draining:
+            known.leaving_since_s = None
+        elif known.leaving_since_s is None:
+            known.leaving_since_s = now_s
         self._index()
-        return True
+        return changed
+
+    def remove(self, worker_id: str, version: int, now_s: float) -> bool:
+        """Note that the platform lists a worker no longer; returns whether that is new.
 
-    def remove(self, worker_id: str) -> bool:
-        """Drop a worker that the platform lists no longer."""
-        removed = self.workers.pop(worker_id, None)
+        The list loses workers that still serve, and all of them at once when the store was down
+        for some heartbeats; they are listed again a heartbeat later.
+        """
+        known = self.workers.get(worker_id)
+        if known is None or known.leaving_since_s is not None:
+            return False
+        if version < known.record.version:
+            return False
+        known.leaving_since_s = now_s
         self._index()
-        return removed is not None
+        return True
 
-    def replace_all(self, records: Iterable[WorkerRecord]) -> None:
+    def replace_all(self, records: Iterable[WorkerRecord], now_s: float) -> None:
         """Take a complete list."""
         listed = {record.worker_id: record for record in records}
-        for worker_id in [known for known in self.workers if known not in listed]:
-            del self.workers[worker_id]
+        for worker_id, known in self.workers.items():
+            if worker_id not in listed:
+                self.remove(worker_id, known.record.version, now_s)
         for record in listed.values():
-            self.put(record)
-        self._index()
+            self.put(record, now_s)
+
+    def sweep(self, now_s: float) -> None:
+        """Forget workers that left long ago."""
+        for worker_id, known in list(self.workers.items()):
+            since_s = known.leaving_since_s
+            if since_s is not None and not known.in_flight and now_s - since_s > FORGET_S:
+                del self.workers[worker_id]
 
     def forget(self, worker: Worker) -> None:
         """Drop a worker that another one answered for at its address."""
         if self.workers.get(worker.record.worker_id) is worker:
-            self.remove(worker.record.worker_id)
+            del self.workers[worker.record.worker_id]
+            self._index()
 
     def of_service(self, service: str) -> list[Worker]:
         """Return the workers of a service that take new work."""
-        return [w for w in self._by_service.get(service, []) if not w.record.draining]
+        return [w for w in self._by_service.get(service, []) if w.leaving_since_s is None]
+
+    def just_left(self, service: str, now_s: float) -> list[Worker]:
+        """Return workers that began to leave a moment ago and still serve."""
+        return [
+            worker
+            for worker in self._by_service.get(service, [])
+            if worker.leaving_since_s is not None
+            and now_s - worker.leaving_since_s <= self.leaving_use_s
+        ]
 
     def choose(self, service: str, prompt: Prompt, tried: set[str], now_s: float) -> Worker | None:
         """Choose the worker for an online request, or ``None`` where there is none left."""
@@ -195,36 +226,27 @@
             return self._choose_home(candidates, key, now_s)
         return self._choose_least_loaded(candidates, now_s)
 
-    def choose_for_batch(self, service: str, reserve: float, now_s: float) -> Worker | None:
-        """Choose the worker for a batch item, or ``None`` where online work needs all slots.
-
-        ``reserve`` is how many slots of each worker are kept for online work.
-        """
+    def choose_below(self, service: str, fill: float, now_s: float) -> Worker | None:
+        """Choose a worker that one more request fills to ``fill`` of its slots at most."""
         candidates = [
             worker
-            for worker in self._candidates(service, set(), now_s, allow_avoided=False)
-            if worker.batch < batch_limit(worker, reserve)
-            and worker.estimated_load(now_s) + 1 < worker.slots()
+            for worker in self.of_service(service)
+            if worker.avoid_until_s <= now_s
+            and worker.estimated_load(now_s) + 1 <= worker.slots() * fill
         ]
-        if not candidates:
-            return None
-        return self._choose_least_loaded(candidates, now_s)
-
-    def online_per_worker(self, service: str) -> float:
-        """Return the online requests in flight per worker of a service."""
-        workers = self.of_service(service)
-        return sum(worker.online for worker in workers) / len(workers) if workers else 0.0
+        return self._choose_least_loaded(candidates, now_s) if candidates else None
 
-    def services(self) -> list[str]:
-        """Return the services that have workers."""
-        return list(self._by_service)
-
-    def _candidates(
-        self, service: str, tried: set[str], now_s: float, *, allow_avoided: bool = True
-    ) -> list[Worker]:
+    def _candidates(self, service: str, tried: set[str], now_s: float) -> list[Worker]:
         untried = [w for w in self.of_service(service) if w.record.worker_id not in tried]
         sound = [worker for worker in untried if worker.avoid_until_s <= now_s]
-        return sound or (untried if allow_avoided else [])
+        if sound:
+            return sound
+        leaving = [
+            worker
+            for worker in self.just_left(service, now_s)
+            if worker.record.worker_id not in tried and worker.avoid_until_s <= now_s
+        ]
+        return leaving or untried
 
     def _choose_home(self, candidates: list[Worker], key: str, now_s: float) -> Worker:
         homes = sorted(
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -15,11 +15,11 @@
 from mountstand.membership.datagrams import FAILURE_DETECTION, DatagramMembership
 from mountstand.membership.member import Member
 from mountstand.membership.registry import DAEMONS, DaemonRegistry, DaemonRow, new_token
+from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Configuration, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.forwarder import Forwarder
 from mountstand.serving.load_sharing import LoadSharing
-from mountstand.serving.online_peak import OnlinePeak
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory, WorkerRecord
 from mountstand.serving_settings import ServingSettings
@@ -47,6 +47,10 @@
 MOST_IDLE = 8
 """Idle connections that one daemon keeps to a worker: a share of those that the worker allows."""
 
+LEAVING_USE_SHARE = 0.5
+"""Share of the time within which a leaving worker must get no new work for which it may still get
+some where no other worker is left."""
+
 CLOSE_LISTENERS_AFTER_S = 3.2
 """A stopping daemon takes new connections until lists of addresses kept thrice their time ran
 out."""
@@ -110,9 +114,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[HttpServer] = []
         source_of_chance = random.Random()
-        self.directory = WorkerDirectory(settings.zone, source_of_chance)
+        self.directory = WorkerDirectory(
+            settings.zone, source_of_chance, settings.drain_s * LEAVING_USE_SHARE
+        )
         self.connections = WorkerConnections()
-        self.online_peak = OnlinePeak(self.directory)
+        self.room = BatchRoom(self.directory, self._live_daemons)
         shares = ShareChooser(source_of_chance)
         self.forwarder = Forwarder(self.directory, self.connections, protocol, shares, metrics, log)
         self._build_membership(store)
@@ -145,7 +151,7 @@
         self.registry.membership = self.membership
         self.load_sharing = LoadSharing(
             self.directory,
-            lambda: len(self.membership.live_names()),
+            self._live_daemons,
             self.membership.broadcast,
         )
         self.membership.on_message = self._handle_peer_message
@@ -177,7 +183,7 @@
             connections=self.connections,
             protocol=protocol,
             shares=shares,
-            online_peak=self.online_peak,
+            room=self.room,
             metrics=self.metrics,
             log=self.log,
             configuration=lambda: self.configuration,
@@ -208,6 +214,9 @@
         """Return how old this daemon's picture of the jobs may be."""
         return self._jobs_feed.age_s(asyncio.get_running_loop().time())
 
+    def _live_daemons(self) -> int:
+        return len(self.membership.live_names())
+
     def _store_now_ms(self) -> int:
         feed = self._jobs_feed
         return feed.now_ms + int((asyncio.get_running_loop().time() - feed.now_read_at_s) * 1000)
@@ -242,18 +251,19 @@
             server.limits = limits
 
     def _apply_workers(self, change: TableChange) -> None:
+        now_s = asyncio.get_running_loop().time()
         if change.complete:
             records = [self._source.decode_worker(row) for row in change.rows]
-            self.directory.replace_all(records)
+            self.directory.replace_all(records, now_s)
             self.log.event("workers_listed", count=len(records))
             return
         for row in change.rows:
             if row.value is None:
-                if self.directory.remove(row.key.key):
+                if self.directory.remove(row.key.key, row.version, now_s):
                     self.log.event("worker_removed", worker=row.key.key, version=row.version)
                 continue
             record = self._source.decode_worker(row)
-            if self.directory.put(record):
+            if self.directory.put(record, now_s):
                 self.log.event(
                     "worker_changed",
                     worker=record.worker_id,
@@ -350,6 +360,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_S)
+            self.directory.sweep(loop.time())
             self.connections.sweep(set(self.directory.workers), loop.time())
 
     async def _share_load(self) -> None:
@@ -357,7 +368,7 @@
         while True:
             await asyncio.sleep(self.load_sharing.period_s)
             self.load_sharing.tick(loop.time())
-            self.online_peak.update(loop.time())
+            self.room.tick(loop.time())
 
     def _note_rejected(self, status: int) -> None:
         self.log.event("request_malformed", status=status)
--- a/mountstand/serving_settings.py
+++ b/mountstand/serving_settings.py
@@ -38,10 +38,10 @@
 class ServingSettings:
     """Everything one serving process must know to start.
 
-    ``grace_s`` is the time from the request to stop until the process is killed; ``contact_s``
-    the time without the store after which a process no longer counts as in touch; ``cancel_s``
-    the time within which the end of a job must be obeyed; ``status_s`` how long results of a job
-    can be asked for.
+    ``drain_s`` is the time within which a leaving worker must get no new work; ``grace_s`` the time
+    from the request to stop until the process is killed; ``contact_s`` the time without the store
+    after which a process no longer counts as in touch; ``cancel_s`` the time within which the end
+    of a job must be obeyed; ``status_s`` how long results of a job can be asked for.
     """
 
     name: str
@@ -51,6 +51,7 @@
     listeners: Listeners
     store: StoreSettings
     metrics: tuple[int, str] | None = None
+    drain_s: float = 2.0
     grace_s: float = 8.0
     resolve_ttl_max_s: float = 5.0
     contact_s: float = 3.0
