--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import random
 from collections import deque
 from collections.abc import Callable
@@ -17,7 +16,7 @@
 
 from mountstand.jobs.model import ItemResult, ItemState, JobHead, JobItem
 from mountstand.jobs.repository import JobRepository, new_write_id
-from mountstand.serving.batch_room import BatchRoom
+from mountstand.serving.batch_room import BatchRoom, Urgency
 from mountstand.serving.configuration import Configuration, Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter
@@ -28,9 +27,6 @@
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken
 
-SLOT_POLL_S = 0.1
-"""How often an item looks for an idle worker, with jitter."""
-
 STALL_S = 2.0
 """An item whose stream says nothing for so long is resumed at another worker."""
 
@@ -48,10 +44,6 @@
 """A worker says that a request can never be done."""
 
 
-class ItemPreempted(Exception):
-    """Online work needs the slot."""
-
-
 @dataclass
 class ItemProgress:
     """What there is of one item's output."""
@@ -62,6 +54,13 @@
     last_event_id: int | None = None
     failures: int = 0
     preempted: bool = False
+    connection: ClientConnection | None = None
+
+    def preempt(self) -> None:
+        """Close the item's stream, since online work needs the slot."""
+        self.preempted = True
+        if self.connection is not None:
+            self.connection.close()
 
 
 @dataclass(frozen=True)
@@ -80,14 +79,11 @@
     store_age_s: Callable[[], float]
     store_now_ms: Callable[[], int]
     contact_limit_s: float
-    slots: asyncio.Semaphore
 
 
 class JobRunner:
     """Runs one job until it is done, ended, lost or released."""
 
-    _numbers = itertools.count()
-
     def __init__(
         self, context: RunnerContext, head: JobHead, version: int, items: tuple[JobItem, ...]
     ) -> None:
@@ -215,8 +211,7 @@
 
     async def _run_item(self, progress: ItemProgress) -> None:
         while not self._over:
-            async with self._context.slots:
-                result = await self._try_item(progress)
+            result = await self._try_item(progress)
             if result is not None:
                 self._context.metrics.batch_item_ended(result.state.value)
                 self._finished.append(result)
@@ -224,7 +219,8 @@
                 return
             if self._draining:
                 break
-            await asyncio.sleep(SLOT_POLL_S * random.uniform(0.5, 1.5))
+            if not progress.preempted:
+                await asyncio.sleep(RETRY_FIRST_S * random.uniform(0.5, 1.5))
         self._changed.set()
 
     async def _try_item(self, progress: ItemProgress) -> ItemResult | None:
@@ -237,14 +233,27 @@
             return self._failed(progress, "route removed", "")
         if self._expired(route):
             return self._failed(progress, "retention over", route.name)
-        if self._context.store_age_s() > self._context.contact_limit_s:
-            return None
+        placement = await self._context.room.acquire(
+            self._context.shares.choose(route), self._urgency(route)
+        )
+        try:
+            if self._draining or not self._surely_open():
+                return None
+            progress.preempted = False
+            placement.preempt = progress.preempt
+            return await self._attempt(progress, route, placement.worker)
+        finally:
+            self._context.room.release(placement)
+
+    def _surely_open(self) -> bool:
+        """Return whether an end of the job would have been seen."""
+        return self._context.store_age_s() <= self._context.contact_limit_s
+
+    def _urgency(self, route: Route) -> Urgency:
+        age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
+        left_s = route.completion_target_s - age_s
         now_s = asyncio.get_running_loop().time()
-        service = self._context.shares.choose(route)
-        worker = self._context.room.choose(service, now_s)
-        if worker is None:
-            return None
-        return await self._attempt(progress, route, worker)
+        return Urgency(left_s < 0, now_s + left_s)
 
     def _expired(self, route: Route) -> bool:
         age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
@@ -253,32 +262,19 @@
     async def _attempt(
         self, progress: ItemProgress, route: Route, worker: Worker
     ) -> ItemResult | None:
-        number = next(self._numbers)
-        task = asyncio.current_task()
-        assert task is not None
-        worker.in_flight += 1
-        worker.batch_in_flight += 1
-        progress.preempted = False
-        worker.preemptible[number] = lambda: self._preempt(progress, connection)
-        connection: ClientConnection | None = None
         try:
-            connection = await self._context.connections.acquire(worker)
-            return await self._exchange(progress, route, worker, connection)
+            progress.connection = await self._context.connections.acquire(worker)
+            if progress.preempted:
+                return None
+            return await self._exchange(progress, route, worker, progress.connection)
         except (ConnectFailed, ReplyBroken, TimeoutError) as problem:
             cause = "preempted" if progress.preempted else str(problem) or "silent"
             self._log_attempt(progress, worker, cause)
             return None
         finally:
-            worker.preemptible.pop(number, None)
-            worker.in_flight -= 1
-            worker.batch_in_flight -= 1
-            if connection is not None:
-                self._context.connections.release(worker, connection, 1)
-
-    def _preempt(self, progress: ItemProgress, connection: ClientConnection | None) -> None:
-        progress.preempted = True
-        if connection is not None:
-            connection.close()
+            if progress.connection is not None:
+                self._context.connections.release(worker, progress.connection, 1)
+                progress.connection = None
 
     async def _exchange(
         self, progress: ItemProgress, route: Route, worker: Worker, connection: ClientConnection
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from mountstand.serving.batch_room import yield_to_online
+from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
@@ -96,6 +96,7 @@
         connections: WorkerConnections,
         protocol: WorkerProtocol,
         shares: ShareChooser,
+        room: BatchRoom,
         metrics: ServingMetrics,
         log: DecisionLog,
     ) -> None:
@@ -103,6 +104,7 @@
         self._connections = connections
         self._protocol = protocol
         self._shares = shares
+        self._room = room
         self._metrics = metrics
         self._log = log
         self.idle_per_worker = 4
@@ -166,7 +168,7 @@
         exchange.tried.add(worker.record.worker_id)
         exchange.worker_id = worker.record.worker_id
         worker.in_flight += 1
-        yield_to_online(worker, asyncio.get_running_loop().time())
+        self._room.yield_to_online(worker, asyncio.get_running_loop().time())
         connection: ClientConnection | None = None
         try:
             connection = await self._connections.acquire(worker)
@@ -238,7 +240,7 @@
         if meaning.load is not None:
             exchange.load = meaning.load
             worker.note_load(meaning.load, now_s)
-            yield_to_online(worker, now_s)
+            self._room.yield_to_online(worker, now_s)
         if meaning.kind is not ReplyKind.ANSWERED:
             exchange.runs -= 1
             return self._note_refusal(exchange, worker, meaning.kind, now_s)
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -4,8 +4,8 @@
 
 import random
 import zlib
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 from mountstand.hashing import rendezvous_weight
 from mountstand.serving.prompt import Prompt
@@ -75,7 +75,6 @@
     connect_failures: int = 0
     last_heard_s: float = float("-inf")
     leaving_since_s: float | None = None
-    preemptible: dict[int, Callable[[], None]] = field(default_factory=dict)
 
     @property
     def key(self) -> int:
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -36,9 +36,6 @@
 and damaged ones apart."""
 
 SWEEP_S = 0.25
-BATCH_ITEMS = 256
-"""Batch items that one daemon runs at once at most; each holds its output in memory."""
-
 DESCRIPTOR_SHARE = 0.6
 """Share of the descriptors that callers' connections may take."""
 
@@ -120,7 +117,9 @@
         self.connections = WorkerConnections()
         self.room = BatchRoom(self.directory, self._live_daemons)
         shares = ShareChooser(source_of_chance)
-        self.forwarder = Forwarder(self.directory, self.connections, protocol, shares, metrics, log)
+        self.forwarder = Forwarder(
+            self.directory, self.connections, protocol, shares, self.room, metrics, log
+        )
         self._build_membership(store)
         self._build_watchers(store)
         self._build_jobs(store, protocol, shares, parse_document)
@@ -190,7 +189,6 @@
             store_age_s=self.store_age_s,
             store_now_ms=self._store_now_ms,
             contact_limit_s=min(self.settings.contact_s, self.settings.cancel_s),
-            slots=asyncio.Semaphore(BATCH_ITEMS),
         )
         owners = Owners(self.registry.own.token, self.registry.live_tokens, self.settings.name)
         self.jobs = JobService(context, owners, parse_document, self._keep_s)
@@ -361,6 +359,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self.directory.sweep(loop.time())
+            self.room.forget(set(self.directory.workers))
             self.connections.sweep(set(self.directory.workers), loop.time())
 
     async def _share_load(self) -> None:
