--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -29,7 +29,7 @@
 MAX_WAIT_S = 1.0
 DELETE_TIMEOUT_S = 3.0
 RETRY_PAUSE_S = 0.1
-RESOLVE_TTL_S = 1.0
+RESOLVE_TTL_S = 5.0
 """How long callers keep the list of addresses; some keep it three times as long. A daemon that
 stops serves for longer than that."""
 
