Keep a job as an object while its part of the rows takes no writes

Jobs of a leaving daemon were adopted and run again while it still finished them. Change: the object makes the job accepted, the head row follows; time-outs of store calls follow usual times (a waiting caller gets another try when the store is back); leaving owners stay owners until they release; items that wait for a slot end with a planned stop.

--- a/mountstand/jobs/model.py
+++ b/mountstand/jobs/model.py
@@ -124,6 +124,29 @@
     )
 
 
+@dataclass(frozen=True)
+class KeptSubmission:
+    """A submission as an object holds it."""
+
+    host: str
+    path: str
+    accepted_ms: int
+    document: bytes
+
+
+def encode_submission(submission: JobSubmission, accepted_ms: int) -> bytes:
+    """Return the object that holds a submission: one line of JSON, then the document."""
+    fields = {"host": submission.host, "path": submission.path, "accepted_ms": accepted_ms}
+    return orjson.dumps(fields) + b"\n" + submission.document
+
+
+def decode_submission(value: bytes) -> KeptSubmission:
+    """Return the submission that an object holds."""
+    line, _, document = value.partition(b"\n")
+    fields = orjson.loads(line)
+    return KeptSubmission(fields["host"], fields["path"], fields["accepted_ms"], document)
+
+
 def encode_result(result: ItemResult) -> bytes:
     """Return a result as it is stored."""
     return orjson.dumps([result.index, result.item_id, result.state.value, result.text])
--- a/mountstand/jobs/repository.py
+++ b/mountstand/jobs/repository.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import secrets
 import zlib
 from dataclasses import replace
@@ -15,16 +16,21 @@
     ItemResult,
     JobHead,
     JobSubmission,
+    KeptSubmission,
     decode_head,
     decode_result,
+    decode_submission,
     encode_result,
+    encode_submission,
 )
 from mountstand.store.rows import (
     ABSENT,
-    Conflict,
     ObjectStore,
+    OutcomeUnknown,
     RowKey,
     RowStore,
+    StoreError,
+    StoreRefused,
     Transaction,
     read_all,
 )
@@ -41,6 +47,11 @@
 MAX_BYTES_PER_WRITE = 600_000
 """Bounds of one transaction, below the store's 100 entries and 1 MB in base64."""
 
+ACCEPTED_PREFIX = "accepted/"
+ACCEPTED_COPIES = 3
+"""Names under which a job may be kept as an object while its part of the rows takes no writes. A
+store that is down in part serves some names; with three, one of them nearly always."""
+
 BASE64_SHARE = 3 / 4
 
 
@@ -59,14 +70,6 @@
     return secrets.token_hex(6)
 
 
-class JobEnded(Exception):
-    """The job was ended by its caller."""
-
-
-class OwnershipLost(Exception):
-    """Another process owns the job now."""
-
-
 class JobRepository:
     """Batch jobs in the row store; errors are those of :mod:`mountstand.store.rows`."""
 
@@ -86,10 +89,25 @@
         assert row.value is not None
         return decode_head(job_id, row.value), row.version
 
+    async def load_accepted(self, job_id: str) -> tuple[str, KeptSubmission] | None:
+        """Return the submission of a job that is kept as an object, if any, and its name."""
+        for number in range(ACCEPTED_COPIES):
+            name = accepted_name(job_id, number)
+            value = await self._objects.get_object(name)
+            if value is not None:
+                return name, decode_submission(value)
+        return None
+
+    async def accepted_jobs(self) -> list[str]:
+        """Return the ids of jobs that were kept as objects."""
+        names = await self._objects.list_objects(ACCEPTED_PREFIX)
+        return sorted({name.split("/", 2)[2] for name in names})
+
     async def document(self, head: JobHead) -> bytes | None:
         """Return the submitted document, or ``None`` once it is dropped."""
         if head.object_name:
-            return await self._objects.get_object(head.object_name)
+            value = await self._objects.get_object(head.object_name)
+            return decode_submission(value).document if value is not None else None
         first, end = _range_of(head.job_id)
         page = await read_all(self._rows, DOCUMENTS, partition(head.job_id), first, end)
         pieces = [row.value for row in page.rows if row.value is not None]
@@ -125,7 +143,8 @@
         transaction = Transaction(conditions=[(self._head_key(head.job_id), ABSENT)])
         if len(packed) > MAX_BYTES_PER_WRITE:
             name = f"{head.job_id}-{head.write_id}"
-            await self._objects.put_object(name, submission.document)
+            value = encode_submission(submission, head.accepted_ms)
+            await self._objects.put_object(name, value)
             head = replace(head, object_name=name)
         else:
             for number, piece in enumerate(self._pieces(packed)):
@@ -134,6 +153,27 @@
         transaction.puts.append((self._head_key(head.job_id), head.encode()))
         return await self._rows.commit(transaction)
 
+    async def submit_as_object(self, submission: JobSubmission, accepted_ms: int) -> str:
+        """Keep a new job as an object; returns its name.
+
+        The object alone makes the job accepted; its head row follows with the first change of it.
+        Raises ``StoreRefused`` or ``OutcomeUnknown`` if no name could be written.
+        """
+        value = encode_submission(submission, accepted_ms)
+        problem: StoreError = StoreRefused("no name tried")
+        unclear: OutcomeUnknown | None = None
+        for number in range(ACCEPTED_COPIES):
+            name = accepted_name(submission.job_id, number)
+            try:
+                await self._objects.put_object(name, value)
+            except OutcomeUnknown as lost:
+                unclear = lost
+            except StoreError as refused:
+                problem = refused
+            else:
+                return name
+        raise unclear or problem
+
     async def change_head(
         self, head: JobHead, version: int, results: list[ItemResult] | None = None
     ) -> int:
@@ -149,27 +189,14 @@
         transaction.puts.append((self._head_key(head.job_id), head.encode()))
         return await self._rows.commit(transaction)
 
-    async def end(self, job_id: str) -> bool:
-        """End a job for its caller; returns whether there is such a job."""
-        while True:
-            found = await self.load(job_id)
-            if found is None:
-                return False
-            head, version = found
-            if head.ended:
-                return True
-            try:
-                await self.change_head(replace(head, ended=True, write_id=new_write_id()), version)
-            except Conflict:
-                continue
-            return True
-
     async def drop_document(self, head: JobHead) -> None:
         """Drop the document of a job that needs it no longer."""
-        if head.object_name:
-            await self._objects.drop_object(head.object_name)
+        if not head.object_name:
+            await self._drop_range(DOCUMENTS, head.job_id)
             return
-        await self._drop_range(DOCUMENTS, head.job_id)
+        await self._objects.drop_object(head.object_name)
+        for number in range(ACCEPTED_COPIES):
+            await self._objects.drop_object(accepted_name(head.job_id, number))
 
     async def drop(self, head: JobHead, version: int) -> None:
         """Drop everything of a job; its head goes last."""
@@ -199,6 +226,15 @@
             await self._rows.commit(Transaction(removals=keys[start : start + MAX_ROWS_PER_WRITE]))
 
 
+def accepted_name(job_id: str, number: int) -> str:
+    """Return one of the names under which a job may be kept as an object.
+
+    The names differ from their first letters on, since a store may place objects by those.
+    """
+    spread = hashlib.blake2b(f"{job_id}/{number}".encode(), digest_size=4).hexdigest()
+    return f"{ACCEPTED_PREFIX}{spread}/{job_id}"
+
+
 def _range_of(job_id: str) -> tuple[str, str]:
     """Return the range of keys below a job: from its slash to the character after it."""
     return f"{job_id}/", f"{job_id}0"
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -16,13 +16,13 @@
 
 from mountstand.jobs.model import ItemResult, ItemState, JobHead, JobItem
 from mountstand.jobs.repository import JobRepository, new_write_id
-from mountstand.serving.batch_room import BatchRoom, Urgency
+from mountstand.serving.batch_room import BatchRoom, Placement, Urgency
 from mountstand.serving.configuration import Configuration, Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory
-from mountstand.store.rows import Conflict, OutcomeUnknown, StoreError
+from mountstand.store.rows import ABSENT, Conflict, OutcomeUnknown, StoreError
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken
@@ -34,7 +34,7 @@
 """An item that gets no answer for so long is put to another worker."""
 
 RETRY_FIRST_S = 0.1
-RETRY_LONGEST_S = 1.0
+RETRY_LONGEST_S = 0.5
 """Pause of a failed write to the store, and of an item after a failure."""
 
 FAILED_STATUS = 500
@@ -95,6 +95,7 @@
         self._listing: dict[str, list[ItemResult]] = {}
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._waiting_tasks: set[asyncio.Task[None]] = set()
         self._draining = False
         self._over = False
 
@@ -109,7 +110,7 @@
             if not self.head.is_listed(index):
                 task = asyncio.create_task(self._run_item(ItemProgress(index, item)))
                 self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                task.add_done_callback(self._note_task_done)
         try:
             await self._list_results()
         finally:
@@ -117,6 +118,10 @@
             for task in self._tasks:
                 task.cancel()
 
+    def _note_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        self._changed.set()
+
     def handle_head(self, head: JobHead, version: int) -> None:
         """Take a head that the feed tells; one that another process wrote ends the run."""
         if version <= self._version:
@@ -128,6 +133,8 @@
     def drain(self) -> None:
         """Start no more items; the job is released once the running ones have ended."""
         self._draining = True
+        for task in list(self._waiting_tasks):
+            task.cancel()
         self._changed.set()
 
     # Listing
@@ -135,7 +142,7 @@
     async def _list_results(self) -> None:
         pause_s = RETRY_FIRST_S
         while not self._over and self.head.open:
-            if not self._finished:
+            if not self._finished and self._version != ABSENT:
                 if self._draining and not self._tasks:
                     await self._release()
                     return
@@ -187,7 +194,7 @@
             await asyncio.sleep(RETRY_FIRST_S)
             return
         if found is None:
-            self._over = True
+            self._over = self._version != ABSENT
             return
         head, version = found
         if version == self._version:
@@ -233,9 +240,7 @@
             return self._failed(progress, "route removed", "")
         if self._expired(route):
             return self._failed(progress, "retention over", route.name)
-        placement = await self._context.room.acquire(
-            self._context.shares.choose(route), self._urgency(route)
-        )
+        placement = await self._wait_for_slot(route)
         try:
             if self._draining or not self._surely_open():
                 return None
@@ -245,6 +250,17 @@
         finally:
             self._context.room.release(placement)
 
+    async def _wait_for_slot(self, route: Route) -> Placement:
+        task = asyncio.current_task()
+        assert task is not None
+        self._waiting_tasks.add(task)
+        try:
+            return await self._context.room.acquire(
+                self._context.shares.choose(route), self._urgency(route)
+            )
+        finally:
+            self._waiting_tasks.discard(task)
+
     def _surely_open(self) -> bool:
         """Return whether an end of the job would have been seen."""
         return self._context.store_age_s() <= self._context.contact_limit_s
--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -16,7 +16,7 @@
 from mountstand.jobs.model import ItemResult, JobHead, JobItem, JobSubmission, decode_head
 from mountstand.jobs.repository import JobRepository, new_write_id
 from mountstand.jobs.runner import JobRunner, RunnerContext
-from mountstand.store.rows import Conflict, OutcomeUnknown, StoreError, StoreRefused
+from mountstand.store.rows import ABSENT, Conflict, OutcomeUnknown, StoreError, StoreRefused
 from mountstand.store.watch import TableChange
 
 SCAN_S = 0.5
@@ -25,6 +25,10 @@
 RANK_DELAY_S = 1.0
 """A daemon waits so much longer per better-ranked daemon before it adopts a job."""
 
+OBJECT_SCAN_S = 3.0
+OBJECT_SCAN_KEY = "object scan"
+"""How often the daemon ranked first for the key looks for jobs that are kept as objects only."""
+
 RETRY_S = 0.05
 """Pause between tries of a call to the store on behalf of a waiting caller."""
 
@@ -128,6 +132,8 @@
         self._cache = ResultCache(CACHED_RESULT_BYTES)
         self._documents: OrderedDict[str, tuple[JobItem, ...]] = OrderedDict()
         self._draining = False
+        self._next_object_scan_s = 0.0
+        self._without_head: set[str] = set()
 
     # Callers' calls
 
@@ -143,21 +149,34 @@
         head = self._new_head(submission)
         while True:
             try:
-                version = await self._repository.submit(submission, head)
-            except Conflict:
+                await self._store_submission(submission, head)
                 return SubmitOutcome.ACCEPTED
             except OutcomeUnknown:
                 unclear = True
             except StoreRefused:
                 if not unclear and loop.time() >= refuse_at_s:
                     return SubmitOutcome.REFUSED
-            else:
-                self._begin(head, version, submission.items)
-                return SubmitOutcome.ACCEPTED
             if loop.time() + RETRY_S >= deadline_s:
                 return SubmitOutcome.UNCLEAR if unclear else SubmitOutcome.REFUSED
             await asyncio.sleep(RETRY_S)
 
+    async def _store_submission(self, submission: JobSubmission, head: JobHead) -> None:
+        """Store a job in rows, or as an object where its rows take no writes, and begin it.
+
+        Raises ``OutcomeUnknown`` if any of the writes may still take effect.
+        """
+        try:
+            version = await self._repository.submit(submission, head)
+        except Conflict:
+            return
+        except (StoreRefused, OutcomeUnknown) as problem:
+            try:
+                name = await self._repository.submit_as_object(submission, head.accepted_ms)
+            except StoreRefused:
+                raise problem from None
+            head, version = replace(head, object_name=name), ABSENT
+        self._begin(head, version, submission.items)
+
     async def read(self, job_id: str, after: int, wait_s: float, max_bytes: int) -> JobPage | None:
         """Return results from position ``after`` on; waits up to ``wait_s`` for the first.
 
@@ -171,7 +190,7 @@
         waiter = self._waiters.setdefault(job_id, asyncio.Event())
         found = await self._repository.load(job_id)
         if found is None:
-            return None
+            return await self._page_of_accepted(job_id, after)
         head = found[0]
         if head.listed <= after and head.open and wait_s > 0:
             try:
@@ -193,11 +212,19 @@
 
     async def end(self, job_id: str) -> bool:
         """End a job; returns whether there is one. Raises ``StoreError``."""
-        found = await self._repository.end(job_id)
-        runner = self._runners.get(job_id)
-        if found and runner is not None:
-            runner.handle_head(replace(runner.head, ended=True), self._latest_version(job_id) + 1)
-        return found
+        while True:
+            found = await self._load_any(job_id)
+            if found is None:
+                return False
+            head, version = found
+            if not head.ended:
+                ended = replace(head, ended=True, write_id=new_write_id())
+                try:
+                    version = await self._repository.change_head(ended, version)
+                except Conflict:
+                    continue
+                self._apply_head(ended, version)
+            return True
 
     # The feed
 
@@ -242,8 +269,36 @@
                 else:
                     self._orphan_since_s.pop(head.job_id, None)
                     await self._drop_old(head, version)
+            await self._adopt_kept_objects()
             self._context.metrics.jobs_owned(len(self._runners))
 
+    async def _adopt_kept_objects(self) -> None:
+        """Give a head row to jobs that are kept as objects and whose daemon is gone.
+
+        One daemon looks at a time. A daemon that accepted a job writes its head row itself as soon
+        as the store takes it, long before the second look.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self._draining or now_s < self._next_object_scan_s:
+            return
+        self._next_object_scan_s = now_s + OBJECT_SCAN_S
+        if self._owners.rank(OBJECT_SCAN_KEY):
+            return
+        try:
+            without_head = [
+                job_id
+                for job_id in await self._repository.accepted_jobs()
+                if job_id not in self._heads and await self._repository.load(job_id) is None
+            ]
+            seen_twice = [job_id for job_id in without_head if job_id in self._without_head]
+            self._without_head = set(without_head)
+            for job_id in seen_twice:
+                found = await self._load_any(job_id)
+                if found is not None:
+                    await self._adopt(*found)
+        except StoreError:
+            return
+
     def _consider(self, head: JobHead, version: int) -> None:
         job_id = head.job_id
         if self._draining or job_id in self._runners or job_id in self._adopting:
@@ -329,11 +384,40 @@
             self._cache.put(head.job_id, position, result)
         return JobPage(head.total, after + len(listed), [result for _, result in listed])
 
+    async def _load_any(self, job_id: str) -> tuple[JobHead, int] | None:
+        """Return a job's head, also that of a job kept as an object without a head row."""
+        found = await self._repository.load(job_id)
+        if found is not None:
+            return found
+        accepted = await self._repository.load_accepted(job_id)
+        if accepted is None:
+            return None
+        name, kept = accepted
+        head = JobHead(
+            job_id=job_id,
+            host=kept.host,
+            path=kept.path,
+            total=len(self._parse_document(kept.document)),
+            accepted_ms=kept.accepted_ms,
+            owner="",
+            write_id=new_write_id(),
+            object_name=name,
+        )
+        return head, ABSENT
+
+    async def _page_of_accepted(self, job_id: str, after: int) -> JobPage | None:
+        """Return the empty page of a job that has no head row yet."""
+        runner = self._runners.get(job_id)
+        if runner is not None:
+            return JobPage(runner.head.total, after, [])
+        found = await self._load_any(job_id)
+        return None if found is None else await self._page(found[0], after, 1)
+
     async def _items_of(self, job_id: str) -> tuple[JobItem, ...]:
         cached = self._documents.get(job_id)
         if cached is not None:
             return cached
-        found = await self._repository.load(job_id)
+        found = await self._load_any(job_id)
         items = await self._load_items(found[0]) if found is not None else None
         if items is None:
             return ()
--- a/mountstand/membership/datagrams.py
+++ b/mountstand/membership/datagrams.py
@@ -66,6 +66,10 @@
             if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
         }
 
+    def running_names(self) -> set[str]:
+        """Return the members believed to run, leaving ones included."""
+        return {member.member_id for member in self._state.live_members()}
+
     def sound_names(self) -> set[str]:
         """Return the live members that answered their last probe."""
         return {
--- a/mountstand/membership/registry.py
+++ b/mountstand/membership/registry.py
@@ -118,13 +118,12 @@
         return sound if 2 * len(sound) >= len(live) else live
 
     def live_tokens(self) -> dict[str, str]:
-        """Return the processes that run, leaving ones included, by daemon name."""
-        live = self.membership.live_names() if self.membership is not None else set()
-        tokens = {
-            row.name: row.token
-            for row, _ in self._rows.values()
-            if row.name in live or (row.leaving and row.name not in self._silent_since_s)
-        }
+        """Return the processes that run, leaving ones included, by daemon name.
+
+        A daemon that is leaving still finishes its jobs; it gives them up itself.
+        """
+        running = self.membership.running_names() if self.membership is not None else set()
+        tokens = {row.name: row.token for row, _ in self._rows.values() if row.name in running}
         tokens[self.own.name] = self.own.token
         return tokens
 
--- a/mountstand/platform/names.py
+++ b/mountstand/platform/names.py
@@ -9,6 +9,7 @@
 OBJECT_PUT = "/blob-put/"
 OBJECT_GET = "/blob-get/"
 OBJECT_DROP = "/blob-drop/"
+OBJECT_LIST = "/blob-list"
 
 # Tables and keys that the platform writes
 OPERATOR_TABLE = "op"
--- a/mountstand/platform/store_client.py
+++ b/mountstand/platform/store_client.py
@@ -25,8 +25,14 @@
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken, connect
 
 CONNECT_TIMEOUT_S = 0.5
-CALL_TIMEOUT_S = 2.0
-"""A call without an answer for so long counts as lost; a slow store answers in under a second."""
+SHORTEST_TIMEOUT_S = 0.6
+LONGEST_TIMEOUT_S = 2.5
+TIMEOUT_FACTOR = 8.0
+"""A call without an answer for some times its usual time counts as lost, so that a caller who
+waits gets another try as soon as the store is back. A call that is lost doubles the time, so that
+a store that is only slow is waited for."""
+
+SMOOTHING = 0.2
 
 FEED_SLACK_S = 1.5
 """A held feed call that is not answered so long after its wait counts as lost."""
@@ -44,6 +50,7 @@
         self._address = address
         self._metrics = metrics
         self._idle: list[ClientConnection] = []
+        self._usual_s: dict[str, float] = {}
 
     # RowStore
 
@@ -79,8 +86,8 @@
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
         """Wait for changed rows."""
         query = urlencode({"table": table, "after": after, "wait_ms": wait_ms})
-        timeout_s = wait_ms / 1000 + FEED_SLACK_S
-        return _page(await self._call("GET", f"{names.ROWS_CHANGES}?{query}", b"", timeout_s))
+        target = f"{names.ROWS_CHANGES}?{query}"
+        return _page(await self._call("GET", target, b"", wait_ms / 1000 + FEED_SLACK_S))
 
     # ObjectStore
 
@@ -102,22 +109,56 @@
         except KeyError:
             return
 
+    async def list_objects(self, prefix: str) -> list[str]:
+        """Return the names that begin with a prefix."""
+        found: list[str] = []
+        while True:
+            query = {"path_prefix": prefix}
+            if found:
+                query["after"] = found[-1]
+            body = await self._call("GET", f"{names.OBJECT_LIST}?{urlencode(query)}")
+            answer = orjson.loads(body)
+            found += answer["names"]
+            if not answer.get("more") or not answer["names"]:
+                return found
+
     # Calls
 
     async def _call(
-        self, method: str, target: str, body: bytes = b"", timeout_s: float = CALL_TIMEOUT_S
+        self, method: str, target: str, body: bytes = b"", timeout_s: float | None = None
     ) -> bytes:
+        """Make one call; without ``timeout_s`` the time-out follows from earlier calls."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        outcome = "error"
+        name = target.partition("?")[0].split("/")[1]
+        outcome = "lost"
         try:
-            status, answer = await self._exchange(method, target, body, timeout_s)
+            status, answer = await self._exchange(
+                method, target, body, timeout_s or self._timeout_s(name)
+            )
             outcome = str(status)
+            self._note_time(name, loop.time() - began_s)
             return _checked(status, answer)
+        except StoreRefused:
+            outcome = "refused" if outcome == "lost" else outcome
+            raise
+        except OutcomeUnknown:
+            self._note_time(name, 2 * self._usual_s.get(name, SHORTEST_TIMEOUT_S / TIMEOUT_FACTOR))
+            raise
         finally:
-            name = target.partition("?")[0].split("/")[1]
             self._metrics.store_called(name, outcome, loop.time() - began_s)
 
+    def _timeout_s(self, name: str) -> float:
+        usual_s = self._usual_s.get(name, 0.0)
+        return min(LONGEST_TIMEOUT_S, max(SHORTEST_TIMEOUT_S, TIMEOUT_FACTOR * usual_s))
+
+    def _note_time(self, name: str, duration_s: float) -> None:
+        usual_s = self._usual_s.get(name, duration_s)
+        if duration_s > usual_s:
+            self._usual_s[name] = duration_s
+        else:
+            self._usual_s[name] = usual_s + SMOOTHING * (duration_s - usual_s)
+
     async def _exchange(
         self, method: str, target: str, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
--- a/mountstand/store/memory_rows.py
+++ b/mountstand/store/memory_rows.py
@@ -105,6 +105,11 @@
         self._begin("drop_object")
         self.objects.pop(name, None)
 
+    async def list_objects(self, prefix: str) -> list[str]:
+        """Return the names that begin with ``prefix``."""
+        self._begin("list_objects")
+        return sorted(name for name in self.objects if name.startswith(prefix))
+
     def _begin(self, call: str) -> str:
         self.calls += 1
         fault = self.fault(call)
--- a/mountstand/store/rows.py
+++ b/mountstand/store/rows.py
@@ -104,6 +104,9 @@
     async def drop_object(self, name: str) -> None:
         """Remove an object, if it is there. Raises ``StoreError``."""
 
+    async def list_objects(self, prefix: str) -> list[str]:
+        """Return the names that begin with ``prefix``. Raises ``StoreError``."""
+
 
 async def read_all(
     store: RowStore, table: str, part: str, first: str = "", end: str = ""
