Pooled connections for requests that may be repeated; longer feed waits; cheaper decoding

Change: a repeatable request takes any pooled connection, another one if the worker was heard from within 0.5 s; feeds are held for 1.5 s; frames are decoded without being built again.

--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -279,7 +279,7 @@
         self, progress: ItemProgress, route: Route, worker: Worker
     ) -> ItemResult | None:
         try:
-            progress.connection = await self._context.connections.acquire(worker)
+            progress.connection = await self._context.connections.acquire(worker, repeatable=True)
             if progress.preempted:
                 return None
             return await self._exchange(progress, route, worker, progress.connection)
--- a/mountstand/platform/store_client.py
+++ b/mountstand/platform/store_client.py
@@ -34,7 +34,7 @@
 
 SMOOTHING = 0.2
 
-FEED_SLACK_S = 1.5
+FEED_SLACK_S = 1.0
 """A held feed call that is not answered so long after its wait counts as lost."""
 
 MAX_IDLE = 8
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -1,8 +1,9 @@
 """Connections to workers, pooled per worker.
 
 A pooled connection to a worker that died silently would cost a request that may run only once, so
-a connection is used again only while the worker was heard from a moment ago, on any connection.
-Otherwise a new one is made: a failed connect is a safe reason to try another worker.
+for such a request a connection is used again only while the worker was heard from a moment ago, on
+any connection. Otherwise a new one is made: a failed connect is a safe reason to try another
+worker. A request that may be repeated takes any connection that is still open.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 CONNECT_TIMEOUT_S = 0.25
 """A worker that takes longer to accept is treated as unreachable: zones are milliseconds apart."""
 
-HEARD_S = 0.15
+HEARD_S = 0.5
 """How recent the last sign of life must be for a pooled connection to be used."""
 
 KEEP_ALIVE_MARGIN_S = 0.5
@@ -33,14 +34,23 @@
         self.opened = 0
         self.reused = 0
 
-    async def acquire(self, worker: Worker) -> ClientConnection:
+    async def check(self, worker: Worker) -> None:
+        """Find out whether ``worker`` accepts connections. Raises ``ConnectFailed``."""
+        connection = await self._open(worker)
+        connection.close()
+
+    async def acquire(self, worker: Worker, *, repeatable: bool) -> ClientConnection:
         """Return an open connection to ``worker``. Raises ``ConnectFailed``."""
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        pooled = self._take_pooled(worker, now_s)
+        pooled = self._take_pooled(worker, now_s, repeatable)
         if pooled is not None:
             self.reused += 1
             return pooled
+        return await self._open(worker)
+
+    async def _open(self, worker: Worker) -> ClientConnection:
+        loop = asyncio.get_running_loop()
         self.opened += 1
         try:
             connection = await connect(worker.record.host, worker.record.port, CONNECT_TIMEOUT_S)
@@ -75,14 +85,16 @@
             else:
                 del self._idle[worker_id]
 
-    def _take_pooled(self, worker: Worker, now_s: float) -> ClientConnection | None:
+    def _take_pooled(
+        self, worker: Worker, now_s: float, repeatable: bool
+    ) -> ClientConnection | None:
         idle = self._idle.get(worker.record.worker_id, [])
         heard_s = worker.last_heard_s
         while idle:
             connection = idle.pop()
             heard_s = max(heard_s, connection.last_received_at_s)
             usable = connection.open and rested_well(connection, now_s)
-            if usable and now_s - heard_s <= HEARD_S:
+            if usable and (repeatable or now_s - heard_s <= HEARD_S):
                 return connection
             connection.close()
         return None
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -171,7 +171,9 @@
         self._room.yield_to_online(worker, asyncio.get_running_loop().time())
         connection: ClientConnection | None = None
         try:
-            connection = await self._connections.acquire(worker)
+            connection = await self._connections.acquire(
+                worker, repeatable=exchange.route.repeatable
+            )
             return await self._exchange_with(exchange, worker, connection)
         except ConnectFailed as problem:
             exchange.cause = f"connect: {problem}"
@@ -226,10 +228,9 @@
         if loop.time() - worker.last_heard_s < SUSPICION_S:
             return
         try:
-            probe = await self._connections.acquire(worker)
+            await self._connections.check(worker)
         except ConnectFailed:
             raise WorkerSilent("silent and unreachable") from None
-        probe.close()
 
     async def _relay(
         self, exchange: Exchange, worker: Worker, connection: ClientConnection, head: ReplyHead
--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -10,7 +10,7 @@
 from mountstand.store.rows import HistoryGone, RowStore, StoredRow, StoreError, read_all
 from mountstand.telemetry.decisions import DecisionLog
 
-WAIT_MS = 1000
+WAIT_MS = 1500
 """How long a feed call is held. It bounds how late a broken feed is noticed, so it is a fraction
 of every bound that depends on a feed; a held call costs nothing but itself."""
 
--- a/mountstand/wire/messages.py
+++ b/mountstand/wire/messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import io
 from dataclasses import asdict, dataclass, fields
 from typing import Any
 
@@ -336,10 +337,11 @@
     if number not in FORMS:
         raise ValueError(f"no message kind {number}")
     message_type, form = FORMS[number]
-    parsed = form.parse(body)
-    message: Message = build_value(message_type, parsed)
-    if len(form.build(asdict(message))) != len(body):
+    stream = io.BytesIO(body)
+    parsed = form.parse_stream(stream)
+    if stream.tell() != len(body):
         raise ValueError("bytes are left over")
+    message: Message = build_value(message_type, parsed)
     return message
 
 
