Keep the events of running batch items; hand items on at a planned stop

Change: progress rows under the job's fence, every 1.5 s and at release; a planned stop releases its jobs at once; batch yields above 1.15 of the slots.

--- a/mountstand/jobs/model.py
+++ b/mountstand/jobs/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -147,6 +148,28 @@
     return KeptSubmission(fields["host"], fields["path"], fields["accepted_ms"], document)
 
 
+@dataclass(frozen=True)
+class SavedProgress:
+    """The whole events of an item that has not ended, as they are kept for the next owner."""
+
+    index: int
+    last_event_id: int
+    failures: int
+    texts: list[str]
+
+
+def encode_progress(progress: SavedProgress) -> bytes:
+    """Return an item's progress as it is stored."""
+    fields = [progress.index, progress.last_event_id, progress.failures, progress.texts]
+    return zlib.compress(orjson.dumps(fields), 1)
+
+
+def decode_progress(value: bytes) -> SavedProgress:
+    """Return the progress that stored bytes hold."""
+    index, last_event_id, failures, texts = orjson.loads(zlib.decompress(value))
+    return SavedProgress(index, last_event_id, failures, texts)
+
+
 def encode_result(result: ItemResult) -> bytes:
     """Return a result as it is stored."""
     return orjson.dumps([result.index, result.item_id, result.state.value, result.text])
--- a/mountstand/jobs/repository.py
+++ b/mountstand/jobs/repository.py
@@ -17,9 +17,12 @@
     JobHead,
     JobSubmission,
     KeptSubmission,
+    SavedProgress,
     decode_head,
+    decode_progress,
     decode_result,
     decode_submission,
+    encode_progress,
     encode_result,
     encode_submission,
 )
@@ -38,14 +41,16 @@
 HEADS = "jobs"
 DOCUMENTS = "job_documents"
 RESULTS = "job_results"
+PROGRESS = "job_progress"
 
 PARTITIONS = 16
 """Parts that jobs are spread over. A part takes a limited rate of writes; sixteen of them pass
 the rate of the whole store on the deployments known, and a start reads each once."""
 
-MAX_ROWS_PER_WRITE = 90
+MAX_ROWS_PER_WRITE = 45
 MAX_BYTES_PER_WRITE = 600_000
-"""Bounds of one transaction, below the store's 100 entries and 1 MB in base64."""
+"""Bounds of one transaction, below the store's 100 entries and 1 MB in base64. A row written may
+bring the removal of another, and the head is one more."""
 
 ACCEPTED_PREFIX = "accepted/"
 ACCEPTED_COPIES = 3
@@ -174,10 +179,41 @@
                 return name
         raise unclear or problem
 
+    async def save_progress(
+        self, head: JobHead, version: int, progress: list[SavedProgress]
+    ) -> None:
+        """Keep what items have so far; only the owner of ``version`` can."""
+        condition = (self._head_key(head.job_id), version)
+        transaction = Transaction(conditions=[condition])
+        size = 0
+        for item in progress:
+            value = encode_progress(item)
+            size += len(value)
+            if len(value) > self._piece_bytes or size > MAX_BYTES_PER_WRITE:
+                continue
+            transaction.puts.append((self._progress_key(head.job_id, item.index), value))
+        for start in range(0, len(transaction.puts), MAX_ROWS_PER_WRITE):
+            puts = transaction.puts[start : start + MAX_ROWS_PER_WRITE]
+            await self._rows.commit(Transaction(conditions=[condition], puts=puts))
+
+    async def progress(self, head: JobHead) -> list[SavedProgress]:
+        """Return what is kept of items that have not ended."""
+        first, end = _range_of(head.job_id)
+        page = await read_all(self._rows, PROGRESS, partition(head.job_id), first, end)
+        found = [decode_progress(row.value) for row in page.rows if row.value is not None]
+        return [item for item in found if not head.is_listed(item.index)]
+
     async def change_head(
-        self, head: JobHead, version: int, results: list[ItemResult] | None = None
+        self,
+        head: JobHead,
+        version: int,
+        results: list[ItemResult] | None = None,
+        saved: set[int] | None = None,
     ) -> int:
-        """Write a head that replaces ``version``, with results behind the listed ones."""
+        """Write a head that replaces ``version``, with results behind the listed ones.
+
+        ``saved`` are items whose progress is kept; that of those listed is dropped.
+        """
         part = partition(head.job_id)
         transaction = Transaction(conditions=[(self._head_key(head.job_id), version)])
         position = head.listed - len(results or [])
@@ -186,6 +222,8 @@
                 key = RowKey(RESULTS, part, f"{head.job_id}/{position:06d}/{number:04d}")
                 transaction.puts.append((key, piece))
             position += 1
+            if saved and result.index in saved:
+                transaction.removals.append(self._progress_key(head.job_id, result.index))
         transaction.puts.append((self._head_key(head.job_id), head.encode()))
         return await self._rows.commit(transaction)
 
@@ -202,6 +240,7 @@
         """Drop everything of a job; its head goes last."""
         await self.drop_document(head)
         await self._drop_range(RESULTS, head.job_id)
+        await self._drop_range(PROGRESS, head.job_id)
         key = self._head_key(head.job_id)
         await self._rows.commit(Transaction(conditions=[(key, version)], removals=[key]))
 
@@ -215,6 +254,9 @@
         size = self._piece_bytes
         return [value[start : start + size] for start in range(0, max(1, len(value)), size)]
 
+    def _progress_key(self, job_id: str, index: int) -> RowKey:
+        return RowKey(PROGRESS, partition(job_id), f"{job_id}/{index:06d}")
+
     def _head_key(self, job_id: str) -> RowKey:
         return RowKey(HEADS, partition(job_id), job_id)
 
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -11,10 +11,10 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
-from mountstand.jobs.model import ItemResult, ItemState, JobHead, JobItem
+from mountstand.jobs.model import ItemResult, ItemState, JobHead, JobItem, SavedProgress
 from mountstand.jobs.repository import JobRepository, new_write_id
 from mountstand.serving.batch_room import BatchRoom, Placement, Urgency
 from mountstand.serving.configuration import Configuration, Route, ShareChooser
@@ -33,6 +33,10 @@
 FIRST_EVENT_S = 6.0
 """An item that gets no answer for so long is put to another worker."""
 
+SAVE_S = 1.5
+"""How often the events of running items are kept in the store: a crash costs this much of a run,
+a save costs one call per job."""
+
 RETRY_FIRST_S = 0.1
 RETRY_LONGEST_S = 0.5
 """Pause of a failed write to the store, and of an item after a failure."""
@@ -55,6 +59,7 @@
     failures: int = 0
     preempted: bool = False
     connection: ClientConnection | None = None
+    saved_event_id: int | None = None
 
     def preempt(self) -> None:
         """Close the item's stream, since online work needs the slot."""
@@ -85,12 +90,25 @@
     """Runs one job until it is done, ended, lost or released."""
 
     def __init__(
-        self, context: RunnerContext, head: JobHead, version: int, items: tuple[JobItem, ...]
+        self,
+        context: RunnerContext,
+        head: JobHead,
+        version: int,
+        items: tuple[JobItem, ...],
+        saved: Iterable[SavedProgress] = (),
     ) -> None:
         self._context = context
         self.head = head
         self._version = version
         self._items = items
+        self._progress = {
+            index: ItemProgress(index, item)
+            for index, item in enumerate(items)
+            if not head.is_listed(index)
+        }
+        self._saved: set[int] = set()
+        for item in saved:
+            self._restore(item)
         self._finished: deque[ItemResult] = deque()
         self._listing: dict[str, list[ItemResult]] = {}
         self._changed = asyncio.Event()
@@ -106,15 +124,16 @@
 
     async def run(self) -> None:
         """Run until nothing is left to do here; cancels its items when it ends."""
-        for index, item in enumerate(self._items):
-            if not self.head.is_listed(index):
-                task = asyncio.create_task(self._run_item(ItemProgress(index, item)))
-                self._tasks.add(task)
-                task.add_done_callback(self._note_task_done)
+        for progress in self._progress.values():
+            task = asyncio.create_task(self._run_item(progress))
+            self._tasks.add(task)
+            task.add_done_callback(self._note_task_done)
+        saving = asyncio.create_task(self._save_regularly())
         try:
             await self._list_results()
         finally:
             self._over = True
+            saving.cancel()
             for task in self._tasks:
                 task.cancel()
 
@@ -131,7 +150,10 @@
             self._changed.set()
 
     def drain(self) -> None:
-        """Start no more items; the job is released once the running ones have ended."""
+        """Start no more items; list what has ended and release the job.
+
+        While the store takes no writes, the items that run go on.
+        """
         self._draining = True
         for task in list(self._waiting_tasks):
             task.cancel()
@@ -142,14 +164,14 @@
     async def _list_results(self) -> None:
         pause_s = RETRY_FIRST_S
         while not self._over and self.head.open:
-            if not self._finished and self._version != ABSENT:
-                if self._draining and not self._tasks:
-                    await self._release()
-                    return
+            if not self._finished and self._version != ABSENT and not self._draining:
                 self._changed.clear()
                 await self._changed.wait()
                 continue
             try:
+                if self._draining and not self._finished:
+                    await self._release()
+                    return
                 await self._list_once()
                 pause_s = RETRY_FIRST_S
             except Conflict:
@@ -169,7 +191,9 @@
         write_id = new_write_id()
         head = self.head.with_results(results, write_id)
         self._listing[write_id] = results
-        self._version = await self._context.repository.change_head(head, self._version, results)
+        self._version = await self._context.repository.change_head(
+            head, self._version, results, self._saved
+        )
         self._note_listed(head)
 
     def _note_listed(self, head: JobHead) -> None:
@@ -207,12 +231,48 @@
         self._note_listed(head)
 
     async def _release(self) -> None:
-        """Give the job up, so that another daemon takes it at once."""
+        """Give the job up with what its items have, so that another daemon goes on at once."""
+        await self._save()
         head = replace(self.head, owner="", write_id=new_write_id())
-        try:
-            await self._context.repository.change_head(head, self._version)
-        except StoreError as problem:
-            self._log("release_failed", cause=type(problem).__name__)
+        await self._context.repository.change_head(head, self._version)
+        self._log("job_released", listed=head.listed, total=head.total)
+
+    # Progress
+
+    def _restore(self, saved: SavedProgress) -> None:
+        progress = self._progress.get(saved.index)
+        if progress is not None:
+            progress.texts = list(saved.texts)
+            progress.last_event_id = saved.last_event_id
+            progress.saved_event_id = saved.last_event_id
+            progress.failures = saved.failures
+            self._saved.add(saved.index)
+
+    async def _save_regularly(self) -> None:
+        """Keep what items have, so that a crash costs little."""
+        while not self._over:
+            await asyncio.sleep(SAVE_S * random.uniform(0.8, 1.2))
+            try:
+                await self._save()
+            except StoreError:
+                continue
+
+    async def _save(self) -> None:
+        changed = [
+            progress
+            for progress in self._progress.values()
+            if progress.last_event_id is not None
+            and progress.last_event_id != progress.saved_event_id
+        ]
+        if not changed or self._version == ABSENT:
+            return
+        saved = [
+            SavedProgress(p.index, p.last_event_id or 0, p.failures, list(p.texts)) for p in changed
+        ]
+        await self._context.repository.save_progress(self.head, self._version, saved)
+        for progress, item in zip(changed, saved, strict=True):
+            progress.saved_event_id = item.last_event_id
+            self._saved.add(item.index)
 
     # Items
 
@@ -221,6 +281,7 @@
             result = await self._try_item(progress)
             if result is not None:
                 self._context.metrics.batch_item_ended(result.state.value)
+                self._progress.pop(progress.index, None)
                 self._finished.append(result)
                 self._changed.set()
                 return
--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -8,12 +8,19 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, replace
 from enum import Enum
 
 from mountstand.hashing import rendezvous_weight
-from mountstand.jobs.model import ItemResult, JobHead, JobItem, JobSubmission, decode_head
+from mountstand.jobs.model import (
+    ItemResult,
+    JobHead,
+    JobItem,
+    JobSubmission,
+    SavedProgress,
+    decode_head,
+)
 from mountstand.jobs.repository import JobRepository, new_write_id
 from mountstand.jobs.runner import JobRunner, RunnerContext
 from mountstand.store.rows import ABSENT, Conflict, OutcomeUnknown, StoreError, StoreRefused
@@ -320,6 +327,7 @@
             if items is None:
                 return
             version = await self._repository.change_head(adopted, version)
+            saved = await self._repository.progress(adopted)
         except StoreError as problem:
             self._context.log.event(
                 "adoption_failed", job=head.job_id, version=version, cause=type(problem).__name__
@@ -333,11 +341,18 @@
             former_owner=head.owner,
             listed=head.listed,
             total=head.total,
+            items_with_progress=len(saved),
             version=version,
         )
-        self._begin(adopted, version, items)
+        self._begin(adopted, version, items, saved)
 
-    def _begin(self, head: JobHead, version: int, items: tuple[JobItem, ...]) -> None:
+    def _begin(
+        self,
+        head: JobHead,
+        version: int,
+        items: tuple[JobItem, ...],
+        saved: Iterable[SavedProgress] = (),
+    ) -> None:
         self._orphan_since_s.pop(head.job_id, None)
         known = self._heads.get(head.job_id)
         if known is not None and known[1] > version:
@@ -345,7 +360,7 @@
             if not head.open or head.owner != self._owners.own_token:
                 return
         self._heads[head.job_id] = (head, version)
-        runner = JobRunner(self._context, head, version, items)
+        runner = JobRunner(self._context, head, version, items, saved)
         if self._draining:
             runner.drain()
         self._runners[head.job_id] = runner
--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -19,9 +19,9 @@
 START_FILL = 0.9
 """A worker filled beyond this share of its slots gets no further batch item."""
 
-YIELD_FILL = 1.0
-"""A worker filled beyond this share gives batch items up. The gap to ``START_FILL`` keeps items
-from being started and taken off in turn."""
+YIELD_FILL = 1.15
+"""A worker filled beyond this share gives batch items up. A short queue costs less than reading a
+prompt again, since some request ends every few tens of milliseconds: docs/design/platform.md."""
 
 
 @dataclass(frozen=True, order=True)
