List each item once, run each job once per process; tests of the serving path

Change: a runner drops results that its head lists before each write; a job is begun once. A feed that answers with nothing and the newest version is asked again from the version before. Broken answers to HTTP/1.0 callers end with a reset.

--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -183,6 +183,7 @@
                 await self._reload_after(problem)
 
     async def _list_once(self) -> None:
+        self._drop_listed()
         results: list[ItemResult] = []
         for result in self._finished:
             if not self._context.repository.fits(results, result):
@@ -199,9 +200,13 @@
     def _note_listed(self, head: JobHead) -> None:
         self.head = head
         self._listing.clear()
-        self._finished = deque(r for r in self._finished if not head.is_listed(r.index))
+        self._drop_listed()
         self._log("results_listed", listed=head.listed, total=head.total, version=self._version)
 
+    def _drop_listed(self) -> None:
+        """Forget results of items that are listed; each item is listed once, whoever ran it."""
+        self._finished = deque(r for r in self._finished if not self.head.is_listed(r.index))
+
     async def _reload_after(self, problem: StoreError) -> None:
         """Learn what became of a write whose answer was lost."""
         if isinstance(problem, OutcomeUnknown):
--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -353,7 +353,10 @@
         items: tuple[JobItem, ...],
         saved: Iterable[SavedProgress] = (),
     ) -> None:
+        """Run a job here, unless it is being run here already."""
         self._orphan_since_s.pop(head.job_id, None)
+        if head.job_id in self._runners:
+            return
         known = self._heads.get(head.job_id)
         if known is not None and known[1] > version:
             head, version = known
@@ -370,7 +373,8 @@
         try:
             await runner.run()
         finally:
-            self._runners.pop(runner.head.job_id, None)
+            if self._runners.get(runner.head.job_id) is runner:
+                del self._runners[runner.head.job_id]
 
     async def drain(self) -> None:
         """Start no more items, and wait until every job here is finished or released."""
--- a/mountstand/store/memory_rows.py
+++ b/mountstand/store/memory_rows.py
@@ -76,10 +76,10 @@
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
         """Wait for changed rows."""
         self._begin("changes")
-        if after < self._history_from:
-            raise HistoryGone
         deadline_s = time.monotonic() + wait_ms / 1000
         while True:
+            if after < self._history_from:
+                raise HistoryGone
             rows = [r for r in self._history if r.version > after and r.key.table == table]
             left_s = deadline_s - time.monotonic()
             if rows or left_s <= 0:
--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -7,7 +7,14 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from mountstand.store.rows import HistoryGone, RowStore, StoredRow, StoreError, read_all
+from mountstand.store.rows import (
+    HistoryGone,
+    RowPage,
+    RowStore,
+    StoredRow,
+    StoreError,
+    read_all,
+)
 from mountstand.telemetry.decisions import DecisionLog
 
 WAIT_MS = 1500
@@ -48,6 +55,7 @@
         self._apply = apply
         self._log = log
         self._version: int | None = None
+        self._told_version = 0
         self._failing_since_s: float | None = None
         self.now_ms = 0
         self.now_read_at_s = 0.0
@@ -84,17 +92,31 @@
         if self._version is None:
             pages = [await read_all(self._store, self._table, part) for part in self._parts]
             self._version = min(page.version for page in pages)
+            self._told_version = self._version
             self._apply(TableChange([row for page in pages for row in page.rows], True))
             self.loaded.set()
         else:
             page = await self._store.changes(self._table, self._version, WAIT_MS)
             pages = [page]
-            self._version = max(self._version, page.version)
+            self._advance(page)
             if page.rows:
                 self._apply(TableChange(page.rows, False))
         self.now_ms = pages[-1].now_ms
         self.now_read_at_s = loop.time()
 
+    def _advance(self, page: RowPage) -> None:
+        """Move on to where the next call continues.
+
+        A feed that misses changes for a moment may answer with nothing and the newest version. So
+        after an empty answer the next call continues from the version of the answer before.
+        """
+        assert self._version is not None
+        if page.rows:
+            self._version = max(self._version, max(row.version for row in page.rows))
+        else:
+            self._version = max(self._version, self._told_version)
+        self._told_version = page.version
+
     def _note_failure(self, now_s: float, problem: StoreError) -> None:
         if self._failing_since_s is None:
             self._failing_since_s = now_s
--- a/mountstand/transport/http_server.py
+++ b/mountstand/transport/http_server.py
@@ -16,6 +16,7 @@
 import httptools
 
 from mountstand.transport.headers import Header, Headers
+from mountstand.transport.sockets import reset
 
 logger = logging.getLogger(__name__)
 
@@ -317,7 +318,7 @@
     def abort(self) -> None:
         """Reset the connection."""
         if self._transport is not None:
-            self._transport.abort()
+            reset(self._transport)
 
     def close_when_idle(self) -> None:
         """Close now if no request is being read or answered, else after the answer."""
--- /dev/null
+++ b/tests/serving/test_forwarder.py
@@ -0,0 +1,271 @@
+"""Retries, resumption and final answers of online requests, by stand-in workers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from testtools import TestCase
+
+from mountstand.serving.configuration import RequestKind, Route
+from mountstand.serving.forwarder import Forwarder
+from mountstand.serving.worker_protocol import Call
+from mountstand.transport.http_server import HttpServer, Responder, ServerLimits, ServerRequest
+from tests.stand_ins.harness import HOST, Fleet, eventually, route, run
+from tests.stand_ins.worker import (
+    Answer,
+    StandInWorker,
+    event,
+    not_run,
+    other_worker,
+    reset,
+    silence,
+    stream,
+    whole,
+)
+
+
+class Front:
+    """A caller's side before a fleet of stand-in workers."""
+
+    def __init__(self, used: Route, *scripts: tuple[Answer, ...]) -> None:
+        self.route = used
+        self.workers = [StandInWorker(f"w{n}", *script) for n, script in enumerate(scripts)]
+        self.fleet = Fleet(*self.workers)
+        self.deadline_s: float | None = None
+
+    async def __aenter__(self) -> Front:
+        await self.fleet.__aenter__()
+        fleet = self.fleet
+        self.forwarder = Forwarder(
+            fleet.directory,
+            fleet.connections,
+            fleet.protocol,
+            fleet.shares,
+            fleet.room,
+            fleet.metrics,
+            fleet.log,
+        )
+        self.server = HttpServer(self._handle, ServerLimits())
+        self.port = await self.server.start("127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.server.stop_listening()
+        await self.fleet.__aexit__()
+
+    async def _handle(self, request: ServerRequest, responder: Responder) -> None:
+        call = Call(
+            request.headers.get("request-id") or "",
+            HOST,
+            request.method,
+            request.target,
+            tuple(request.headers.end_to_end()),
+            request.body,
+        )
+        limit_s = self.deadline_s or self.route.timeout_s
+        deadline_s = request.received_at_s + limit_s
+        await self.forwarder.forward(self.route, call, responder, request.received_at_s, deadline_s)
+
+    async def ask(self, request_id: str = "r1") -> tuple[int, bytes, bool]:
+        """Return status, body, and whether the answer came whole."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        head = f"POST /x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+        writer.write((head + "Content-Length: 4\r\n\r\nbody").encode())
+        try:
+            raw_head = await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return 0, b"", False
+        status = int(raw_head.split(b" ")[1])
+        body, complete = await self._read_body(reader, raw_head.lower())
+        self.last_head = raw_head.decode()
+        writer.close()
+        return status, body, complete
+
+    async def _read_body(self, reader: asyncio.StreamReader, head: bytes) -> tuple[bytes, bool]:
+        body = b""
+        try:
+            if b"content-length:" in head:
+                length = int(head.split(b"content-length:")[1].split(b"\r\n")[0])
+                return await reader.readexactly(length), True
+            while True:
+                size = int(await reader.readuntil(b"\r\n"), 16)
+                piece = await reader.readexactly(size + 2)
+                if size == 0:
+                    return body, True
+                body += piece[:-2]
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+
+
+REPEATABLE = route(RequestKind.REPEATABLE)
+ONCE = route(RequestKind.AT_MOST_ONCE)
+PLAIN_STREAM = route(RequestKind.STREAM)
+RESUMABLE = route(RequestKind.STREAM, resumable=True, event_gap_s=0.2, max_attempts=3)
+BAD = whole(b"no", "500 Internal Server Error")
+
+# name: (route, scripts of worker 0 and of all others, status, runs at workers that count)
+TABLE: dict[str, tuple[Route, Answer, Answer, int, int]] = {
+    "a full worker: another is asked": (ONCE, not_run(), whole(), 200, 2),
+    "another worker at the address": (ONCE, other_worker(), whole(), 200, 2),
+    "repeatable, reset: another is asked": (REPEATABLE, reset, whole(), 200, 2),
+    "repeatable, failed: another is asked": (REPEATABLE, BAD, whole(), 200, 2),
+    "once, reset: may have run, ends there": (ONCE, reset, reset, 502, 1),
+    "once, failed: relayed as it is": (ONCE, BAD, BAD, 500, 1),
+    "repeatable, all reset: ends within its attempts": (REPEATABLE, reset, reset, 502, 2),
+    "all full: refused as not run": (ONCE, not_run(), not_run(), 503, 3),
+    "stream, reset before the head": (PLAIN_STREAM, reset, reset, 502, 1),
+}
+
+
+class Retries(TestCase):
+    def test_table(self) -> None:
+        for name, (used, first, others, status, received) in TABLE.items():
+            with self.subTest(name):
+                run(self._case(name, used, first, others, status, received))
+
+    async def _case(
+        self, name: str, used: Route, first: Answer, others: Answer, status: int, received: int
+    ) -> None:
+        async with Front(used, (first,), (others,), (others,)) as front:
+            front.fleet.directory.workers["w1"].in_flight = 1
+            front.fleet.directory.workers["w2"].in_flight = 1
+            found = await front.ask()
+            self.assertEqual(status, found[0], name)
+            self.assertEqual(received, len(front.fleet.received()), name)
+            self.assertEqual(len(set(front.fleet.received())), received, f"{name}: no worker twice")
+            if status == 503:
+                self.assertIn("Retry-After: ", front.last_head)
+
+    def test_each_dispatch_names_its_worker_and_what_time_is_left(self) -> None:
+        async def scenario() -> None:
+            async with Front(ONCE, (whole(),)) as front:
+                await front.ask()
+                received = front.workers[0].received[0]
+                self.assertEqual("w0", received.headers.get("expect-instance"))
+                self.assertEqual("r1", received.headers.get("request-id"))
+                left_ms = int(received.headers.get("deadline-ms") or 0)
+                self.assertTrue(2000 < left_ms <= 3000, left_ms)
+                self.assertEqual(b"body", received.body)
+
+        run(scenario())
+
+    def test_unreachable_worker_costs_no_run(self) -> None:
+        async def scenario() -> None:
+            async with Front(ONCE, (whole(),), (whole(),)) as front:
+                await front.workers[0].stop()
+                front.fleet.directory.workers["w1"].in_flight = 1
+                self.assertEqual(200, (await front.ask())[0])
+                self.assertEqual(["w1"], front.fleet.received())
+
+        run(scenario())
+
+    def test_no_worker_at_all_is_refused_at_once(self) -> None:
+        async def scenario() -> None:
+            async with Front(ONCE) as front:
+                began_s = asyncio.get_running_loop().time()
+                self.assertEqual(503, (await front.ask())[0])
+                self.assertLess(asyncio.get_running_loop().time() - began_s, 0.5)
+
+        run(scenario())
+
+
+class FinalAnswers(TestCase):
+    def test_request_that_outlasts_its_deadline_is_answered_then(self) -> None:
+        async def scenario() -> None:
+            async with Front(ONCE, (silence,)) as front:
+                front.deadline_s = 0.3
+                began_s = asyncio.get_running_loop().time()
+                status, _, _ = await front.ask()
+                took_s = asyncio.get_running_loop().time() - began_s
+                self.assertEqual(504, status)
+                self.assertTrue(0.25 < took_s < 0.6, took_s)
+                received = front.workers[0].received[0]
+                await eventually(received.caller_left.is_set, "the worker's stream is closed", 0.5)
+
+        run(scenario())
+
+    def test_worker_is_left_when_the_caller_leaves(self) -> None:
+        async def scenario() -> None:
+            async with Front(ONCE, (silence,)) as front:
+                _, writer = await asyncio.open_connection("127.0.0.1", front.port)
+                writer.write(f"GET /x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r\r\n\r\n".encode())
+                await eventually(lambda: front.workers[0].received, "the worker has it")
+                writer.close()
+                received = front.workers[0].received[0]
+                await eventually(received.caller_left.is_set, "the worker is left", 0.5)
+
+        run(scenario())
+
+
+class Streams(TestCase):
+    EXPECTED = b"".join(event(number) for number in range(1, 7))
+
+    def ask(self, used: Route, *scripts: tuple[Answer, ...]) -> tuple[Any, Front]:
+        async def scenario() -> tuple[Any, Front]:
+            async with Front(used, *scripts) as front:
+                for number in range(1, len(front.workers)):
+                    front.fleet.directory.workers[f"w{number}"].in_flight = number
+                return await front.ask(), front
+
+        return run(scenario())
+
+    def test_whole_stream_is_passed_on_as_it_is(self) -> None:
+        found, _ = self.ask(PLAIN_STREAM, (stream(6),))
+        self.assertEqual((200, self.EXPECTED, True), found)
+
+    def test_cut_stream_is_resumed_after_its_last_whole_event(self) -> None:
+        found, front = self.ask(RESUMABLE, (stream(6, cut_after=3),), (stream(6),))
+        self.assertEqual((200, self.EXPECTED, True), found)
+        self.assertEqual(3, front.workers[1].received[0].resume_after)
+        self.assertIn("stamp-r1", front.last_head)
+
+    def test_stalled_stream_is_resumed_elsewhere(self) -> None:
+        found, front = self.ask(RESUMABLE, (stream(6, gap_s=2.0),), (stream(6),))
+        self.assertEqual((200, self.EXPECTED, True), found)
+        self.assertEqual(1, front.workers[1].received[0].resume_after)
+
+    def test_cut_stream_that_may_not_be_resumed_does_not_look_whole(self) -> None:
+        found, front = self.ask(PLAIN_STREAM, (stream(6, cut_after=3),), (stream(6),))
+        status, body, complete = found
+        self.assertEqual((200, False), (status, complete))
+        self.assertEqual(b"".join(event(number) for number in range(1, 4)), body)
+        self.assertEqual([], front.workers[1].received)
+
+    def test_attempts_bound_resumption(self) -> None:
+        cut = stream(6, cut_after=0)
+        found, front = self.ask(RESUMABLE, (cut,), (cut,), (cut,), (stream(6),))
+        self.assertEqual(False, found[2])
+        self.assertEqual(3, len(front.fleet.received()))
+
+    def test_silent_unreachable_worker_is_left_for_another(self) -> None:
+        async def scenario() -> None:
+            async with Front(RESUMABLE, (silence,), (stream(6),)) as front:
+                front.fleet.directory.workers["w1"].in_flight = 1
+                asking = asyncio.create_task(front.ask())
+                await eventually(lambda: front.workers[0].received, "the worker has it")
+                assert front.workers[0]._server is not None
+                front.workers[0]._server.close()
+                self.assertEqual((200, self.EXPECTED, True), await asking)
+
+        run(scenario())
+
+
+class Telling(TestCase):
+    def test_each_end_is_one_line_with_its_inputs(self) -> None:
+        async def scenario() -> None:
+            async with Front(REPEATABLE, (reset,), (whole(),)) as front:
+                front.fleet.directory.workers["w1"].in_flight = 1
+                await front.ask()
+                await eventually(lambda: front.fleet.log.lines("request_ended"), "it is told")
+                attempt = front.fleet.log.lines("attempt_failed")[0]
+                self.assertEqual(("r1", "w0", "may have run"), pick(attempt))
+                ended = front.fleet.log.lines("request_ended")[0]
+                self.assertEqual(("r1", "w1", 200), (*pick(ended)[:2], ended["status"]))
+
+        run(scenario())
+
+
+def pick(line: dict[str, Any]) -> tuple[str, str, str]:
+    """Return what identifies an attempt's line."""
+    return line["request"], line["worker"], line["outcome"]
--- /dev/null
+++ b/tests/stand_ins/harness.py
@@ -0,0 +1,120 @@
+"""What tests of the serving path share: a directory of stand-in workers and a forwarder."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import random
+from collections.abc import Awaitable
+from typing import Any, TypeVar
+
+import orjson
+
+from mountstand.platform.worker_protocol import PlatformWorkerProtocol
+from mountstand.serving.batch_room import BatchRoom
+from mountstand.serving.configuration import (
+    Configuration,
+    RequestKind,
+    Route,
+    Service,
+    ServiceShare,
+    ShareChooser,
+)
+from mountstand.serving.connections import WorkerConnections
+from mountstand.serving.workers import WorkerDirectory, WorkerRecord
+from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.serving_metrics import ServingMetrics
+from mountstand.transport.http_server import ServerLimits
+from tests.stand_ins.worker import StandInWorker
+
+Result = TypeVar("Result")
+TEST_TIMEOUT_S = 30.0
+HOST = "caption.example"
+
+
+def run(work: Awaitable[Result]) -> Result:
+    """Run a coroutine to its end, within a generous time."""
+    return asyncio.run(asyncio.wait_for(work, TEST_TIMEOUT_S))  # type: ignore[arg-type]
+
+
+async def eventually(condition: Any, what: str, timeout_s: float = 10.0) -> None:
+    """Wait until ``condition()`` holds."""
+    deadline_s = asyncio.get_running_loop().time() + timeout_s
+    while not condition():
+        if asyncio.get_running_loop().time() > deadline_s:
+            raise AssertionError(f"not so after {timeout_s} s: {what}")
+        await asyncio.sleep(0.01)
+
+
+def route(kind: RequestKind, **changes: Any) -> Route:
+    """Return a route to the service ``llm``."""
+    fields: dict[str, Any] = {
+        "name": f"route-{kind.name.lower()}",
+        "host": HOST,
+        "path_prefix": f"/{kind.name.lower()}/",
+        "kind": kind,
+        "timeout_s": 3.0,
+        "target_latency_s": 0.5,
+        "max_attempts": 2,
+        "shares": (ServiceShare("llm", 1.0),),
+        "retention_s": 60.0,
+        "completion_target_s": 20.0,
+    }
+    return Route(**{**fields, **changes})
+
+
+def configuration(*routes: Route, version: int = 1) -> Configuration:
+    """Return a configuration of routes."""
+    return Configuration(version, routes, {"llm": Service("llm", 100)}, ServerLimits())
+
+
+def record(worker: StandInWorker, slots: int = 4, version: int = 1) -> WorkerRecord:
+    """Return the record of a stand-in worker."""
+    return WorkerRecord(
+        worker.worker_id, "llm", "127.0.0.1", worker.port, "zone-a", slots, False, version
+    )
+
+
+class LineLog(DecisionLog):
+    """A decision log that keeps its lines."""
+
+    def __init__(self) -> None:
+        self.stream = io.StringIO()
+        super().__init__("test", self.stream)
+
+    def lines(self, event: str) -> list[dict[str, Any]]:
+        """Return the lines of one kind of event."""
+        parsed = [orjson.loads(line) for line in self.stream.getvalue().splitlines()]
+        return [line for line in parsed if line["event"] == event]
+
+
+class Fleet:
+    """Stand-in workers and what the product keeps of them."""
+
+    def __init__(self, *workers: StandInWorker) -> None:
+        self.workers = workers
+        self.source = random.Random(7)
+        self.directory = WorkerDirectory("zone-a", self.source)
+        self.connections = WorkerConnections()
+        self.protocol = PlatformWorkerProtocol()
+        self.shares = ShareChooser(self.source)
+        self.room = BatchRoom(self.directory, lambda: 1)
+        self.metrics = ServingMetrics()
+        self.log = LineLog()
+
+    async def __aenter__(self) -> Fleet:
+        """Start the workers and list them."""
+        now_s = asyncio.get_running_loop().time()
+        for worker in self.workers:
+            await worker.start()
+            self.directory.put(record(worker), now_s)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        """Stop the workers."""
+        for worker in self.workers:
+            await worker.stop()
+
+    def received(self) -> list[str]:
+        """Return the ids of the workers that received requests, one per request."""
+        return [worker.worker_id for worker in self.workers for _ in worker.received]
