--- a/mountstand/lab/ports.py
+++ b/mountstand/lab/ports.py
@@ -1,27 +1,65 @@
-"""Free ports on loopback for experiments and tests."""
+"""Free ports on loopback for experiments and tests.
+
+A port that was drawn is bound by another process a moment later. Ports come from below the range
+from which the system takes the ports of outgoing connections: a port of that range could be taken
+by any connection in between.
+"""
 
 from __future__ import annotations
 
+import os
 import socket
+from collections.abc import Iterator
+from pathlib import Path
 
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 10_000
+OUTGOING_RANGE_FILE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+USUAL_OUTGOING_START = 32_768
+STRIDE = 997
+"""Processes begin at different places, so that two that draw at once rarely meet."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free for TCP and UDP just now."""
-    sockets = []
-    ports: list[int] = []
-    while len(ports) < count:
-        tcp = socket.socket()
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sockets += [tcp, udp]
-        tcp.bind((LOOPBACK, 0))
-        port = tcp.getsockname()[1]
+def first_outgoing_port() -> int:
+    """Return the lowest port that the system takes for outgoing connections."""
+    try:
+        return int(OUTGOING_RANGE_FILE.read_text().split()[0])
+    except (OSError, ValueError, IndexError):
+        return USUAL_OUTGOING_START
+
+
+def candidates() -> Iterator[int]:
+    """Return ports to try, each once until all were tried."""
+    count = max(1, first_outgoing_port() - FIRST_PORT)
+    start = os.getpid() * STRIDE
+    while True:
+        for offset in range(count):
+            yield FIRST_PORT + (start + offset) % count
+
+
+_candidates = candidates()
+
+
+def is_free(port: int) -> bool:
+    """Return whether ``port`` can be bound for TCP and UDP just now."""
+    with (
+        socket.socket() as tcp,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+    ):
         try:
+            tcp.bind((LOOPBACK, port))
             udp.bind((LOOPBACK, port))
         except OSError:
-            continue
-        ports.append(port)
-    for opened in sockets:
-        opened.close()
+            return False
+    return True
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free for TCP and UDP; none is given out twice by one process."""
+    ports: list[int] = []
+    for port in _candidates:
+        if len(ports) == count:
+            break
+        if is_free(port):
+            ports.append(port)
     return ports
