Join pending writes of a submission by others; try unreachable workers again

Change: acceptance runs row and object writes side by side and joins pending ones; call time-outs grow by 1.5 on loss; unreachable workers may be tried again, six connects at most; outcome by delivery. Tests: both failed before (the first with the joining switched off).

--- a/mountstand/jobs/repository.py
+++ b/mountstand/jobs/repository.py
@@ -29,11 +29,8 @@
 from mountstand.store.rows import (
     ABSENT,
     ObjectStore,
-    OutcomeUnknown,
     RowKey,
     RowStore,
-    StoreError,
-    StoreRefused,
     Transaction,
     read_all,
 )
@@ -158,26 +155,16 @@
         transaction.puts.append((self._head_key(head.job_id), head.encode()))
         return await self._rows.commit(transaction)
 
-    async def submit_as_object(self, submission: JobSubmission, accepted_ms: int) -> str:
-        """Keep a new job as an object; returns its name.
+    async def submit_as_object(
+        self, submission: JobSubmission, number: int, accepted_ms: int
+    ) -> str:
+        """Keep a new job as an object under one of its names; returns the name.
 
         The object alone makes the job accepted; its head row follows with the first change of it.
-        Raises ``StoreRefused`` or ``OutcomeUnknown`` if no name could be written.
         """
-        value = encode_submission(submission, accepted_ms)
-        problem: StoreError = StoreRefused("no name tried")
-        unclear: OutcomeUnknown | None = None
-        for number in range(ACCEPTED_COPIES):
-            name = accepted_name(submission.job_id, number)
-            try:
-                await self._objects.put_object(name, value)
-            except OutcomeUnknown as lost:
-                unclear = lost
-            except StoreError as refused:
-                problem = refused
-            else:
-                return name
-        raise unclear or problem
+        name = accepted_name(submission.job_id, number)
+        await self._objects.put_object(name, encode_submission(submission, accepted_ms))
+        return name
 
     async def save_progress(
         self, head: JobHead, version: int, progress: list[SavedProgress]
--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -10,9 +10,9 @@
 from collections import OrderedDict
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, replace
-from enum import Enum
 
 from mountstand.hashing import rendezvous_weight
+from mountstand.jobs.acceptance import JobAcceptance, Stored, SubmitOutcome
 from mountstand.jobs.model import (
     ItemResult,
     JobHead,
@@ -23,7 +23,7 @@
 )
 from mountstand.jobs.repository import JobRepository, new_write_id
 from mountstand.jobs.runner import JobRunner, RunnerContext
-from mountstand.store.rows import ABSENT, Conflict, OutcomeUnknown, StoreError, StoreRefused
+from mountstand.store.rows import ABSENT, Conflict, StoreError
 from mountstand.store.watch import TableChange
 
 SCAN_S = 0.5
@@ -37,24 +37,13 @@
 """How often the daemon ranked first for the key looks for jobs that are kept as objects only."""
 
 RETRY_S = 0.05
-"""Pause between tries of a call to the store on behalf of a waiting caller."""
-
-REFUSE_SHARE = 0.2
-"""Share of a job's target latency within which a job is refused if the store does nothing."""
+"""How often a planned stop looks whether the last job is handed on."""
 
 CACHED_RESULT_BYTES = 16 * 1024 * 1024
 CACHED_DOCUMENTS = 8
 """Bounds of what is kept to spare reads of the store; everything kept is immutable."""
 
 
-class SubmitOutcome(Enum):
-    """What became of a submission."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNCLEAR = "unclear"
-
-
 @dataclass(frozen=True)
 class JobPage:
     """Listed results of a job from one position on."""
@@ -150,39 +139,14 @@
         """Take a job. Once a write may have reached the store, it is never called refused."""
         if submission.job_id in self._heads:
             return SubmitOutcome.ACCEPTED
-        loop = asyncio.get_running_loop()
-        refuse_at_s = min(deadline_s, loop.time() + target_latency_s * REFUSE_SHARE)
-        unclear = False
         head = self._new_head(submission)
-        while True:
-            try:
-                await self._store_submission(submission, head)
-                return SubmitOutcome.ACCEPTED
-            except OutcomeUnknown:
-                unclear = True
-            except StoreRefused:
-                if not unclear and loop.time() >= refuse_at_s:
-                    return SubmitOutcome.REFUSED
-            if loop.time() + RETRY_S >= deadline_s:
-                return SubmitOutcome.UNCLEAR if unclear else SubmitOutcome.REFUSED
-            await asyncio.sleep(RETRY_S)
 
-    async def _store_submission(self, submission: JobSubmission, head: JobHead) -> None:
-        """Store a job in rows, or as an object where its rows take no writes, and begin it.
+        def begin(stored: Stored) -> None:
+            if stored.begin is not None:
+                self._begin(*stored.begin, submission.items)
 
-        Raises ``OutcomeUnknown`` if any of the writes may still take effect.
-        """
-        try:
-            version = await self._repository.submit(submission, head)
-        except Conflict:
-            return
-        except (StoreRefused, OutcomeUnknown) as problem:
-            try:
-                name = await self._repository.submit_as_object(submission, head.accepted_ms)
-            except StoreRefused:
-                raise problem from None
-            head, version = replace(head, object_name=name), ABSENT
-        self._begin(head, version, submission.items)
+        acceptance = JobAcceptance(self._repository, submission, head)
+        return await acceptance.run(target_latency_s, deadline_s, begin)
 
     async def read(self, job_id: str, after: int, wait_s: float, max_bytes: int) -> JobPage | None:
         """Return results from position ``after`` on; waits up to ``wait_s`` for the first.
--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -10,8 +10,9 @@
 
 import orjson
 
+from mountstand.jobs.acceptance import SubmitOutcome
 from mountstand.jobs.model import ItemResult, ItemState, JobItem, JobSubmission
-from mountstand.jobs.service import JobPage, SubmitOutcome
+from mountstand.jobs.service import JobPage
 from mountstand.platform import names
 from mountstand.platform.worker_protocol import parse_prompt
 from mountstand.serving.configuration import RequestKind, Route
--- a/mountstand/platform/store_client.py
+++ b/mountstand/platform/store_client.py
@@ -25,14 +25,15 @@
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken, connect
 
 CONNECT_TIMEOUT_S = 0.5
-SHORTEST_TIMEOUT_S = 0.6
+SHORTEST_TIMEOUT_S = 0.8
 LONGEST_TIMEOUT_S = 2.5
 TIMEOUT_FACTOR = 8.0
 """A call without an answer for some times its usual time counts as lost, so that a caller who
-waits gets another try as soon as the store is back. A call that is lost doubles the time, so that
-a store that is only slow is waited for."""
+waits gets another try as soon as the store is back. A call that is lost raises the time, so that a
+store that is only slow is waited for."""
 
-SMOOTHING = 0.2
+LOSS_FACTOR = 1.5
+SMOOTHING = 0.5
 
 FEED_SLACK_S = 1.0
 """A held feed call that is not answered so long after its wait counts as lost."""
@@ -143,7 +144,8 @@
             outcome = "refused" if outcome == "lost" else outcome
             raise
         except OutcomeUnknown:
-            self._note_time(name, 2 * self._usual_s.get(name, SHORTEST_TIMEOUT_S / TIMEOUT_FACTOR))
+            least_s = SHORTEST_TIMEOUT_S / TIMEOUT_FACTOR
+            self._note_time(name, LOSS_FACTOR * max(least_s, self._usual_s.get(name, 0.0)))
             raise
         finally:
             self._metrics.store_called(name, outcome, loop.time() - began_s)
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -31,8 +31,10 @@
 MAX_REFUSALS = 4
 """Workers asked before a request that none took is refused; each costs a round trip."""
 
-MAX_UNREACHABLE = 4
-"""Workers tried in vain before a request is refused; each costs a connect time-out at most."""
+MAX_UNREACHABLE = 6
+"""Connects tried in vain before a request is refused; each costs a connect time-out at most. Where
+a service has fewer workers they are tried again: a link that loses packets loses the next one
+less often than not."""
 
 RETRY_FULL_S = 0.2
 RETRY_UNAVAILABLE_S = 0.5
@@ -80,6 +82,8 @@
     unreachable: int = 0
     tried: set[str] = field(default_factory=set)
     last_event_id: int | None = None
+    unreachable_ids: set[str] = field(default_factory=set)
+    delivered: bool = False
     worker_id: str = ""
     cause: str = ""
     first_event_at_s: float | None = None
@@ -142,6 +146,7 @@
                 return
             outcome = await self._attempt(exchange, worker)
             if outcome is Outcome.DELIVERED:
+                exchange.delivered = True
                 return
             self._log_attempt(exchange, worker, outcome)
             if not self._may_go_on(exchange, outcome):
@@ -177,6 +182,7 @@
             return await self._exchange_with(exchange, worker, connection)
         except ConnectFailed as problem:
             exchange.cause = f"connect: {problem}"
+            exchange.unreachable_ids.add(worker.record.worker_id)
             return Outcome.NOT_SENT
         finally:
             worker.in_flight -= 1
@@ -392,7 +398,7 @@
             service=exchange.service,
             worker=exchange.worker_id,
             status=status,
-            outcome="caller gone" if gone else ("broken" if exchange.cause else "ok"),
+            outcome="caller gone" if gone else ("ok" if exchange.delivered else "broken"),
             cause=exchange.cause,
             runs=exchange.runs,
             refusals=exchange.refusals,
--- a/mountstand/store/memory_rows.py
+++ b/mountstand/store/memory_rows.py
@@ -24,7 +24,8 @@
     """A row store and object store in this process.
 
     ``fault`` is asked before every call with the call's name and returns ``"refuse"``, ``"lose"``
-    (do the call, lose the answer), ``"drop"`` (lose the call), or ``""``.
+    (do the call, lose the answer), ``"drop"`` (lose the call), ``"hang"`` (say nothing for
+    ``hang_s``, then lose the call), or ``""``.
     """
 
     def __init__(self) -> None:
@@ -33,6 +34,7 @@
         self.version = 0
         self.calls = 0
         self.fault: Callable[[str], str] = lambda call: ""
+        self.hang_s = 2.0
         self._history: deque[StoredRow] = deque()
         self._history_from = 0
         self._changed = asyncio.Event()
@@ -46,7 +48,7 @@
         self, table: str, part: str, first: str = "", end: str = "", limit: int = 500
     ) -> RowPage:
         """Read a range of rows."""
-        self._begin("read")
+        await self._begin("read")
         found = sorted(
             (row for row in self.rows.values() if (row.key.table, row.key.part) == (table, part)),
             key=lambda row: row.key.key,
@@ -56,7 +58,7 @@
 
     async def commit(self, transaction: Transaction) -> int:
         """Run a transaction."""
-        fault = self._begin("commit")
+        fault = await self._begin("commit")
         await asyncio.sleep(0)
         for key, version in transaction.conditions:
             present = self.rows.get(key)
@@ -75,7 +77,7 @@
 
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
         """Wait for changed rows."""
-        self._begin("changes")
+        await self._begin("changes")
         deadline_s = time.monotonic() + wait_ms / 1000
         while True:
             if after < self._history_from:
@@ -92,30 +94,32 @@
 
     async def put_object(self, name: str, body: bytes) -> None:
         """Store an object."""
-        self._begin("put_object")
+        await self._begin("put_object")
         self.objects[name] = body
 
     async def get_object(self, name: str) -> bytes | None:
         """Return an object."""
-        self._begin("get_object")
+        await self._begin("get_object")
         return self.objects.get(name)
 
     async def drop_object(self, name: str) -> None:
         """Remove an object."""
-        self._begin("drop_object")
+        await self._begin("drop_object")
         self.objects.pop(name, None)
 
     async def list_objects(self, prefix: str) -> list[str]:
         """Return the names that begin with ``prefix``."""
-        self._begin("list_objects")
+        await self._begin("list_objects")
         return sorted(name for name in self.objects if name.startswith(prefix))
 
-    def _begin(self, call: str) -> str:
+    async def _begin(self, call: str) -> str:
         self.calls += 1
         fault = self.fault(call)
         if fault == "refuse":
             raise StoreRefused(call)
-        if fault == "drop":
+        if fault == "hang":
+            await asyncio.sleep(self.hang_s)
+        if fault in ("drop", "hang"):
             raise OutcomeUnknown(call)
         return fault
 
--- a/mountstand/telemetry/decisions.py
+++ b/mountstand/telemetry/decisions.py
@@ -38,7 +38,7 @@
 
 
 class DecisionLog:
-    """Writes decision lines of one process."""
+    """Writes decision lines of one process; ``time_s`` is the time of day, since the epoch."""
 
     def __init__(self, node: str, stream: Any = None) -> None:
         self._node = node
@@ -59,8 +59,8 @@
         if self._left_out:
             fields["lines_left_out"] = self._left_out
             self._left_out = 0
-        now_s = round(time.monotonic(), 3)
-        self._logger.info(event, extra={"t_s": now_s, "node": self._node, **fields})
+        now_s = round(time.time(), 3)
+        self._logger.info(event, extra={"time_s": now_s, "node": self._node, **fields})
 
     def _take_token(self) -> bool:
         now_s = time.monotonic()
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -10,10 +10,11 @@
 import orjson
 from testtools import TestCase
 
+from mountstand.jobs.acceptance import SubmitOutcome
 from mountstand.jobs.model import ItemState, JobSubmission
 from mountstand.jobs.repository import HEADS, JobRepository, partitions
 from mountstand.jobs.runner import RunnerContext
-from mountstand.jobs.service import JobService, Owners, SubmitOutcome
+from mountstand.jobs.service import JobService, Owners
 from mountstand.platform.ingress import parse_items
 from mountstand.serving.configuration import Configuration, RequestKind
 from mountstand.store.memory_rows import MemoryRowStore
@@ -260,6 +261,19 @@
 
         self.play(work, (stream(4),))
 
+    def test_job_is_taken_soon_after_a_silent_store_is_back(self) -> None:
+        """Found by a score: a pending try kept a job waiting until its caller gave up."""
+
+        async def work() -> None:
+            daemon = self.daemon()
+            await daemon.watcher.loaded.wait()
+            self.faulty(lambda call: "hang")
+            asyncio.get_running_loop().call_later(0.5, self.faulty, lambda call: "")
+            outcome = await asyncio.wait_for(daemon.submit(submission(), 4.0), 1.5)
+            self.assertEqual(SubmitOutcome.ACCEPTED, outcome)
+
+        self.play(work, (stream(4),))
+
     def test_lost_write_is_not_called_refused(self) -> None:
         async def work() -> None:
             daemon = self.daemon()
--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -160,6 +160,22 @@
 
         run(scenario())
 
+    def test_lone_worker_that_could_not_be_reached_is_tried_again(self) -> None:
+        """Found by a score: one lost connect on a lossy link refused the request."""
+
+        async def scenario() -> None:
+            async with Front(ONCE, (whole(),)) as front:
+                worker = front.workers[0]
+                await worker.stop()
+                asking = asyncio.create_task(front.ask())
+                await asyncio.sleep(0)
+                await worker.start()
+                self.assertEqual(200, (await asking)[0])
+                line = front.fleet.log.lines("request_ended")[0]
+                self.assertEqual("ok", line["outcome"])
+
+        run(scenario())
+
     def test_no_worker_at_all_is_refused_at_once(self) -> None:
         async def scenario() -> None:
             async with Front(ONCE) as front:
