--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -10,6 +10,7 @@
 from mountstand.serving.configuration import RequestKind, Route
 from mountstand.serving.forwarder import Forwarder
 from mountstand.serving.worker_protocol import Call
+from mountstand.transport.http_client import ClientConnection, ConnectFailed
 from mountstand.transport.http_server import HttpServer, Responder, ServerLimits, ServerRequest
 from tests.stand_ins.harness import HOST, Fleet, eventually, route, run
 from tests.stand_ins.worker import (
@@ -165,12 +166,16 @@
 
         async def scenario() -> None:
             async with Front(ONCE, (whole(),)) as front:
-                worker = front.workers[0]
-                await worker.stop()
-                asking = asyncio.create_task(front.ask())
-                await asyncio.sleep(0)
-                await worker.start()
-                self.assertEqual(200, (await asking)[0])
+                acquire = front.fleet.connections.acquire
+                failures = iter([ConnectFailed("lost")])
+
+                async def lossy(*args: Any, **options: Any) -> ClientConnection:
+                    for failure in failures:
+                        raise failure
+                    return await acquire(*args, **options)
+
+                front.fleet.connections.acquire = lossy  # type: ignore[method-assign]
+                self.assertEqual(200, (await front.ask())[0])
                 line = front.fleet.log.lines("request_ended")[0]
                 self.assertEqual("ok", line["outcome"])
 
