--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -154,6 +154,14 @@
                 return
 
     def _choose(self, exchange: Exchange) -> Worker | None:
+        worker = self._choose_untried(exchange)
+        if worker is None and exchange.unreachable_ids:
+            exchange.tried -= exchange.unreachable_ids
+            exchange.unreachable_ids.clear()
+            worker = self._choose_untried(exchange)
+        return worker
+
+    def _choose_untried(self, exchange: Exchange) -> Worker | None:
         now_s = asyncio.get_running_loop().time()
         return self._directory.choose(exchange.service, exchange.call.prompt, exchange.tried, now_s)
 
