--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -351,6 +351,8 @@
             return await self._exchange(progress, route, worker, progress.connection)
         except (ConnectFailed, ReplyBroken, TimeoutError) as problem:
             cause = "preempted" if progress.preempted else str(problem) or "silent"
+            if not progress.preempted and not isinstance(problem, ConnectFailed):
+                worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
             self._log_attempt(progress, worker, cause)
             return None
         finally:
@@ -387,6 +389,7 @@
         if head.status != 200:
             return self._note_failure(progress, route, worker, head.status)
         await self._collect(progress, worker, connection)
+        worker.health.own.add(loop.time(), failed=False)
         return ItemResult(
             progress.index,
             progress.item.item_id,
@@ -420,6 +423,7 @@
             return self._failed(progress, "cannot be done", route.name)
         if status == FAILED_STATUS:
             progress.failures += 1
+            worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
         if progress.failures >= route.max_attempts:
             return self._failed(progress, "attempts used up", route.name)
         return None
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -13,8 +13,13 @@
 from mountstand.serving.workers import Worker
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, connect
 
-CONNECT_TIMEOUT_S = 0.25
-"""A worker that takes longer to accept is treated as unreachable: zones are milliseconds apart."""
+SHORTEST_CONNECT_S = 0.1
+LONGEST_CONNECT_S = 0.5
+CONNECT_FACTOR = 10.0
+"""A worker that takes so many times the usual time to accept is treated as unreachable, so that the
+request still has time for another."""
+
+SMOOTHING = 0.1
 
 HEARD_S = 0.5
 """How recent the last sign of life must be for a pooled connection to be used."""
@@ -31,6 +36,7 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
+        self._usual_connect_s = LONGEST_CONNECT_S / CONNECT_FACTOR
         self.opened = 0
         self.reused = 0
 
@@ -53,7 +59,14 @@
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
-            connection = await connect(worker.record.host, worker.record.port, CONNECT_TIMEOUT_S)
+            began_s = loop.time()
+            timeout_s = min(
+                LONGEST_CONNECT_S,
+                max(SHORTEST_CONNECT_S, CONNECT_FACTOR * self._usual_connect_s),
+            )
+            connection = await connect(worker.record.host, worker.record.port, timeout_s)
+            took_s = loop.time() - began_s
+            self._usual_connect_s += SMOOTHING * (took_s - self._usual_connect_s)
         except ConnectFailed:
             worker.note_connect_failed(loop.time())
             raise
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -49,6 +49,11 @@
 STALL_GAPS = 2.0
 """A resumable stream is resumed elsewhere after so many of the longest pauses that are in time."""
 
+WORKER_FAILED = 500
+HANG_S = 1.5
+"""A worker that said nothing for so long counts as failing; full workers refuse sooner, and what
+all of a service do alike ejects none."""
+
 EVENT_STREAM = "text/event-stream"
 
 
@@ -84,6 +89,7 @@
     last_event_id: int | None = None
     unreachable_ids: set[str] = field(default_factory=set)
     delivered: bool = False
+    worker: Worker | None = None
     worker_id: str = ""
     cause: str = ""
     first_event_at_s: float | None = None
@@ -135,6 +141,8 @@
             exchange.cause = "deadline"
             self._end_unfinished(exchange)
         finally:
+            if not exchange.delivered:
+                self._note_unanswered(exchange, loop.time())
             self._report(exchange, received_at_s, loop.time(), gone)
 
     async def _run_attempts(self, exchange: Exchange) -> None:
@@ -145,6 +153,7 @@
                 self._end_unfinished(exchange)
                 return
             outcome = await self._attempt(exchange, worker)
+            self._note_outcome(exchange, worker, outcome)
             if outcome is Outcome.DELIVERED:
                 exchange.delivered = True
                 return
@@ -153,6 +162,21 @@
                 self._end_unfinished(exchange)
                 return
 
+    def _note_outcome(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
+        """Count what the attempt says about the worker."""
+        if outcome in (Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.OTHER_WORKER):
+            return
+        failed = outcome is not Outcome.DELIVERED or exchange.responder.status == WORKER_FAILED
+        worker.health.own.add(asyncio.get_running_loop().time(), failed=failed)
+
+    def _note_unanswered(self, exchange: Exchange, now_s: float) -> None:
+        """Count a worker that said nothing for long to a request that ended without an answer."""
+        worker = exchange.worker
+        unanswered = worker is not None and exchange.runs and exchange.load is None
+        if unanswered and not exchange.responder.started and now_s - exchange.sent_at_s > HANG_S:
+            assert worker is not None
+            worker.health.own.add(now_s, failed=True)
+
     def _choose(self, exchange: Exchange) -> Worker | None:
         worker = self._choose_untried(exchange)
         if worker is None and exchange.unreachable_ids:
@@ -179,6 +203,7 @@
 
     async def _attempt(self, exchange: Exchange, worker: Worker) -> Outcome:
         exchange.tried.add(worker.record.worker_id)
+        exchange.worker = worker
         exchange.worker_id = worker.record.worker_id
         worker.in_flight += 1
         self._room.yield_to_online(worker, asyncio.get_running_loop().time())
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -23,7 +23,13 @@
 EXPIRY_PERIODS = 15
 """A daemon that sent none for so many periods is taken to have nothing in flight."""
 
-MAX_WORKERS = 150
+QUARTERS = 4
+MOST_QUARTERS = 65_535
+UNREACHABLE_TOLD_S = 0.3
+"""How long a worker that accepted no connection is told as unreachable: peers hear it in one of
+the next digests, and a worker that answers again is not told any more."""
+
+MAX_WORKERS = 80
 """Workers named in one digest, which must fit a datagram."""
 
 
@@ -34,6 +40,8 @@
     at_s: float
     online: dict[int, int]
     batch: dict[int, int]
+    succeeded: dict[int, int]
+    failed: dict[int, int]
 
 
 class LoadSharing:
@@ -59,7 +67,7 @@
 
     def tick(self, now_s: float) -> None:
         """Send the digest if it changed, and forget daemons that fell silent."""
-        digest = self._own_digest()
+        digest = self._own_digest(now_s)
         self._periods_unsent += 1
         if digest != self._sent or self._periods_unsent >= REFRESH_PERIODS:
             self._broadcast(digest)
@@ -77,20 +85,38 @@
 
     def handle(self, sender: str, digest: LoadDigest, now_s: float) -> None:
         """Take the digest of another daemon."""
+        keys = digest.worker_keys
         self._heard[sender] = _Heard(
             now_s,
-            dict(zip(digest.worker_keys, digest.online, strict=False)),
-            dict(zip(digest.worker_keys, digest.batch, strict=False)),
+            dict(zip(keys, digest.online, strict=False)),
+            dict(zip(keys, digest.batch, strict=False)),
+            dict(zip(keys, digest.succeeded, strict=False)),
+            dict(zip(keys, digest.failed, strict=False)),
         )
         self._add_up()
+        unreachable = set(digest.unreachable)
+        for worker in self._directory.workers.values():
+            if worker.key in unreachable:
+                worker.note_unreachable_for_peer(now_s)
 
-    def _own_digest(self) -> LoadDigest:
-        busy = [worker for worker in self._directory.workers.values() if worker.in_flight]
-        busy = busy[:MAX_WORKERS]
+    def _own_digest(self, now_s: float) -> LoadDigest:
+        told: list[Worker] = []
+        unreachable: list[int] = []
+        for worker in self._directory.workers.values():
+            counts = worker.health.own
+            counts.age(now_s)
+            if worker.in_flight or quarters(counts.succeeded) or quarters(counts.failed):
+                told.append(worker)
+            if now_s - worker.unreachable_at_s < UNREACHABLE_TOLD_S:
+                unreachable.append(worker.key)
+        told = told[:MAX_WORKERS]
         return LoadDigest(
-            tuple(worker.key for worker in busy),
-            tuple(worker.in_flight - worker.batch_in_flight for worker in busy),
-            tuple(worker.batch_in_flight for worker in busy),
+            tuple(worker.key for worker in told),
+            tuple(worker.in_flight - worker.batch_in_flight for worker in told),
+            tuple(worker.batch_in_flight for worker in told),
+            tuple(quarters(worker.health.own.succeeded) for worker in told),
+            tuple(quarters(worker.health.own.failed) for worker in told),
+            tuple(unreachable[:MAX_WORKERS]),
         )
 
     def _add_up(self) -> None:
@@ -102,3 +128,11 @@
         key = worker.key
         worker.peer_online = sum(each.online.get(key, 0) for each in heard)
         worker.peer_batch = sum(each.batch.get(key, 0) for each in heard)
+        health = worker.health
+        health.peers_succeeded = sum(each.succeeded.get(key, 0) for each in heard) / QUARTERS
+        health.peers_failed = sum(each.failed.get(key, 0) for each in heard) / QUARTERS
+
+
+def quarters(count: float) -> int:
+    """Return a count of outcomes as a digest tells it."""
+    return min(MOST_QUARTERS, int(count * QUARTERS))
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -5,10 +5,11 @@
 import random
 import zlib
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mountstand.hashing import rendezvous_weight
 from mountstand.serving.prompt import Prompt
+from mountstand.serving.worker_health import WorkerHealth, judge, new_health
 
 LOAD_TRUST_S = 2.0
 """A load report older than this says nothing: requests last about as long."""
@@ -21,6 +22,9 @@
 
 LONGEST_UNREACHABLE_S = 4.0
 
+PEER_DOUBT_S = 0.3
+"""A worker heard from more recently is reachable from here, whatever a peer says."""
+
 FULL_S = 0.1
 """Pause after a worker refused because it was full."""
 
@@ -74,7 +78,9 @@
     avoid_until_s: float = 0.0
     connect_failures: int = 0
     last_heard_s: float = float("-inf")
+    unreachable_at_s: float = float("-inf")
     leaving_since_s: float | None = None
+    health: WorkerHealth = field(default_factory=new_health)
 
     @property
     def key(self) -> int:
@@ -111,8 +117,14 @@
         """Avoid the worker for a while, longer each time."""
         pause_s = min(LONGEST_UNREACHABLE_S, UNREACHABLE_S * 2**self.connect_failures)
         self.connect_failures += 1
+        self.unreachable_at_s = now_s
         self.avoid_until_s = now_s + pause_s
 
+    def note_unreachable_for_peer(self, now_s: float) -> None:
+        """Avoid the worker for a while on a peer's word, unless it was just heard from."""
+        if now_s - self.last_heard_s > PEER_DOUBT_S:
+            self.avoid_until_s = max(self.avoid_until_s, now_s + UNREACHABLE_S)
+
     def note_full(self, now_s: float) -> None:
         """Avoid the worker for a moment."""
         self.avoid_until_s = max(self.avoid_until_s, now_s + FULL_S)
@@ -189,6 +201,15 @@
         for record in listed.values():
             self.put(record, now_s)
 
+    def judge_health(self, now_s: float) -> list[Worker]:
+        """Eject workers that fail far more often than others; returns the new ones."""
+        newly: list[Worker] = []
+        for service in self._by_service:
+            workers = self.of_service(service)
+            ejected = judge([worker.health for worker in workers], now_s)
+            newly += [worker for worker in workers if worker.health in ejected]
+        return newly
+
     def sweep(self, now_s: float) -> None:
         """Forget workers that left long ago."""
         for worker_id, known in list(self.workers.items()):
@@ -231,15 +252,17 @@
             worker
             for worker in self.of_service(service)
             if worker.avoid_until_s <= now_s
+            and not worker.health.is_ejected(now_s)
             and worker.estimated_load(now_s) + 1 <= worker.slots() * fill
         ]
         return self._choose_least_loaded(candidates, now_s) if candidates else None
 
     def _candidates(self, service: str, tried: set[str], now_s: float) -> list[Worker]:
         untried = [w for w in self.of_service(service) if w.record.worker_id not in tried]
-        sound = [worker for worker in untried if worker.avoid_until_s <= now_s]
-        if sound:
-            return sound
+        reachable = [worker for worker in untried if worker.avoid_until_s <= now_s]
+        sound = [worker for worker in reachable if not worker.health.is_ejected(now_s)]
+        if sound or reachable:
+            return sound or reachable
         leaving = [
             worker
             for worker in self.just_left(service, now_s)
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -21,7 +21,7 @@
 from mountstand.serving.forwarder import Forwarder
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.worker_protocol import WorkerProtocol
-from mountstand.serving.workers import WorkerDirectory, WorkerRecord
+from mountstand.serving.workers import Worker, WorkerDirectory, WorkerRecord
 from mountstand.serving_settings import ServingSettings
 from mountstand.store.rows import ObjectStore, RowStore, StoredRow
 from mountstand.store.watch import TableChange, TableWatcher
@@ -367,8 +367,20 @@
         while True:
             await asyncio.sleep(self.load_sharing.period_s)
             self.load_sharing.tick(loop.time())
+            for worker in self.directory.judge_health(loop.time()):
+                self._log_ejection(worker)
             self.room.tick(loop.time())
 
+    def _log_ejection(self, worker: Worker) -> None:
+        health = worker.health
+        self.log.event(
+            "worker_ejected",
+            worker=worker.record.worker_id,
+            failure_rate=round(health.failure_rate, 2),
+            outcomes=round(health.outcomes, 1),
+            for_s=health.ejection_s,
+        )
+
     def _note_rejected(self, status: int) -> None:
         self.log.event("request_malformed", status=status)
 
--- a/mountstand/wire/messages.py
+++ b/mountstand/wire/messages.py
@@ -80,14 +80,18 @@
 
 @dataclass(frozen=True)
 class LoadDigest:
-    """What the sender has in flight at workers: parallel lists by worker key.
+    """What the sender knows of workers: parallel lists by worker key, the CRC-32 of its id.
 
-    A worker key is the CRC-32 of the worker's id.
+    ``online`` and ``batch`` are in flight; ``succeeded`` and ``failed`` are outcomes seen lately,
+    in quarters; ``unreachable`` are keys of workers that just now accepted no connection.
     """
 
     worker_keys: tuple[int, ...]
     online: tuple[int, ...]
     batch: tuple[int, ...]
+    succeeded: tuple[int, ...] = ()
+    failed: tuple[int, ...] = ()
+    unreachable: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -277,6 +281,9 @@
             "worker_keys" / PrefixedArray(Int16ub, Int32ub),
             "online" / PrefixedArray(Int16ub, Int16ub),
             "batch" / PrefixedArray(Int16ub, Int16ub),
+            "succeeded" / PrefixedArray(Int16ub, Int16ub),
+            "failed" / PrefixedArray(Int16ub, Int16ub),
+            "unreachable" / PrefixedArray(Int16ub, Int32ub),
         ),
     ),
     18: (DropJob, Struct("job_key" / Text)),
