--- /dev/null
+++ b/mountstand/jobs/item_execution.py
@@ -0,0 +1,192 @@
+"""Runs one batch item at a worker and collects its output."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mountstand.jobs.model import ItemResult, ItemState, JobItem
+from mountstand.jobs.repository import JobRepository
+from mountstand.serving.batch_room import BatchRoom
+from mountstand.serving.configuration import Configuration, Route, ShareChooser
+from mountstand.serving.connections import WorkerConnections
+from mountstand.serving.events import EventSplitter
+from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
+from mountstand.serving.workers import Worker, WorkerDirectory
+from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.serving_metrics import ServingMetrics
+from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken
+
+STALL_S = 2.0
+"""An item whose stream says nothing for so long is resumed at another worker."""
+
+FIRST_EVENT_S = 6.0
+"""An item that gets no answer for so long is put to another worker."""
+
+FAILED_STATUS = 500
+"""A worker ran a request and failed; only these answers use up attempts."""
+
+UNDOABLE_STATUS = 422
+"""A worker says that a request can never be done."""
+
+
+@dataclass
+class ItemProgress:
+    """What there is of one item's output."""
+
+    index: int
+    item: JobItem
+    texts: list[str] = field(default_factory=list)
+    last_event_id: int | None = None
+    failures: int = 0
+    preempted: bool = False
+    connection: ClientConnection | None = None
+    saved_event_id: int | None = None
+
+    def preempt(self) -> None:
+        """Close the item's stream, since online work needs the slot."""
+        self.preempted = True
+        if self.connection is not None:
+            self.connection.close()
+
+
+@dataclass(frozen=True)
+class RunnerContext:
+    """What all runners of a daemon share."""
+
+    repository: JobRepository
+    directory: WorkerDirectory
+    connections: WorkerConnections
+    protocol: WorkerProtocol
+    shares: ShareChooser
+    room: BatchRoom
+    metrics: ServingMetrics
+    log: DecisionLog
+    configuration: Callable[[], Configuration | None]
+    store_age_s: Callable[[], float]
+    store_now_ms: Callable[[], int]
+    contact_limit_s: float
+
+
+class ItemExecutor:
+    """Puts the items of one job to workers."""
+
+    def __init__(self, context: RunnerContext, job_id: str, host: str) -> None:
+        self._context = context
+        self._job_id = job_id
+        self._host = host
+
+    async def attempt(
+        self, progress: ItemProgress, route: Route, worker: Worker
+    ) -> ItemResult | None:
+        """Make one attempt; returns the item's end, or ``None`` if it must be tried again."""
+        try:
+            progress.connection = await self._context.connections.acquire(worker, repeatable=True)
+            if progress.preempted:
+                return None
+            return await self._exchange(progress, route, worker, progress.connection)
+        except (ConnectFailed, ReplyBroken, TimeoutError) as problem:
+            cause = "preempted" if progress.preempted else str(problem) or "silent"
+            if not progress.preempted and not isinstance(problem, ConnectFailed):
+                worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
+            self._log_attempt(progress, worker, cause)
+            return None
+        finally:
+            if progress.connection is not None:
+                self._context.connections.release(worker, progress.connection, 1)
+                progress.connection = None
+
+    async def _exchange(
+        self, progress: ItemProgress, route: Route, worker: Worker, connection: ClientConnection
+    ) -> ItemResult | None:
+        context = self._context
+        loop = asyncio.get_running_loop()
+        call = self._call(progress)
+        headers = context.protocol.request_headers(call, worker, None, progress.last_event_id)
+        connection.send(
+            call.method,
+            call.target,
+            headers,
+            call.body,
+            lambda reply: context.protocol.belongs_to(call, reply),
+        )
+        async with asyncio.timeout(FIRST_EVENT_S):
+            head = await connection.read_head()
+        worker.note_heard(loop.time())
+        meaning = context.protocol.meaning(head)
+        if meaning.load is not None:
+            worker.note_load(meaning.load, loop.time())
+        if meaning.kind is ReplyKind.OTHER_WORKER:
+            context.directory.forget(worker)
+            return None
+        if meaning.kind is ReplyKind.NOT_RUN:
+            worker.note_full(loop.time())
+            return None
+        if head.status != 200:
+            return self._note_failure(progress, route, worker, head.status)
+        await self._collect(progress, worker, connection)
+        worker.health.own.add(loop.time(), failed=False)
+        return ItemResult(
+            progress.index,
+            progress.item.item_id,
+            ItemState.COMPLETED,
+            "\n".join(progress.texts),
+        )
+
+    async def _collect(
+        self, progress: ItemProgress, worker: Worker, connection: ClientConnection
+    ) -> None:
+        """Collect whole events until the stream's end. Raises ``ReplyBroken``."""
+        splitter = EventSplitter()
+        loop = asyncio.get_running_loop()
+        while True:
+            async with asyncio.timeout(STALL_S):
+                piece = await connection.read_piece()
+            if piece is None:
+                break
+            worker.last_heard_s = loop.time()
+            for event in splitter.feed(piece):
+                progress.texts.append(event.data.decode("utf-8", "replace"))
+                progress.last_event_id = event.event_id
+        if splitter.partial:
+            raise ReplyBroken("ended within an event")
+
+    def _note_failure(
+        self, progress: ItemProgress, route: Route, worker: Worker, status: int
+    ) -> ItemResult | None:
+        self._log_attempt(progress, worker, f"status {status}")
+        if status == UNDOABLE_STATUS:
+            return self.given_up(progress, "cannot be done", route.name)
+        if status == FAILED_STATUS:
+            progress.failures += 1
+            worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
+        if progress.failures >= route.max_attempts:
+            return self.given_up(progress, "attempts used up", route.name)
+        return None
+
+    def given_up(self, progress: ItemProgress, cause: str, route: str) -> ItemResult:
+        """Return the end of an item that is given up."""
+        self._log("item_given_up", item=progress.item.item_id, cause=cause, route=route)
+        return ItemResult(progress.index, progress.item.item_id, ItemState.FAILED, "")
+
+    def _call(self, progress: ItemProgress) -> Call:
+        item = progress.item
+        return Call(
+            item.item_id, self._host, "POST", item.target, item.headers, item.body, item.prompt
+        )
+
+    def _log_attempt(self, progress: ItemProgress, worker: Worker, cause: str) -> None:
+        self._log(
+            "item_attempt_failed",
+            item=progress.item.item_id,
+            worker=worker.record.worker_id,
+            cause=cause,
+            failures=progress.failures,
+            last_event=progress.last_event_id,
+            in_flight=worker.in_flight,
+            load=worker.load.total if worker.load else None,
+        )
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._context.log.event(event, job=self._job_id, **fields)
--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, replace
 
-from mountstand.hashing import rendezvous_weight
 from mountstand.jobs.acceptance import JobAcceptance, Stored, SubmitOutcome
+from mountstand.jobs.item_execution import RunnerContext
 from mountstand.jobs.model import (
     ItemResult,
     JobHead,
@@ -21,8 +21,10 @@
     SavedProgress,
     decode_head,
 )
+from mountstand.jobs.owners import Owners
 from mountstand.jobs.repository import JobRepository, new_write_id
-from mountstand.jobs.runner import JobRunner, RunnerContext
+from mountstand.jobs.result_cache import ResultCache
+from mountstand.jobs.runner import JobRunner
 from mountstand.store.rows import ABSENT, Conflict, StoreError
 from mountstand.store.watch import TableChange
 
@@ -53,57 +55,6 @@
     results: list[ItemResult]
 
 
-class Owners:
-    """Who may own jobs, as this daemon believes."""
-
-    def __init__(
-        self, own_token: str, live_tokens: Callable[[], dict[str, str]], own_name: str
-    ) -> None:
-        self.own_token = own_token
-        self._live_tokens = live_tokens
-        self._own_name = own_name
-
-    def is_live(self, token: str) -> bool:
-        """Return whether the process named ``token`` is believed to run."""
-        return token == self.own_token or token in self._live_tokens().values()
-
-    def rank(self, job_id: str) -> int:
-        """Return how many live daemons come before this one for a job."""
-        names = set(self._live_tokens()) | {self._own_name}
-        own = rendezvous_weight(job_id, self._own_name)
-        return sum(rendezvous_weight(job_id, name) > own for name in names)
-
-
-class ResultCache:
-    """Listed results, bounded in bytes; the oldest go first."""
-
-    def __init__(self, limit_bytes: int) -> None:
-        self._limit_bytes = limit_bytes
-        self._bytes = 0
-        self._results: OrderedDict[tuple[str, int], ItemResult] = OrderedDict()
-
-    def put(self, job_id: str, position: int, result: ItemResult) -> None:
-        """Keep the result at a position."""
-        if (job_id, position) in self._results:
-            return
-        self._results[job_id, position] = result
-        self._bytes += len(result.text)
-        while self._bytes > self._limit_bytes:
-            _, dropped = self._results.popitem(last=False)
-            self._bytes -= len(dropped.text)
-
-    def run_from(self, job_id: str, position: int, max_bytes: int) -> list[ItemResult]:
-        """Return kept results from ``position`` on without a gap, up to ``max_bytes``."""
-        found: list[ItemResult] = []
-        size = 0
-        while (result := self._results.get((job_id, position + len(found)))) is not None:
-            size += len(result.text)
-            if found and size > max_bytes:
-                break
-            found.append(result)
-        return found
-
-
 class JobService:
     """The batch jobs of one daemon."""
 
--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -16,12 +16,12 @@
 from mountstand.platform import names
 from mountstand.platform.worker_protocol import parse_prompt
 from mountstand.serving.configuration import RequestKind, Route
-from mountstand.serving.forwarder import RETRY_UNAVAILABLE_S, refuse
+from mountstand.serving.forwarder import RETRY_UNAVAILABLE_S
 from mountstand.serving.worker_protocol import Call
 from mountstand.serving_node import ServingNode
 from mountstand.store.rows import StoreError
 from mountstand.transport.headers import Header, number
-from mountstand.transport.http_server import Responder, ServerRequest
+from mountstand.transport.responder import Responder, ServerRequest, refuse
 
 MAX_ITEMS = 200
 MAX_PAGE_BYTES = 900_000
--- /dev/null
+++ b/mountstand/serving/exchange.py
@@ -0,0 +1,51 @@
+"""Progress of one online request over its attempts, and how attempts end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from mountstand.serving.configuration import Route
+from mountstand.serving.worker_protocol import Call
+from mountstand.serving.workers import LoadReport, Worker
+from mountstand.transport.responder import Responder
+
+
+class Outcome(Enum):
+    """How one attempt ended."""
+
+    DELIVERED = "delivered"
+    NOT_SENT = "not sent"
+    NOT_RUN = "not run"
+    OTHER_WORKER = "other worker"
+    MAY_HAVE_RUN = "may have run"
+    FAILED = "failed"
+    BROKEN_MIDWAY = "broken midway"
+
+
+class WorkerSilent(Exception):
+    """A worker neither answers nor accepts connections."""
+
+
+@dataclass
+class Exchange:
+    """Progress of one request over its attempts."""
+
+    route: Route
+    call: Call
+    responder: Responder
+    service: str
+    deadline_s: float
+    runs: int = 0
+    refusals: int = 0
+    unreachable: int = 0
+    tried: set[str] = field(default_factory=set)
+    last_event_id: int | None = None
+    unreachable_ids: set[str] = field(default_factory=set)
+    delivered: bool = False
+    worker: Worker | None = None
+    worker_id: str = ""
+    cause: str = ""
+    first_event_at_s: float | None = None
+    sent_at_s: float = 0.0
+    load: LoadReport | None = None
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -8,25 +8,23 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
-from enum import Enum
 
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
+from mountstand.serving.exchange import Exchange, Outcome, WorkerSilent
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
-from mountstand.serving.workers import LoadReport, Worker, WorkerDirectory
+from mountstand.serving.workers import Worker, WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
-from mountstand.transport.headers import Header
 from mountstand.transport.http_client import (
     ClientConnection,
     ConnectFailed,
     ReplyBroken,
     ReplyHead,
 )
-from mountstand.transport.http_server import Responder
+from mountstand.transport.responder import Responder, refuse
 
 MAX_REFUSALS = 4
 """Workers asked before a request that none took is refused; each costs a round trip."""
@@ -57,46 +55,6 @@
 EVENT_STREAM = "text/event-stream"
 
 
-class Outcome(Enum):
-    """How one attempt ended."""
-
-    DELIVERED = "delivered"
-    NOT_SENT = "not sent"
-    NOT_RUN = "not run"
-    OTHER_WORKER = "other worker"
-    MAY_HAVE_RUN = "may have run"
-    FAILED = "failed"
-    BROKEN_MIDWAY = "broken midway"
-
-
-class WorkerSilent(Exception):
-    """A worker neither answers nor accepts connections."""
-
-
-@dataclass
-class Exchange:
-    """Progress of one request over its attempts."""
-
-    route: Route
-    call: Call
-    responder: Responder
-    service: str
-    deadline_s: float
-    runs: int = 0
-    refusals: int = 0
-    unreachable: int = 0
-    tried: set[str] = field(default_factory=set)
-    last_event_id: int | None = None
-    unreachable_ids: set[str] = field(default_factory=set)
-    delivered: bool = False
-    worker: Worker | None = None
-    worker_id: str = ""
-    cause: str = ""
-    first_event_at_s: float | None = None
-    sent_at_s: float = 0.0
-    load: LoadReport | None = None
-
-
 class Forwarder:
     """Runs online requests at workers."""
 
@@ -446,9 +404,3 @@
 def milliseconds(seconds: float) -> float:
     """Return a duration as it is logged."""
     return round(seconds * 1000, 1)
-
-
-def refuse(responder: Responder, retry_after_s: float, status: int = 503) -> None:
-    """Refuse a request that has not run and say when to come back."""
-    headers: list[Header] = [("Retry-After", f"{retry_after_s:g}")]
-    responder.send(status, headers)
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -8,10 +8,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
+from mountstand.jobs.item_execution import RunnerContext
 from mountstand.jobs.model import JobHead, JobItem
+from mountstand.jobs.owners import Owners
 from mountstand.jobs.repository import HEADS, JobRepository, partitions
-from mountstand.jobs.runner import RunnerContext
-from mountstand.jobs.service import JobService, Owners
+from mountstand.jobs.service import JobService
 from mountstand.membership.datagrams import FAILURE_DETECTION, DatagramMembership
 from mountstand.membership.member import Member
 from mountstand.membership.registry import DAEMONS, DaemonRegistry, DaemonRow, new_token
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -11,10 +11,11 @@
 from testtools import TestCase
 
 from mountstand.jobs.acceptance import SubmitOutcome
+from mountstand.jobs.item_execution import RunnerContext
 from mountstand.jobs.model import ItemState, JobSubmission
+from mountstand.jobs.owners import Owners
 from mountstand.jobs.repository import HEADS, JobRepository, partitions
-from mountstand.jobs.runner import RunnerContext
-from mountstand.jobs.service import JobService, Owners
+from mountstand.jobs.service import JobService
 from mountstand.platform.ingress import parse_items
 from mountstand.serving.configuration import Configuration, RequestKind
 from mountstand.store.memory_rows import MemoryRowStore
