--- a/mountstand/platform/store_client.py
+++ b/mountstand/platform/store_client.py
@@ -22,18 +22,20 @@
     Transaction,
 )
 from mountstand.telemetry.serving_metrics import ServingMetrics
+from mountstand.transport.adaptive_timeout import AdaptiveTimeout
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken, connect
 
-CONNECT_TIMEOUT_S = 0.5
-SHORTEST_TIMEOUT_S = 0.8
-LONGEST_TIMEOUT_S = 2.5
-TIMEOUT_FACTOR = 8.0
-"""A call without an answer for some times its usual time counts as lost, so that a caller who
-waits gets another try as soon as the store is back. A call that is lost raises the time, so that a
-store that is only slow is waited for."""
+SHORTEST_CONNECT_S = 0.15
+LONGEST_CONNECT_S = 0.6
+CONNECT_FACTOR = 10.0
+"""A store that takes so many times the usual time to accept is treated as unreachable from here, so
+that a caller is soon told to ask another daemon."""
 
-LOSS_FACTOR = 1.5
-SMOOTHING = 0.5
+SHORTEST_CALL_S = 0.8
+LONGEST_CALL_S = 2.5
+CALL_FACTOR = 8.0
+"""A call without an answer for some times its usual time counts as lost, so that a caller who
+waits gets another try as soon as the store is back."""
 
 FEED_SLACK_S = 1.0
 """A held feed call that is not answered so long after its wait counts as lost."""
@@ -51,7 +53,10 @@
         self._address = address
         self._metrics = metrics
         self._idle: list[ClientConnection] = []
-        self._usual_s: dict[str, float] = {}
+        self._connect_timeout = AdaptiveTimeout(
+            SHORTEST_CONNECT_S, LONGEST_CONNECT_S, CONNECT_FACTOR
+        )
+        self._call_timeouts: dict[str, AdaptiveTimeout] = {}
 
     # RowStore
 
@@ -132,34 +137,28 @@
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         name = target.partition("?")[0].split("/")[1]
+        usual = self._call_timeout(name)
         outcome = "lost"
         try:
-            status, answer = await self._exchange(
-                method, target, body, timeout_s or self._timeout_s(name)
-            )
+            status, answer = await self._exchange(method, target, body, timeout_s or usual.value_s)
             outcome = str(status)
-            self._note_time(name, loop.time() - began_s)
+            usual.note(loop.time() - began_s)
             return _checked(status, answer)
         except StoreRefused:
             outcome = "refused" if outcome == "lost" else outcome
             raise
         except OutcomeUnknown:
-            least_s = SHORTEST_TIMEOUT_S / TIMEOUT_FACTOR
-            self._note_time(name, LOSS_FACTOR * max(least_s, self._usual_s.get(name, 0.0)))
+            usual.note_loss()
             raise
         finally:
             self._metrics.store_called(name, outcome, loop.time() - began_s)
 
-    def _timeout_s(self, name: str) -> float:
-        usual_s = self._usual_s.get(name, 0.0)
-        return min(LONGEST_TIMEOUT_S, max(SHORTEST_TIMEOUT_S, TIMEOUT_FACTOR * usual_s))
-
-    def _note_time(self, name: str, duration_s: float) -> None:
-        usual_s = self._usual_s.get(name, duration_s)
-        if duration_s > usual_s:
-            self._usual_s[name] = duration_s
-        else:
-            self._usual_s[name] = usual_s + SMOOTHING * (duration_s - usual_s)
+    def _call_timeout(self, name: str) -> AdaptiveTimeout:
+        found = self._call_timeouts.get(name)
+        if found is None:
+            found = AdaptiveTimeout(SHORTEST_CALL_S, LONGEST_CALL_S, CALL_FACTOR)
+            self._call_timeouts[name] = found
+        return found
 
     async def _exchange(
         self, method: str, target: str, body: bytes, timeout_s: float
@@ -190,9 +189,13 @@
                 return connection
             connection.close()
         try:
-            return await connect(self._address.host, self._address.port, CONNECT_TIMEOUT_S)
+            connection = await connect(
+                self._address.host, self._address.port, self._connect_timeout.value_s
+            )
         except ConnectFailed as problem:
             raise StoreRefused(f"no connection: {problem}") from None
+        self._connect_timeout.note(asyncio.get_running_loop().time() - now_s)
+        return connection
 
 
 def _checked(status: int, answer: bytes) -> bytes:
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -11,6 +11,7 @@
 import asyncio
 
 from mountstand.serving.workers import Worker
+from mountstand.transport.adaptive_timeout import AdaptiveTimeout
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, connect
 
 SHORTEST_CONNECT_S = 0.1
@@ -19,8 +20,6 @@
 """A worker that takes so many times the usual time to accept is treated as unreachable, so that the
 request still has time for another."""
 
-SMOOTHING = 0.1
-
 HEARD_S = 0.5
 """How recent the last sign of life must be for a pooled connection to be used."""
 
@@ -36,7 +35,7 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
-        self._usual_connect_s = LONGEST_CONNECT_S / CONNECT_FACTOR
+        self._timeout = AdaptiveTimeout(SHORTEST_CONNECT_S, LONGEST_CONNECT_S, CONNECT_FACTOR)
         self.opened = 0
         self.reused = 0
 
@@ -60,13 +59,10 @@
         self.opened += 1
         try:
             began_s = loop.time()
-            timeout_s = min(
-                LONGEST_CONNECT_S,
-                max(SHORTEST_CONNECT_S, CONNECT_FACTOR * self._usual_connect_s),
+            connection = await connect(
+                worker.record.host, worker.record.port, self._timeout.value_s
             )
-            connection = await connect(worker.record.host, worker.record.port, timeout_s)
-            took_s = loop.time() - began_s
-            self._usual_connect_s += SMOOTHING * (took_s - self._usual_connect_s)
+            self._timeout.note(loop.time() - began_s)
         except ConnectFailed:
             worker.note_connect_failed(loop.time())
             raise
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -7,7 +7,7 @@
 
 from mountstand.serving.configuration import Route
 from mountstand.serving.worker_protocol import Call
-from mountstand.serving.workers import LoadReport, Worker
+from mountstand.serving.workers import LoadReport
 from mountstand.transport.responder import Responder
 
 
@@ -43,7 +43,6 @@
     last_event_id: int | None = None
     unreachable_ids: set[str] = field(default_factory=set)
     delivered: bool = False
-    worker: Worker | None = None
     worker_id: str = ""
     cause: str = ""
     first_event_at_s: float | None = None
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -49,8 +49,8 @@
 
 WORKER_FAILED = 500
 HANG_S = 1.5
-"""A worker that said nothing for so long counts as failing; full workers refuse sooner, and what
-all of a service do alike ejects none."""
+"""A worker that says nothing for so long counts as failing, while it is waited for. Full workers
+refuse sooner, and what all of a service do alike ejects none."""
 
 EVENT_STREAM = "text/event-stream"
 
@@ -99,8 +99,6 @@
             exchange.cause = "deadline"
             self._end_unfinished(exchange)
         finally:
-            if not exchange.delivered:
-                self._note_unanswered(exchange, loop.time())
             self._report(exchange, received_at_s, loop.time(), gone)
 
     async def _run_attempts(self, exchange: Exchange) -> None:
@@ -127,14 +125,6 @@
         failed = outcome is not Outcome.DELIVERED or exchange.responder.status == WORKER_FAILED
         worker.health.own.add(asyncio.get_running_loop().time(), failed=failed)
 
-    def _note_unanswered(self, exchange: Exchange, now_s: float) -> None:
-        """Count a worker that said nothing for long to a request that ended without an answer."""
-        worker = exchange.worker
-        unanswered = worker is not None and exchange.runs and exchange.load is None
-        if unanswered and not exchange.responder.started and now_s - exchange.sent_at_s > HANG_S:
-            assert worker is not None
-            worker.health.own.add(now_s, failed=True)
-
     def _choose(self, exchange: Exchange) -> Worker | None:
         worker = self._choose_untried(exchange)
         if worker is None and exchange.unreachable_ids:
@@ -161,7 +151,6 @@
 
     async def _attempt(self, exchange: Exchange, worker: Worker) -> Outcome:
         exchange.tried.add(worker.record.worker_id)
-        exchange.worker = worker
         exchange.worker_id = worker.record.worker_id
         worker.in_flight += 1
         self._room.yield_to_online(worker, asyncio.get_running_loop().time())
@@ -211,11 +200,16 @@
     async def _read_head(
         self, exchange: Exchange, worker: Worker, connection: ClientConnection
     ) -> ReplyHead:
+        loop = asyncio.get_running_loop()
+        counted = False
         while True:
             try:
                 async with asyncio.timeout(SUSPICION_S):
                     return await connection.read_head()
             except TimeoutError:
+                if not counted and loop.time() - exchange.sent_at_s > HANG_S:
+                    counted = True
+                    worker.health.own.add(loop.time(), failed=True)
                 if exchange.route.repeatable:
                     await self._check_alive(worker)
 
