--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -66,7 +66,7 @@
     configuration: Callable[[], Configuration | None]
     store_age_s: Callable[[], float]
     store_now_ms: Callable[[], int]
-    contact_limit_s: float
+    contact_limit_s: Callable[[], float]
 
 
 class ItemExecutor:
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -274,7 +274,7 @@
 
     def _surely_open(self) -> bool:
         """Return whether an end of the job would have been seen."""
-        return self._context.store_age_s() <= self._context.contact_limit_s
+        return self._context.store_age_s() <= self._context.contact_limit_s()
 
     def _urgency(self, route: Route) -> Urgency:
         age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
--- a/mountstand/platform/__main__.py
+++ b/mountstand/platform/__main__.py
@@ -61,7 +61,7 @@
     node = build_node(settings, DecisionLog(settings.name))
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    loop.add_signal_handler(signal.SIGHUP, node.reload, load_settings)
     await node.start(Ingress(node))
     await start_metrics(node)
     await stop.wait()
--- a/mountstand/platform/store_client.py
+++ b/mountstand/platform/store_client.py
@@ -58,6 +58,14 @@
         )
         self._call_timeouts: dict[str, AdaptiveTimeout] = {}
 
+    def use_address(self, address: SocketAddress) -> None:
+        """Make further calls to ``address``."""
+        if address != self._address:
+            self._address = address
+            for connection in self._idle:
+                connection.close()
+            self._idle.clear()
+
     # RowStore
 
     async def read(
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -6,8 +6,10 @@
 import random
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import fields
 from typing import Any, Protocol
 
+from mountstand.errors import MountstandError
 from mountstand.jobs.item_execution import RunnerContext
 from mountstand.jobs.model import JobHead, JobItem
 from mountstand.jobs.owners import Owners
@@ -23,7 +25,7 @@
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory, WorkerRecord
-from mountstand.serving_settings import ServingSettings
+from mountstand.serving_settings import ServingSettings, SocketAddress
 from mountstand.store.rows import ObjectStore, RowStore, StoredRow
 from mountstand.store.watch import TableChange, TableWatcher
 from mountstand.telemetry.decisions import DecisionLog
@@ -60,6 +62,9 @@
 class Store(RowStore, ObjectStore, Protocol):
     """Rows and objects."""
 
+    def use_address(self, address: SocketAddress) -> None:
+        """Make further calls to ``address``."""
+
 
 class ConfigurationSource(Protocol):
     """Where the platform keeps what the operator configures, and its workers."""
@@ -189,7 +194,7 @@
             configuration=lambda: self.configuration,
             store_age_s=self.store_age_s,
             store_now_ms=self._store_now_ms,
-            contact_limit_s=min(self.settings.contact_s, self.settings.cancel_s),
+            contact_limit_s=lambda: min(self.settings.contact_s, self.settings.cancel_s),
         )
         owners = Owners(self.registry.own.token, self.registry.live_tokens, self.settings.name)
         self.jobs = JobService(context, owners, parse_document, self._keep_s)
@@ -345,9 +350,26 @@
             after_s=round(loop.time() - began_s, 3),
         )
 
-    def reload(self) -> None:
-        """Note a request to read the settings again; none of them can change while running."""
-        self.log.event("reload")
+    def reload(self, read: Callable[[], ServingSettings]) -> None:
+        """Read the settings again; bounds and the store's address are in force at once.
+
+        Addresses that this process listens on need a new start. Settings that are wrong are told
+        and change nothing.
+        """
+        try:
+            settings = read()
+        except MountstandError as problem:
+            self.log.event("reload_failed", cause=problem.detail)
+            return
+        changed = [
+            field.name
+            for field in fields(settings)
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        ]
+        self.settings = settings
+        self._store.use_address(settings.store.address)
+        self.directory.leaving_use_s = settings.drain_s * LEAVING_USE_SHARE
+        self.log.event("reload", changed=changed)
 
     async def _register(self) -> None:
         """Enter the list of daemons once this one can serve."""
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -386,6 +386,33 @@
         run(scenario())
 
 
+class Reloading(TestCase):
+    def test_moved_store_is_used_after_a_reload_and_wrong_settings_change_nothing(self) -> None:
+        async def scenario() -> None:
+            async with Site(1, StandInWorker("w0", whole(b"ok"))) as site:
+                process = site.processes[0]
+                settings = json.loads(process.settings.read_text())
+                process.settings.write_text("{")
+                process.signal(signal.SIGHUP)
+                await eventually(lambda: process.events("reload_failed"), "it is told")
+                moved = await StandInStore().start()
+                moved.rows = site.store.rows
+                await site.store.stop()
+                settings["platform"]["address"] = f"127.0.0.1:{moved.port}"
+                process.settings.write_text(json.dumps(settings))
+                process.signal(signal.SIGHUP)
+                await eventually(lambda: process.events("reload"), "it is told")
+                self.assertEqual(["store"], process.events("reload")[0]["changed"])
+                await eventually(lambda: process.events("dependency_regained"), "it is used", 5.0)
+                job = await process.call(
+                    "POST", "/batch/x", body=job_document(1), headers={"Request-Id": "job1"}
+                )
+                self.assertEqual(202, job.status)
+                await moved.stop()
+
+        run(scenario())
+
+
 class Explaining(TestCase):
     def test_failed_request_is_traced_from_its_id(self) -> None:
         async def scenario() -> None:
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -61,7 +61,7 @@
             configuration=lambda: self.configuration,
             store_age_s=lambda: self.watcher.age_s(asyncio.get_running_loop().time()),
             store_now_ms=lambda: 1000,
-            contact_limit_s=3.0,
+            contact_limit_s=lambda: 3.0,
         )
         owners = Owners(name, lambda: {other: other for other in live}, name)
         self.jobs = JobService(context, owners, parse_items, lambda head: 1000.0)
