Bound the memory that callers' bodies take

Cause: each body was bounded, all of them together were not; many large ones could end the process. Change: above a fifth of the memory a body is refused with 503 and the time to come back, before the request is run. Test: a second body over the bound is refused, a third is taken after the first's answer.

--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -39,6 +39,10 @@
 and damaged ones apart."""
 
 SWEEP_S = 0.25
+BODY_MEMORY_SHARE = 0.2
+"""Share of the memory that callers' bodies may take; each stands in memory about twice, once
+more on its way to a worker."""
+
 DESCRIPTOR_SHARE = 0.6
 """Share of the descriptors that callers' connections may take."""
 
@@ -300,7 +304,11 @@
         await self.membership.start(self.settings.address, self.settings.gossip_port)
         limit = int(self.settings.max_descriptors * DESCRIPTOR_SHARE)
         callers = HttpServer(
-            interface.handle_request, ServerLimits(), self._note_rejected, max_connections=limit
+            interface.handle_request,
+            ServerLimits(),
+            self._note_rejected,
+            max_connections=limit,
+            max_held_bytes=int(self.settings.memory_mb * BODY_MEMORY_SHARE * 1024 * 1024),
         )
         self._callers = callers
         self._servers.append(callers)
--- a/mountstand/transport/http_server.py
+++ b/mountstand/transport/http_server.py
@@ -24,6 +24,9 @@
 """Requests that a caller may send ahead; one that sends more is cut off."""
 
 WRITE_BUFFER_BYTES = 256 * 1024
+RETRY_MEMORY_S = 0.5
+"""When a caller is told to come back whose body found no room."""
+
 BACKLOG = 1024
 TIMER_SLACK_S = 0.05
 
@@ -78,6 +81,7 @@
         self._writable.set()
         self._timer: asyncio.TimerHandle | None = None
         self._expires_at_s = 0.0
+        self._held_bytes = 0
         self.close_after_answer = False
 
     # asyncio.Protocol
@@ -94,6 +98,7 @@
         """End the request in progress, since nobody waits for its answer."""
         self._transport = None
         self._server.connections.discard(self)
+        self._let_go()
         self._writable.set()
         self._waiting.clear()
         if self._timer is not None:
@@ -177,6 +182,10 @@
         if incoming.body_bytes > self._server.limits.max_body_bytes:
             raise _Rejected(413)
         incoming.body.append(body)
+        self._held_bytes += len(body)
+        self._server.hold(len(body))
+        if self._server.over_memory:
+            raise _Rejected(503)
         self._expire_after(self._server.limits.idle_timeout_s)
 
     def on_message_complete(self) -> None:
@@ -251,6 +260,8 @@
             return
         self._server.on_rejected(status)
         headers = [("Content-Length", "0"), ("Connection", "close")]
+        if status == 503:
+            headers.append(("Retry-After", f"{RETRY_MEMORY_S:g}"))
         self._transport.write(head_bytes(status, headers))
         self._transport.close()
 
@@ -282,9 +293,16 @@
         elif self._transport is not None:
             responder.send(500)
 
+    def _let_go(self) -> None:
+        """Count the bodies of this connection as held no longer."""
+        self._server.hold(-self._held_bytes)
+        self._held_bytes = 0
+
     def _after_answer(self) -> None:
         if self._transport is None:
             return
+        if not self._waiting and self._incoming is None:
+            self._let_go()
         if self._waiting and not self.close_after_answer:
             self._start_next()
         elif self.close_after_answer:
@@ -323,12 +341,15 @@
         limits: ServerLimits,
         on_rejected: Callable[[int], None] = lambda status: None,
         max_connections: int = 4096,
+        max_held_bytes: int = 64 * 1024 * 1024,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.on_rejected = on_rejected
         self.connections: set[ServerConnection] = set()
         self._max_connections = max_connections
+        self._max_held_bytes = max_held_bytes
+        self._held_bytes = 0
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str, port: int) -> int:
@@ -344,6 +365,15 @@
             return _Refusal()
         return ServerConnection(self)
 
+    def hold(self, change_bytes: int) -> None:
+        """Count bytes of bodies that are held until their answers are sent."""
+        self._held_bytes += change_bytes
+
+    @property
+    def over_memory(self) -> bool:
+        """Whether bodies of all connections together take more than they may."""
+        return self._held_bytes > self._max_held_bytes
+
     def stop_listening(self) -> None:
         """Take no new connections."""
         if self._server is not None:
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -133,6 +133,32 @@
         self.assertIn(b"HTTP/1.1 408", run(scenario()))
 
 
+class Memory(TestCase):
+    def test_bodies_over_the_bound_are_refused_until_others_are_answered(self) -> None:
+        async def scenario() -> None:
+            server = Server()
+            server.server._max_held_bytes = 5000
+            server.release.clear()
+            port = await server.server.start("127.0.0.1", 0)
+            body = b"x" * 3000
+            post = b"POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 3000\r\n\r\n" + body
+            first, first_writer = await asyncio.open_connection("127.0.0.1", port)
+            first_writer.write(post)
+            await eventually(lambda: server.requests, "the first is read")
+            second, second_writer = await asyncio.open_connection("127.0.0.1", port)
+            second_writer.write(post)
+            refusal = await second.read()
+            self.assertTrue(refusal.startswith(b"HTTP/1.1 503"))
+            self.assertIn(b"Retry-After: ", refusal)
+            server.release.set()
+            await first.readuntil(b"POST /b ")
+            third, third_writer = await asyncio.open_connection("127.0.0.1", port)
+            third_writer.write(post)
+            self.assertIn(b"200 OK", await third.readuntil(b"\r\n\r\n"))
+
+        run(scenario())
+
+
 class CallerLeaves(TestCase):
     def test_handler_is_cancelled_at_once(self) -> None:
         async def scenario() -> None:
