Pass over rows that cannot be read; feeds in a module of their own

Cause: a worker's row without an address, or a configuration that cannot be read, ended the task that follows the table, for good. Change: such a row is told and passed over, the last good configuration stays. Tests: serving/test_feeds.py (the task ended before).

--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -21,12 +21,13 @@
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Configuration, ShareChooser
 from mountstand.serving.connections import WorkerConnections
+from mountstand.serving.feeds import ConfigurationSource, ConfigurationState, WorkersState
 from mountstand.serving.forwarder import Forwarder
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.worker_protocol import WorkerProtocol
-from mountstand.serving.workers import Worker, WorkerDirectory, WorkerRecord
+from mountstand.serving.workers import Worker, WorkerDirectory
 from mountstand.serving_settings import ServingSettings, SocketAddress
-from mountstand.store.rows import ObjectStore, RowStore, StoredRow
+from mountstand.store.rows import ObjectStore, RowStore
 from mountstand.store.watch import TableChange, TableWatcher
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
@@ -70,20 +71,6 @@
         """Make further calls to ``address``."""
 
 
-class ConfigurationSource(Protocol):
-    """Where the platform keeps what the operator configures, and its workers."""
-
-    configuration_table: str
-    configuration_key: str
-    workers_table: str
-
-    def decode_configuration(self, value: bytes) -> Configuration:
-        """Return the configuration that a row holds."""
-
-    def decode_worker(self, row: StoredRow) -> WorkerRecord:
-        """Return the worker that a row describes."""
-
-
 class CallerInterface(Protocol):
     """What callers and the platform's checks speak."""
 
@@ -113,8 +100,6 @@
         self.settings = settings
         self.metrics = metrics
         self.log = log
-        self.configuration: Configuration | None = None
-        self._configuration_row = 0
         self._source = source
         self._store = store
         self._stopping = False
@@ -166,6 +151,9 @@
         self.membership.on_message = self._handle_peer_message
 
     def _build_watchers(self, store: Store) -> None:
+        self._configuration_state = ConfigurationState(self._source, self.log, self._apply_limits)
+        self._workers_state = WorkersState(self._source, self.directory, self.log)
+
         def watcher(
             table: str, parts: list[str], apply: Callable[[TableChange], None]
         ) -> TableWatcher:
@@ -173,9 +161,9 @@
 
         source = self._source
         self._configuration_feed = watcher(
-            source.configuration_table, [""], self._apply_configuration
+            source.configuration_table, [""], self._configuration_state.apply
         )
-        self._workers_feed = watcher(source.workers_table, [""], self._apply_workers)
+        self._workers_feed = watcher(source.workers_table, [""], self._workers_state.apply)
         self._daemons_feed = watcher(DAEMONS, [""], self.registry.apply)
         self._jobs_feed = watcher(HEADS, partitions(), self._apply_jobs)
 
@@ -205,6 +193,11 @@
 
     # State
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force, if any."""
+        return self._configuration_state.current
+
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -237,48 +230,9 @@
 
     # Feeds
 
-    def _apply_configuration(self, change: TableChange) -> None:
-        for row in change.rows:
-            if row.key.key != self._source.configuration_key or row.value is None:
-                continue
-            if row.version <= self._configuration_row:
-                continue
-            configuration = self._source.decode_configuration(row.value)
-            self._configuration_row = row.version
-            self.configuration = configuration
-            self._apply_limits(configuration.limits)
-            self.log.event(
-                "configuration_applied",
-                version=configuration.version,
-                row_version=row.version,
-                routes=len(configuration.routes),
-            )
-
-    def _apply_limits(self, limits: ServerLimits) -> None:
+    def _apply_limits(self, configuration: Configuration) -> None:
         for server in self._servers:
-            server.limits = limits
-
-    def _apply_workers(self, change: TableChange) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if change.complete:
-            records = [self._source.decode_worker(row) for row in change.rows]
-            self.directory.replace_all(records, now_s)
-            self.log.event("workers_listed", count=len(records))
-            return
-        for row in change.rows:
-            if row.value is None:
-                if self.directory.remove(row.key.key, row.version, now_s):
-                    self.log.event("worker_removed", worker=row.key.key, version=row.version)
-                continue
-            record = self._source.decode_worker(row)
-            if self.directory.put(record, now_s):
-                self.log.event(
-                    "worker_changed",
-                    worker=record.worker_id,
-                    address=f"{record.host}:{record.port}",
-                    draining=record.draining,
-                    version=row.version,
-                )
+            server.limits = configuration.limits
 
     def _apply_jobs(self, change: TableChange) -> None:
         self.jobs.apply(change)
--- /dev/null
+++ b/tests/serving/test_feeds.py
@@ -0,0 +1,60 @@
+"""Configuration and workers as the feeds tell them; rows that cannot be read are passed over."""
+
+from __future__ import annotations
+
+import orjson
+from testtools import TestCase
+
+from mountstand.platform.__main__ import PlatformRows
+from mountstand.serving.feeds import ConfigurationState, WorkersState
+from mountstand.store.rows import RowKey, StoredRow
+from mountstand.store.watch import TableChange
+from tests.stand_ins.harness import Fleet, LineLog, run
+
+
+def row(table: str, key: str, version: int, value: object) -> StoredRow:
+    encoded = value if isinstance(value, bytes) or value is None else orjson.dumps(value)
+    return StoredRow(RowKey(table, "", key), version, encoded)
+
+
+def worker_row(worker_id: str, version: int, **changes: object) -> StoredRow:
+    fields = {"service": "llm", "address": "127.0.0.1:9", "zone": "a", "slots": 2, **changes}
+    return row("servers", worker_id, version, fields)
+
+
+class Configurations(TestCase):
+    def test_newest_row_wins_and_an_unreadable_one_changes_nothing(self) -> None:
+        seen: list[int] = []
+        log = LineLog()
+        state = ConfigurationState(PlatformRows(), log, lambda found: seen.append(found.version))
+
+        def tell(version: int, value: object) -> None:
+            state.apply(TableChange([row("op", "config", version, value)], False))
+
+        empty = {"routes": [], "services": []}
+        tell(5, {"version": 50, **empty})
+        tell(4, {"version": 40, **empty})
+        tell(6, b"{")
+        tell(7, {"version": 70, "routes": [{}], "services": []})
+        tell(8, None)
+        self.assertEqual([50], seen)
+        assert state.current is not None
+        self.assertEqual(50, state.current.version)
+        self.assertEqual(2, len(log.lines("configuration_unreadable")))
+        tell(9, {"version": 90, **empty})
+        self.assertEqual([50, 90], seen)
+
+
+class Workers(TestCase):
+    def test_strange_row_does_not_hide_the_others(self) -> None:
+        async def scenario() -> None:
+            fleet = Fleet()
+            state = WorkersState(PlatformRows(), fleet.directory, fleet.log)
+            strange = row("servers", "w1", 2, {"service": "llm"})
+            state.apply(TableChange([worker_row("w0", 1), strange, worker_row("w2", 3)], True))
+            self.assertEqual({"w0", "w2"}, set(fleet.directory.workers))
+            state.apply(TableChange([row("servers", "w3", 4, b"?"), worker_row("w4", 5)], False))
+            self.assertIn("w4", fleet.directory.workers)
+            self.assertEqual(2, len(fleet.log.lines("worker_unreadable")))
+
+        run(scenario())
