--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -20,7 +20,7 @@
 import orjson
 import urllib3
 
-from mountstand.lab.ports import LOOPBACK, free_ports
+from mountstand.lab.ports import LOOPBACK, accepts_connections, free_ports
 
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
@@ -208,6 +208,7 @@
     def start(self) -> None:
         """Start everything and wait until every daemon is ready and sees the others."""
         self._start_stand_ins()
+        self.wait_for_workers()
         for daemon in self.daemons:
             self.start_daemon(daemon)
         self.wait_ready(self.daemons)
@@ -298,8 +299,16 @@
         answer = self.http.request("GET", f"{daemon.control_url}/status/{part}", timeout=5.0)
         return orjson.loads(answer.data)
 
+    def wait_for_workers(self) -> None:
+        """Wait until every worker listens; a daemon may be ready before a stand-in is."""
+        for worker in self.workers:
+            self._wait_for(
+                lambda port=worker.listed_port: accepts_connections(port),
+                f"{worker.worker_id} listens",
+            )
+
     def wait_ready(self, daemons: Iterable[DaemonAddress]) -> None:
-        """Wait until the daemons are ready and have load reports of every worker."""
+        """Wait until the daemons are ready and list every worker and running daemon."""
         for daemon in daemons:
             self._wait_for(lambda d=daemon: self._is_ready(d), f"{daemon.daemon_id} is ready")
 
--- a/mountstand/lab/ports.py
+++ b/mountstand/lab/ports.py
@@ -16,6 +16,7 @@
 FIRST_PORT = 10_000
 OUTGOING_RANGE_FILE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 USUAL_OUTGOING_START = 32_768
+PROBE_TIMEOUT_S = 1.0
 STRIDE = 997
 """Processes begin at different places, so that two that draw at once rarely meet."""
 
@@ -63,3 +64,10 @@
         if is_free(port):
             ports.append(port)
     return ports
+
+
+def accepts_connections(port: int) -> bool:
+    """Return whether a process listens on ``port``."""
+    with socket.socket() as probe:
+        probe.settimeout(PROBE_TIMEOUT_S)
+        return probe.connect_ex((LOOPBACK, port)) == 0
