Remove what the serving path no longer uses

Counters of opened and reused connections that nothing read, a flag on ReplyBroken that nothing asked, a path name of the platform that nothing used. No change of behaviour; tests as before.

--- a/mountstand/platform/names.py
+++ b/mountstand/platform/names.py
@@ -17,7 +17,6 @@
 WORKERS_TABLE = "servers"
 
 # Calls of callers
-READY_PATH = "/ready"
 RESOLVE_PATH = "/resolve"
 JOB_PREFIX = "/lots/"
 ITEM_PREFIX = "/items/"
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -36,8 +36,6 @@
     def __init__(self) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
         self._timeout = AdaptiveTimeout(SHORTEST_CONNECT_S, LONGEST_CONNECT_S, CONNECT_FACTOR)
-        self.opened = 0
-        self.reused = 0
 
     async def check(self, worker: Worker) -> None:
         """Find out whether ``worker`` accepts connections. Raises ``ConnectFailed``."""
@@ -50,13 +48,11 @@
         now_s = loop.time()
         pooled = self._take_pooled(worker, now_s, repeatable)
         if pooled is not None:
-            self.reused += 1
             return pooled
         return await self._open(worker)
 
     async def _open(self, worker: Worker) -> ClientConnection:
         loop = asyncio.get_running_loop()
-        self.opened += 1
         try:
             began_s = loop.time()
             connection = await connect(
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -24,18 +24,11 @@
 
 
 class ReplyBroken(Exception):
-    """The connection ended, or carried bytes that are no answer, before the answer was whole.
+    """The connection ended, or carried bytes that are no answer, before the answer was whole."""
 
-    Attributes
-    ----------
-    clean_close
-        The peer closed in order, without a reset.
-    """
-
-    def __init__(self, reason: str, *, clean_close: bool = False) -> None:
+    def __init__(self, reason: str) -> None:
         super().__init__(reason)
         self.reason = reason
-        self.clean_close = clean_close
 
 
 @dataclass(frozen=True)
@@ -113,7 +106,7 @@
         self._transport = None
         self.reusable = False
         if not self._complete:
-            self._break(ReplyBroken("reset" if exc else "closed", clean_close=exc is None))
+            self._break(ReplyBroken("reset" if exc else "closed"))
 
     # httptools callbacks
 
