Decision lines hold no infinite ages

Cause: the whole suite failed once in test_job_goes_on_when_its_daemon_is_killed: a line could not be read as JSON at its 138th character. A job handed in before the first answer of the jobs' feed was logged with store_age_s of minus/plus infinity, which the JSON formatter writes as Infinity; no JSON reader takes that. Ruled out: torn lines (one write of under 4096 bytes to a pipe is atomic). Change: ages and figures that are not finite are written as null. Conclusion: the flaky verdict of continuous integration was a real fault of the log.

--- a/mountstand/telemetry/decisions.py
+++ b/mountstand/telemetry/decisions.py
@@ -8,6 +8,7 @@
 
 import io
 import logging
+import math
 import os
 import sys
 import time
@@ -60,7 +61,8 @@
             fields["lines_left_out"] = self._left_out
             self._left_out = 0
         now_s = round(time.time(), 3)
-        self._logger.info(event, extra={"time_s": now_s, "node": self._node, **fields})
+        values = {name: _json_value(value) for name, value in fields.items()}
+        self._logger.info(event, extra={"time_s": now_s, "node": self._node, **values})
 
     def _take_token(self) -> bool:
         now_s = time.monotonic()
@@ -71,3 +73,10 @@
             return False
         self._tokens -= 1
         return True
+
+
+def _json_value(value: Any) -> Any:
+    """Return a field's value as JSON can tell it: an age that is not known yet becomes null."""
+    if isinstance(value, float) and not math.isfinite(value):
+        return None
+    return value
