A fault soak of real serving processes

Change: tests/soak starts real serving processes before the stand-ins of store and workers, with a loopback proxy on every link (delay, reset, one-way and two-way silence, refusal), signals (kill, kill all, freeze, stop), a store that refuses, loses, delays and does writes late, workers that lose, break, fail, hang and leave, and changes of the configuration. It checks MIXED, TWICE, REFUSED, UNASKED, DRAIN, LOST, CONFIG and the ends of batch jobs. The in-memory row store does writes late if asked to. It lives under tests/, not in mountstand/lab, since its stand-ins speak the platform's names.

--- a/mountstand/store/memory_rows.py
+++ b/mountstand/store/memory_rows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections import deque
 from collections.abc import Callable
@@ -25,7 +26,8 @@
 
     ``fault`` is asked before every call with the call's name and returns ``"refuse"``, ``"lose"``
     (do the call, lose the answer), ``"drop"`` (lose the call), ``"hang"`` (say nothing for
-    ``hang_s``, then lose the call), or ``""``.
+    ``hang_s``, then lose the call), ``"late"`` (lose the answer, and do a write ``late_s`` later if
+    its conditions still hold), or ``""``.
     """
 
     def __init__(self) -> None:
@@ -35,6 +37,7 @@
         self.calls = 0
         self.fault: Callable[[str], str] = lambda call: ""
         self.hang_s = 2.0
+        self.late_s = 2.0
         self._history: deque[StoredRow] = deque()
         self._history_from = 0
         self._changed = asyncio.Event()
@@ -60,6 +63,16 @@
         """Run a transaction."""
         fault = await self._begin("commit")
         await asyncio.sleep(0)
+        if fault == "late":
+            asyncio.get_running_loop().call_later(self.late_s, self._apply_late, transaction)
+            raise OutcomeUnknown("answer lost, done late")
+        version = self.apply(transaction)
+        if fault == "lose":
+            raise OutcomeUnknown("answer lost")
+        return version
+
+    def apply(self, transaction: Transaction) -> int:
+        """Run a transaction now, past all faults; returns its version. Raises ``Conflict``."""
         for key, version in transaction.conditions:
             present = self.rows.get(key)
             if (present.version if present else ABSENT) != version:
@@ -71,10 +84,12 @@
             self._change(StoredRow(key, self.version, None))
         self._changed.set()
         self._changed = asyncio.Event()
-        if fault == "lose":
-            raise OutcomeUnknown("answer lost")
         return self.version
 
+    def _apply_late(self, transaction: Transaction) -> None:
+        with contextlib.suppress(Conflict):
+            self.apply(transaction)
+
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
         """Wait for changed rows."""
         await self._begin("changes")
--- /dev/null
+++ b/tests/integration/test_soak.py
@@ -0,0 +1,93 @@
+"""The soak's own checks, and the seeds that ever failed."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import tomllib
+from pathlib import Path
+
+import pytest
+from testtools import TestCase
+
+from tests.soak.__main__ import Soak, run_soak
+from tests.soak.history import BatchJob, History, OnlineRequest, Run, item_text
+
+REGRESSIONS = tomllib.loads((Path(__file__).parents[1] / "soak/regressions.toml").read_text())
+
+
+@pytest.mark.parametrize("case", REGRESSIONS["soak"], ids=lambda case: f"seed-{case['seed']}")
+def test_seed_breaks_no_promise(case: dict[str, object]) -> None:
+    options = Soak(seed=int(str(case["seed"])), duration_s=float(str(case["duration_s"])))
+    with tempfile.TemporaryDirectory() as folder:
+        figures = asyncio.run(run_soak(options, Path(folder)))
+    assert figures["violations"] == []
+    assert figures["requests"] > 0 and figures["batch_items"] > 0
+
+
+class Checks(TestCase):
+    """Each rule is found when it is broken."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.history = History()
+        self.history.all_in_touch = lambda since_s: True
+        self.once = OnlineRequest("once-1", False, 0.0, 4.0)
+        self.job = BatchJob("job-1", ["item-1", "item-2"], accepted_at_s=0.0)
+        self.history.online["once-1"] = self.once
+        self.history.jobs["job-1"] = self.job
+        for item_id in self.job.item_ids:
+            self.history.job_by_item[item_id] = self.job
+
+    def rules(self) -> list[str]:
+        return [violation.rule for violation in self.history.violations]
+
+    def page(self, after: int, *items: tuple[str, str, str]) -> None:
+        results = [dict(zip(("id", "state", "text"), item, strict=True)) for item in items]
+        self.history.note_page(self.job, after, results, 1.0)
+
+    def test_second_run_of_what_may_run_once(self) -> None:
+        self.history.note_run("once-1", Run("w0", 1.0))
+        self.history.note_run("once-1", Run("w1", 1.1))
+        self.assertEqual(["TWICE"], self.rules())
+
+    def test_refusal_after_a_run_and_run_after_a_refusal(self) -> None:
+        self.history.note_run("once-1", Run("w0", 1.0))
+        self.history.note_answer(self.once, 503, 1.1)
+        other = OnlineRequest("once-2", False, 0.0, 4.0)
+        self.history.online["once-2"] = other
+        self.history.note_answer(other, 429, 1.0)
+        self.history.note_run("once-2", Run("w0", 1.5))
+        self.assertEqual(["REFUSED", "REFUSED"], self.rules())
+
+    def test_run_that_nobody_asked_for(self) -> None:
+        self.history.note_run("strange", Run("w0", 1.0))
+        self.assertEqual(["UNASKED"], self.rules())
+
+    def test_run_at_a_worker_that_has_long_been_leaving(self) -> None:
+        self.history.note_run("once-1", Run("w0", 9.0, draining_since_s=1.0))
+        self.assertEqual(["DRAIN"], self.rules())
+
+    def test_item_of_a_job_that_ended_or_was_refused(self) -> None:
+        self.job.ended_at_s = 1.0
+        self.history.note_run("item-1", Run("w0", 9.0))
+        self.job.refused_everywhere = True
+        self.history.note_run("item-1", Run("w0", 9.0))
+        self.assertEqual(["UNASKED", "REFUSED"], self.rules())
+
+    def test_results(self) -> None:
+        good = ("item-1", "completed", item_text("item-1"))
+        self.page(0, good)
+        self.page(0, good)
+        self.assertEqual([], self.rules())
+        self.page(0, ("item-2", "completed", item_text("item-2")))
+        self.page(1, ("item-1", "completed", item_text("item-1")))
+        self.assertEqual(["TWICE", "TWICE"], self.rules())
+
+    def test_text_that_is_not_whole_and_item_given_up_without_cause(self) -> None:
+        self.page(0, ("item-1", "completed", "item-1:1"), ("item-2", "dead_lettered", ""))
+        self.assertEqual(["MIXED", "MIXED"], self.rules())
+
+    def test_items_that_are_missing_at_the_end(self) -> None:
+        self.history.check_ends(60.0)
+        self.assertEqual(["LOST"], self.rules())
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,134 @@
+"""Runs one soak: ``python -m tests.soak --seed 7 --duration-s 90``; the last line is JSON."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+import tempfile
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+
+from tests.soak.callers import Callers
+from tests.soak.faults import FaultInjector
+from tests.soak.history import Violation
+from tests.soak.site import Site
+
+SETTLE_S = 30.0
+"""After the last fault, all accepted work must end within this time."""
+
+TRACE_LINES = 40
+
+
+@cappa.command(name="soak", help="Randomized fault soak of real serving processes on loopback.")
+@dataclass
+class Soak:
+    """Settings of one soak."""
+
+    seed: Annotated[int, cappa.Arg(long=True, help="Seed of all that is drawn")] = 1
+    duration_s: Annotated[float, cappa.Arg(long=True, help="Seconds with faults")] = 60.0
+    processes: Annotated[int, cappa.Arg(long=True, help="Serving processes")] = 4
+    workers: Annotated[int, cappa.Arg(long=True, help="Workers")] = 5
+    callers: Annotated[int, cappa.Arg(long=True, help="Online callers at once")] = 8
+    fault_gap_s: Annotated[float, cappa.Arg(long=True, help="Mean time between faults")] = 1.0
+    logs: Annotated[str, cappa.Arg(long=True, help="Folder that keeps the logs")] = ""
+
+
+async def run_soak(options: Soak, folder: Path) -> dict[str, Any]:
+    """Run a soak; returns its figures."""
+    site = Site(options.processes, options.workers, folder, random.Random(options.seed))
+    callers = Callers(site)
+    injector = FaultInjector(site)
+    _check_routes_with(callers, injector, site)
+    await site.start()
+    try:
+        online = [asyncio.create_task(callers.send_online()) for _ in range(options.callers)]
+        jobs = asyncio.create_task(callers.send_jobs())
+        faults = asyncio.create_task(injector.run(options.fault_gap_s))
+        await asyncio.sleep(options.duration_s)
+        injector.stopping = True
+        await faults
+        callers.stopping = True
+        await asyncio.gather(*online)
+        _, late = await asyncio.wait([jobs], timeout=SETTLE_S)
+        callers.give_up = True
+        if late:
+            await jobs
+        site.history.check_ends(asyncio.get_running_loop().time())
+        await _check_alive(site)
+    finally:
+        await site.stop()
+    return _figures(options, site, callers, injector)
+
+
+def _check_routes_with(callers: Callers, injector: FaultInjector, site: Site) -> None:
+    """Let the injector probe routes that it added, at every process in touch."""
+
+    async def check(prefix: str, since_s: float) -> None:
+        for process in site.processes:
+            status = await callers.probe_route(process, prefix)
+            known = prefix in site.extra_prefixes
+            if status == 404 and known and process.in_touch(since_s) and not process.stopping:
+                now_s = asyncio.get_running_loop().time()
+                site.history.violate("CONFIG", process.name, f"404 on new {prefix}", now_s)
+
+    injector.check_route = check  # type: ignore[method-assign]
+
+
+async def _check_alive(site: Site) -> None:
+    for process in site.processes:
+        if not process.running:
+            now_s = asyncio.get_running_loop().time()
+            site.history.violate("FAULT", process.name, "ended by itself", now_s)
+
+
+def _figures(
+    options: Soak, site: Site, callers: Callers, injector: FaultInjector
+) -> dict[str, Any]:
+    history = site.history
+    online = [req for req in history.online.values() if not req.request_id.startswith("probe")]
+    served = sum(req.status == 200 for req in online)
+    accepted = [job for job in history.jobs.values() if job.accepted_at_s is not None]
+    return {
+        "seed": options.seed,
+        "requests": len(online),
+        "served_share": round(served / max(1, len(online)), 4),
+        "jobs_accepted": len(accepted),
+        "batch_items": sum(len(job.results) for job in history.jobs.values()),
+        "answers": dict(callers.status_counts),
+        "faults_injected": dict(injector.counts),
+        "violations": [asdict(violation) for violation in history.violations],
+    }
+
+
+def trace(folder: Path, violation: Violation) -> list[str]:
+    """Return the processes' lines that name what a violation is about."""
+    found = [
+        f"{log.stem}: {line}"
+        for log in sorted(folder.glob("*.log"))
+        for line in log.read_text(errors="replace").splitlines()
+        if violation.subject in line
+    ]
+    return found[-TRACE_LINES:]
+
+
+def main() -> int:
+    """Run; returns 1 if a promise was broken."""
+    options = cappa.parse(Soak)
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(options.logs or temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        figures = asyncio.run(run_soak(options, folder))
+        if figures["violations"]:
+            for line in trace(folder, Violation(**figures["violations"][0])):
+                print(line)
+    print(json.dumps(figures))
+    return 1 if figures["violations"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,274 @@
+"""Callers of the soak: online requests, batch jobs and probes, each checked as it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+from collections import Counter
+
+from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken, connect
+from tests.soak.history import (
+    REFUSALS,
+    SLACK_S,
+    BatchJob,
+    OnlineRequest,
+    stream_body,
+    whole_body,
+)
+from tests.soak.site import HOST, ONLINE_TIMEOUT_S, ServingProcess, Site, job_document
+
+CONNECT_S = 1.0
+CALL_TIMEOUT_S = ONLINE_TIMEOUT_S + 4.0
+SUBMIT_TRIES = 4
+KINDS = ("stream", "single", "plain", "once")
+REPEATABLE = frozenset({"stream", "plain"})
+
+
+class NoAnswer(Exception):
+    """A call ended without a whole answer.
+
+    ``head_read`` tells whether one had begun, ``reached`` whether a process had the connection.
+    """
+
+    def __init__(self, cause: str, *, head_read: bool, reached: bool) -> None:
+        super().__init__(cause)
+        self.head_read = head_read
+        self.reached = reached
+
+
+class Callers:
+    """Sends requests to the processes and checks what comes back."""
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+        self._history = site.history
+        self._numbers = itertools.count()
+        self.status_counts: Counter[str] = Counter()
+        self.stopping = False
+
+    # Online
+
+    async def send_online(self) -> None:
+        """Send requests one after another until told to stop."""
+        while not self.stopping:
+            await self._online_once()
+            await asyncio.sleep(self._site.rng.uniform(0.0, 0.08))
+
+    async def _online_once(self) -> None:
+        rng = self._site.rng
+        process = self._any_process()
+        kind = rng.choice(KINDS)
+        loop = asyncio.get_running_loop()
+        req = OnlineRequest(
+            f"{kind}-{next(self._numbers)}", kind in REPEATABLE, loop.time(), ONLINE_TIMEOUT_S
+        )
+        self._history.online[req.request_id] = req
+        try:
+            status, body = await self._call(
+                process, "POST", f"/{kind}/{req.request_id}", req.request_id, b"x"
+            )
+        except NoAnswer as exc:
+            self.status_counts["none"] += 1
+            self._check_broken(process, req, exc)
+            return
+        except ConnectFailed:
+            self.status_counts["no connection"] += 1
+            return
+        self.status_counts[str(status)] += 1
+        now_s = loop.time()
+        self._history.note_answer(req, status, now_s)
+        self._check_body(kind, req, status, body)
+        late_s = now_s - req.sent_at_s - req.timeout_s
+        if late_s > SLACK_S and process.in_touch(req.sent_at_s) and self._links_sound(process):
+            self._history.violate(
+                "CONFIG", req.request_id, f"answered {late_s:.2f} s after its time-out", now_s
+            )
+
+    def _check_body(self, kind: str, req: OnlineRequest, status: int, body: bytes) -> None:
+        if status != 200:
+            return
+        is_stream = kind in ("stream", "single")
+        expected = stream_body(req.request_id) if is_stream else whole_body(req.request_id)
+        if body != expected:
+            detail = f"{len(body)} bytes instead of {len(expected)}: {body[-60:]!r}"
+            self._history.violate("MIXED", req.request_id, detail, req.sent_at_s)
+
+    def _check_broken(self, process: ServingProcess, req: OnlineRequest, exc: NoAnswer) -> None:
+        """Check that a request that was read ended with an answer if nothing was disturbed."""
+        sound = process.in_touch(req.sent_at_s) and self._links_sound(process)
+        if sound and exc.reached and not exc.head_read:
+            now_s = asyncio.get_running_loop().time()
+            stop = " (planned stop)" if process.stopping else ""
+            self._history.violate("LOST", req.request_id, f"no answer: {exc}{stop}", now_s)
+
+    def _links_sound(self, process: ServingProcess) -> bool:
+        return not process.caller_link.faults.any
+
+    # Batch
+
+    async def send_jobs(self) -> None:
+        """Hand in jobs, and read each to its end, until told to stop."""
+        tasks = []
+        while not self.stopping:
+            tasks.append(asyncio.create_task(self._run_job()))
+            await asyncio.sleep(self._site.rng.uniform(0.5, 2.0))
+        await asyncio.gather(*tasks)
+
+    async def _run_job(self) -> None:
+        rng = self._site.rng
+        number = next(self._numbers)
+        item_ids = [f"item-{number}-{i}" for i in range(rng.randint(1, 20))]
+        if rng.random() < 0.2:
+            item_ids[-1] += "-undoable"
+            self._history.given_up_reasons.add(item_ids[-1])
+        job = BatchJob(f"job-{number}", item_ids)
+        self._history.jobs[job.job_id] = job
+        for item_id in item_ids:
+            self._history.job_by_item[item_id] = job
+        await self._submit(job)
+        if job.accepted_at_s is None:
+            return
+        if rng.random() < 0.15:
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+            await self._end_job(job)
+        await self._read_to_end(job)
+
+    async def _submit(self, job: BatchJob) -> None:
+        """Hand a job in, again after each failure, at another process."""
+        refused = 0
+        for _ in range(SUBMIT_TRIES):
+            try:
+                status, _ = await self._call(
+                    self._any_process(),
+                    "POST",
+                    f"/batch/{job.job_id}",
+                    job.job_id,
+                    job_document(job.item_ids),
+                )
+            except ConnectFailed:
+                await asyncio.sleep(0.2)
+                continue
+            except NoAnswer:
+                await asyncio.sleep(0.2)
+                refused -= SUBMIT_TRIES
+                continue
+            self.status_counts[f"job {status}"] += 1
+            if status == 202:
+                job.accepted_at_s = asyncio.get_running_loop().time()
+                return
+            refused = refused + 1 if status in REFUSALS else -SUBMIT_TRIES
+            await asyncio.sleep(0.5)
+        job.refused_everywhere = refused > 0
+        if job.refused_everywhere and any(map(self._history.runs_by_id.get, job.item_ids)):
+            now_s = asyncio.get_running_loop().time()
+            self._history.violate("REFUSED", job.job_id, "ran before its refusal", now_s)
+
+    async def _end_job(self, job: BatchJob) -> None:
+        job.end_asked = True
+        while not self._over(job):
+            try:
+                status, _ = await self._call(self._any_process(), "DELETE", f"/lots/{job.job_id}")
+            except (NoAnswer, ConnectFailed):
+                await asyncio.sleep(0.2)
+                continue
+            if status == 200:
+                job.ended_at_s = asyncio.get_running_loop().time()
+                return
+            if status == 404:
+                self._violate_unknown(job)
+                return
+            await asyncio.sleep(0.2)
+
+    async def _read_to_end(self, job: BatchJob) -> None:
+        rng = self._site.rng
+        while len(job.results) < len(job.item_ids) and not self._over(job):
+            after = len(job.results)
+            if after and rng.random() < 0.2:
+                after = rng.randrange(after)
+            await self._read_page(job, after)
+            await asyncio.sleep(rng.uniform(0.2, 0.6))
+            if job.ended_at_s is not None:
+                return
+
+    async def _read_page(self, job: BatchJob, after: int) -> None:
+        target = f"/lots/{job.job_id}?after={after}"
+        try:
+            status, body = await self._call(self._any_process(), "GET", target)
+        except (NoAnswer, ConnectFailed):
+            return
+        self.status_counts[f"read {status}"] += 1
+        now_s = asyncio.get_running_loop().time()
+        if status in (404, 410):
+            self._violate_unknown(job)
+        elif status == 200:
+            page = json.loads(body)
+            if page["total"] != len(job.item_ids):
+                self._history.violate("MIXED", job.job_id, f"total {page['total']}", now_s)
+            self._history.note_page(job, after, page["results"], now_s)
+
+    def _violate_unknown(self, job: BatchJob) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._history.violate("LOST", job.job_id, "404 for an accepted job", now_s)
+
+    def _over(self, job: BatchJob) -> bool:
+        return self.give_up
+
+    give_up = False
+    """Set when the time after the last fault is over."""
+
+    # Probes
+
+    async def probe_route(self, process: ServingProcess, prefix: str) -> int | None:
+        """Return the status that one process gives to a path, or ``None`` without an answer."""
+        request_id = f"probe-{next(self._numbers)}"
+        loop = asyncio.get_running_loop()
+        req = OnlineRequest(request_id, True, loop.time(), ONLINE_TIMEOUT_S)
+        self._history.online[request_id] = req
+        try:
+            target = f"{prefix}plain/{request_id}"
+            status, _ = await self._call(process, "POST", target, request_id, b"x")
+        except (NoAnswer, ConnectFailed):
+            return None
+        return status
+
+    # One call
+
+    def _any_process(self) -> ServingProcess:
+        return self._site.rng.choice(self._site.processes)
+
+    async def _call(
+        self,
+        process: ServingProcess,
+        method: str,
+        target: str,
+        request_id: str = "",
+        body: bytes = b"",
+    ) -> tuple[int, bytes]:
+        """Make one call on a new connection. Raises ``ConnectFailed`` or ``NoAnswer``."""
+        conn = await connect("127.0.0.1", process.caller_link.port, CONNECT_S)
+        assert conn._transport is not None
+        local_port = conn._transport.get_extra_info("sockname")[1]
+        headers = [("Host", HOST)]
+        if request_id:
+            headers += [("Request-Id", request_id)]
+            headers += [("Deadline-Ms", str(int(ONLINE_TIMEOUT_S * 1000)))]
+        head_read = False
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                conn.send(method, target, headers, body)
+                head = await conn.read_head()
+                head_read = True
+                return head.status, await self._read_body(conn)
+        except (ReplyBroken, TimeoutError) as exc:
+            cause = str(exc) or "no answer in time"
+            reached = local_port not in process.caller_link.unreached_ports
+            raise NoAnswer(cause, head_read=head_read, reached=reached) from None
+        finally:
+            conn.close()
+
+    async def _read_body(self, conn: ClientConnection) -> bytes:
+        pieces = []
+        while (piece := await conn.read_piece()) is not None:
+            pieces.append(piece)
+        return b"".join(pieces)
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,275 @@
+"""The processes of a soak: a store, workers and real serving processes behind fault proxies."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+from base64 import b64encode
+from pathlib import Path
+from typing import Any
+
+from mountstand.lab.ports import free_ports
+from mountstand.store.rows import RowKey, Transaction
+from mountstand.transport.http_client import ConnectFailed, ReplyBroken, connect
+from tests.soak.history import CANCEL_S, DRAIN_S, History
+from tests.soak.proxy import FaultProxy
+from tests.soak.workers import SLOTS, SoakWorker
+from tests.stand_ins.store import StandInStore
+
+ROOT = Path(__file__).parents[2]
+HOST = "soak.example"
+CONTACT_S = 3.0
+CONFIG_APPLY_S = 2.0
+GRACE_S = 8.0
+ONLINE_TIMEOUT_S = 4.0
+READY_TIMEOUT_S = 20.0
+
+
+def configuration(version: int, extra_prefixes: list[str]) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    routes = [
+        {"name": "stream", "path_prefix": "/stream/", "kind": "streaming", "resumable": True},
+        {"name": "whole-stream", "path_prefix": "/single/", "kind": "streaming"},
+        {"name": "plain", "path_prefix": "/plain/", "kind": "idempotent"},
+        {"name": "once", "path_prefix": "/once/", "kind": "non_idempotent"},
+        {"name": "batch", "path_prefix": "/batch/", "kind": "batch", "retention_s": 600},
+    ]
+    routes += [
+        {"name": f"extra-{prefix}", "path_prefix": prefix, "kind": "idempotent"}
+        for prefix in extra_prefixes
+    ]
+    common = {
+        "host": HOST,
+        "service": "llm",
+        "timeout_ms": ONLINE_TIMEOUT_S * 1000,
+        "target_latency_ms": 500,
+        "max_attempts": 3,
+        "completion_target_ms": 20000,
+        "gap_aim_ms": 500,
+    }
+    return {
+        "version": version,
+        "routes": [{**common, **route} for route in routes],
+        "services": [{"name": "llm", "max_conns": 200}],
+        "limits": {"header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    }
+
+
+class ServingProcess:
+    """One serving process; every way to it and from it passes a proxy."""
+
+    def __init__(self, name: str, store_port: int, folder: Path, rng: random.Random) -> None:
+        self.name = name
+        self.front, self.ready, self.directory, self.gossip = free_ports(4)
+        self.caller_link = FaultProxy(self.front, rng)
+        self.store_link = FaultProxy(store_port, rng)
+        self.disturbed_until_s = 0.0
+        self.stopping = False
+        self.frozen = False
+        self.unplanned_ends = 0
+        self._settings = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def running(self) -> bool:
+        """Whether the process exists."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process, and its proxies if this is the first start."""
+        if not self.caller_link.port:
+            await self.caller_link.start()
+            await self.store_link.start()
+            self._settings.write_text(json.dumps(self._fields()))
+        self.stopping = False
+        self.frozen = False
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "mountstand.platform",
+                cwd=ROOT,
+                env={**os.environ, "MOUNTSTAND_SETTINGS": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone."""
+        if self.running:
+            assert self._process is not None
+            self._process.send_signal(number)
+
+    async def wait_ended(self, limit_s: float) -> bool:
+        """Wait for the end; returns whether it came within ``limit_s``."""
+        assert self._process is not None
+        try:
+            await asyncio.wait_for(self._process.wait(), limit_s)
+        except TimeoutError:
+            return False
+        return True
+
+    async def stop(self) -> None:
+        """End the process and its proxies."""
+        if self.running:
+            self.signal(signal.SIGKILL)
+            await self.wait_ended(5.0)
+        self.caller_link.stop()
+        self.store_link.stop()
+
+    async def is_ready(self) -> bool:
+        """Ask as the platform does."""
+        try:
+            conn = await connect("127.0.0.1", self.ready, 0.5)
+            try:
+                async with asyncio.timeout(1.0):
+                    conn.send("GET", "/ready", [("Host", "ready")], b"")
+                    return (await conn.read_head()).status == 200
+            finally:
+                conn.close()
+        except (ConnectFailed, ReplyBroken, TimeoutError, OSError):
+            return False
+
+    def note_disturbed(self, until_s: float) -> None:
+        """Bind no rule with a time to this process until ``until_s`` and contact is back."""
+        self.disturbed_until_s = max(self.disturbed_until_s, until_s + CONTACT_S)
+
+    def in_touch(self, since_s: float) -> bool:
+        """Return whether nothing has disturbed the process since ``since_s``."""
+        return self.running and since_s > self.disturbed_until_s
+
+    def _fields(self) -> dict[str, Any]:
+        return {
+            "node": self.name,
+            "zone": "zone-a",
+            "ip": "127.0.0.1",
+            "internal_ports": [self.gossip, self.gossip],
+            "listen": {
+                "front": f"127.0.0.1:{self.front}",
+                "ready": f"127.0.0.1:{self.ready}",
+                "directory": f"127.0.0.1:{self.directory}",
+            },
+            "bounds": {
+                "grace_s": GRACE_S,
+                "ttl_max_s": 5,
+                "contact_ms": CONTACT_S * 1000,
+                "cancel_ms": CANCEL_S * 1000,
+                "drain_ms": DRAIN_S * 1000,
+            },
+            "limits": {"max_fds": 512, "memory_mb": 256},
+            "platform": {"address": f"127.0.0.1:{self.store_link.port}", "row_bytes": 65536},
+        }
+
+
+class Site:
+    """Everything that one soak runs."""
+
+    def __init__(self, processes: int, workers: int, folder: Path, rng: random.Random) -> None:
+        self.history = History()
+        self.history.all_in_touch = self.all_in_touch
+        self.store = StandInStore()
+        self.rng = rng
+        self.workers: list[SoakWorker] = []
+        self.worker_links: dict[str, FaultProxy] = {}
+        self.processes: list[ServingProcess] = []
+        self.config_version = 0
+        self.extra_prefixes: list[str] = []
+        self.store_disturbed_until_s = 0.0
+        self._folder = folder
+        self._counts = (processes, workers)
+        self._next_worker = 0
+
+    async def start(self) -> None:
+        """Start all and wait until each process is ready."""
+        processes, workers = self._counts
+        await self.store.start()
+        self.write_configuration()
+        for _ in range(workers):
+            await self.add_worker()
+        for i in range(processes):
+            process = ServingProcess(f"front-{i}", self.store.port, self._folder, self.rng)
+            self.processes.append(process)
+            await process.start()
+        for process in self.processes:
+            await self.wait_ready(process)
+
+    async def stop(self) -> None:
+        """End everything that this soak started."""
+        for process in self.processes:
+            await process.stop()
+        for worker in self.workers:
+            await worker.server.stop()
+        for link in self.worker_links.values():
+            link.stop()
+        await self.store.stop()
+
+    async def wait_ready(self, process: ServingProcess) -> None:
+        """Wait until a process is ready."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + READY_TIMEOUT_S
+        while not await process.is_ready():
+            if loop.time() > deadline_s:
+                raise AssertionError(f"{process.name} not ready after {READY_TIMEOUT_S} s")
+            await asyncio.sleep(0.05)
+
+    def all_in_touch(self, since_s: float) -> bool:
+        """Return whether nothing has disturbed any process since ``since_s``."""
+        return all(process.in_touch(since_s) for process in self.processes)
+
+    def write_configuration(self) -> int:
+        """Write the next version; returns it."""
+        self.config_version += self.rng.randint(1, 5)
+        fields = configuration(self.config_version, self.extra_prefixes)
+        self._write_row("op", "config", fields)
+        return self.config_version
+
+    async def add_worker(self) -> SoakWorker:
+        """Start a worker and list it."""
+        worker = SoakWorker(f"w{self._next_worker}", self.history, self.rng)
+        self._next_worker += 1
+        await worker.server.start()
+        link = await FaultProxy(worker.server.port, self.rng).start()
+        self.workers.append(worker)
+        self.worker_links[worker.worker_id] = link
+        self.list_worker(worker, "ready")
+        return worker
+
+    def list_worker(self, worker: SoakWorker, state: str) -> None:
+        """Write a worker's row as the worker does."""
+        row = {
+            "service": "llm",
+            "address": f"127.0.0.1:{self.worker_links[worker.worker_id].port}",
+            "zone": "zone-a",
+            "slots": SLOTS,
+            "state": state,
+        }
+        self._write_row("servers", worker.worker_id, row)
+        if state == "draining":
+            worker.draining_since_s = asyncio.get_running_loop().time()
+
+    async def retire_worker(self, worker: SoakWorker) -> None:
+        """Take a drained worker away."""
+        key = RowKey("servers", "", worker.worker_id)
+        self.store.rows.apply(Transaction(removals=[key]))
+        await worker.server.stop()
+        self.worker_links[worker.worker_id].stop()
+        self.workers.remove(worker)
+
+    def _write_row(self, table: str, key: str, fields: dict[str, Any]) -> None:
+        """Write past the store's faults: the platform serves its operator throughout."""
+        row = (RowKey(table, "", key), json.dumps(fields).encode())
+        self.store.rows.apply(Transaction(puts=[row]))
+
+
+def job_document(item_ids: list[str]) -> bytes:
+    """Return a batch job as callers hand it in."""
+    items = [
+        {"id": item_id, "path": f"/batch/{item_id}", "body": b64encode(item_id.encode()).decode()}
+        for item_id in item_ids
+    ]
+    return json.dumps({"items": items}).encode()
