Daemons learn tables from peers while the store does not serve them

Change: on its control address each daemon answers peers with the rows of the tables it follows (store/peer_tables.py); one whose feed fails asks two of them, known ones or the seeds of the settings. Rows keep their versions, nothing goes back, and the feed goes on from the version taken over. A leaving row no longer hides a process that started again, told by the incarnation that gossip knows.

--- a/mountstand/membership/datagrams.py
+++ b/mountstand/membership/datagrams.py
@@ -78,6 +78,11 @@
             if member.state is MemberState.ALIVE
         }
 
+    def incarnation(self, member_id: str) -> int:
+        """Return the incarnation that a member is known by, or 0."""
+        member = self._state.members.get(member_id)
+        return member.incarnation if member is not None else 0
+
     def handle_seeds(self, seeds: Iterable[Member]) -> None:
         """Learn members from the store."""
         loop = asyncio.get_running_loop()
--- a/mountstand/membership/registry.py
+++ b/mountstand/membership/registry.py
@@ -15,12 +15,17 @@
 
 from mountstand.membership.datagrams import DatagramMembership
 from mountstand.membership.member import Member
+from mountstand.serving_settings import SocketAddress
 from mountstand.store.rows import Conflict, RowKey, RowStore, StoredRow, StoreError, Transaction
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
 
 DAEMONS = "daemons"
 RETRY_S = 0.25
+RESTART_MS = 100
+"""A process that starts again has an incarnation this much higher, since incarnations begin at the
+time of the start in milliseconds; within one life they rise by one at a time."""
+
 RECHECK_S = 2.0
 """How often a daemon checks that its row is there, and rows of daemons long gone are dropped."""
 
@@ -38,6 +43,8 @@
     address: str
     gossip_port: int
     zone: str
+    control_address: str = ""
+    incarnation: int = 0
     leaving: bool = False
 
     def encode(self) -> bytes:
@@ -49,6 +56,8 @@
                 "address": self.address,
                 "gossip_port": self.gossip_port,
                 "zone": self.zone,
+                "control_address": self.control_address,
+                "incarnation": self.incarnation,
                 "leaving": self.leaving,
             }
         )
@@ -101,12 +110,30 @@
         rows = [
             row
             for row, _ in self._rows.values()
-            if row.name != self.own.name and not row.leaving and row.name in live
+            if row.name != self.own.name and row.name in live and not self._is_leaving(row)
         ]
         if not self.own.leaving:
             rows.append(self.own)
         return rows
 
+    def _is_leaving(self, row: DaemonRow) -> bool:
+        """Return whether the process that is leaving by its row is still the one that runs.
+
+        One that started again while the store takes no writes cannot replace its row.
+        """
+        if not row.leaving or self.membership is None:
+            return row.leaving
+        return self.membership.incarnation(row.name) < row.incarnation + RESTART_MS
+
+    def control_addresses(self) -> list[SocketAddress]:
+        """Return the control addresses of the other daemons that run."""
+        running = self.membership.running_names() if self.membership is not None else set()
+        return [
+            SocketAddress.parse(row.control_address)
+            for row, _ in self._rows.values()
+            if row.control_address and row.name in running and row.name != self.own.name
+        ]
+
     def sound(self) -> list[DaemonRow]:
         """Return the live daemons without suspected ones, unless most are suspected.
 
--- a/mountstand/platform/settings.py
+++ b/mountstand/platform/settings.py
@@ -58,6 +58,7 @@
         status_s=_number(bounds, "status_s", 120.0),
         memory_mb=_number(limits, "memory_mb", 256.0),
         max_descriptors=int(_number(limits, "max_fds", 1024.0)),
+        seeds=_seeds(fields),
     )
 
 
@@ -68,9 +69,17 @@
         directory=(
             _address(listen["directory"], "listen.directory") if "directory" in listen else None
         ),
+        control=_address(listen["control"], "listen.control") if "control" in listen else None,
     )
 
 
+def _seeds(fields: Fields) -> tuple[SocketAddress, ...]:
+    entries = fields.get("seeds") or []
+    if not isinstance(entries, list):
+        raise InvalidSettings(f"seeds: must be a list of IP:PORT (got {entries!r})")
+    return tuple(_address(entry, f"seeds.{i}") for i, entry in enumerate(entries))
+
+
 def _metrics(fields: Fields) -> tuple[int, str] | None:
     """Return port and path of ``"PORT/PATH"``, if given."""
     text = fields.get("metrics")
@@ -104,7 +113,7 @@
 
 
 def _address(value: Any, key: str) -> SocketAddress:
-    host, separator, port = str(value or "").rpartition(":")
-    if not separator or not port.isdigit():
-        raise InvalidSettings(f"{key}: must be IP:PORT (got {value!r})")
-    return SocketAddress(host, int(port))
+    try:
+        return SocketAddress.parse(str(value or ""))
+    except ValueError:
+        raise InvalidSettings(f"{key}: must be IP:PORT (got {value!r})") from None
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -28,6 +28,7 @@
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory
 from mountstand.serving_settings import ServingSettings, SocketAddress
+from mountstand.store.peer_tables import PeerAddresses, PeerTables
 from mountstand.store.rows import ObjectStore, RowStore
 from mountstand.store.watch import TableChange, TableWatcher
 from mountstand.telemetry.decisions import DecisionLog
@@ -102,6 +103,22 @@
         self._membership.send(digest, receivers)
 
 
+class KnownPeers(PeerAddresses):
+    """Daemons that run as far as is known, or else the seeds of the settings."""
+
+    __slots__ = ("_registry", "_settings")
+
+    def __init__(self, settings: ServingSettings, registry: DaemonRegistry) -> None:
+        self._settings = settings
+        self._registry = registry
+
+    def control_addresses(self) -> list[SocketAddress]:
+        """Return control addresses of other daemons."""
+        own = self._settings.listeners.control
+        seeds = [address for address in self._settings.seeds if address != own]
+        return self._registry.control_addresses() or seeds
+
+
 class ServingNode:
     """The process that serves callers on one machine."""
 
@@ -141,6 +158,7 @@
 
     def _build_membership(self, store: Store) -> None:
         settings = self.settings
+        incarnation = time.time_ns() // 1_000_000
         own = DaemonRow(
             settings.name,
             new_token(),
@@ -148,8 +166,9 @@
             settings.address,
             settings.gossip_port,
             settings.zone,
+            str(settings.listeners.control or ""),
+            incarnation,
         )
-        incarnation = time.time_ns() // 1_000_000
         self.registry = DaemonRegistry(store, own, self.log, self._handle_members)
         self.membership = DatagramMembership(
             Member(
@@ -172,18 +191,22 @@
         self._configuration_state = ConfigurationState(self._source, self.log, self._apply_limits)
         self._workers_state = WorkersState(self._source, self.directory, self.log)
 
-        def watcher(
-            table: str, parts: list[str], apply: Callable[[TableChange], None]
-        ) -> TableWatcher:
-            return TableWatcher(store, table, parts, apply, self.log)
+        def shared(table: str, apply: Callable[[TableChange], None]) -> TableWatcher:
+            return TableWatcher(store, table, [""], apply, self.log, keep_rows=True)
 
         source = self._source
-        self._configuration_feed = watcher(
-            source.configuration_table, [""], self._configuration_state.apply
+        self._configuration_feed = shared(
+            source.configuration_table, self._configuration_state.apply
+        )
+        self._workers_feed = shared(source.workers_table, self._workers_state.apply)
+        self._daemons_feed = shared(DAEMONS, self.registry.apply)
+        self._jobs_feed = TableWatcher(store, HEADS, partitions(), self._apply_jobs, self.log)
+        self.peer_tables = PeerTables(
+            [self._configuration_feed, self._workers_feed, self._daemons_feed],
+            KnownPeers(self.settings, self.registry),
+            self.log,
+            random.Random(),
         )
-        self._workers_feed = watcher(source.workers_table, [""], self._workers_state.apply)
-        self._daemons_feed = watcher(DAEMONS, [""], self.registry.apply)
-        self._jobs_feed = watcher(HEADS, partitions(), self._apply_jobs)
 
     def _build_jobs(
         self,
@@ -288,6 +311,7 @@
         for address, handler in (
             (listeners.ready, interface.handle_ready),
             (listeners.directory, interface.handle_directory),
+            (listeners.control, self.peer_tables.handle),
         ):
             if address is not None:
                 server = HttpServer(handler, ServerLimits(), self._note_rejected)
@@ -300,6 +324,7 @@
             self._jobs_feed.run(),
             self._register(),
             self.membership.run(),
+            self.peer_tables.run(),
             self.jobs.run(),
             self._sweep(),
             self._share_load(),
--- a/mountstand/serving_settings.py
+++ b/mountstand/serving_settings.py
@@ -16,6 +16,14 @@
         """Return ``IP:PORT``."""
         return f"{self.host}:{self.port}"
 
+    @classmethod
+    def parse(cls, text: str) -> SocketAddress:
+        """Return the address that ``IP:PORT`` names. Raises ``ValueError``."""
+        host, separator, port = text.rpartition(":")
+        if not separator or not port.isdigit():
+            raise ValueError(f"not IP:PORT: {text!r}")
+        return cls(host, int(port))
+
 
 @dataclass(frozen=True)
 class Listeners:
@@ -24,6 +32,7 @@
     callers: SocketAddress
     ready: SocketAddress | None = None
     directory: SocketAddress | None = None
+    control: SocketAddress | None = None
 
 
 @dataclass(frozen=True)
@@ -41,7 +50,8 @@
     ``drain_s`` is the time within which a leaving worker must get no new work; ``grace_s`` the time
     from the request to stop until the process is killed; ``contact_s`` the time without the store
     after which a process no longer counts as in touch; ``cancel_s`` the time within which the end
-    of a job must be obeyed; ``status_s`` how long results of a job can be asked for.
+    of a job must be obeyed; ``status_s`` how long results of a job can be asked for. ``seeds`` are
+    control addresses of some daemons, which may be out of date.
     """
 
     name: str
@@ -59,3 +69,4 @@
     status_s: float = 120.0
     memory_mb: float = 256.0
     max_descriptors: int = 1024
+    seeds: tuple[SocketAddress, ...] = ()
--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -9,6 +9,7 @@
 
 from mountstand.store.rows import (
     HistoryGone,
+    RowKey,
     RowPage,
     RowStore,
     StoredRow,
@@ -21,6 +22,9 @@
 """How long a feed call is held. It bounds how late a broken feed is noticed, so it is a fraction
 of every bound that depends on a feed; a held call costs nothing but itself."""
 
+LATE_S = 1.0
+"""A feed whose last success lies this much longer back than a held call lasts is late."""
+
 FIRST_RETRY_S = 0.05
 LONGEST_RETRY_S = 0.5
 """Pause after a failed call: doubled from the first to the longest, each with jitter."""
@@ -38,7 +42,8 @@
     """Keeps ``apply`` told of every change of one table.
 
     ``parts`` are the parts that a full read covers. ``fresh_at_s`` is the loop's time at which the
-    last successful call began: everything committed before then has been applied.
+    last successful call began: everything committed before then has been applied. With
+    ``keep_rows`` the rows are kept as they were read, so that peers can be told.
     """
 
     def __init__(
@@ -48,9 +53,13 @@
         parts: Sequence[str],
         apply: Callable[[TableChange], None],
         log: DecisionLog,
+        *,
+        keep_rows: bool = False,
     ) -> None:
         self._store = store
         self._table = table
+        self._keep_rows = keep_rows
+        self._row_by_key: dict[RowKey, StoredRow] = {}
         self._parts = parts
         self._apply = apply
         self._log = log
@@ -87,20 +96,65 @@
         """Return how old the picture may be."""
         return now_s - self.fresh_at_s
 
+    @property
+    def table(self) -> str:
+        """The name of the table."""
+        return self._table
+
+    @property
+    def version(self) -> int | None:
+        """The version up to which all changes are known, if any."""
+        return self._version
+
+    def is_late(self, now_s: float) -> bool:
+        """Return whether the store has not been heard from for longer than a held call lasts."""
+        return self.age_s(now_s) > WAIT_MS / 1000 + LATE_S
+
+    def rows_after(self, version: int) -> list[StoredRow]:
+        """Return the kept rows that changed after ``version``; from 0 on, those that exist."""
+        return [
+            row
+            for row in self._row_by_key.values()
+            if row.version > version and (version or row.value is not None)
+        ]
+
+    def adopt(self, rows: list[StoredRow], version: int, fresh_at_s: float) -> bool:
+        """Take over what a peer knows up to ``version``; returns whether that is news here."""
+        known = self._version
+        if known is not None and version <= known:
+            return False
+        self._version = version
+        self._told_version = version
+        self.fresh_at_s = max(self.fresh_at_s, fresh_at_s)
+        self._take(TableChange(rows, complete=known is None))
+        self.loaded.set()
+        return True
+
+    def _take(self, change: TableChange) -> None:
+        """Keep the rows of a change and apply it."""
+        if self._keep_rows:
+            if change.complete:
+                self._row_by_key.clear()
+            for row in change.rows:
+                kept = self._row_by_key.get(row.key)
+                if kept is None or kept.version < row.version:
+                    self._row_by_key[row.key] = row
+        self._apply(change)
+
     async def _step(self) -> None:
         loop = asyncio.get_running_loop()
         if self._version is None:
             pages = [await read_all(self._store, self._table, part) for part in self._parts]
             self._version = min(page.version for page in pages)
             self._told_version = self._version
-            self._apply(TableChange([row for page in pages for row in page.rows], True))
+            self._take(TableChange([row for page in pages for row in page.rows], True))
             self.loaded.set()
         else:
             page = await self._store.changes(self._table, self._version, WAIT_MS)
             pages = [page]
             self._advance(page)
             if page.rows:
-                self._apply(TableChange(page.rows, False))
+                self._take(TableChange(page.rows, False))
         self.now_ms = pages[-1].now_ms
         self.now_read_at_s = loop.time()
 
