Learn how long idle connections to workers may rest

A request that may run once then ends with 502, though it has not run: it cannot be told from one that ran.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -88,6 +88,8 @@
             return await self._exchange(progress, route, worker, progress.connection)
         except (ConnectFailed, ReplyBroken, TimeoutError) as problem:
             cause = "preempted" if progress.preempted else str(problem) or "silent"
+            if isinstance(problem, ReplyBroken) and progress.connection is not None:
+                self._context.connections.note_broken(progress.connection)
             if not progress.preempted and not isinstance(problem, ConnectFailed):
                 worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
             self._log_attempt(progress, worker, cause)
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -10,6 +10,7 @@
 
 import asyncio
 
+from mountstand.serving.rest_limit import RestLimit
 from mountstand.serving.workers import Worker
 from mountstand.transport.adaptive_timeout import AdaptiveTimeout
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, connect
@@ -36,6 +37,7 @@
     def __init__(self) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
         self._timeout = AdaptiveTimeout(SHORTEST_CONNECT_S, LONGEST_CONNECT_S, CONNECT_FACTOR)
+        self._rest_limit = RestLimit()
 
     async def check(self, worker: Worker) -> None:
         """Find out whether ``worker`` accepts connections. Raises ``ConnectFailed``."""
@@ -81,7 +83,7 @@
         for worker_id, idle in list(self._idle.items()):
             kept = []
             for connection in idle:
-                if worker_id in listed and connection.open and rested_well(connection, now_s):
+                if worker_id in listed and connection.open and self._rested_well(connection, now_s):
                     kept.append(connection)
                 else:
                     connection.close()
@@ -90,6 +92,20 @@
             else:
                 del self._idle[worker_id]
 
+    def note_broken(self, connection: ClientConnection) -> None:
+        """Learn from an exchange that broke: the worker may have forgotten the connection."""
+        now_s = asyncio.get_running_loop().time()
+        if connection.was_forgotten(now_s, self._timeout.usual_s):
+            self._rest_limit.note_forgotten(connection.rested_s(now_s), now_s)
+
+    def _rested_well(self, connection: ClientConnection, now_s: float) -> bool:
+        """Return whether a connection's peer surely has not begun to close it for resting."""
+        if connection.keep_alive_s is None:
+            allowed_s = UNTOLD_IDLE_S
+        else:
+            allowed_s = connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
+        return connection.rested_s(now_s) < min(allowed_s, self._rest_limit.value_s(now_s))
+
     def _take_pooled(
         self, worker: Worker, now_s: float, repeatable: bool
     ) -> ClientConnection | None:
@@ -98,17 +114,8 @@
         while idle:
             connection = idle.pop()
             heard_s = max(heard_s, connection.last_received_at_s)
-            usable = connection.open and rested_well(connection, now_s)
+            usable = connection.open and self._rested_well(connection, now_s)
             if usable and (repeatable or now_s - heard_s <= HEARD_S):
                 return connection
             connection.close()
         return None
-
-
-def rested_well(connection: ClientConnection, now_s: float) -> bool:
-    """Return whether a connection's peer surely has not begun to close it for resting."""
-    if connection.keep_alive_s is None:
-        allowed_s = UNTOLD_IDLE_S
-    else:
-        allowed_s = connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
-    return now_s - connection.idle_since_s < allowed_s
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -193,6 +193,8 @@
             head = await self._read_head(exchange, worker, connection)
             return await self._relay(exchange, worker, connection, head)
         except (ReplyBroken, WorkerSilent) as problem:
+            if isinstance(problem, ReplyBroken):
+                self._connections.note_broken(connection)
             exchange.cause = str(problem)
             midway = exchange.responder.started
             return Outcome.BROKEN_MIDWAY if midway else Outcome.MAY_HAVE_RUN
--- a/mountstand/transport/adaptive_timeout.py
+++ b/mountstand/transport/adaptive_timeout.py
@@ -23,6 +23,11 @@
         """The time-out to use now."""
         return min(self._longest_s, max(self._shortest_s, self._factor * self._usual_s))
 
+    @property
+    def usual_s(self) -> float:
+        """How long it usually takes."""
+        return self._usual_s
+
     def note(self, duration_s: float) -> None:
         """Take note of how long it took."""
         if duration_s > self._usual_s:
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -15,6 +15,9 @@
 USER_TIMEOUT_MS = 3000
 """Unacknowledged bytes end a connection after this long; a machine without power says nothing."""
 
+FORGOTTEN_FACTOR = 3.0
+"""A reset within so many times the usual time of a connect answers the request's first packet."""
+
 READ_AHEAD_BYTES = 1024 * 1024
 """Reading pauses when so much of an answer has not been taken."""
 
@@ -66,7 +69,8 @@
         self._paused = False
         self.reusable = True
         self.last_received_at_s = self._loop.time()
-        self.idle_since_s = 0.0
+        self.idle_since_s: float | None = None
+        self.sent_at_s = 0.0
         self.keep_alive_s: float | None = None
 
     # asyncio.Protocol
@@ -188,6 +192,7 @@
         self._foreign = False
         self._accepts = accepts or accept_any
         self._in_exchange = True
+        self.sent_at_s = self._loop.time()
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method in ("POST", "PUT", "PATCH"):
@@ -246,6 +251,22 @@
         """Whether a request may be sent."""
         return self.reusable and self._transport is not None and not self._transport.is_closing()
 
+    def rested_s(self, now_s: float) -> float:
+        """Return how long the connection has been idle, or was before its present exchange."""
+        if self.idle_since_s is None:
+            return 0.0
+        return (self.sent_at_s if self._in_exchange else now_s) - self.idle_since_s
+
+    def was_forgotten(self, now_s: float, usual_connect_s: float) -> bool:
+        """Return whether the peer had forgotten this connection before the present exchange.
+
+        It then refuses the request as fast as it accepts connections, without a byte. A worker
+        that ran a request before it broke off takes longer.
+        """
+        if self.idle_since_s is None or self.last_received_at_s >= self.sent_at_s:
+            return False
+        return now_s - self.sent_at_s <= FORGOTTEN_FACTOR * usual_connect_s
+
     # Internals
 
     def _note_keep_alive(self, headers: Headers) -> None:
--- /dev/null
+++ b/tests/serving/test_rest_limit.py
@@ -0,0 +1,58 @@
+"""Workers that forget idle connections sooner than they tell."""
+
+from __future__ import annotations
+
+import asyncio
+
+from testtools import TestCase
+
+from mountstand.serving.configuration import RequestKind
+from mountstand.serving.rest_limit import DOUBLING_S, SHORTEST_REST_S, RestLimit
+from tests.serving.test_forwarder import Front
+from tests.stand_ins.harness import route, run
+from tests.stand_ins.worker import Answer, Received, reset, whole
+
+FORGET_AFTER_S = 0.3
+
+
+def forgetful() -> Answer:
+    """Answer, but reset what comes on a connection that rested too long, without running it."""
+    answered_at_s: dict[asyncio.StreamWriter, float] = {}
+
+    async def answer(req: Received, writer: asyncio.StreamWriter) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - answered_at_s.get(writer, now_s) > FORGET_AFTER_S:
+            await reset(req, writer)
+            return
+        await whole()(req, writer)
+        answered_at_s[writer] = now_s
+
+    return answer
+
+
+class Limit(TestCase):
+    def test_falls_at_once_and_rises_with_time(self) -> None:
+        limit = RestLimit()
+        self.assertEqual(float("inf"), limit.value_s(5.0))
+        limit.note_forgotten(0.4, 10.0)
+        self.assertAlmostEqual(0.2, limit.value_s(10.0))
+        limit.note_forgotten(1.0, 10.0)
+        self.assertAlmostEqual(0.2, limit.value_s(10.0), msg="a longer rest says nothing new")
+        self.assertAlmostEqual(0.4, limit.value_s(10.0 + DOUBLING_S))
+        limit.note_forgotten(0.0, 10.0)
+        self.assertAlmostEqual(SHORTEST_REST_S, limit.value_s(10.0))
+
+
+class AtMostOnce(TestCase):
+    def test_only_the_first_request_meets_a_forgotten_connection(self) -> None:
+        async def scenario() -> None:
+            async with Front(route(RequestKind.AT_MOST_ONCE), (forgetful(),)) as front:
+                statuses = []
+                for i in range(5):
+                    worker = next(iter(front.fleet.directory.workers.values()))
+                    worker.last_heard_s = asyncio.get_running_loop().time()
+                    statuses.append((await front.ask(f"r{i}"))[0])
+                    await asyncio.sleep(FORGET_AFTER_S + 0.1)
+                self.assertEqual([200, 502, 200, 200, 200], statuses)
+
+        run(scenario())
