Gather changes of jobs and daemons in one answer of the feed

Change: after an answer with changes a watcher of jobs pauses, so that all daemons together make some 100 such calls a second, and for a sixth of the bound on the end of a job at most; the daemons' table pauses for 0.25 s, since at a start every row would answer a call of every daemon. A clock that tests pause (tests/stand_ins/paused_clock.py) shows it: 100 changes in a second cost more than 90 calls before, 6 at most with a pause of 0.25 s. The in-memory store uses the loop's clock.

--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -54,6 +54,18 @@
 MOST_IDLE = 8
 """Idle connections that one daemon keeps to a worker: a share of those that the worker allows."""
 
+JOB_FEED_CALLS_PER_S = 100.0
+"""Calls that follow the jobs, of all daemons together, while jobs change all the time: each
+result that is listed would otherwise answer a call of every daemon."""
+
+DAEMONS_PAUSE_S = 0.25
+"""When all start at once each daemon's row would answer a call of every other. Failure detection
+tells changes of a daemon's state sooner than its row."""
+
+LONGEST_PAUSE_SHARE = 1 / 6
+"""A daemon looks at the jobs this often at least, as a share of the time within which the end of a
+job must be obeyed; an owner that learns of an end so late has most of that time left."""
+
 LEAVING_USE_SHARE = 0.5
 """Share of the time within which a leaving worker must get no new work for which it may still get
 some where no other worker is left."""
@@ -200,6 +212,7 @@
         )
         self._workers_feed = shared(source.workers_table, self._workers_state.apply)
         self._daemons_feed = shared(DAEMONS, self.registry.apply)
+        self._daemons_feed.pause_s = DAEMONS_PAUSE_S
         self._jobs_feed = TableWatcher(store, HEADS, partitions(), self._apply_jobs, self.log)
         self.peer_tables = PeerTables(
             [self._configuration_feed, self._workers_feed, self._daemons_feed],
@@ -279,8 +292,10 @@
         self.jobs.apply(change)
 
     def _handle_members(self) -> None:
-        """Share the connections that workers allow out among the daemons."""
+        """Share out among the daemons what all of them together may use."""
         daemons = max(1, len(self.registry.live()))
+        longest_s = self.settings.cancel_s * LONGEST_PAUSE_SHARE
+        self._jobs_feed.pause_s = min(longest_s, daemons / JOB_FEED_CALLS_PER_S)
         services = self.configuration.services.values() if self.configuration else []
         allowed = min((service.max_connections for service in services), default=DEFAULT_ALLOWED)
         share = int(allowed * IDLE_SHARE / daemons)
--- a/mountstand/store/memory_rows.py
+++ b/mountstand/store/memory_rows.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections import deque
 from collections.abc import Callable
 
@@ -93,12 +92,13 @@
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
         """Wait for changed rows."""
         await self._begin("changes")
-        deadline_s = time.monotonic() + wait_ms / 1000
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + wait_ms / 1000
         while True:
             if after < self._history_from:
                 raise HistoryGone
             rows = [r for r in self._history if r.version > after and r.key.table == table]
-            left_s = deadline_s - time.monotonic()
+            left_s = deadline_s - loop.time()
             if rows or left_s <= 0:
                 return RowPage(rows, False, self.version, self._now_ms())
             changed = self._changed
@@ -146,4 +146,4 @@
         self._history.append(row)
 
     def _now_ms(self) -> int:
-        return int(time.monotonic() * 1000)
+        return int(asyncio.get_running_loop().time() * 1000)
--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -70,6 +70,8 @@
         self.now_read_at_s = 0.0
         self.fresh_at_s = float("-inf")
         self.loaded = asyncio.Event()
+        self.pause_s = 0.0
+        """Pause after an answer with changes: what changes meanwhile comes in one answer."""
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -78,7 +80,7 @@
         while True:
             began_s = loop.time()
             try:
-                await self._step()
+                changed = await self._step()
             except HistoryGone:
                 self._log.event("feed_history_gone", table=self._table, after=self._version)
                 self._version = None
@@ -91,6 +93,8 @@
             pause_s = FIRST_RETRY_S
             self.fresh_at_s = began_s
             self._note_success(loop.time())
+            if changed and self.pause_s:
+                await asyncio.sleep(self.pause_s)
 
     def age_s(self, now_s: float) -> float:
         """Return how old the picture may be."""
@@ -141,7 +145,8 @@
                     self._row_by_key[row.key] = row
         self._apply(change)
 
-    async def _step(self) -> None:
+    async def _step(self) -> bool:
+        """Make one call, or a full read; returns whether anything had changed."""
         loop = asyncio.get_running_loop()
         if self._version is None:
             pages = [await read_all(self._store, self._table, part) for part in self._parts]
@@ -157,6 +162,7 @@
                 self._take(TableChange(page.rows, False))
         self.now_ms = pages[-1].now_ms
         self.now_read_at_s = loop.time()
+        return any(page.rows for page in pages)
 
     def _advance(self, page: RowPage) -> None:
         """Move on to where the next call continues.
--- a/tests/contract/test_row_store.py
+++ b/tests/contract/test_row_store.py
@@ -24,6 +24,7 @@
 from mountstand.store.watch import TableChange, TableWatcher
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from tests.stand_ins.harness import LineLog, eventually, run
+from tests.stand_ins.paused_clock import run_paused
 from tests.stand_ins.store import StandInStore
 
 KEY = RowKey("t", "p", "a")
@@ -182,6 +183,38 @@
         run(scenario())
 
 
+class Pausing(TestCase):
+    """On a paused clock: how many calls a table costs that changes all the time."""
+
+    def calls(self, pause_s: float) -> tuple[int, bytes | None]:
+        async def scenario() -> tuple[int, bytes | None]:
+            store = MemoryRowStore()
+            seen: list[bytes | None] = []
+            watcher = TableWatcher(
+                store, "t", ["p"], lambda c: seen.extend(r.value for r in c.rows), LineLog()
+            )
+            watcher.pause_s = pause_s
+            task = asyncio.create_task(watcher.run())
+            await watcher.loaded.wait()
+            before = store.calls
+            for i in range(100):
+                store.apply(put(KEY, b"%d" % i))
+                await asyncio.sleep(0.01)
+            calls = store.calls - before
+            await asyncio.sleep(pause_s + 0.01)
+            task.cancel()
+            return calls, seen[-1]
+
+        return run_paused(scenario())
+
+    def test_changes_during_the_pause_come_in_one_answer(self) -> None:
+        without, _ = self.calls(0.0)
+        calls, last = self.calls(0.25)
+        self.assertGreater(without, 90)
+        self.assertLessEqual(calls, 6)
+        self.assertEqual(b"99", last, "the last change is seen")
+
+
 class DeafFeed(MemoryRowStore):
     """A store whose feed answers with nothing and the newest version while it is deaf."""
 
