--- /dev/null
+++ b/mountstand/membership/digest_link.py
@@ -0,0 +1,27 @@
+"""Sends load digests between daemons in the datagrams of failure detection."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from mountstand.membership.datagrams import DatagramMembership
+from mountstand.serving.load_groups import Peer
+from mountstand.serving.load_sharing import DigestLink
+from mountstand.wire.gossip import LoadDigest
+
+
+class MembershipLink(DigestLink):
+    """Sends digests in the datagrams of failure detection, to members that answered lately."""
+
+    __slots__ = ("_membership",)
+
+    def __init__(self, membership: DatagramMembership) -> None:
+        self._membership = membership
+
+    def peers(self) -> list[Peer]:
+        """Return the daemons that are believed to run, leaving ones included."""
+        return [Peer(m.member_id, m.zone) for m in self._membership.answering_members()]
+
+    def send(self, digest: LoadDigest, receivers: Iterable[str]) -> None:
+        """Send a digest to daemons."""
+        self._membership.send(digest, receivers)
--- /dev/null
+++ b/mountstand/serving/exchange_log.py
@@ -0,0 +1,76 @@
+"""Decision lines and figures of online requests."""
+
+from __future__ import annotations
+
+import asyncio
+
+from mountstand.serving.exchange import Exchange, Outcome
+from mountstand.serving.workers import Worker
+from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.serving_metrics import ServingMetrics
+
+
+class ExchangeLog:
+    """Tells of attempts and ends."""
+
+    __slots__ = ("_log", "_metrics")
+
+    def __init__(self, metrics: ServingMetrics, log: DecisionLog) -> None:
+        self._metrics = metrics
+        self._log = log
+
+    def attempt_failed(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
+        """Tell of an attempt that did not deliver, with what was known of its worker."""
+        self._metrics.attempt_failed(outcome.value)
+        loop_s = asyncio.get_running_loop().time()
+        self._log.event(
+            "attempt_failed",
+            request=exchange.call.request_id,
+            route=exchange.route.name,
+            worker=worker.record.worker_id,
+            worker_version=worker.record.version,
+            outcome=outcome.value,
+            cause=exchange.cause,
+            runs=exchange.runs,
+            max_attempts=exchange.route.max_attempts,
+            repeatable=exchange.route.repeatable,
+            last_event=exchange.last_event_id,
+            load=worker.load.total if worker.load else None,
+            load_age_s=round(loop_s - worker.load_at_s, 3) if worker.load else None,
+            in_flight=worker.in_flight,
+        )
+
+    def request_ended(
+        self, exchange: Exchange, received_at_s: float, now_s: float, caller_gone: bool
+    ) -> None:
+        """Tell how a request ended and when what happened."""
+        status = exchange.responder.status
+        gone = caller_gone and not exchange.responder.finished
+        duration_s = now_s - received_at_s
+        self._metrics.request_ended(
+            exchange.route.name, "gone" if gone else str(status), duration_s
+        )
+        first_s = exchange.first_event_at_s
+        load = exchange.load
+        self._log.event(
+            "request_ended",
+            request=exchange.call.request_id,
+            route=exchange.route.name,
+            service=exchange.service,
+            worker=exchange.worker_id,
+            status=status,
+            outcome="caller gone" if gone else ("ok" if exchange.delivered else "broken"),
+            cause=exchange.cause,
+            runs=exchange.runs,
+            refusals=exchange.refusals,
+            unreachable=exchange.unreachable,
+            sent_ms=milliseconds(exchange.sent_at_s - received_at_s),
+            first_event_ms=None if first_s is None else milliseconds(first_s - received_at_s),
+            ms=milliseconds(duration_s),
+            load=None if load is None else [load.running, load.waiting, load.slots],
+        )
+
+
+def milliseconds(seconds: float) -> float:
+    """Return a duration as it is logged."""
+    return round(seconds * 1000, 1)
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -14,6 +14,7 @@
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
 from mountstand.serving.exchange import Exchange, Outcome, WorkerSilent
+from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
@@ -73,8 +74,7 @@
         self._protocol = protocol
         self._shares = shares
         self._room = room
-        self._metrics = metrics
-        self._log = log
+        self._log = ExchangeLog(metrics, log)
         self.idle_per_worker = 4
 
     async def forward(
@@ -99,7 +99,7 @@
             exchange.cause = "deadline"
             self._end_unfinished(exchange)
         finally:
-            self._report(exchange, received_at_s, loop.time(), gone)
+            self._log.request_ended(exchange, received_at_s, loop.time(), gone)
 
     async def _run_attempts(self, exchange: Exchange) -> None:
         while not exchange.responder.finished:
@@ -113,7 +113,7 @@
             if outcome is Outcome.DELIVERED:
                 exchange.delivered = True
                 return
-            self._log_attempt(exchange, worker, outcome)
+            self._log.attempt_failed(exchange, worker, outcome)
             if not self._may_go_on(exchange, outcome):
                 self._end_unfinished(exchange)
                 return
@@ -346,57 +346,3 @@
             refuse(responder, RETRY_FULL_S if full else RETRY_UNAVAILABLE_S)
             return
         responder.send(504 if exchange.cause == "deadline" else 502)
-
-    def _log_attempt(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
-        self._metrics.attempt_failed(outcome.value)
-        loop_s = asyncio.get_running_loop().time()
-        self._log.event(
-            "attempt_failed",
-            request=exchange.call.request_id,
-            route=exchange.route.name,
-            worker=worker.record.worker_id,
-            worker_version=worker.record.version,
-            outcome=outcome.value,
-            cause=exchange.cause,
-            runs=exchange.runs,
-            max_attempts=exchange.route.max_attempts,
-            repeatable=exchange.route.repeatable,
-            last_event=exchange.last_event_id,
-            load=worker.load.total if worker.load else None,
-            load_age_s=round(loop_s - worker.load_at_s, 3) if worker.load else None,
-            in_flight=worker.in_flight,
-        )
-
-    def _report(
-        self, exchange: Exchange, received_at_s: float, now_s: float, caller_gone: bool
-    ) -> None:
-        status = exchange.responder.status
-        gone = caller_gone and not exchange.responder.finished
-        duration_s = now_s - received_at_s
-        self._metrics.request_ended(
-            exchange.route.name, "gone" if gone else str(status), duration_s
-        )
-        first_s = exchange.first_event_at_s
-        load = exchange.load
-        self._log.event(
-            "request_ended",
-            request=exchange.call.request_id,
-            route=exchange.route.name,
-            service=exchange.service,
-            worker=exchange.worker_id,
-            status=status,
-            outcome="caller gone" if gone else ("ok" if exchange.delivered else "broken"),
-            cause=exchange.cause,
-            runs=exchange.runs,
-            refusals=exchange.refusals,
-            unreachable=exchange.unreachable,
-            sent_ms=milliseconds(exchange.sent_at_s - received_at_s),
-            first_event_ms=None if first_s is None else milliseconds(first_s - received_at_s),
-            ms=milliseconds(duration_s),
-            load=None if load is None else [load.running, load.waiting, load.slots],
-        )
-
-
-def milliseconds(seconds: float) -> float:
-    """Return a duration as it is logged."""
-    return round(seconds * 1000, 1)
--- /dev/null
+++ b/mountstand/serving_feeds.py
@@ -0,0 +1,97 @@
+"""What a serving process follows in the store: configuration, workers, daemons and jobs."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from mountstand.jobs.repository import HEADS, partitions
+from mountstand.membership.registry import DAEMONS, DaemonRegistry
+from mountstand.serving.feeds import ConfigurationSource
+from mountstand.serving_settings import ServingSettings, SocketAddress
+from mountstand.store.peer_tables import PeerAddresses, PeerTables
+from mountstand.store.rows import RowStore
+from mountstand.store.watch import TableChange, TableWatcher
+from mountstand.telemetry.decisions import DecisionLog
+
+JOB_FEED_CALLS_PER_S = 100.0
+"""Calls that follow the jobs, of all daemons together, while jobs change all the time: each
+result that is listed would otherwise answer a call of every daemon."""
+
+DAEMONS_PAUSE_S = 0.25
+"""When all start at once each daemon's row would answer a call of every other. Failure detection
+tells changes of a daemon's state sooner than its row."""
+
+LONGEST_PAUSE_SHARE = 1 / 6
+"""A daemon looks at the jobs this often at least, as a share of the time within which the end of a
+job must be obeyed; an owner that learns of an end so late has most of that time left."""
+
+
+class KnownPeers(PeerAddresses):
+    """Daemons that run as far as is known, or else the seeds of the settings."""
+
+    __slots__ = ("_registry", "settings")
+
+    def __init__(self, settings: ServingSettings, registry: DaemonRegistry) -> None:
+        self.settings = settings
+        self._registry = registry
+
+    def control_addresses(self) -> list[SocketAddress]:
+        """Return control addresses of other daemons."""
+        own = self.settings.listeners.control
+        seeds = [address for address in self.settings.seeds if address != own]
+        return self._registry.control_addresses() or seeds
+
+
+@dataclass(frozen=True, slots=True)
+class FeedTargets:
+    """Who is told of changes."""
+
+    apply_configuration: Callable[[TableChange], None]
+    apply_workers: Callable[[TableChange], None]
+    registry: DaemonRegistry
+    apply_jobs: Callable[[TableChange], None]
+
+
+class ServingFeeds:
+    """Watchers of the tables, and the exchange of the first three with peers."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        source: ConfigurationSource,
+        targets: FeedTargets,
+        settings: ServingSettings,
+        log: DecisionLog,
+    ) -> None:
+        def shared(table: str, apply: Callable[[TableChange], None]) -> TableWatcher:
+            return TableWatcher(store, table, [""], apply, log, keep_rows=True)
+
+        self.configuration = shared(source.configuration_table, targets.apply_configuration)
+        self.workers = shared(source.workers_table, targets.apply_workers)
+        self.daemons = shared(DAEMONS, targets.registry.apply)
+        self.daemons.pause_s = DAEMONS_PAUSE_S
+        self.jobs = TableWatcher(store, HEADS, partitions(), targets.apply_jobs, log)
+        self._known_peers = KnownPeers(settings, targets.registry)
+        self.peer_tables = PeerTables(
+            [self.configuration, self.workers, self.daemons],
+            self._known_peers,
+            log,
+            random.Random(),
+        )
+
+    def use_settings(self, settings: ServingSettings) -> None:
+        """Ask other seeds from now on."""
+        self._known_peers.settings = settings
+
+    def share_out(self, daemons: int, cancel_s: float) -> None:
+        """Divide the calls that follow the jobs among so many daemons."""
+        longest_s = cancel_s * LONGEST_PAUSE_SHARE
+        self.jobs.pause_s = min(longest_s, daemons / JOB_FEED_CALLS_PER_S)
+
+    def runs(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the work that follows the tables, until cancelled."""
+        followed = (self.configuration, self.workers, self.daemons, self.jobs, self.peer_tables)
+        return [each.run() for each in followed]
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 from dataclasses import fields
 from typing import Any, Protocol
 
@@ -13,24 +13,24 @@
 from mountstand.jobs.item_execution import RunnerContext
 from mountstand.jobs.model import JobHead, JobItem
 from mountstand.jobs.owners import Owners
-from mountstand.jobs.repository import HEADS, JobRepository, partitions
+from mountstand.jobs.repository import JobRepository
 from mountstand.jobs.service import JobService
 from mountstand.membership.datagrams import FAILURE_DETECTION, DatagramMembership
+from mountstand.membership.digest_link import MembershipLink
 from mountstand.membership.member import Member
-from mountstand.membership.registry import DAEMONS, DaemonRegistry, DaemonRow, new_token
+from mountstand.membership.registry import DaemonRegistry, DaemonRow, new_token
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Configuration, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.feeds import ConfigurationSource, ConfigurationState, WorkersState
 from mountstand.serving.forwarder import Forwarder
 from mountstand.serving.load_groups import Peer
-from mountstand.serving.load_sharing import DigestLink, LoadSharing
+from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory
+from mountstand.serving_feeds import FeedTargets, ServingFeeds
 from mountstand.serving_settings import ServingSettings, SocketAddress
-from mountstand.store.peer_tables import PeerAddresses, PeerTables
 from mountstand.store.rows import ObjectStore, RowStore
-from mountstand.store.watch import TableChange, TableWatcher
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_server import HttpServer, Responder, ServerLimits, ServerRequest
@@ -54,18 +54,6 @@
 MOST_IDLE = 8
 """Idle connections that one daemon keeps to a worker: a share of those that the worker allows."""
 
-JOB_FEED_CALLS_PER_S = 100.0
-"""Calls that follow the jobs, of all daemons together, while jobs change all the time: each
-result that is listed would otherwise answer a call of every daemon."""
-
-DAEMONS_PAUSE_S = 0.25
-"""When all start at once each daemon's row would answer a call of every other. Failure detection
-tells changes of a daemon's state sooner than its row."""
-
-LONGEST_PAUSE_SHARE = 1 / 6
-"""A daemon looks at the jobs this often at least, as a share of the time within which the end of a
-job must be obeyed; an owner that learns of an end so late has most of that time left."""
-
 LEAVING_USE_SHARE = 0.5
 """Share of the time within which a leaving worker must get no new work for which it may still get
 some where no other worker is left."""
@@ -98,39 +86,6 @@
         """Tell a caller which addresses to use."""
 
 
-class MembershipLink(DigestLink):
-    """Sends digests in the datagrams of failure detection, to members that answered lately."""
-
-    __slots__ = ("_membership",)
-
-    def __init__(self, membership: DatagramMembership) -> None:
-        self._membership = membership
-
-    def peers(self) -> list[Peer]:
-        """Return the daemons that are believed to run, leaving ones included."""
-        return [Peer(m.member_id, m.zone) for m in self._membership.answering_members()]
-
-    def send(self, digest: LoadDigest, receivers: Iterable[str]) -> None:
-        """Send a digest to daemons."""
-        self._membership.send(digest, receivers)
-
-
-class KnownPeers(PeerAddresses):
-    """Daemons that run as far as is known, or else the seeds of the settings."""
-
-    __slots__ = ("_registry", "_settings")
-
-    def __init__(self, settings: ServingSettings, registry: DaemonRegistry) -> None:
-        self._settings = settings
-        self._registry = registry
-
-    def control_addresses(self) -> list[SocketAddress]:
-        """Return control addresses of other daemons."""
-        own = self._settings.listeners.control
-        seeds = [address for address in self._settings.seeds if address != own]
-        return self._registry.control_addresses() or seeds
-
-
 class ServingNode:
     """The process that serves callers on one machine."""
 
@@ -147,7 +102,6 @@
         self.settings = settings
         self.metrics = metrics
         self.log = log
-        self._source = source
         self._store = store
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -163,7 +117,20 @@
             self.directory, self.connections, protocol, shares, self.room, metrics, log
         )
         self._build_membership(store)
-        self._build_watchers(store)
+        self._configuration_state = ConfigurationState(source, log, self._apply_limits)
+        workers_state = WorkersState(source, self.directory, log)
+        self.feeds = ServingFeeds(
+            store,
+            source,
+            FeedTargets(
+                self._configuration_state.apply,
+                workers_state.apply,
+                self.registry,
+                lambda change: self.jobs.apply(change),
+            ),
+            settings,
+            log,
+        )
         self._build_jobs(store, protocol, shares, parse_document)
 
     # Construction
@@ -199,28 +166,6 @@
         )
         self.membership.on_message = self._handle_peer_message
 
-    def _build_watchers(self, store: Store) -> None:
-        self._configuration_state = ConfigurationState(self._source, self.log, self._apply_limits)
-        self._workers_state = WorkersState(self._source, self.directory, self.log)
-
-        def shared(table: str, apply: Callable[[TableChange], None]) -> TableWatcher:
-            return TableWatcher(store, table, [""], apply, self.log, keep_rows=True)
-
-        source = self._source
-        self._configuration_feed = shared(
-            source.configuration_table, self._configuration_state.apply
-        )
-        self._workers_feed = shared(source.workers_table, self._workers_state.apply)
-        self._daemons_feed = shared(DAEMONS, self.registry.apply)
-        self._daemons_feed.pause_s = DAEMONS_PAUSE_S
-        self._jobs_feed = TableWatcher(store, HEADS, partitions(), self._apply_jobs, self.log)
-        self.peer_tables = PeerTables(
-            [self._configuration_feed, self._workers_feed, self._daemons_feed],
-            KnownPeers(self.settings, self.registry),
-            self.log,
-            random.Random(),
-        )
-
     def _build_jobs(
         self,
         store: Store,
@@ -255,7 +200,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
-        informed = self.configuration is not None and self._workers_feed.loaded.is_set()
+        informed = self.configuration is not None and self.feeds.workers.loaded.is_set()
         return informed and not self._stopping
 
     def callers_addresses(self) -> list[str]:
@@ -267,13 +212,13 @@
 
     def store_age_s(self) -> float:
         """Return how old this daemon's picture of the jobs may be."""
-        return self._jobs_feed.age_s(asyncio.get_running_loop().time())
+        return self.feeds.jobs.age_s(asyncio.get_running_loop().time())
 
     def _live_daemons(self) -> int:
         return len(self.membership.live_names())
 
     def _store_now_ms(self) -> int:
-        feed = self._jobs_feed
+        feed = self.feeds.jobs
         return feed.now_ms + int((asyncio.get_running_loop().time() - feed.now_read_at_s) * 1000)
 
     def _keep_s(self, head: JobHead) -> float:
@@ -288,14 +233,10 @@
         for server in self._servers:
             server.limits = configuration.limits
 
-    def _apply_jobs(self, change: TableChange) -> None:
-        self.jobs.apply(change)
-
     def _handle_members(self) -> None:
         """Share out among the daemons what all of them together may use."""
         daemons = max(1, len(self.registry.live()))
-        longest_s = self.settings.cancel_s * LONGEST_PAUSE_SHARE
-        self._jobs_feed.pause_s = min(longest_s, daemons / JOB_FEED_CALLS_PER_S)
+        self.feeds.share_out(daemons, self.settings.cancel_s)
         services = self.configuration.services.values() if self.configuration else []
         allowed = min((service.max_connections for service in services), default=DEFAULT_ALLOWED)
         share = int(allowed * IDLE_SHARE / daemons)
@@ -326,20 +267,16 @@
         for address, handler in (
             (listeners.ready, interface.handle_ready),
             (listeners.directory, interface.handle_directory),
-            (listeners.control, self.peer_tables.handle),
+            (listeners.control, self.feeds.peer_tables.handle),
         ):
             if address is not None:
                 server = HttpServer(handler, ServerLimits(), self._note_rejected)
                 await server.start(address.host, address.port)
                 self._servers.append(server)
         for work in (
-            self._configuration_feed.run(),
-            self._workers_feed.run(),
-            self._daemons_feed.run(),
-            self._jobs_feed.run(),
+            *self.feeds.runs(),
             self._register(),
             self.membership.run(),
-            self.peer_tables.run(),
             self.jobs.run(),
             self._sweep(),
             self._share_load(),
@@ -388,6 +325,7 @@
         ]
         self.settings = settings
         self._store.use_address(settings.store.address)
+        self.feeds.use_settings(settings)
         self.directory.leaving_use_s = settings.drain_s * LEAVING_USE_SHARE
         self.log.event("reload", changed=changed)
 
