The trusted rest of idle connections no longer overflows on a clock that has run for hours

Change: the number of doublings is bounded. The soak now also reports an exception that a process did not handle. Before: test_clock_that_has_run_for_years fails with OverflowError; after: it passes, and the soak of 12 s too.

--- a/mountstand/serving/rest_limit.py
+++ b/mountstand/serving/rest_limit.py
@@ -12,6 +12,9 @@
 DOUBLING_S = 20.0
 """The limit doubles in this time without another such reset."""
 
+MOST_DOUBLINGS = 20.0
+"""By then the limit has risen a million times; the clock may be at any number of seconds."""
+
 SHORTEST_REST_S = 0.05
 """A connection used again this soon is trusted always: it rested for about one round trip."""
 
@@ -27,7 +30,8 @@
 
     def value_s(self, now_s: float) -> float:
         """Return the longest rest that is trusted now."""
-        return self._limit_s * 2 ** ((now_s - self._noted_at_s) / DOUBLING_S)
+        doublings = min(MOST_DOUBLINGS, (now_s - self._noted_at_s) / DOUBLING_S)
+        return self._limit_s * 2**doublings
 
     def note_forgotten(self, rested_s: float, now_s: float) -> None:
         """Take note of a connection that was forgotten after ``rested_s``."""
--- a/tests/serving/test_rest_limit.py
+++ b/tests/serving/test_rest_limit.py
@@ -42,6 +42,15 @@
         limit.note_forgotten(0.0, 10.0)
         self.assertAlmostEqual(SHORTEST_REST_S, limit.value_s(10.0))
 
+    def test_clock_that_has_run_for_years(self) -> None:
+        years_s = 1e9
+        limit = RestLimit()
+        self.assertEqual(float("inf"), limit.value_s(years_s))
+        limit.note_forgotten(0.4, 0.0)
+        self.assertLess(limit.value_s(years_s), float("inf"))
+        limit.note_forgotten(0.4, years_s)
+        self.assertAlmostEqual(0.2, limit.value_s(years_s))
+
 
 class AtMostOnce(TestCase):
     def test_only_the_first_request_meets_a_forgotten_connection(self) -> None:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,7 @@
 """After the last fault, all accepted work must end within this time."""
 
 TRACE_LINES = 40
+TRACEBACK = "Traceback (most recent call last)"
 
 
 @cappa.command(name="soak", help="Randomized fault soak of real serving processes on loopback.")
@@ -59,7 +60,7 @@
         if late:
             await jobs
         site.history.check_ends(asyncio.get_running_loop().time())
-        await _check_alive(site)
+        await _check_alive(site, folder)
     finally:
         await site.stop()
     return _figures(options, site, callers, injector)
@@ -79,7 +80,11 @@
     injector.check_route = check  # type: ignore[method-assign]
 
 
-async def _check_alive(site: Site) -> None:
+async def _check_alive(site: Site, folder: Path) -> None:
+    for log in sorted(folder.glob("*.log")):
+        if TRACEBACK in log.read_text(errors="replace"):
+            now_s = asyncio.get_running_loop().time()
+            site.history.violate("FAULT", log.stem, "an exception was not handled", now_s)
     for process in site.processes:
         if not process.running:
             now_s = asyncio.get_running_loop().time()
