--- a/tests/stand_ins/paused_clock.py
+++ b/tests/stand_ins/paused_clock.py
@@ -13,6 +13,9 @@
 
 T = TypeVar("T")
 
+START_S = 1e7
+"""The clock of a machine that has run for months; what only works on a young one fails."""
+
 
 class _AdvancingSelector(selectors.DefaultSelector):
     """Moves the loop's clock on by the time that a real selector would have waited."""
@@ -21,7 +24,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.clock_s = 0.0
+        self.clock_s = START_S
 
     def select(self, timeout: float | None = None) -> list[Any]:
         """Return the ready sockets; without any, ``timeout`` seconds pass on the clock."""
@@ -34,7 +37,7 @@
 
 
 class PausedClockLoop(asyncio.SelectorEventLoop):
-    """``time()`` is the paused clock, in seconds from 0."""
+    """``time()`` is the paused clock, in seconds from ``START_S``."""
 
     def __init__(self) -> None:
         self._advancing = _AdvancingSelector()
