No job is dropped or accepted by a clock that is not the store's

Until the jobs' feed was first answered, the daemon's steady clock stood in for the store's; an end put the job among the known ones, and by that clock it was past its retention and was dropped. Change: the clock is that of the feed answered last; without one, jobs are refused and none is dropped; job_dropped is logged.

--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -25,7 +25,7 @@
 from mountstand.jobs.repository import JobRepository, new_write_id
 from mountstand.jobs.result_cache import ResultCache
 from mountstand.jobs.runner import JobRunner
-from mountstand.store.rows import ABSENT, Conflict, StoreError
+from mountstand.store.rows import ABSENT, Conflict, StoreError, StoreRefused
 from mountstand.store.watch import TableChange
 
 SCAN_S = 0.5
@@ -90,7 +90,10 @@
         """Take a job. Once a write may have reached the store, it is never called refused."""
         if submission.job_id in self._heads:
             return SubmitOutcome.ACCEPTED
-        head = self._new_head(submission)
+        try:
+            head = self._new_head(submission)
+        except StoreRefused:
+            return SubmitOutcome.REFUSED
 
         def begin(stored: Stored) -> None:
             if stored.begin is not None:
@@ -379,11 +382,14 @@
 
     async def _drop_old(self, head: JobHead, version: int) -> None:
         """Remove a job that nobody may ask for any more."""
-        age_s = (self._context.store_now_ms() - head.accepted_ms) / 1000
-        if age_s < self._keep_s(head) or self._owners.rank(head.job_id):
-            return
         try:
+            age_s = (self._context.store_now_ms() - head.accepted_ms) / 1000
+            if age_s < self._keep_s(head) or self._owners.rank(head.job_id):
+                return
             await self._repository.drop(head, version)
+            self._context.log.event(
+                "job_dropped", job=head.job_id, age_s=round(age_s, 1), version=version
+            )
         except StoreError:
             return
 
--- a/mountstand/serving_feeds.py
+++ b/mountstand/serving_feeds.py
@@ -12,7 +12,7 @@
 from mountstand.serving.feeds import ConfigurationSource
 from mountstand.serving_settings import ServingSettings, SocketAddress
 from mountstand.store.peer_tables import PeerAddresses, PeerTables
-from mountstand.store.rows import RowStore
+from mountstand.store.rows import RowStore, StoreRefused
 from mountstand.store.watch import TableChange, TableWatcher
 from mountstand.telemetry.decisions import DecisionLog
 
@@ -91,6 +91,19 @@
         longest_s = cancel_s * LONGEST_PAUSE_SHARE
         self.jobs.pause_s = min(longest_s, daemons / JOB_FEED_CALLS_PER_S)
 
+    def store_now_ms(self, now_s: float) -> int:
+        """Return the store's clock by the feed that was answered last.
+
+        Raises ``StoreRefused`` while the store has answered none: rows from peers tell no clock.
+        """
+        feeds = (self.configuration, self.workers, self.daemons, self.jobs)
+        answered = [feed for feed in feeds if feed.now_read_at_s is not None]
+        if not answered:
+            raise StoreRefused("the store's clock is not known yet")
+        latest = max(answered, key=lambda feed: feed.now_read_at_s or 0.0)
+        assert latest.now_read_at_s is not None
+        return latest.now_ms + int((now_s - latest.now_read_at_s) * 1000)
+
     def runs(self) -> list[Coroutine[Any, Any, None]]:
         """Return the work that follows the tables, until cancelled."""
         followed = (self.configuration, self.workers, self.daemons, self.jobs, self.peer_tables)
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -218,8 +218,7 @@
         return len(self.membership.live_names())
 
     def _store_now_ms(self) -> int:
-        feed = self.feeds.jobs
-        return feed.now_ms + int((asyncio.get_running_loop().time() - feed.now_read_at_s) * 1000)
+        return self.feeds.store_now_ms(asyncio.get_running_loop().time())
 
     def _keep_s(self, head: JobHead) -> float:
         """Return how long a job is kept after its acceptance."""
--- a/mountstand/store/peer_tables.py
+++ b/mountstand/store/peer_tables.py
@@ -102,8 +102,7 @@
         """Ask peers while own feeds fail, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_S * self._rng.uniform(0.8, 1.2))
-            now_s = asyncio.get_running_loop().time()
-            failing = [w for w in self._watcher_by_table.values() if w.is_late(now_s)]
+            failing = [w for w in self._watcher_by_table.values() if w.failing]
             if failing:
                 await self._ask_some(failing)
 
--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -22,9 +22,6 @@
 """How long a feed call is held. It bounds how late a broken feed is noticed, so it is a fraction
 of every bound that depends on a feed; a held call costs nothing but itself."""
 
-LATE_S = 1.0
-"""A feed whose last success lies this much longer back than a held call lasts is late."""
-
 FIRST_RETRY_S = 0.05
 LONGEST_RETRY_S = 0.5
 """Pause after a failed call: doubled from the first to the longest, each with jitter."""
@@ -67,7 +64,7 @@
         self._told_version = 0
         self._failing_since_s: float | None = None
         self.now_ms = 0
-        self.now_read_at_s = 0.0
+        self.now_read_at_s: float | None = None
         self.fresh_at_s = float("-inf")
         self.loaded = asyncio.Event()
         self.pause_s = 0.0
@@ -110,9 +107,10 @@
         """The version up to which all changes are known, if any."""
         return self._version
 
-    def is_late(self, now_s: float) -> bool:
-        """Return whether the store has not been heard from for longer than a held call lasts."""
-        return self.age_s(now_s) > WAIT_MS / 1000 + LATE_S
+    @property
+    def failing(self) -> bool:
+        """Whether the store has not answered the last call, or none yet."""
+        return self._failing_since_s is not None or self._version is None
 
     def rows_after(self, version: int) -> list[StoredRow]:
         """Return the kept rows that changed after ``version``; from 0 on, those that exist."""
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -19,7 +19,7 @@
 from mountstand.platform.ingress import parse_items
 from mountstand.serving.configuration import Configuration, RequestKind
 from mountstand.store.memory_rows import MemoryRowStore
-from mountstand.store.rows import RowKey, StoreError, Transaction
+from mountstand.store.rows import RowKey, StoreError, StoreRefused, Transaction
 from mountstand.store.watch import TableWatcher
 from tests.stand_ins.harness import HOST, Fleet, configuration, eventually, route, run
 from tests.stand_ins.worker import Answer, StandInWorker, event, reset, silence, stream, whole
@@ -48,6 +48,7 @@
         self.fleet = fleet
         self.live = live
         self.configuration: Configuration | None = configuration(BATCH)
+        self.now_ms: int | None = 1000
         self.watcher: TableWatcher
         context = RunnerContext(
             repository=JobRepository(store, store, 4096),
@@ -60,7 +61,7 @@
             log=fleet.log,
             configuration=lambda: self.configuration,
             store_age_s=lambda: self.watcher.age_s(asyncio.get_running_loop().time()),
-            store_now_ms=lambda: 1000,
+            store_now_ms=self.store_now_ms,
             contact_limit_s=lambda: 3.0,
         )
         owners = Owners(name, lambda: {other: other for other in live}, name)
@@ -68,6 +69,12 @@
         self.watcher = TableWatcher(store, HEADS, partitions(), self.jobs.apply, fleet.log)
         self.tasks: list[asyncio.Task[None]] = []
 
+    def store_now_ms(self) -> int:
+        """Return the store's clock, if this daemon knows it."""
+        if self.now_ms is None:
+            raise StoreRefused("no clock")
+        return self.now_ms
+
     def start(self) -> Daemon:
         """Follow the store and look for jobs."""
         self.live.add(self.name)
@@ -262,6 +269,32 @@
 
         self.play(work, (stream(4),))
 
+    def test_job_is_refused_while_the_clock_of_the_store_is_not_known(self) -> None:
+        async def work() -> None:
+            daemon = self.daemon()
+            daemon.now_ms = None
+            self.assertEqual(SubmitOutcome.REFUSED, await daemon.submit(submission()))
+            self.assertIsNone(await daemon.jobs.read("job1", 0, 0.0, 1000))
+
+        self.play(work, (stream(4),))
+
+    def test_ended_job_is_kept_while_the_clock_of_the_store_is_not_known(self) -> None:
+        """A daemon that has just started took its own clock for the store's and dropped it."""
+
+        async def work() -> None:
+            first = self.daemon("d1")
+            await first.submit(submission())
+            await first.finished(3)
+            first.now_ms = None
+            await first.jobs.end("job1")
+            await asyncio.sleep(1.2)
+            self.assertEqual(3, len(await first.results()))
+            first.now_ms = 2_000_000
+            await asyncio.sleep(1.2)
+            self.assertEqual([], await first.results(), "an old job is dropped")
+
+        self.play(work, (stream(4),))
+
     def test_job_is_taken_soon_after_a_silent_store_is_back(self) -> None:
         """Found by a score: a pending try kept a job waiting until its caller gave up."""
 
