--- a/mountstand/lab/batch_client.py
+++ b/mountstand/lab/batch_client.py
@@ -19,7 +19,8 @@
     JobRefused,
 )
 from mountstand.emulator.engine_core import expected_completion
-from mountstand.lab.fleet import DaemonAddress, Fleet
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import DaemonAddress
 
 DEFAULT_TENANT = "default"
 RESEND_PAUSE_S = 0.3
--- a/mountstand/lab/batch_faults.py
+++ b/mountstand/lab/batch_faults.py
@@ -13,7 +13,8 @@
 
 from mountstand.checks.history import check_events, write_history
 from mountstand.lab.batch_client import BatchClient, LabJob
-from mountstand.lab.fleet import DaemonAddress, Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import DaemonAddress, FleetPlan
 from mountstand.lab.statistics import percentile
 
 RUN_S = 32.0
--- a/mountstand/lab/batch_throughput.py
+++ b/mountstand/lab/batch_throughput.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from mountstand.lab.batch_client import BatchClient, LabJob
-from mountstand.lab.fleet import Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import FleetPlan
 from mountstand.lab.online_client import LabRequest, OnlineClient, new_session
 
 JOBS = 4
--- a/mountstand/lab/configuration.py
+++ b/mountstand/lab/configuration.py
@@ -18,7 +18,8 @@
 import orjson
 import urllib3
 
-from mountstand.lab.fleet import DaemonAddress, Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import DaemonAddress, FleetPlan
 from mountstand.lab.statistics import percentile
 
 RUN_S = 25.0
--- a/mountstand/lab/faults.py
+++ b/mountstand/lab/faults.py
@@ -14,7 +14,8 @@
 
 from mountstand.checks.history import Executed, NotRepeatableSent, check_events
 from mountstand.lab.batch_client import BatchClient, LabJob
-from mountstand.lab.fleet import Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import FleetPlan
 from mountstand.lab.online_client import (
     LabRequest,
     Measured,
--- a/mountstand/lab/online.py
+++ b/mountstand/lab/online.py
@@ -15,7 +15,8 @@
 from pathlib import Path
 from typing import Any
 
-from mountstand.lab.fleet import EngineGroup, Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import EngineGroup, FleetPlan
 from mountstand.lab.online_client import LabRequest, OnlineClient, new_session, run_open_loop
 from mountstand.lab.statistics import percentile
 
--- a/mountstand/lab/scale.py
+++ b/mountstand/lab/scale.py
@@ -16,7 +16,8 @@
 
 import orjson
 
-from mountstand.lab.fleet import Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import FleetPlan
 from mountstand.lab.hollow import HollowSpecification
 from mountstand.lab.online import processor_time_s
 from mountstand.lab.ports import LOOPBACK, free_ports
--- a/mountstand/lab/shared_fleet.py
+++ b/mountstand/lab/shared_fleet.py
@@ -20,7 +20,8 @@
 from mountstand.emulator.engine_core import PrefixCache
 from mountstand.engines.prefix_blocks import prefix_blocks
 from mountstand.lab.batch_client import BatchClient, LabJob
-from mountstand.lab.fleet import Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import FleetPlan
 from mountstand.lab.online import milliseconds, ratio
 from mountstand.lab.online_client import (
     LabRequest,
--- a/tests/integration/helpers.py
+++ b/tests/integration/helpers.py
@@ -9,7 +9,8 @@
 import orjson
 
 from mountstand.emulator.engine_core import expected_completion
-from mountstand.lab.fleet import DaemonAddress, Fleet
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import DaemonAddress
 
 WAIT_S = 60.0
 
--- a/tests/integration/test_batch_faults.py
+++ b/tests/integration/test_batch_faults.py
@@ -9,7 +9,8 @@
 
 from mountstand.checks.history import check_events
 from mountstand.lab.batch_client import BatchClient, LabJob
-from mountstand.lab.fleet import Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import FleetPlan
 from tests.integration.helpers import (
     batch_lines,
     check_results,
--- a/tests/integration/test_settings.py
+++ b/tests/integration/test_settings.py
@@ -7,7 +7,8 @@
 import orjson
 from testtools import TestCase
 
-from mountstand.lab.fleet import Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import FleetPlan
 from tests.integration.helpers import wait_until
 
 
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -6,7 +6,8 @@
 from testtools import TestCase
 
 from mountstand.emulator.engine_core import expected_completion
-from mountstand.lab.fleet import Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import FleetPlan
 from tests.integration.helpers import (
     batch_lines,
     check_results,
--- a/tests/unit/test_fleet_start.py
+++ b/tests/unit/test_fleet_start.py
@@ -8,7 +8,8 @@
 
 from testtools import TestCase
 
-from mountstand.lab.fleet import DaemonAddress, Fleet, FleetPlan
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import DaemonAddress, FleetPlan
 from mountstand.lab.ports import LOOPBACK
 
 DELAY_S = 0.4
