--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import heapq
 import itertools
 import logging
@@ -15,7 +14,6 @@
 import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 
 from mountstand.background import PeriodicTask
 from mountstand.batch.held_range import (
@@ -27,8 +25,10 @@
     failed_line,
     parse_items,
 )
+from mountstand.batch.known_work import KnownWork
 from mountstand.batch.model import ItemStatus, only_segment
 from mountstand.batch.owner_client import OwnerClient
+from mountstand.batch.range_renewal import RangeRenewal
 from mountstand.batch.worker_assignment import WorkerAssignment
 from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest
 from mountstand.errors import (
@@ -50,9 +50,6 @@
     GrantedRanges,
     PullRanges,
     RangeGrant,
-    RangeKey,
-    RenewedRanges,
-    RenewRanges,
     ReportRange,
     WorkHint,
 )
@@ -66,11 +63,7 @@
 RENEW_WINDOW_S = 1.5
 """Without a renewal sent within this time no item of a range starts."""
 
-DROP_AFTER_S = 20.0
-"""A range whose owner cannot be found for so long is given up."""
-
 ITEM_TIMEOUT_S = 120.0
-WORK_HINT_LIFE_S = 2.0
 PULL_INTERVAL_S = 0.1
 SCHEDULE_INTERVAL_S = 0.05
 IDLE_SCHEDULE_INTERVAL_S = 0.5
@@ -84,14 +77,6 @@
 """Memory counted for an item without a result yet."""
 
 
-@dataclass(frozen=True)
-class KnownWork:
-    """Unassigned items that an owner told of."""
-
-    hint: WorkHint
-    expires_s: float
-
-
 class BatchExecutor:
     """Runs batch items on one daemon; thread-safe."""
 
@@ -120,7 +105,7 @@
         self._paused: list[tuple[float, HeldRange, BatchItem]] = []
         self._sequence = itertools.count()
         self._in_flight = 0
-        self._known_work: dict[str, KnownWork] = {}
+        self._known_work = KnownWork()
         self._stopping = False
         self._draining = False
         self._runners = ThreadPoolExecutor(settings.max_in_flight, thread_name_prefix="batch-item")
@@ -129,9 +114,10 @@
             target=self._schedule, name="batch-schedule", daemon=True
         )
         self._pull_task = PeriodicTask("range pull", PULL_INTERVAL_S, self._pull)
+        renewal = RangeRenewal(self_id, owners, self._held_ranges, self._drop)
         self._tasks = [
             self._pull_task,
-            PeriodicTask("range renewal", RENEW_INTERVAL_S, self._renew),
+            PeriodicTask("range renewal", RENEW_INTERVAL_S, renewal.run),
         ]
 
     def start(self) -> None:
@@ -165,9 +151,7 @@
 
     def handle_work_hint(self, owner_id: str, hint: WorkHint) -> None:
         """Note that an owner has unassigned items."""
-        expires_s = time.monotonic() + WORK_HINT_LIFE_S
-        with self._changed:
-            self._known_work[owner_id] = KnownWork(hint, expires_s)
+        self._known_work.note(owner_id, hint)
         self._pull_task.trigger()
 
     def handle_drop(self, drop: DropJob) -> Confirmed:
@@ -195,7 +179,7 @@
     # Pulling
 
     def _pull(self) -> None:
-        owners = self._owners_with_work()
+        owners = self._known_work.owners()
         if not owners:
             return
         workers = self._assignment.own_workers()
@@ -206,15 +190,6 @@
                 return
             wanted -= self._pull_from(owner_id, services, wanted)
 
-    def _owners_with_work(self) -> list[str]:
-        """Return the owners that told of work lately, by the priority of their work."""
-        now_s = time.monotonic()
-        with self._changed:
-            self._known_work = {
-                owner: work for owner, work in self._known_work.items() if work.expires_s > now_s
-            }
-            return sorted(self._known_work, key=lambda owner: self._known_work[owner].hint.priority)
-
     def _wanted_items(self, workers: list[Machine]) -> int:
         with self._changed:
             if self._stopping or self._draining:
@@ -232,13 +207,11 @@
         try:
             reply = self._owners.call(owner_id, request)
         except PeerUnavailable:
-            with self._changed:
-                self._known_work.pop(owner_id, None)
+            self._known_work.forget(owner_id)
             return 0
         assert isinstance(reply, GrantedRanges)
         if not reply.pending_items:
-            with self._changed:
-                self._known_work.pop(owner_id, None)
+            self._known_work.forget(owner_id)
         for grant in reply.grants:
             self._finishers.submit(self._take_range, grant, owner_id, sent_s)
         return sum(grant.item_count for grant in reply.grants)
@@ -479,31 +452,9 @@
 
     # Leases of ranges
 
-    def _renew(self) -> None:
-        by_owner: dict[str, list[HeldRange]] = {}
+    def _held_ranges(self) -> list[HeldRange]:
         with self._changed:
-            for held in self._held.values():
-                by_owner.setdefault(held.owner_id, []).append(held)
-        for owner_id, ranges in by_owner.items():
-            self._renew_with(owner_id, ranges)
-
-    def _renew_with(self, owner_id: str, ranges: list[HeldRange]) -> None:
-        sent_s = time.monotonic()
-        keys = tuple(held.grant.key for held in ranges)
-        kept: set[RangeKey] = set()
-        dropped: set[RangeKey] = set()
-        with contextlib.suppress(PeerUnavailable):
-            reply = self._owners.call(owner_id, RenewRanges(self._self_id, keys))
-            assert isinstance(reply, RenewedRanges)
-            kept, dropped = set(reply.keys), set(reply.dropped)
-        for held in ranges:
-            key = held.grant.key
-            if key in kept:
-                held.renewed_s = sent_s
-            elif key in dropped or sent_s - held.renewed_s > DROP_AFTER_S:
-                self._drop(key.job_key, key.range_index)
-            else:
-                held.owner_id = self._owners.find(key.job_key) or held.owner_id
+            return list(self._held.values())
 
     def _drop(self, job_key: str, range_index: int) -> None:
         with self._changed:
--- a/mountstand/batch/owner.py
+++ b/mountstand/batch/owner.py
@@ -15,15 +15,12 @@
 
 from mountstand.background import PeriodicTask
 from mountstand.batch.commit_pipeline import CommitPipeline
+from mountstand.batch.grants import build_grant, in_order
+from mountstand.batch.holders import CancelLocally, RangeHolders
 from mountstand.batch.job_ledger import JobLedger
 from mountstand.batch.job_store import JobStore
 from mountstand.batch.lost_ranges import complete_lost_range
-from mountstand.batch.model import (
-    JobState,
-    input_object,
-    segment_prefix,
-    shard_of,
-)
+from mountstand.batch.model import JobState, shard_of
 from mountstand.batch.shard_leases import ClaimLease, ReleaseLease, ShardLeases
 from mountstand.errors import MountstandError, WriteConflict
 from mountstand.membership.service import MembershipService
@@ -34,7 +31,6 @@
 from mountstand.wire.messages import (
     CancelJob,
     Confirmed,
-    DropJob,
     GrantedRanges,
     PullRanges,
     RangeGrant,
@@ -60,9 +56,6 @@
 HINT_INTERVAL_S = 0.3
 HINTED_PEERS = 8
 LOADER_THREADS = 4
-CONFIRM_TIMEOUT_S = 1.0
-
-CancelLocally = Callable[[str], None]
 
 
 class JobOwner:
@@ -83,9 +76,8 @@
         self._store = store
         self._objects = objects
         self._membership = membership
-        self._peers = peers
         self._metrics = metrics
-        self._cancel_locally = cancel_locally
+        self._holders = RangeHolders(membership, peers, cancel_locally)
         self._lock = threading.RLock()
         self._poll_lock = threading.Lock()
         self._leases = ShardLeases(
@@ -252,7 +244,7 @@
             if ledger is not None:
                 ledger.close()
         if ledger is not None and ledger.record.state is JobState.RUNNING:
-            self._tell_holders(key, holders)
+            self._holders.drop(key, holders)
 
     # Requests of executors
 
@@ -306,7 +298,7 @@
                 return Confirmed(False)
             holders = ledger.holders()
             ledger.close()
-        return Confirmed(self._tell_holders(cancel.job_key, holders))
+        return Confirmed(self._holders.drop(cancel.job_key, holders))
 
     def pending_items(self) -> int:
         """Return the items of verified shards that nobody runs yet."""
@@ -351,16 +343,7 @@
                     shard_of(key, self._settings.shards), now_s, VERIFY_WINDOW_S
                 )
             ]
-        far_future_s = float("inf")
-        return sorted(
-            found,
-            key=lambda pair: (
-                pair[1].record.priority,
-                pair[1].record.due_time_s or far_future_s,
-                served[pair[1].record.tenant],
-                pair[1].record.created_s,
-            ),
-        )
+        return in_order(found, served)
 
     def _grant(
         self, key: str, ledger: JobLedger, executor_id: str, capacity_items: int
@@ -387,24 +370,6 @@
             ledger.finish_marking(indexes, marked=marked)
         return indexes if marked else []
 
-    def _tell_holders(self, key: str, holders: set[str]) -> bool:
-        """Tell executors to drop a job's ranges; return whether all of them have."""
-        confirmed = [self._tell_holder(key, holder) for holder in holders]
-        return all(confirmed)
-
-    def _tell_holder(self, key: str, holder: str) -> bool:
-        if holder == self._membership.self_id:
-            self._cancel_locally(key)
-            return True
-        member = self._membership.member(holder)
-        if member is None:
-            return False
-        try:
-            reply = self._peers.call(member, DropJob(key), CONFIRM_TIMEOUT_S)
-        except MountstandError:
-            return False
-        return isinstance(reply, Confirmed) and reply.confirmed
-
     # Commits
 
     def commit(self) -> None:
@@ -465,22 +430,3 @@
         for peer in self._membership.random_peers(HINTED_PEERS):
             self._membership.send_hint(peer, hint)
         self.on_work(hint)
-
-
-def build_grant(key: str, ledger: JobLedger, index: int) -> RangeGrant:
-    """Return the grant of one range."""
-    record = ledger.record
-    info = ledger.ranges[index].info
-    return RangeGrant(
-        key=RangeKey(key, ledger.epoch, index),
-        first_item=info.first_item,
-        item_count=info.item_count,
-        object_name=input_object(record.upload_id, index),
-        segment_prefix=segment_prefix(record.upload_id, index),
-        service=record.service,
-        tenant=record.tenant,
-        priority=record.priority,
-        repeatable=record.repeatable,
-        max_attempts=record.max_attempts,
-        due_time_s=record.due_time_s,
-    )
--- a/mountstand/batch/service.py
+++ b/mountstand/batch/service.py
@@ -12,6 +12,7 @@
 
 from mountstand.batch.acceptance import JobAcceptor, JobSubmission
 from mountstand.batch.executor import RENEW_WINDOW_S
+from mountstand.batch.holders import CONFIRM_TIMEOUT_S
 from mountstand.batch.job_store import manifest_entries
 from mountstand.batch.lines import ReadLine
 from mountstand.batch.model import (
@@ -24,7 +25,7 @@
     open_row,
     shard_of,
 )
-from mountstand.batch.owner import CONFIRM_TIMEOUT_S, VERIFY_WINDOW_S, JobOwner
+from mountstand.batch.owner import VERIFY_WINDOW_S, JobOwner
 from mountstand.batch.shard_leases import preferred_owner
 from mountstand.errors import (
     JobIncomplete,
