Batch slots by the items that wait, and requests spread by the age of the load picture

Items that could not be in time any more took slots from those that could. Change: digests tell how many items wait, in time and late; a daemon takes the part of the free slots that its items are of all; parts are rounded by chance; late items come last, by how long items usually run; where many requests begin unseen, workers are chosen by chance over free slots, else the least loaded of four as before; workers that take no work count no free slots.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -43,6 +43,11 @@
     preempted: bool = False
     connection: ClientConnection | None = None
     saved_event_id: int | None = None
+    ran_s: float = 0.0
+    """How long attempts that this daemon made ran at workers."""
+
+    restored: bool = False
+    """Whether another process ran the first part."""
 
     def preempt(self) -> None:
         """Close the item's stream, since online work needs the slot."""
@@ -127,8 +132,14 @@
             return None
         if head.status != 200:
             return self._note_failure(progress, route, worker, head.status)
-        await self._collect(progress, worker, connection)
+        began_s = loop.time()
+        try:
+            await self._collect(progress, worker, connection)
+        finally:
+            progress.ran_s += loop.time() - began_s
         worker.health.own.add(loop.time(), failed=False)
+        if not progress.restored:
+            context.room.durations.note(worker.record.service, progress.ran_s)
         return ItemResult(
             progress.index,
             progress.item.item_id,
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -195,6 +195,7 @@
             progress.texts = list(saved.texts)
             progress.last_event_id = saved.last_event_id
             progress.saved_event_id = saved.last_event_id
+            progress.restored = True
             progress.failures = saved.failures
             self._saved.add(saved.index)
 
@@ -251,7 +252,7 @@
             return self._executor.given_up(progress, "route removed", "")
         if self._expired(route):
             return self._executor.given_up(progress, "retention over", route.name)
-        placement = await self._wait_for_slot(route)
+        placement = await self._wait_for_slot(route, progress)
         try:
             if self._draining or not self._surely_open():
                 return None
@@ -261,14 +262,14 @@
         finally:
             self._context.room.release(placement)
 
-    async def _wait_for_slot(self, route: Route) -> Placement:
+    async def _wait_for_slot(self, route: Route, progress: ItemProgress) -> Placement:
         task = asyncio.current_task()
         assert task is not None
         self._waiting_tasks.add(task)
         try:
-            return await self._context.room.acquire(
-                self._context.shares.choose(route), self._urgency(route)
-            )
+            service = self._context.shares.choose(route)
+            urgency = self._urgency(route, service, progress)
+            return await self._context.room.acquire(service, urgency)
         finally:
             self._waiting_tasks.discard(task)
 
@@ -276,11 +277,12 @@
         """Return whether an end of the job would have been seen."""
         return self._context.store_age_s() <= self._context.contact_limit_s()
 
-    def _urgency(self, route: Route) -> Urgency:
+    def _urgency(self, route: Route, service: str, progress: ItemProgress) -> Urgency:
         age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
         left_s = route.completion_target_s - age_s
         now_s = asyncio.get_running_loop().time()
-        return Urgency(left_s < 0, now_s + left_s)
+        usual_s = self._context.room.durations.usual_s(service)
+        return Urgency(now_s + left_s, max(0.0, usual_s - progress.ran_s))
 
     def _expired(self, route: Route) -> bool:
         age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
-import math
+import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from mountstand.serving.batch_demand import BatchDemand, Waiting
+from mountstand.serving.spread import UsualDurations, round_by_chance
 from mountstand.serving.workers import Worker, WorkerDirectory
 
 START_FILL = 0.9
@@ -24,16 +24,24 @@
 prompt again, since some request ends every few tens of milliseconds: docs/design/platform.md."""
 
 
-@dataclass(frozen=True, order=True)
+@dataclass(frozen=True, slots=True)
 class Urgency:
-    """Order of batch items; the least goes first.
+    """When an item is due, and how long it has still to run as far as can be told.
 
-    Items that can still be in time go before those that are late, and among equals the earliest
+    Items that can still be in time go before those that cannot, and among equals the earliest
     due: with too few slots some are in time, where equal shares would make all late.
     """
 
-    late: bool
     due_at_s: float
+    run_s: float = 0.0
+
+    def in_time(self, now_s: float) -> bool:
+        """Return whether the item ends before it is due if it begins now."""
+        return now_s + self.run_s <= self.due_at_s
+
+    def rank(self, now_s: float) -> tuple[bool, float]:
+        """Return the item's place in the order of those that begin now; the least goes first."""
+        return (not self.in_time(now_s), self.due_at_s)
 
 
 @dataclass(eq=False)
@@ -41,34 +49,33 @@
     """A batch item's place at a worker, from its grant until ``BatchRoom.release``."""
 
     worker: Worker
-    urgency: Urgency
+    rank: tuple[bool, float]
     preempt: Callable[[], None] = lambda: None
 
 
-@dataclass(order=True)
+@dataclass(slots=True)
 class _Waiter:
     """An item that waits for a slot."""
 
     urgency: Urgency
-    number: int
-    granted: asyncio.Future[Placement] = field(compare=False)
+    granted: asyncio.Future[Placement]
 
 
 class BatchRoom:
     """Shares the free slots out among daemons, and preempts this daemon's items."""
 
-    def __init__(self, directory: WorkerDirectory, daemons: Callable[[], int]) -> None:
+    def __init__(self, directory: WorkerDirectory, source: random.Random) -> None:
         self._directory = directory
-        self._daemons = daemons
+        self._source = source
+        self.demand = BatchDemand()
+        self.durations = UsualDurations()
         self._waiting: dict[str, list[_Waiter]] = {}
         self._placements: dict[str, list[Placement]] = {}
-        self._numbers = itertools.count()
 
     async def acquire(self, service: str, urgency: Urgency) -> Placement:
         """Wait for a slot at a worker of ``service``; the caller must release it."""
         granted: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(urgency, next(self._numbers), granted)
-        heapq.heappush(self._waiting.setdefault(service, []), waiter)
+        self._waiting.setdefault(service, []).append(_Waiter(urgency, granted))
         try:
             return await granted
         except asyncio.CancelledError:
@@ -85,23 +92,34 @@
         if placement in placements:
             placements.remove(placement)
 
-    def tick(self, now_s: float) -> None:
-        """Preempt and grant; call once per exchange of digests.
+    def tick(self, now_s: float, hops: int = 0) -> None:
+        """Preempt and grant; call once per period of the digests.
 
-        Every daemon sees the same free slots, so each may take only its part of them until the
-        next digests tell who took what.
+        Every daemon sees the same free slots, so each takes the part of them that its waiting
+        items are of all that wait. Word of that takes ``hops`` digests, half a period each on
+        average: what was taken or given up in the meantime must not be so again.
         """
+        part = 1 / (1 + hops / 2)
         free: dict[str, float] = {}
         for worker in self._directory.workers.values():
             load = worker.estimated_load(now_s)
             service = worker.record.service
-            room = max(0.0, worker.slots() * START_FILL - load)
-            free[service] = free.get(service, 0.0) + room
-            self._preempt_excess(worker, load)
-        daemons = max(1, self._daemons())
+            if worker.takes_work(now_s):
+                room = max(0.0, worker.slots() * START_FILL - load)
+                free[service] = free.get(service, 0.0) + room
+            self._preempt_excess(worker, load, part)
+        self._order_waiting(now_s)
         for service, slots in free.items():
-            if slots >= 1:
-                self._grant(service, math.ceil(slots / daemons), now_s)
+            allowed = self.demand.share_of(service, slots) * part
+            self._grant(service, round_by_chance(allowed, self._source), now_s)
+
+    def _order_waiting(self, now_s: float) -> None:
+        """Put the waiting items in order, since some became late meanwhile, and count them."""
+        for service, waiters in self._waiting.items():
+            waiters[:] = [waiter for waiter in waiters if not waiter.granted.done()]
+            waiters.sort(key=lambda waiter: waiter.urgency.rank(now_s))
+            in_time = sum(waiter.urgency.in_time(now_s) for waiter in waiters)
+            self.demand.own_by_service[service] = Waiting(in_time, len(waiters) - in_time)
 
     def yield_to_online(self, worker: Worker, now_s: float) -> None:
         """Take one item off a worker that is full, since an online request is sent there."""
@@ -111,33 +129,31 @@
     def _grant(self, service: str, allowance: int, now_s: float) -> None:
         waiting = self._waiting.get(service, [])
         while waiting and allowance > 0:
-            if waiting[0].granted.done():
-                heapq.heappop(waiting)
-                continue
             worker = self._directory.choose_below(service, START_FILL, now_s)
             if worker is None:
                 return
-            waiter = heapq.heappop(waiting)
+            waiter = waiting.pop(0)
             worker.in_flight += 1
             worker.batch_in_flight += 1
-            placement = Placement(worker, waiter.urgency)
+            placement = Placement(worker, waiter.urgency.rank(now_s))
             self._placements.setdefault(worker.record.worker_id, []).append(placement)
             waiter.granted.set_result(placement)
             allowance -= 1
 
-    def _preempt_excess(self, worker: Worker, load: float) -> None:
+    def _preempt_excess(self, worker: Worker, load: float, part: float) -> None:
         """Take off this daemon's part of the batch items that are too many."""
         excess = load - worker.slots() * YIELD_FILL
         if excess <= 0 or not worker.batch_in_flight:
             return
         share = worker.batch_in_flight / max(1, worker.batch)
-        for _ in range(min(worker.batch_in_flight, math.ceil(excess * share))):
+        count = round_by_chance(excess * share * part, self._source)
+        for _ in range(min(worker.batch_in_flight, count)):
             self._preempt_least_urgent(worker)
 
     def _preempt_least_urgent(self, worker: Worker) -> None:
         placements = self._placements.get(worker.record.worker_id, [])
         if placements:
-            placement = max(placements, key=lambda each: each.urgency)
+            placement = max(placements, key=lambda each: each.rank)
             placements.remove(placement)
             placement.preempt()
 
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -112,6 +112,8 @@
             self._note_outcome(exchange, worker, outcome)
             if outcome is Outcome.DELIVERED:
                 exchange.delivered = True
+                duration_s = asyncio.get_running_loop().time() - exchange.sent_at_s
+                self._directory.durations.note(exchange.service, duration_s)
                 return
             self._log.attempt_failed(exchange, worker, outcome)
             if not self._may_go_on(exchange, outcome):
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from mountstand.serving.batch_demand import BatchDemand, Waiting, service_key
 from mountstand.serving.load_groups import LoadGroup, Peer, group_of
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.wire.gossip import LoadDigest, Scope
@@ -49,29 +50,47 @@
         """Send a digest to daemons."""
 
 
+HOPS_ALONE = 1
+HOPS_GROUPED = 3
+"""Digests that word of a request takes to reach a daemon: directly, or by two heads."""
+
+
 @dataclass(slots=True)
-class WorkerCounts:
-    """What some daemons have in flight at one worker, and the outcomes they saw, in quarters."""
+class LoadCounts:
+    """What daemons tell of one worker or one service.
+
+    Of a worker what they have in flight there and the outcomes they saw, in quarters; of a service
+    how many of their batch items wait for it.
+    """
 
     online: int = 0
     batch: int = 0
     succeeded: int = 0
     failed: int = 0
+    waiting: int = 0
+    late: int = 0
 
-    def add(self, other: WorkerCounts, sign: int = 1) -> None:
+    def add(self, other: LoadCounts, sign: int = 1) -> None:
         """Add another's counts, or take them off."""
         self.online += sign * other.online
         self.batch += sign * other.batch
         self.succeeded += sign * other.succeeded
         self.failed += sign * other.failed
+        self.waiting += sign * other.waiting
+        self.late += sign * other.late
+
+    @property
+    def items(self) -> int:
+        """How many requests and items it is about."""
+        return self.online + self.batch + self.waiting + self.late
 
     @property
     def empty(self) -> bool:
         """Whether there is nothing to tell."""
-        return not (self.online or self.batch or self.succeeded or self.failed)
+        return not (self.items or self.succeeded or self.failed)
 
 
-CountsByKey = dict[int, WorkerCounts]
+CountsByKey = dict[int, LoadCounts]
 
 
 @dataclass(slots=True)
@@ -86,8 +105,15 @@
 class LoadSharing:
     """Sends this daemon's digest, and adds up those of the others."""
 
-    def __init__(self, directory: WorkerDirectory, own: Peer, link: DigestLink) -> None:
+    def __init__(
+        self,
+        directory: WorkerDirectory,
+        own: Peer,
+        link: DigestLink,
+        demand: BatchDemand | None = None,
+    ) -> None:
         self._directory = directory
+        self._demand = demand or BatchDemand()
         self._own_peer = own
         self._link = link
         self._peers: frozenset[Peer] = frozenset()
@@ -103,6 +129,11 @@
         """How often digests are sent, given the size of the fleet."""
         return max(SHORTEST_PERIOD_S, self._group.most_sent / DIGESTS_PER_S)
 
+    @property
+    def hops(self) -> int:
+        """How many digests word of a request takes to get here."""
+        return HOPS_GROUPED if self._group.grouped else HOPS_ALONE
+
     @property
     def group(self) -> LoadGroup:
         """The place of this daemon among the groups."""
@@ -112,6 +143,7 @@
         """Send what changed, and forget daemons that fell silent."""
         self._regroup()
         self._expire(now_s)
+        self._directory.picture_age_s = self.hops * self.period_s / 2
         own = self._own_counts(now_s)
         unreachable = self._unreachable(now_s)
         if self._group.head != self._own_peer.member_id:
@@ -124,14 +156,16 @@
     def handle(self, sender: str, digest: LoadDigest, now_s: float) -> None:
         """Take the digest of another daemon."""
         counts = zip(
-            digest.worker_keys,
+            digest.keys,
             digest.online,
             digest.batch,
-            digest.succeeded or (0,) * len(digest.worker_keys),
-            digest.failed or (0,) * len(digest.worker_keys),
+            digest.succeeded or (0,) * len(digest.keys),
+            digest.failed or (0,) * len(digest.keys),
+            digest.waiting or (0,) * len(digest.keys),
+            digest.late or (0,) * len(digest.keys),
             strict=False,
         )
-        by_key = {key: WorkerCounts(*values) for key, *values in counts}
+        by_key = {key: LoadCounts(*values) for key, *values in counts}
         self._heard_by_sender[sender] = _Heard(now_s, digest.scope, by_key)
         for key in digest.unreachable:
             self._unreachable_heard[key] = now_s
@@ -172,7 +206,7 @@
         for worker in self._directory.workers.values():
             outcomes = worker.health.own
             outcomes.age(now_s)
-            counts = WorkerCounts(
+            counts = LoadCounts(
                 worker.in_flight - worker.batch_in_flight,
                 worker.batch_in_flight,
                 quarters(outcomes.succeeded),
@@ -180,6 +214,10 @@
             )
             if not counts.empty:
                 counts_by_key[worker.key] = counts
+        for service, waiting in self._demand.own_by_service.items():
+            counts = LoadCounts(waiting=waiting.in_time, late=waiting.late)
+            if not counts.empty:
+                counts_by_key[service_key(service)] = counts
         return counts_by_key
 
     def _unreachable(self, now_s: float) -> tuple[int, ...]:
@@ -218,13 +256,17 @@
     def _take_over(self) -> None:
         """Tell each worker what all other daemons have there."""
         peers = self._peers_counts()
-        none = WorkerCounts()
+        none = LoadCounts()
         for worker in self._directory.workers.values():
             counts = peers.get(worker.key, none)
             worker.peer_online = max(0, counts.online)
             worker.peer_batch = max(0, counts.batch)
             worker.health.peers_succeeded = max(0, counts.succeeded) / QUARTERS
             worker.health.peers_failed = max(0, counts.failed) / QUARTERS
+        for service in self._directory.services:
+            counts = peers.get(service_key(service), none)
+            waiting = Waiting(max(0, counts.waiting), max(0, counts.late))
+            self._demand.peers_by_service[service] = waiting
 
     def _peers_counts(self) -> CountsByKey:
         """Return the sum over the other daemons; a head's word on the fleet includes this one."""
@@ -249,26 +291,34 @@
     total: CountsByKey = {}
     for counts_by_key in parts:
         for key, counts in counts_by_key.items():
-            total.setdefault(key, WorkerCounts()).add(counts)
+            total.setdefault(key, LoadCounts()).add(counts)
     return total
 
 
 def _digest(scope: Scope, counts_by_key: CountsByKey, unreachable: tuple[int, ...]) -> LoadDigest:
     told = list(counts_by_key.items())
     if len(told) > MOST_WORKERS:
-        told.sort(key=lambda item: -(item[1].online + item[1].batch))
+        told.sort(key=lambda item: -item[1].items)
         told = told[:MOST_WORKERS]
     return LoadDigest(
         tuple(key for key, _ in told),
         tuple(counts.online for _, counts in told),
         tuple(counts.batch for _, counts in told),
-        tuple(counts.succeeded for _, counts in told),
-        tuple(counts.failed for _, counts in told),
+        _unless_zero(counts.succeeded for _, counts in told),
+        _unless_zero(counts.failed for _, counts in told),
         unreachable[:MOST_WORKERS],
         scope,
+        _unless_zero(counts.waiting for _, counts in told),
+        _unless_zero(counts.late for _, counts in told),
     )
 
 
 def quarters(count: float) -> int:
     """Return a count of outcomes as a digest tells it."""
     return min(MOST_QUARTERS, int(count * QUARTERS))
+
+
+def _unless_zero(values: Iterable[int]) -> tuple[int, ...]:
+    """Return a list of a digest, empty if it says nothing."""
+    listed = tuple(values)
+    return listed if any(listed) else ()
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -9,13 +9,21 @@
 
 from mountstand.hashing import rendezvous_weight
 from mountstand.serving.prompt import Prompt
+from mountstand.serving.spread import UsualDurations, level_after, weights_below
 from mountstand.serving.worker_health import WorkerHealth, judge, new_health
 
 LOAD_TRUST_S = 2.0
 """A load report older than this says nothing: requests last about as long."""
 
 SAMPLE_SIZE = 4
-"""Workers compared per choice. Few enough that daemons with equal pictures do not all pick one."""
+"""Workers compared per choice while the picture of their load is fresh. Few enough that daemons
+with equal pictures do not all pick one."""
+
+SPREAD_SIZE = 64
+"""Workers that a choice by chance considers at most, so that it costs the same in any fleet."""
+
+UNSEEN_PER_WORKER = 0.5
+"""Up to so many requests per worker that peers began unseen, the picture of the load is fresh."""
 
 UNREACHABLE_S = 1.0
 """First pause after a connection that failed; doubled on each further failure."""
@@ -31,6 +39,10 @@
 FORGET_S = 10.0
 """A worker that left is forgotten after so long, so that it may still be listed again."""
 
+FULL = 1.0
+"""Fill below which it matters little how even loads are. Spreading over all free slots leaves room
+for a rise of traffic that nobody can have seen yet."""
+
 AFFINITY_FILL = 0.9
 """A home worker filled beyond this share of its slots gives the request to the next home."""
 
@@ -133,6 +145,11 @@
         """Return how many requests run at once."""
         return max(1, self.record.slots)
 
+    def takes_work(self, now_s: float) -> bool:
+        """Return whether the worker stays, is reachable as far as is known, and not ejected."""
+        avoided = self.avoid_until_s > now_s or self.health.is_ejected(now_s)
+        return self.leaving_since_s is None and not avoided
+
     def estimated_load(self, now_s: float) -> float:
         """Estimate how many requests run or wait there.
 
@@ -147,7 +164,8 @@
 class WorkerDirectory:
     """All workers that the platform lists, and those that left a moment ago.
 
-    ``leaving_use_s`` is how long a worker that is leaving may still be used where no other is left.
+    ``leaving_use_s`` is how long a worker that is leaving may still be used where no other is left,
+    ``picture_age_s`` how old what peers tell of their requests is on average.
     """
 
     def __init__(self, zone: str, source: random.Random, leaving_use_s: float = 1.0) -> None:
@@ -156,6 +174,8 @@
         self._zone = zone
         self._source = source
         self.leaving_use_s = leaving_use_s
+        self.picture_age_s = 0.0
+        self.durations = UsualDurations()
 
     def put(self, record: WorkerRecord, now_s: float) -> bool:
         """Take a worker's newest record; returns whether it says something new."""
@@ -251,12 +271,16 @@
         candidates = [
             worker
             for worker in self.of_service(service)
-            if worker.avoid_until_s <= now_s
-            and not worker.health.is_ejected(now_s)
+            if worker.takes_work(now_s)
             and worker.estimated_load(now_s) + 1 <= worker.slots() * fill
         ]
         return self._choose_least_loaded(candidates, now_s) if candidates else None
 
+    @property
+    def services(self) -> list[str]:
+        """The services that have workers."""
+        return list(self._by_service)
+
     def _candidates(self, service: str, tried: set[str], now_s: float) -> list[Worker]:
         untried = [w for w in self.of_service(service) if w.record.worker_id not in tried]
         reachable = [worker for worker in untried if worker.avoid_until_s <= now_s]
@@ -280,9 +304,17 @@
         return self._choose_least_loaded(candidates, now_s)
 
     def _choose_least_loaded(self, candidates: list[Worker], now_s: float) -> Worker:
-        sample = candidates
-        if len(candidates) > SAMPLE_SIZE:
-            sample = self._source.sample(candidates, SAMPLE_SIZE)
+        """Choose a worker so that the loads even out, given what peers send unseen meanwhile."""
+        spread = self._sample(candidates, SPREAD_SIZE)
+        unseen = self.durations.arrivals(
+            spread[0].record.service,
+            sum(worker.peer_online for worker in spread),
+            self.picture_age_s,
+        )
+        if unseen > UNSEEN_PER_WORKER * len(spread):
+            level = max(FULL, level_after(_fills(spread, now_s), unseen))
+            return self._choose_by_weight(spread, level, now_s)
+        sample = self._sample(candidates, SAMPLE_SIZE)
 
         def cost(worker: Worker) -> tuple[float, bool, float]:
             fill = worker.estimated_load(now_s) / worker.slots()
@@ -291,8 +323,23 @@
 
         return min(sample, key=cost)
 
+    def _choose_by_weight(self, candidates: list[Worker], level: float, now_s: float) -> Worker:
+        """Choose a worker by chance, the likelier the more it lacks to ``level``."""
+        weights = weights_below(_fills(candidates, now_s), level)
+        if not any(weights):
+            return self._source.choice(candidates)
+        return self._source.choices(candidates, weights)[0]
+
+    def _sample(self, candidates: list[Worker], size: int) -> list[Worker]:
+        return candidates if len(candidates) <= size else self._source.sample(candidates, size)
+
     def _index(self) -> None:
         by_service: dict[str, list[Worker]] = {}
         for worker in self.workers.values():
             by_service.setdefault(worker.record.service, []).append(worker)
         self._by_service = by_service
+
+
+def _fills(workers: list[Worker], now_s: float) -> list[tuple[float, int]]:
+    """Return each worker's fill, as a share of its slots, and its slots."""
+    return [(worker.estimated_load(now_s) / worker.slots(), worker.slots()) for worker in workers]
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -111,7 +111,7 @@
             settings.zone, source_of_chance, settings.drain_s * LEAVING_USE_SHARE
         )
         self.connections = WorkerConnections()
-        self.room = BatchRoom(self.directory, self._live_daemons)
+        self.room = BatchRoom(self.directory, source_of_chance)
         shares = ShareChooser(source_of_chance)
         self.forwarder = Forwarder(
             self.directory, self.connections, protocol, shares, self.room, metrics, log
@@ -163,6 +163,7 @@
             self.directory,
             Peer(settings.name, settings.zone),
             MembershipLink(self.membership),
+            self.room.demand,
         )
         self.membership.on_message = self._handle_peer_message
 
@@ -214,9 +215,6 @@
         """Return how old this daemon's picture of the jobs may be."""
         return self.feeds.jobs.age_s(asyncio.get_running_loop().time())
 
-    def _live_daemons(self) -> int:
-        return len(self.membership.live_names())
-
     def _store_now_ms(self) -> int:
         return self.feeds.store_now_ms(asyncio.get_running_loop().time())
 
@@ -349,7 +347,7 @@
             self.load_sharing.tick(loop.time())
             for worker in self.directory.judge_health(loop.time()):
                 self._log_ejection(worker)
-            self.room.tick(loop.time())
+            self.room.tick(loop.time(), self.load_sharing.hops)
 
     def _log_ejection(self, worker: Worker) -> None:
         health = worker.health
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -65,19 +65,24 @@
 
 
 class LoadDigest(msgspec.Struct, frozen=True, array_like=True):
-    """What daemons know of workers: parallel lists by worker key, the CRC-32 of its id.
+    """What daemons know of workers and services: parallel lists by their keys.
 
-    ``online`` and ``batch`` are in flight; ``succeeded`` and ``failed`` are outcomes seen lately,
-    in quarters; ``unreachable`` are keys of workers that just now accepted no connection.
+    The key of a worker is the CRC-32 of its id; :mod:`mountstand.serving.batch_demand` has that of
+    a service. ``online`` and ``batch`` are in flight at a worker; ``succeeded`` and ``failed`` are
+    outcomes seen lately, in quarters; ``waiting`` and ``late`` are batch items that wait for a
+    service and can be in time, or cannot; ``unreachable`` are keys of workers that just now
+    accepted no connection.
     """
 
-    worker_keys: tuple[int, ...] = ()
+    keys: tuple[int, ...] = ()
     online: tuple[int, ...] = ()
     batch: tuple[int, ...] = ()
     succeeded: tuple[int, ...] = ()
     failed: tuple[int, ...] = ()
     unreachable: tuple[int, ...] = ()
     scope: Scope = Scope.DAEMON
+    waiting: tuple[int, ...] = ()
+    late: tuple[int, ...] = ()
 
 
 GossipMessage = Ping | PingRequest | Ack | MembersSync | LoadDigest
--- /dev/null
+++ b/tests/serving/test_spread.py
@@ -0,0 +1,128 @@
+"""Requests that many daemons spread by one old picture of the workers' load."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from testtools import TestCase
+
+from mountstand.serving.batch_demand import BatchDemand, Waiting, service_key
+from mountstand.serving.load_groups import Peer
+from mountstand.serving.load_sharing import LoadSharing
+from mountstand.serving.prompt import EMPTY_PROMPT
+from mountstand.serving.spread import UsualDurations, level_after, round_by_chance, weights_below
+from mountstand.serving.workers import WorkerDirectory
+from tests.serving.test_routing import worker_record
+from tests.stand_ins.digest_link import RecordingLink
+
+
+class Levels(TestCase):
+    CASES = (
+        ("nothing arrives", [(0.5, 10), (0.2, 10)], 0.0, 0.2),
+        ("the emptiest is filled", [(0.5, 10), (0.2, 10)], 2.0, 0.4),
+        ("both are filled", [(0.5, 10), (0.2, 10)], 5.0, 0.6),
+        ("larger ones take more", [(0.0, 30), (0.0, 10)], 8.0, 0.2),
+        ("one alone", [(1.5, 4)], 2.0, 2.0),
+    )
+
+    def test_level(self) -> None:
+        for name, fills, arrivals, expected in self.CASES:
+            with self.subTest(name):
+                level = level_after(fills, arrivals)
+                self.assertAlmostEqual(expected, level)
+                self.assertAlmostEqual(arrivals, sum(weights_below(fills, level)))
+
+    def test_rounding_by_chance_keeps_the_mean(self) -> None:
+        source = random.Random(5)
+        rounded = [round_by_chance(2.25, source) for _ in range(4000)]
+        self.assertEqual({2, 3}, set(rounded))
+        self.assertTrue(2.2 < sum(rounded) / 4000 < 2.3)
+
+    def test_arrivals_follow_from_what_runs_and_how_long_it_takes(self) -> None:
+        durations = UsualDurations()
+        self.assertEqual(0.0, durations.arrivals("llm", 90, 0.3), "nothing is known yet")
+        durations.note("llm", 0.9)
+        self.assertAlmostEqual(30.0, durations.arrivals("llm", 90, 0.3))
+
+
+class OldPicture(TestCase):
+    """Ninety daemons choose by the same picture; word of a choice arrives after all have chosen."""
+
+    WORKERS = 36
+    DAEMONS = 90
+
+    def directory(self, seed: int) -> WorkerDirectory:
+        directory = WorkerDirectory("zone-a", random.Random(seed))
+        directory.picture_age_s = 0.3
+        directory.durations.note("llm", 0.9)
+        for i in range(self.WORKERS):
+            directory.put(worker_record(i, slots=9), 0.0)
+            directory.workers[f"w{i}"].peer_online = 5 + i % 6
+        return directory
+
+    def test_no_worker_is_overrun(self) -> None:
+        load_by_id = Counter({f"w{i}": 5 + i % 6 for i in range(self.WORKERS)})
+        for seed in range(self.DAEMONS):
+            worker = self.directory(seed).choose("llm", EMPTY_PROMPT, set(), 0.0)
+            assert worker is not None
+            load_by_id[worker.record.worker_id] += 1
+        even = sum(load_by_id.values()) / self.WORKERS
+        self.assertLessEqual(max(load_by_id.values()), even + 6, load_by_id)
+        self.assertGreaterEqual(min(load_by_id.values()), even - 5, load_by_id)
+
+    def test_a_fresh_picture_sends_to_the_least_loaded(self) -> None:
+        chosen: list[int] = []
+        for seed in range(self.DAEMONS):
+            directory = self.directory(seed)
+            directory.picture_age_s = 0.01
+            worker = directory.choose("llm", EMPTY_PROMPT, set(), 0.0)
+            assert worker is not None
+            chosen.append(worker.peer_online)
+        mean = sum(chosen) / len(chosen)
+        self.assertLess(mean, 6.1, "the least of four of 5 to 10 is 5.8 on average")
+
+    def test_batch_items_spread_by_the_room_that_is_left(self) -> None:
+        granted: Counter[str] = Counter()
+        for seed in range(self.DAEMONS):
+            worker = self.directory(seed).choose_below("llm", 0.9, 0.0)
+            assert worker is not None
+            granted[worker.record.worker_id] += 1
+        self.assertEqual({0, 1, 2}, {int(name[1:]) % 6 for name in granted})
+        self.assertLessEqual(max(granted.values()), 14, granted)
+
+
+class Demand(TestCase):
+    def test_waiting_items_are_told(self) -> None:
+        own, peer = Peer("own", "zone-a"), Peer("peer", "zone-a")
+        directory = WorkerDirectory("zone-a", random.Random(1))
+        directory.put(worker_record(0), 0.0)
+        demand, link = BatchDemand(), RecordingLink(peer)
+        sharing = LoadSharing(directory, own, link, demand)
+        demand.own_by_service["llm"] = Waiting(4, 2)
+        sharing.tick(0.0)
+        digest = link.digests[-1]
+        position = digest.keys.index(service_key("llm"))
+        self.assertEqual((4, 2), (digest.waiting[position], digest.late[position]))
+        sharing.handle("peer", digest, 0.0)
+        self.assertEqual(Waiting(4, 2), demand.peers_by_service["llm"])
+        sharing.tick(100.0)
+        self.assertEqual(Waiting(), demand.peers_by_service["llm"], "a silent peer has none")
+
+    CASES = (
+        ("nobody waits", Waiting(), Waiting(), 10.0, 0.0),
+        ("alone", Waiting(20), Waiting(), 10.0, 10.0),
+        ("no more than wait", Waiting(3), Waiting(), 10.0, 3.0),
+        ("by the items that can be in time", Waiting(20), Waiting(60), 10.0, 2.5),
+        ("late ones get what is left", Waiting(0, 4), Waiting(6, 4), 10.0, 2.0),
+        ("late ones get nothing", Waiting(0, 4), Waiting(12), 10.0, 0.0),
+        ("first those in time, then late ones", Waiting(2, 9), Waiting(), 10.0, 10.0),
+    )
+
+    def test_share_of_the_free_slots(self) -> None:
+        for name, own, peers, free_slots, expected in self.CASES:
+            with self.subTest(name):
+                demand = BatchDemand()
+                demand.own_by_service["llm"] = own
+                demand.peers_by_service["llm"] = peers
+                self.assertAlmostEqual(expected, demand.share_of("llm", free_slots))
