--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -34,6 +34,9 @@
 """How long callers keep the list of addresses; some keep it three times as long. A daemon that
 stops serves for longer than that."""
 
+MALFORMED = (AttributeError, Base64Error, KeyError, TypeError, ValueError)
+"""What reading a document of another form than expected raises."""
+
 JSON: list[Header] = [("Content-Type", "application/json")]
 
 
@@ -205,7 +208,7 @@
     try:
         entries = orjson.loads(document)["items"]
         items = tuple(_item(entry) for entry in entries)
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, Base64Error) as problem:
+    except MALFORMED as problem:
         raise MalformedJob(f"{type(problem).__name__}: {problem}") from None
     if not 0 < len(items) <= MAX_ITEMS:
         raise MalformedJob(f"{len(items)} items; 1 to {MAX_ITEMS} are allowed")
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -42,6 +42,9 @@
 and damaged ones apart."""
 
 SWEEP_S = 0.25
+PAUSE_TOLD_S = 0.5
+"""A timer that is so late tells that the process did not run: frozen, or without its processor."""
+
 BODY_MEMORY_SHARE = 0.2
 """Share of the memory that callers' bodies may take; each stands in memory about twice, once
 more on its way to a worker."""
@@ -335,11 +338,18 @@
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
+            began_s = loop.time()
             await asyncio.sleep(SWEEP_S)
+            self._note_pause(loop.time() - began_s - SWEEP_S)
             self.directory.sweep(loop.time())
             self.room.forget(set(self.directory.workers))
             self.connections.sweep(set(self.directory.workers), loop.time())
 
+    def _note_pause(self, late_s: float) -> None:
+        """Tell that this process stood still: what it knows is older by that much."""
+        if late_s > PAUSE_TOLD_S:
+            self.log.event("process_paused", for_s=round(late_s, 3))
+
     async def _share_load(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -275,6 +275,7 @@
             "no json": b"{",
             "no items": b'{"items":[]}',
             "no list": b'{"items":3}',
+            "no item": b'{"items":[null]}',
             "no id": b'{"items":[{"path":"/batch/1"}]}',
             "bad base64": b'{"items":[{"id":"a","path":"/batch/1","body":"?"}]}',
             "twice": b'{"items":[{"id":"a","path":"/b"},{"id":"a","path":"/b"}]}',
@@ -414,6 +415,18 @@
 
 
 class Explaining(TestCase):
+    def test_a_process_that_stood_still_tells_it(self) -> None:
+        async def scenario() -> None:
+            async with Site(1, StandInWorker("w0")) as site:
+                process = site.processes[0]
+                process.signal(signal.SIGSTOP)
+                await asyncio.sleep(1.5)
+                process.signal(signal.SIGCONT)
+                await eventually(lambda: process.events("process_paused"), "it is told")
+                self.assertGreater(process.events("process_paused")[0]["for_s"], 0.9)
+
+        run(scenario())
+
     def test_failed_request_is_traced_from_its_id(self) -> None:
         async def scenario() -> None:
             async with Site(1, StandInWorker("w0", silence)) as site:
