Online requests wait at the daemon until a worker starts them soon; batch work yields by that wait

In the valleys a start fill of 0.9 leaves one of eight slots of each worker free while 30 to 100 items wait. Change: a request goes to a worker only where it starts within 0.3 of its objective, by the load and by how often requests end there; otherwise it waits at the daemon, those in time first, late ones in slots that are left, none longer than 0.8 of its caller's patience. Daemons tell how many wait and share slots by that. A daemon whose request begins to wait takes its own least urgent item off at once; others take theirs off by their part of the lacking slots. Batch work leaves the square root of the online requests free, in place of a tenth of each worker. This replaces the thresholds 0.9 and 1.15, which were found on workers of 19 and 12 slots.

--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -26,6 +26,12 @@
 }
 DEFAULT_CONNECTIONS = 100
 
+LEAST_PATIENCE_S = 2.0
+OBJECTIVES_OF_PATIENCE = 4
+GAPS_OF_PATIENCE = 8
+"""Callers leave a stream after a gap of this time, so many objectives or so many of the longest
+pauses that are in time, whichever is longest, also before the first event (protocol page)."""
+
 
 def decode_configuration(value: bytes) -> Configuration:
     """Return the configuration that a row holds."""
@@ -86,4 +92,15 @@
         event_gap_s=gap_ms / 1000 if gap_ms else None,
         retention_s=float(fields.get("retention_s") or 0),
         completion_target_s=(fields.get("completion_target_ms") or 0) / 1000,
+        first_event_patience_s=_patience_s(fields),
     )
+
+
+def _patience_s(fields: dict[str, Any]) -> float | None:
+    """Return how long callers of a stream wait for an event, ``None`` for other requests."""
+    if fields["kind"] != names.STREAMING:
+        return None
+    objective_ms = fields.get("target_latency_ms", 0)
+    gap_ms = fields.get("gap_aim_ms") or 0
+    longest_ms = max(OBJECTIVES_OF_PATIENCE * objective_ms, GAPS_OF_PATIENCE * gap_ms)
+    return max(LEAST_PATIENCE_S, longest_ms / 1000)
--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -1,27 +1,32 @@
 """Which slots batch work may take, in which order, and when it gives them back.
 
 Workers admit requests in order, so batch work must never be in front of online work. It takes
-slots that are free and gives them back by closing its streams as soon as a worker is full. An item
-that is taken off goes on later after its last whole event, at the cost of reading its prompt again.
+slots that are free and gives them back by closing its streams as soon as online requests would wait
+too long (:mod:`mountstand.serving.online_queue`). An item that is taken off goes on later after its
+last whole event, at the cost of reading its prompt again.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from mountstand.serving.batch_demand import BatchDemand, Waiting
-from mountstand.serving.spread import UsualDurations, round_by_chance
-from mountstand.serving.workers import Worker, WorkerDirectory
+from mountstand.serving.online_queue import OnlineQueue
+from mountstand.serving.slot_demand import SlotDemand, Waiting
+from mountstand.serving.spread import round_by_chance
+from mountstand.serving.workers import FULL, Worker, WorkerDirectory
 
-START_FILL = 0.9
-"""A worker filled beyond this share of its slots gets no further batch item."""
 
-YIELD_FILL = 1.15
-"""A worker filled beyond this share gives batch items up. A short queue costs less than reading a
-prompt again, since some request ends every few tens of milliseconds: docs/design/platform.md."""
+def usual_fluctuation(online: int) -> float:
+    """Return by how many slots ``online`` requests in flight usually vary within moments.
+
+    Independent arrivals make the number that runs vary by its square root (Poisson). Batch work
+    leaves so many slots free, since taking an item off costs reading its prompt again.
+    """
+    return math.sqrt(online)
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,11 +69,15 @@
 class BatchRoom:
     """Shares the free slots out among daemons, and preempts this daemon's items."""
 
-    def __init__(self, directory: WorkerDirectory, source: random.Random) -> None:
+    def __init__(
+        self, directory: WorkerDirectory, online: OnlineQueue, source: random.Random
+    ) -> None:
         self._directory = directory
+        self._online = online
         self._source = source
-        self.demand = BatchDemand()
-        self.durations = UsualDurations()
+        self.demand = SlotDemand()
+        self.durations = online.batch_durations
+        online.preempt_own = self.preempt_one
         self._waiting: dict[str, list[_Waiter]] = {}
         self._placements: dict[str, list[Placement]] = {}
 
@@ -91,6 +100,7 @@
         placements = self._placements.get(worker.record.worker_id, [])
         if placement in placements:
             placements.remove(placement)
+        self._online.hand_over(worker, asyncio.get_running_loop().time())
 
     def tick(self, now_s: float, hops: int = 0) -> None:
         """Preempt and grant; call once per period of the digests.
@@ -101,16 +111,21 @@
         """
         part = 1 / (1 + hops / 2)
         free: dict[str, float] = {}
+        online: dict[str, int] = {}
         for worker in self._directory.workers.values():
             load = worker.estimated_load(now_s)
             service = worker.record.service
             if worker.takes_work(now_s):
-                room = max(0.0, worker.slots() * START_FILL - load)
-                free[service] = free.get(service, 0.0) + room
-            self._preempt_excess(worker, load, part)
+                free[service] = free.get(service, 0.0) + max(0.0, worker.slots() - load)
+                online[service] = online.get(service, 0) + worker.online
+            self._preempt_excess(worker, now_s, part)
         self._order_waiting(now_s)
         for service, slots in free.items():
-            allowed = self.demand.share_of(service, slots) * part
+            if self._online.waiting(service):
+                self._preempt_for_waiting(service, now_s, part)
+                continue
+            slots_left = max(0.0, slots - usual_fluctuation(online[service]))
+            allowed = self.demand.share_of(service, slots_left) * part
             self._grant(service, round_by_chance(allowed, self._source), now_s)
 
     def _order_waiting(self, now_s: float) -> None:
@@ -123,13 +138,24 @@
 
     def yield_to_online(self, worker: Worker, now_s: float) -> None:
         """Take one item off a worker that is full, since an online request is sent there."""
-        if worker.batch_in_flight and worker.estimated_load(now_s) > worker.slots() * YIELD_FILL:
-            self._preempt_least_urgent(worker)
+        if worker.batch_in_flight and self._online.excess(worker, now_s) > 0:
+            self._preempt_least_urgent(self._placements_at(worker))
+
+    def preempt_one(self, service: str) -> None:
+        """Take this daemon's least urgent item of a service off its worker, if there is one."""
+        self._preempt_least_urgent(
+            [
+                placement
+                for placements in self._placements.values()
+                for placement in placements
+                if placement.worker.record.service == service
+            ]
+        )
 
     def _grant(self, service: str, allowance: int, now_s: float) -> None:
         waiting = self._waiting.get(service, [])
         while waiting and allowance > 0:
-            worker = self._directory.choose_below(service, START_FILL, now_s)
+            worker = self._directory.choose_below(service, FULL, now_s)
             if worker is None:
                 return
             waiter = waiting.pop(0)
@@ -140,21 +166,34 @@
             waiter.granted.set_result(placement)
             allowance -= 1
 
-    def _preempt_excess(self, worker: Worker, load: float, part: float) -> None:
+    def _preempt_excess(self, worker: Worker, now_s: float, part: float) -> None:
         """Take off this daemon's part of the batch items that are too many."""
-        excess = load - worker.slots() * YIELD_FILL
+        excess = self._online.excess(worker, now_s)
         if excess <= 0 or not worker.batch_in_flight:
             return
         share = worker.batch_in_flight / max(1, worker.batch)
         count = round_by_chance(excess * share * part, self._source)
         for _ in range(min(worker.batch_in_flight, count)):
-            self._preempt_least_urgent(worker)
+            self._preempt_least_urgent(self._placements_at(worker))
+
+    def _preempt_for_waiting(self, service: str, now_s: float, part: float) -> None:
+        """Take off this daemon's part of the items whose slots waiting online requests lack."""
+        workers = self._directory.of_service(service)
+        own = sum(worker.batch_in_flight for worker in workers)
+        lacking = self._online.waiting(service) - self._online.room(service, now_s)
+        if not own or lacking <= 0:
+            return
+        share = own / sum(worker.batch for worker in workers)
+        for _ in range(min(own, round_by_chance(lacking * share * part, self._source))):
+            self.preempt_one(service)
 
-    def _preempt_least_urgent(self, worker: Worker) -> None:
-        placements = self._placements.get(worker.record.worker_id, [])
+    def _placements_at(self, worker: Worker) -> list[Placement]:
+        return self._placements.get(worker.record.worker_id, [])
+
+    def _preempt_least_urgent(self, placements: list[Placement]) -> None:
         if placements:
             placement = max(placements, key=lambda each: each.rank)
-            placements.remove(placement)
+            self._placements_at(placement.worker).remove(placement)
             placement.preempt()
 
     def forget(self, workers: set[str]) -> None:
--- a/mountstand/serving/configuration.py
+++ b/mountstand/serving/configuration.py
@@ -43,6 +43,13 @@
     event_gap_s: float | None = None
     retention_s: float = 0.0
     completion_target_s: float = 0.0
+    first_event_patience_s: float | None = None
+    """How long callers wait for the first event of a stream before they leave, if that is known."""
+
+    @property
+    def patience_s(self) -> float:
+        """How long callers wait for the begin of an answer."""
+        return min(self.timeout_s, self.first_event_patience_s or self.timeout_s)
 
     @property
     def repeatable(self) -> bool:
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -15,6 +15,7 @@
 from mountstand.serving.events import EventSplitter, StreamEvent
 from mountstand.serving.exchange import Exchange, Outcome, WorkerSilent
 from mountstand.serving.exchange_log import ExchangeLog
+from mountstand.serving.online_queue import OnlineQueue, start_times
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
@@ -65,10 +66,12 @@
         connections: WorkerConnections,
         protocol: WorkerProtocol,
         shares: ShareChooser,
+        queue: OnlineQueue,
         room: BatchRoom,
         metrics: ServingMetrics,
         log: DecisionLog,
     ) -> None:
+        self._queue = queue
         self._directory = directory
         self._connections = connections
         self._protocol = protocol
@@ -92,7 +95,7 @@
         gone = True
         try:
             async with asyncio.timeout_at(deadline_s):
-                await self._run_attempts(exchange)
+                await self._run_attempts(exchange, received_at_s)
             gone = False
         except TimeoutError:
             gone = False
@@ -101,9 +104,9 @@
         finally:
             self._log.request_ended(exchange, received_at_s, loop.time(), gone)
 
-    async def _run_attempts(self, exchange: Exchange) -> None:
+    async def _run_attempts(self, exchange: Exchange, received_at_s: float) -> None:
+        worker = await self._wait_for_worker(exchange, received_at_s)
         while not exchange.responder.finished:
-            worker = self._choose(exchange)
             if worker is None:
                 exchange.cause = exchange.cause or "no worker"
                 self._end_unfinished(exchange)
@@ -119,6 +122,14 @@
             if not self._may_go_on(exchange, outcome):
                 self._end_unfinished(exchange)
                 return
+            worker = self._choose(exchange)
+
+    async def _wait_for_worker(self, exchange: Exchange, received_at_s: float) -> Worker | None:
+        """Return the first worker to try, once one can start the request soon."""
+        route = exchange.route
+        patience_s = min(route.patience_s, exchange.deadline_s - received_at_s)
+        times = start_times(received_at_s, route.target_latency_s, patience_s)
+        return await self._queue.acquire(exchange.service, exchange.call.prompt, times)
 
     def _note_outcome(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
         """Count what the attempt says about the worker."""
@@ -128,11 +139,14 @@
         worker.health.own.add(asyncio.get_running_loop().time(), failed=failed)
 
     def _choose(self, exchange: Exchange) -> Worker | None:
+        """Choose a worker for a further attempt, and count the request there."""
         worker = self._choose_untried(exchange)
         if worker is None and exchange.unreachable_ids:
             exchange.tried -= exchange.unreachable_ids
             exchange.unreachable_ids.clear()
             worker = self._choose_untried(exchange)
+        if worker is not None:
+            worker.in_flight += 1
         return worker
 
     def _choose_untried(self, exchange: Exchange) -> Worker | None:
@@ -152,9 +166,9 @@
     # One attempt
 
     async def _attempt(self, exchange: Exchange, worker: Worker) -> Outcome:
+        """Make one attempt at a worker that counts the request already."""
         exchange.tried.add(worker.record.worker_id)
         exchange.worker_id = worker.record.worker_id
-        worker.in_flight += 1
         self._room.yield_to_online(worker, asyncio.get_running_loop().time())
         connection: ClientConnection | None = None
         try:
@@ -170,6 +184,7 @@
             worker.in_flight -= 1
             if connection is not None:
                 self._connections.release(worker, connection, self.idle_per_worker)
+            self._queue.hand_over(worker, asyncio.get_running_loop().time())
 
     async def _exchange_with(
         self, exchange: Exchange, worker: Worker, connection: ClientConnection
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from mountstand.serving.batch_demand import BatchDemand, Waiting, service_key
 from mountstand.serving.load_groups import LoadGroup, Peer, group_of
+from mountstand.serving.slot_demand import SlotDemand, Waiting, Work, service_key
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.wire.gossip import LoadDigest, Scope
 
@@ -63,7 +63,7 @@
     """What daemons tell of one worker or one service.
 
     Of a worker what they have in flight there and the outcomes they saw, in quarters; of a service
-    how many of their batch items wait for it.
+    how many requests or batch items of theirs wait for it.
     """
 
     online: int = 0
@@ -113,10 +113,10 @@
         directory: WorkerDirectory,
         own: Peer,
         link: DigestLink,
-        demand: BatchDemand | None = None,
+        demand_by_work: Mapping[Work, SlotDemand] | None = None,
     ) -> None:
         self._directory = directory
-        self._demand = demand or BatchDemand()
+        self._demand_by_work = dict(demand_by_work or {})
         self._own_peer = own
         self._link = link
         self._peers: frozenset[Peer] = frozenset()
@@ -217,10 +217,11 @@
             )
             if not counts.empty:
                 counts_by_key[worker.key] = counts
-        for service, waiting in self._demand.own_by_service.items():
-            counts = LoadCounts(waiting=waiting.in_time, late=waiting.late)
-            if not counts.empty:
-                counts_by_key[service_key(service)] = counts
+        for work, demand in self._demand_by_work.items():
+            for service, waiting in demand.own_by_service.items():
+                counts = LoadCounts(waiting=waiting.in_time, late=waiting.late)
+                if not counts.empty:
+                    counts_by_key[service_key(service, work)] = counts
         return counts_by_key
 
     def _unreachable(self, now_s: float) -> tuple[int, ...]:
@@ -266,10 +267,11 @@
             worker.peer_batch = max(0, counts.batch)
             worker.health.peers_succeeded = max(0, counts.succeeded) / QUARTERS
             worker.health.peers_failed = max(0, counts.failed) / QUARTERS
-        for service in self._directory.services:
-            counts = peers.get(service_key(service), none)
-            waiting = Waiting(max(0, counts.waiting), max(0, counts.late))
-            self._demand.peers_by_service[service] = waiting
+        for work, demand in self._demand_by_work.items():
+            for service in self._directory.services:
+                counts = peers.get(service_key(service, work), none)
+                waiting = Waiting(max(0, counts.waiting), max(0, counts.late))
+                demand.peers_by_service[service] = waiting
 
     def _peers_counts(self) -> CountsByKey:
         """Return the sum over the other daemons; a head's word on the fleet includes this one."""
--- /dev/null
+++ b/mountstand/serving/online_queue.py
@@ -0,0 +1,242 @@
+"""Online requests that wait at this daemon until some worker can start them soon.
+
+Workers admit requests in the order of their arrival. Under overload a queue there makes every
+request late, the newest included. So a request that no worker can start soon waits here, where the
+order can be chosen: those that can still be in time go first, the earliest due before the others,
+and late ones take the slots that are left. After a share of its caller's patience a request is sent
+to a worker in any case, so that none starves.
+
+Daemons tell each other how many requests wait (:mod:`mountstand.serving.load_sharing`), and each
+takes the part of the free slots that its own are of all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mountstand.serving.prompt import Prompt
+from mountstand.serving.slot_demand import SlotDemand, Waiting
+from mountstand.serving.spread import UsualDurations, round_by_chance
+from mountstand.serving.workers import Worker, WorkerDirectory
+
+START_SHARE = 0.35
+"""Share of its objective within which a request must be at a worker to be in time. The rest is for
+reading the prompt, for the way, and for what waits at the worker."""
+
+QUEUE_SHARE = 0.3
+"""Share of its objective that a request may wait in the queue of a worker. A short queue keeps
+slots busy that ended since the last digests; trials are in docs/design/deciding.md."""
+
+PATIENCE_SHARE = 0.8
+"""Share of a caller's patience after which a request is sent to a worker, whatever waits there.
+What is left is more than a worker's short queue and the reading of a prompt take."""
+
+MOST_WAITING = 1000
+"""Requests that wait here at most; further ones go to a worker at once, which may refuse them."""
+
+
+@dataclass(frozen=True, slots=True)
+class StartTimes:
+    """When a request should be at a worker, on the loop's clock.
+
+    After ``in_time_s`` its answer will be late; ``latest_s`` is the end of waiting here.
+    ``queue_s`` is how long it may wait at the worker.
+    """
+
+    in_time_s: float
+    latest_s: float
+    queue_s: float
+
+    def rank(self, now_s: float) -> tuple[bool, float]:
+        """Return the place in the order of those that start now; the least goes first."""
+        return (now_s > self.in_time_s, self.in_time_s)
+
+
+def start_times(received_at_s: float, target_latency_s: float, patience_s: float) -> StartTimes:
+    """Return when a request should start that was received at ``received_at_s``."""
+    return StartTimes(
+        received_at_s + target_latency_s * START_SHARE,
+        received_at_s + max(target_latency_s, patience_s) * PATIENCE_SHARE,
+        target_latency_s * QUEUE_SHARE,
+    )
+
+
+@dataclass(eq=False, slots=True)
+class _Waiter:
+    """A request that waits for a worker."""
+
+    prompt: Prompt
+    times: StartTimes
+    chosen: asyncio.Future[Worker | None]
+
+
+class OnlineQueue:
+    """The online requests of this daemon that wait, by service.
+
+    ``preempt_own`` is called for a service whose requests begin to wait here: it takes a batch item
+    of this daemon off its worker, if there is one, whose slot then comes by ``hand_over``.
+    """
+
+    def __init__(self, directory: WorkerDirectory, source: random.Random) -> None:
+        self._directory = directory
+        self._source = source
+        self.demand = SlotDemand()
+        self.batch_durations = UsualDurations()
+        self.preempt_own: Callable[[str], object] = lambda service: None
+        self._waiting: dict[str, list[_Waiter]] = {}
+        self._queue_s_by_service: dict[str, float] = {}
+
+    async def acquire(self, service: str, prompt: Prompt, times: StartTimes) -> Worker | None:
+        """Wait for a worker that can start a request soon; its ``in_flight`` counts the request.
+
+        Returns ``None`` where the service has no worker to wait for.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self._queue_s_by_service[service] = times.queue_s
+        waiting = self._waiting.setdefault(service, [])
+        if not waiting or len(waiting) >= MOST_WAITING:
+            worker = self._choose(service, prompt, times, now_s)
+            if worker is not None:
+                return worker
+            if len(waiting) >= MOST_WAITING or not self._directory.of_service(service):
+                return self._choose_any(service, prompt, now_s)
+        return await self._wait(service, _Waiter(prompt, times, _new_future()), times)
+
+    async def _wait(self, service: str, waiter: _Waiter, times: StartTimes) -> Worker | None:
+        self._waiting[service].append(waiter)
+        self.preempt_own(service)
+        try:
+            async with asyncio.timeout_at(times.latest_s):
+                return await waiter.chosen
+        except TimeoutError:
+            now_s = asyncio.get_running_loop().time()
+            return self._choose_any(service, waiter.prompt, now_s)
+        except asyncio.CancelledError:
+            _give_back(waiter)
+            raise
+        finally:
+            self._forget(service, waiter)
+
+    def _forget(self, service: str, waiter: _Waiter) -> None:
+        if waiter in self._waiting[service]:
+            self._waiting[service].remove(waiter)
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait, here and at peers as far as is known."""
+        return len(self._waiting.get(service, ())) + self.demand.peers(service).total
+
+    def tick(self, now_s: float, hops: int = 0) -> None:
+        """Hand free slots to requests that wait; call once per period of the digests.
+
+        Every daemon sees the same free slots, ``hops`` digests late; what was taken meanwhile
+        must not be taken again.
+        """
+        part = 1 / (1 + hops / 2)
+        for service, waiting in self._waiting.items():
+            self._order(service, now_s)
+            if not waiting:
+                continue
+            room = self.room(service, now_s)
+            allowed = self.demand.share_of(service, room) * part
+            for _ in range(round_by_chance(allowed, self._source)):
+                if not self._grant_first(service, now_s):
+                    break
+
+    def hand_over(self, worker: Worker, now_s: float) -> None:
+        """Give a slot that this daemon just freed at ``worker`` to a request that waits here."""
+        service = worker.record.service
+        waiting = self._waiting.get(service)
+        if not waiting or not worker.takes_work(now_s):
+            return
+        self._order(service, now_s)
+        if waiting and self._starts_soon(worker, waiting[0].times.queue_s, now_s):
+            _grant(waiting.pop(0), worker)
+
+    def room(self, service: str, now_s: float) -> float:
+        """Return how many more online requests the workers of a service could start soon."""
+        queue_s = self._queue_s_by_service.get(service, 0.0)
+        return sum(
+            max(0.0, self._limit(worker, queue_s) - worker.estimated_load(now_s))
+            for worker in self._directory.of_service(service)
+            if worker.takes_work(now_s)
+        )
+
+    def excess(self, worker: Worker, now_s: float) -> float:
+        """Return by how much a worker is fuller than online requests may find it."""
+        queue_s = self._queue_s_by_service.get(worker.record.service, 0.0)
+        return worker.estimated_load(now_s) - self._limit(worker, queue_s)
+
+    def _limit(self, worker: Worker, queue_s: float) -> float:
+        """Return how many requests a worker may have so that a new one starts in ``queue_s``."""
+        return worker.slots() + queue_s * self._ends_per_s(worker)
+
+    def _ends_per_s(self, worker: Worker) -> float:
+        """Return how many requests end per second at a full worker, 0 where nothing is known."""
+        service = worker.record.service
+        batch = min(worker.batch, worker.slots())
+        online_s = self._directory.durations.usual_s(service)
+        batch_s = self.batch_durations.usual_s(service)
+        ends_per_s = (worker.slots() - batch) / online_s if online_s else 0.0
+        return ends_per_s + (batch / batch_s if batch_s else 0.0)
+
+    def _starts_soon(self, worker: Worker, queue_s: float, now_s: float) -> bool:
+        return worker.estimated_load(now_s) + 1 <= self._limit(worker, queue_s)
+
+    def _choose(
+        self, service: str, prompt: Prompt, times: StartTimes, now_s: float
+    ) -> Worker | None:
+        """Choose a worker that starts a request soon, and count the request there."""
+
+        def starts_soon(worker: Worker) -> bool:
+            return self._starts_soon(worker, times.queue_s, now_s)
+
+        return _count(self._directory.choose(service, prompt, set(), now_s, starts_soon))
+
+    def _choose_any(self, service: str, prompt: Prompt, now_s: float) -> Worker | None:
+        return _count(self._directory.choose(service, prompt, set(), now_s))
+
+    def _grant_first(self, service: str, now_s: float) -> bool:
+        waiting = self._waiting[service]
+        if not waiting:
+            return False
+        worker = self._choose(service, waiting[0].prompt, waiting[0].times, now_s)
+        if worker is None:
+            return False
+        worker.in_flight -= 1
+        _grant(waiting.pop(0), worker)
+        return True
+
+    def _order(self, service: str, now_s: float) -> None:
+        """Put the waiting requests in order, since some became late meanwhile, and count them."""
+        waiting = self._waiting[service]
+        waiting[:] = [waiter for waiter in waiting if not waiter.chosen.done()]
+        waiting.sort(key=lambda waiter: waiter.times.rank(now_s))
+        late = sum(waiter.times.rank(now_s)[0] for waiter in waiting)
+        self.demand.own_by_service[service] = Waiting(len(waiting) - late, late)
+
+
+def _new_future() -> asyncio.Future[Worker | None]:
+    return asyncio.get_running_loop().create_future()
+
+
+def _count(worker: Worker | None) -> Worker | None:
+    """Count a request at its worker."""
+    if worker is not None:
+        worker.in_flight += 1
+    return worker
+
+
+def _grant(waiter: _Waiter, worker: Worker) -> None:
+    worker.in_flight += 1
+    waiter.chosen.set_result(worker)
+
+
+def _give_back(waiter: _Waiter) -> None:
+    """Free the slot of a request that ended before it could use it."""
+    if waiter.chosen.done() and not waiter.chosen.cancelled():
+        worker = waiter.chosen.result()
+        if worker is not None:
+            worker.in_flight -= 1
--- a/mountstand/serving/slot_demand.py
+++ b/mountstand/serving/slot_demand.py
@@ -1,29 +1,42 @@
-"""How many batch items wait for a slot, here and at all daemons, by service."""
+"""How many requests or batch items wait for a slot, here and at all daemons, by service."""
 
 from __future__ import annotations
 
 import zlib
 from dataclasses import dataclass
+from enum import Enum
 
 
-def service_key(service: str) -> int:
-    """Return the number that stands for a service among daemons."""
-    return zlib.crc32(f"service:{service}".encode())
+class Work(Enum):
+    """What waits for a slot."""
+
+    ONLINE = "online"
+    BATCH = "batch"
+
+
+def service_key(service: str, work: Work) -> int:
+    """Return the number that stands among daemons for one kind of work at a service."""
+    return zlib.crc32(f"{work.value}:{service}".encode())
 
 
 @dataclass(frozen=True, slots=True)
 class Waiting:
-    """Items that wait: those that can still be done when they are due, and the late ones."""
+    """What waits: that which can still be in time, and the late."""
 
     in_time: int = 0
     late: int = 0
 
+    @property
+    def total(self) -> int:
+        """All that waits."""
+        return self.in_time + self.late
+
 
 NONE_WAITING = Waiting()
 
 
-class BatchDemand:
-    """Items that wait for a slot; what peers have waiting is told by their digests."""
+class SlotDemand:
+    """What waits for a slot; what peers have waiting is told by their digests."""
 
     __slots__ = ("own_by_service", "peers_by_service")
 
@@ -31,13 +44,21 @@
         self.own_by_service: dict[str, Waiting] = {}
         self.peers_by_service: dict[str, Waiting] = {}
 
+    def own(self, service: str) -> Waiting:
+        """Return what waits at this daemon."""
+        return self.own_by_service.get(service, NONE_WAITING)
+
+    def peers(self, service: str) -> Waiting:
+        """Return what waits at the other daemons, as their digests told."""
+        return self.peers_by_service.get(service, NONE_WAITING)
+
     def share_of(self, service: str, free_slots: float) -> float:
-        """Return how many of the free slots are for this daemon's items.
+        """Return how many of the free slots are for what waits at this daemon.
 
-        Items that can be in time go first, wherever they wait; late ones share what is left.
+        What can be in time goes first, wherever it waits; the late shares what is left.
         """
-        own = self.own_by_service.get(service, NONE_WAITING)
-        peers = self.peers_by_service.get(service, NONE_WAITING)
+        own = self.own(service)
+        peers = self.peers(service)
         in_time = own.in_time + peers.in_time
         left = max(0.0, free_slots - in_time)
         return _part(own.in_time, in_time, free_slots) + _part(
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -4,7 +4,7 @@
 
 import random
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from mountstand.hashing import rendezvous_weight
@@ -256,9 +256,19 @@
             and now_s - worker.leaving_since_s <= self.leaving_use_s
         ]
 
-    def choose(self, service: str, prompt: Prompt, tried: set[str], now_s: float) -> Worker | None:
-        """Choose the worker for an online request, or ``None`` where there is none left."""
-        candidates = self._candidates(service, tried, now_s)
+    def choose(
+        self,
+        service: str,
+        prompt: Prompt,
+        tried: set[str],
+        now_s: float,
+        allows: Callable[[Worker], bool] = lambda worker: True,
+    ) -> Worker | None:
+        """Choose the worker for an online request, or ``None`` where there is none left.
+
+        Of the workers that would be asked, those are left out that ``allows`` says no to.
+        """
+        candidates = [w for w in self._candidates(service, tried, now_s) if allows(w)]
         if not candidates:
             return None
         key = prompt.affinity_key
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -26,6 +26,8 @@
 from mountstand.serving.forwarder import Forwarder
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import LoadSharing
+from mountstand.serving.online_queue import OnlineQueue
+from mountstand.serving.slot_demand import Work
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory
 from mountstand.serving_feeds import FeedTargets, ServingFeeds
@@ -114,10 +116,18 @@
             settings.zone, source_of_chance, settings.drain_s * LEAVING_USE_SHARE
         )
         self.connections = WorkerConnections()
-        self.room = BatchRoom(self.directory, source_of_chance)
+        self.queue = OnlineQueue(self.directory, source_of_chance)
+        self.room = BatchRoom(self.directory, self.queue, source_of_chance)
         shares = ShareChooser(source_of_chance)
         self.forwarder = Forwarder(
-            self.directory, self.connections, protocol, shares, self.room, metrics, log
+            self.directory,
+            self.connections,
+            protocol,
+            shares,
+            self.queue,
+            self.room,
+            metrics,
+            log,
         )
         self._build_membership(store)
         self._configuration_state = ConfigurationState(source, log, self._apply_limits)
@@ -166,7 +176,7 @@
             self.directory,
             Peer(settings.name, settings.zone),
             MembershipLink(self.membership),
-            self.room.demand,
+            {Work.ONLINE: self.queue.demand, Work.BATCH: self.room.demand},
         )
         self.membership.on_message = self._handle_peer_message
 
@@ -357,6 +367,7 @@
             self.load_sharing.tick(loop.time())
             for worker in self.directory.judge_health(loop.time()):
                 self._log_ejection(worker)
+            self.queue.tick(loop.time(), self.load_sharing.hops)
             self.room.tick(loop.time(), self.load_sharing.hops)
 
     def _log_ejection(self, worker: Worker) -> None:
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -67,11 +67,11 @@
 class LoadDigest(msgspec.Struct, frozen=True, array_like=True):
     """What daemons know of workers and services: parallel lists by their keys.
 
-    The key of a worker is the CRC-32 of its id; :mod:`mountstand.serving.batch_demand` has that of
+    The key of a worker is the CRC-32 of its id; :mod:`mountstand.serving.slot_demand` has those of
     a service. ``online`` and ``batch`` are in flight at a worker; ``succeeded`` and ``failed`` are
-    outcomes seen lately, in quarters; ``waiting`` and ``late`` are batch items that wait for a
-    service and can be in time, or cannot; ``unreachable`` are keys of workers that just now
-    accepted no connection.
+    outcomes seen lately, in quarters; ``waiting`` and ``late`` are requests or batch items that
+    wait for a service and can be in time, or cannot; ``unreachable`` are keys of workers that just
+    now accepted no connection.
     """
 
     keys: tuple[int, ...] = ()
--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -43,6 +43,7 @@
             fleet.connections,
             fleet.protocol,
             fleet.shares,
+            fleet.queue,
             fleet.room,
             fleet.metrics,
             fleet.log,
