Batch jobs over the token bound of their route are refused with 429

Heads now count the tokens of items that are not listed; a daemon refuses what does not fit by the heads that it sees, and near the bound reserves the tokens in a row of the route first, so that daemons that do not see each other's jobs yet cannot give the same room away. A job that another daemon took already is acknowledged. Where the store cannot tell, the answer promises nothing (504).

--- a/mountstand/jobs/acceptance.py
+++ b/mountstand/jobs/acceptance.py
@@ -34,6 +34,7 @@
 
     ACCEPTED = "accepted"
     REFUSED = "refused"
+    OVER_QUOTA = "over quota"
     UNCLEAR = "unclear"
 
 
--- a/mountstand/jobs/model.py
+++ b/mountstand/jobs/model.py
@@ -41,6 +41,11 @@
     items: tuple[JobItem, ...]
     document: bytes
 
+    @property
+    def tokens(self) -> int:
+        """The tokens of all items."""
+        return sum(item.tokens for item in self.items)
+
 
 @dataclass(frozen=True)
 class ItemResult:
@@ -58,7 +63,8 @@
 
     ``owner`` is the process that runs the job, ``done`` the bits of the items that are listed,
     ``listed`` how many these are, ``write_id`` names the write that made this version, and
-    ``accepted_ms`` is the store's clock at acceptance.
+    ``accepted_ms`` is the store's clock at acceptance. ``waiting_tokens`` are those of the items
+    that are not listed.
     """
 
     job_id: str
@@ -72,6 +78,7 @@
     done: int = 0
     ended: bool = False
     object_name: str = ""
+    waiting_tokens: int = 0
 
     @property
     def open(self) -> bool:
@@ -82,12 +89,21 @@
         """Return whether the item at ``index`` of the submission is listed."""
         return bool(self.done >> index & 1)
 
-    def with_results(self, results: list[ItemResult], write_id: str) -> JobHead:
-        """Return the head after ``results`` are listed behind those there are."""
+    def with_results(self, results: list[ItemResult], write_id: str, tokens: int = 0) -> JobHead:
+        """Return the head after ``results`` are listed behind those there are.
+
+        ``tokens`` are those of the items that ended.
+        """
         done = self.done
         for result in results:
             done |= 1 << result.index
-        return replace(self, listed=self.listed + len(results), done=done, write_id=write_id)
+        return replace(
+            self,
+            listed=self.listed + len(results),
+            done=done,
+            write_id=write_id,
+            waiting_tokens=max(0, self.waiting_tokens - tokens),
+        )
 
     def encode(self) -> bytes:
         """Return the row's value."""
@@ -103,6 +119,7 @@
                 "done": f"{self.done:x}",
                 "ended": self.ended,
                 "object": self.object_name,
+                "waiting_tokens": self.waiting_tokens,
             }
         )
 
@@ -122,6 +139,7 @@
         done=int(fields["done"], 16),
         ended=fields["ended"],
         object_name=fields["object"],
+        waiting_tokens=fields.get("waiting_tokens", 0),
     )
 
 
--- a/mountstand/jobs/repository.py
+++ b/mountstand/jobs/repository.py
@@ -76,7 +76,7 @@
     """Batch jobs in the row store; errors are those of :mod:`mountstand.store.rows`."""
 
     def __init__(self, rows: RowStore, objects: ObjectStore, row_bytes: int) -> None:
-        self._rows = rows
+        self.rows = rows
         self._objects = objects
         self._piece_bytes = int(row_bytes * BASE64_SHARE)
 
@@ -84,7 +84,7 @@
 
     async def load(self, job_id: str) -> tuple[JobHead, int] | None:
         """Return a job's head and its version, or ``None`` if the store has no such job."""
-        page = await self._rows.read(HEADS, partition(job_id), job_id, job_id + "\x00", 1)
+        page = await self.rows.read(HEADS, partition(job_id), job_id, job_id + "\x00", 1)
         if not page.rows or page.rows[0].value is None:
             return None
         row = page.rows[0]
@@ -111,7 +111,7 @@
             value = await self._objects.get_object(head.object_name)
             return decode_submission(value).document if value is not None else None
         first, end = _range_of(head.job_id)
-        page = await read_all(self._rows, DOCUMENTS, partition(head.job_id), first, end)
+        page = await read_all(self.rows, DOCUMENTS, partition(head.job_id), first, end)
         pieces = [row.value for row in page.rows if row.value is not None]
         return zlib.decompress(b"".join(pieces)) if pieces else None
 
@@ -122,7 +122,7 @@
         job_id = head.job_id
         first = f"{job_id}/{after:06d}/"
         end = f"{job_id}/{head.listed:06d}/"
-        page = await self._rows.read(RESULTS, partition(job_id), first, end)
+        page = await self.rows.read(RESULTS, partition(job_id), first, end)
         pieces: dict[int, list[bytes]] = {}
         for row in page.rows:
             position = int(row.key.key.split("/")[-2])
@@ -131,7 +131,7 @@
             pieces.popitem()
         elif page.more:
             rest = await read_all(
-                self._rows, RESULTS, partition(job_id), first, f"{job_id}/{after + 1:06d}/"
+                self.rows, RESULTS, partition(job_id), first, f"{job_id}/{after + 1:06d}/"
             )
             pieces = {after: [row.value or b"" for row in rest.rows]}
         return _within(pieces, after, max_bytes)
@@ -153,7 +153,7 @@
                 key = RowKey(DOCUMENTS, part, f"{head.job_id}/{number:04d}")
                 transaction.puts.append((key, piece))
         transaction.puts.append((self._head_key(head.job_id), head.encode()))
-        return await self._rows.commit(transaction)
+        return await self.rows.commit(transaction)
 
     async def submit_as_object(
         self, submission: JobSubmission, number: int, accepted_ms: int
@@ -181,12 +181,12 @@
             transaction.puts.append((self._progress_key(head.job_id, item.index), value))
         for start in range(0, len(transaction.puts), MAX_ROWS_PER_WRITE):
             puts = transaction.puts[start : start + MAX_ROWS_PER_WRITE]
-            await self._rows.commit(Transaction(conditions=[condition], puts=puts))
+            await self.rows.commit(Transaction(conditions=[condition], puts=puts))
 
     async def progress(self, head: JobHead) -> list[SavedProgress]:
         """Return what is kept of items that have not ended."""
         first, end = _range_of(head.job_id)
-        page = await read_all(self._rows, PROGRESS, partition(head.job_id), first, end)
+        page = await read_all(self.rows, PROGRESS, partition(head.job_id), first, end)
         found = [decode_progress(row.value) for row in page.rows if row.value is not None]
         return [item for item in found if not head.is_listed(item.index)]
 
@@ -212,7 +212,7 @@
             if saved and result.index in saved:
                 transaction.removals.append(self._progress_key(head.job_id, result.index))
         transaction.puts.append((self._head_key(head.job_id), head.encode()))
-        return await self._rows.commit(transaction)
+        return await self.rows.commit(transaction)
 
     async def drop_document(self, head: JobHead) -> None:
         """Drop the document of a job that needs it no longer."""
@@ -229,7 +229,7 @@
         await self._drop_range(RESULTS, head.job_id)
         await self._drop_range(PROGRESS, head.job_id)
         key = self._head_key(head.job_id)
-        await self._rows.commit(Transaction(conditions=[(key, version)], removals=[key]))
+        await self.rows.commit(Transaction(conditions=[(key, version)], removals=[key]))
 
     def fits(self, results: list[ItemResult], result: ItemResult) -> bool:
         """Return whether ``result`` may join ``results`` in one write."""
@@ -249,10 +249,10 @@
 
     async def _drop_range(self, table: str, job_id: str) -> None:
         first, end = _range_of(job_id)
-        page = await read_all(self._rows, table, partition(job_id), first, end)
+        page = await read_all(self.rows, table, partition(job_id), first, end)
         keys = [row.key for row in page.rows]
         for start in range(0, len(keys), MAX_ROWS_PER_WRITE):
-            await self._rows.commit(Transaction(removals=keys[start : start + MAX_ROWS_PER_WRITE]))
+            await self.rows.commit(Transaction(removals=keys[start : start + MAX_ROWS_PER_WRITE]))
 
 
 def accepted_name(job_id: str, number: int) -> str:
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -135,7 +135,8 @@
                 break
             results.append(result)
         write_id = new_write_id()
-        head = self.head.with_results(results, write_id)
+        tokens = sum(self._items[result.index].tokens for result in results)
+        head = self.head.with_results(results, write_id, tokens)
         self._listing[write_id] = results
         self._version = await self._context.repository.change_head(
             head, self._version, results, self._saved
--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -22,9 +22,11 @@
     decode_head,
 )
 from mountstand.jobs.owners import Owners
+from mountstand.jobs.quota import TokenQuota
 from mountstand.jobs.repository import JobRepository, new_write_id
 from mountstand.jobs.result_cache import ResultCache
 from mountstand.jobs.runner import JobRunner
+from mountstand.serving.configuration import Route
 from mountstand.store.rows import ABSENT, Conflict, StoreError, StoreRefused
 from mountstand.store.watch import TableChange
 
@@ -81,11 +83,16 @@
         self._draining = False
         self._next_object_scan_s = 0.0
         self._without_head: set[str] = set()
+        self._quota = TokenQuota(
+            context.repository.rows,
+            lambda: [head for head, _ in self._heads.values()],
+            context.configuration,
+        )
 
     # Callers' calls
 
     async def submit(
-        self, submission: JobSubmission, target_latency_s: float, deadline_s: float
+        self, submission: JobSubmission, route: Route, deadline_s: float
     ) -> SubmitOutcome:
         """Take a job. Once a write may have reached the store, it is never called refused."""
         if submission.job_id in self._heads:
@@ -94,6 +101,28 @@
             head = self._new_head(submission)
         except StoreRefused:
             return SubmitOutcome.REFUSED
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                fits = await self._quota.reserve(route, submission, head.accepted_ms)
+                if not fits:
+                    return await self._refuse_unless_known(submission)
+            return await self._accept(submission, head, route.target_latency_s, deadline_s)
+        except (StoreError, TimeoutError) as problem:
+            self._context.log.event(
+                "quota_unsure", job=submission.job_id, cause=type(problem).__name__
+            )
+            return SubmitOutcome.UNCLEAR
+        finally:
+            self._quota.release(submission.job_id)
+
+    async def _refuse_unless_known(self, submission: JobSubmission) -> SubmitOutcome:
+        """Refuse a job that does not fit, unless another daemon took it: it is sent again then."""
+        known = await self._load_any(submission.job_id)
+        return SubmitOutcome.OVER_QUOTA if known is None else SubmitOutcome.ACCEPTED
+
+    async def _accept(
+        self, submission: JobSubmission, head: JobHead, target_latency_s: float, deadline_s: float
+    ) -> SubmitOutcome:
 
         def begin(stored: Stored) -> None:
             if stored.begin is not None:
@@ -330,11 +359,13 @@
         if accepted is None:
             return None
         name, kept = accepted
+        items = self._parse_document(kept.document)
         head = JobHead(
             job_id=job_id,
             host=kept.host,
             path=kept.path,
-            total=len(self._parse_document(kept.document)),
+            total=len(items),
+            waiting_tokens=sum(item.tokens for item in items),
             accepted_ms=kept.accepted_ms,
             owner="",
             write_id=new_write_id(),
@@ -376,6 +407,7 @@
             path=submission.path,
             total=len(submission.items),
             accepted_ms=self._context.store_now_ms(),
+            waiting_tokens=submission.tokens,
             owner="" if self._draining else self._owners.own_token,
             write_id=new_write_id(),
         )
--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -30,6 +30,9 @@
 MAX_WAIT_S = 1.0
 DELETE_TIMEOUT_S = 3.0
 RETRY_PAUSE_S = 0.1
+RETRY_OVER_QUOTA_S = 1.0
+"""When a caller is told to come back whose job does not fit: items end many times a second."""
+
 RESOLVE_TTL_S = 5.0
 """How long callers keep the list of addresses; some keep it three times as long. A daemon that
 stops serves for longer than that."""
@@ -130,9 +133,7 @@
             return
         host = request.headers.get("host") or ""
         submission = JobSubmission(job_id, host, request.path, items, request.body)
-        outcome = await self._node.jobs.submit(
-            submission, route.target_latency_s, self._deadline_s(route, request)
-        )
+        outcome = await self._node.jobs.submit(submission, route, self._deadline_s(route, request))
         self._node.log.event(
             "job_submitted",
             job=job_id,
@@ -144,6 +145,8 @@
             responder.send(202)
         elif outcome is SubmitOutcome.REFUSED:
             refuse(responder, RETRY_UNAVAILABLE_S)
+        elif outcome is SubmitOutcome.OVER_QUOTA:
+            refuse(responder, RETRY_OVER_QUOTA_S, 429)
         else:
             responder.send(504)
 
--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -92,6 +92,7 @@
         event_gap_s=gap_ms / 1000 if gap_ms else None,
         retention_s=float(fields.get("retention_s") or 0),
         completion_target_s=(fields.get("completion_target_ms") or 0) / 1000,
+        max_waiting_tokens=int(fields.get("max_queued_tokens") or 0),
         first_event_patience_s=_patience_s(fields),
     )
 
--- a/mountstand/serving/configuration.py
+++ b/mountstand/serving/configuration.py
@@ -43,6 +43,9 @@
     event_gap_s: float | None = None
     retention_s: float = 0.0
     completion_target_s: float = 0.0
+    max_waiting_tokens: int = 0
+    """Tokens of batch items that may wait on the route, over all daemons; 0 is no bound."""
+
     first_event_patience_s: float | None = None
     """How long callers wait for the first event of a stream before they leave, if that is known."""
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -18,6 +18,7 @@
 from mountstand.jobs.service import JobService
 from mountstand.platform.ingress import parse_items
 from mountstand.serving.configuration import Configuration, RequestKind
+from mountstand.serving.slot_demand import Waiting
 from mountstand.store.memory_rows import MemoryRowStore
 from mountstand.store.rows import RowKey, StoreError, StoreRefused, Transaction
 from mountstand.store.watch import TableWatcher
@@ -29,10 +30,15 @@
 FAILED = whole(b"", "500 Internal Server Error")
 
 
-def submission(job_id: str = "job1", items: int = 3) -> JobSubmission:
-    """Return a job of small items."""
+def submission(job_id: str = "job1", items: int = 3, tokens: int = 0) -> JobSubmission:
+    """Return a job of small items, each of ``tokens``."""
     entries = [
-        {"id": f"{job_id}-i{n}", "path": f"/batch/{n}", "body": b64encode(b"b%d" % n).decode()}
+        {
+            "id": f"{job_id}-i{n}",
+            "path": f"/batch/{n}",
+            "body": b64encode(b"b%d" % n).decode(),
+            "tokens": tokens,
+        }
         for n in range(items)
     ]
     document = orjson.dumps({"items": entries})
@@ -47,6 +53,7 @@
         self.store = store
         self.fleet = fleet
         self.live = live
+        self.route = BATCH
         self.configuration: Configuration | None = configuration(BATCH)
         self.now_ms: int | None = 1000
         self.watcher: TableWatcher
@@ -93,7 +100,7 @@
     async def submit(self, job: JobSubmission, time_s: float = 2.0) -> SubmitOutcome:
         """Hand a job in."""
         deadline_s = asyncio.get_running_loop().time() + time_s
-        return await self.jobs.submit(job, 0.5, deadline_s)
+        return await self.jobs.submit(job, self.route, deadline_s)
 
     async def results(self, job_id: str = "job1") -> list[tuple[str, str, str]]:
         """Read every listed result: id, state and text by position."""
@@ -165,6 +172,30 @@
 
         self.play(work, (stream(4),))
 
+    def test_a_job_over_the_bound_of_its_route_is_refused_until_items_have_ended(self) -> None:
+        async def work() -> None:
+            bounded = replace(BATCH, max_waiting_tokens=700)
+            first, second = self.daemon("d1"), self.daemon("d2")
+            for daemon in (first, second):
+                daemon.route = bounded
+                daemon.configuration = configuration(bounded)
+            held = self.fleet.queue.demand.peers_by_service
+            held["llm"] = Waiting(1)
+            accepted = await first.submit(submission(tokens=200))
+            self.assertEqual(SubmitOutcome.ACCEPTED, accepted)
+            more = submission("job2", tokens=200)
+            await eventually(lambda: second.jobs._heads, "the second daemon sees the job")
+            self.assertEqual(SubmitOutcome.OVER_QUOTA, await first.submit(more))
+            self.assertEqual(SubmitOutcome.OVER_QUOTA, await second.submit(more))
+            second.jobs._heads.clear()
+            again = await second.submit(submission(tokens=200))
+            self.assertEqual(SubmitOutcome.ACCEPTED, again, "it is there already")
+            held.clear()
+            await first.finished(3)
+            self.assertEqual(SubmitOutcome.ACCEPTED, await first.submit(more))
+
+        self.play(work, (stream(4),))
+
     def test_large_results_span_rows(self) -> None:
         async def answer(request, writer):  # type: ignore[no-untyped-def]
             body = b"id: 1\ndata: " + b"z" * 20000 + b"\n\n"
