A slot that comes at the end of a request's wait is not lost; new requests do not wait behind late ones

Cause, found by reading: a slot given in the loop's round in which the wait ends was counted for ever, and the request was counted at a second worker (test fails before). While only late requests wait, a new one takes a free slot at once: the next period of the digests is up to 0.17 s away in a large fleet. request_ended tells waited_ms.

--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -47,4 +47,7 @@
     cause: str = ""
     first_event_at_s: float | None = None
     sent_at_s: float = 0.0
+    waited_s: float = 0.0
+    """How long it waited at this daemon for a worker."""
+
     load: LoadReport | None = None
--- a/mountstand/serving/exchange_log.py
+++ b/mountstand/serving/exchange_log.py
@@ -64,6 +64,7 @@
             runs=exchange.runs,
             refusals=exchange.refusals,
             unreachable=exchange.unreachable,
+            waited_ms=milliseconds(exchange.waited_s),
             sent_ms=milliseconds(exchange.sent_at_s - received_at_s),
             first_event_ms=None if first_s is None else milliseconds(first_s - received_at_s),
             ms=milliseconds(duration_s),
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -129,7 +129,9 @@
         route = exchange.route
         patience_s = min(route.patience_s, exchange.deadline_s - received_at_s)
         times = start_times(received_at_s, route.target_latency_s, patience_s)
-        return await self._queue.acquire(exchange.service, exchange.call.prompt, times)
+        worker = await self._queue.acquire(exchange.service, exchange.call.prompt, times)
+        exchange.waited_s = asyncio.get_running_loop().time() - received_at_s
+        return worker
 
     def _note_outcome(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
         """Count what the attempt says about the worker."""
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTimes:
-    """When a request should be at a worker, on the loop's clock.
+    """Until when a request should be at a worker, in seconds on the loop's clock.
 
     After ``in_time_s`` its answer will be late; ``latest_s`` is the end of waiting here.
     ``queue_s`` is how long it may wait at the worker.
@@ -50,9 +50,13 @@
     latest_s: float
     queue_s: float
 
+    def is_late(self, now_s: float) -> bool:
+        """Return whether the answer will be late if the request starts now."""
+        return now_s > self.in_time_s
+
     def rank(self, now_s: float) -> tuple[bool, float]:
         """Return the place in the order of those that start now; the least goes first."""
-        return (now_s > self.in_time_s, self.in_time_s)
+        return (self.is_late(now_s), self.in_time_s)
 
 
 def start_times(received_at_s: float, target_latency_s: float, patience_s: float) -> StartTimes:
@@ -97,12 +101,13 @@
         now_s = asyncio.get_running_loop().time()
         self._queue_s_by_service[service] = times.queue_s
         waiting = self._waiting.setdefault(service, [])
-        if not waiting or len(waiting) >= MOST_WAITING:
+        full = len(waiting) >= MOST_WAITING
+        if full or all(waiter.times.is_late(now_s) for waiter in waiting):
             worker = self._choose(service, prompt, times, now_s)
             if worker is not None:
                 return worker
-            if len(waiting) >= MOST_WAITING or not self._directory.of_service(service):
-                return self._choose_any(service, prompt, now_s)
+        if full or not self._directory.of_service(service):
+            return self._choose_any(service, prompt, now_s)
         return await self._wait(service, _Waiter(prompt, times, _new_future()), times)
 
     async def _wait(self, service: str, waiter: _Waiter, times: StartTimes) -> Worker | None:
@@ -112,6 +117,8 @@
             async with asyncio.timeout_at(times.latest_s):
                 return await waiter.chosen
         except TimeoutError:
+            if waiter.chosen.done() and not waiter.chosen.cancelled():
+                return waiter.chosen.result()
             now_s = asyncio.get_running_loop().time()
             return self._choose_any(service, waiter.prompt, now_s)
         except asyncio.CancelledError:
@@ -214,7 +221,7 @@
         waiting = self._waiting[service]
         waiting[:] = [waiter for waiter in waiting if not waiter.chosen.done()]
         waiting.sort(key=lambda waiter: waiter.times.rank(now_s))
-        late = sum(waiter.times.rank(now_s)[0] for waiter in waiting)
+        late = sum(waiter.times.is_late(now_s) for waiter in waiting)
         self.demand.own_by_service[service] = Waiting(len(waiting) - late, late)
 
 
--- a/tests/serving/test_online_queue.py
+++ b/tests/serving/test_online_queue.py
@@ -12,6 +12,7 @@
 from mountstand.serving.online_queue import StartTimes, start_times
 from mountstand.serving.prompt import EMPTY_PROMPT
 from mountstand.serving.slot_demand import Waiting
+from mountstand.serving.spread import UsualDurations
 from mountstand.serving.workers import Worker
 from tests.serving.test_routing import worker_record
 from tests.stand_ins.harness import Fleet
@@ -85,10 +86,9 @@
             self.directory.durations.note("llm", USUAL_S)
             self.worker.in_flight = SLOTS
             self.assertFalse((await self.ask()).done())
-            self.directory.durations.note("llm", -6.0)
-            self.worker.in_flight = SLOTS
+            self.directory.durations = UsualDurations()
+            self.directory.durations.note("llm", USUAL_S / 4)
             self.queue.tick(self.loop.time())
-            self.assertTrue(0 < self.directory.durations.usual_s("llm") < USUAL_S / 4)
             self.assertEqual(SLOTS + 1, self.worker.in_flight, "shorter requests: one may wait")
 
         self.scenario(work)
@@ -128,6 +128,28 @@
 
         self.scenario(work)
 
+    def test_a_slot_that_comes_at_the_end_of_the_wait_is_not_lost(self) -> None:
+        async def work() -> None:
+            self.worker.in_flight = SLOTS
+            times = self.times()
+            self.loop.call_at(times.latest_s, self.end_one)
+            task = await self.ask(times)
+            self.assertIs(self.worker, await task)
+            self.assertEqual(SLOTS, self.worker.in_flight)
+
+        self.scenario(work)
+
+    def test_a_new_request_does_not_wait_for_late_ones(self) -> None:
+        async def work() -> None:
+            self.worker.in_flight = SLOTS
+            late = await self.ask()
+            await asyncio.sleep(OBJECTIVE_S)
+            self.worker.in_flight -= 1
+            fresh = await self.ask()
+            self.assertEqual([False, True], [late.done(), fresh.done()])
+
+        self.scenario(work)
+
     def test_a_request_whose_caller_left_takes_no_slot(self) -> None:
         async def work() -> None:
             self.worker.in_flight = SLOTS
