--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -35,7 +35,13 @@
 from mountstand.store.rows import ObjectStore, RowStore
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
-from mountstand.transport.http_server import HttpServer, Responder, ServerLimits, ServerRequest
+from mountstand.transport.http_server import (
+    FIRST_REQUEST_S,
+    HttpServer,
+    Responder,
+    ServerLimits,
+    ServerRequest,
+)
 from mountstand.wire.frames import FrameCodec
 from mountstand.wire.gossip import GossipBodies, GossipMessage, LoadDigest
 
@@ -308,6 +314,7 @@
         await asyncio.sleep(CLOSE_LISTENERS_AFTER_S)
         self._callers.stop_listening()
         self._callers.close_idle()
+        await asyncio.sleep(FIRST_REQUEST_S)
         while loop.time() < end_s and not (drained.done() and not self._callers.connections):
             await asyncio.sleep(0.05)
         self.log.event(
--- a/mountstand/transport/http_server.py
+++ b/mountstand/transport/http_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -97,7 +98,10 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
-        self._expire_after(self._server.limits.idle_timeout_s)
+        self.close_after_answer = self._server.closing
+        stopped = self._server.stopped_listening
+        idle_s = FIRST_REQUEST_S if stopped else self._server.limits.idle_timeout_s
+        self._expire_after(idle_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request in progress, since nobody waits for its answer."""
@@ -366,14 +370,22 @@
         self._max_held_bytes = max_held_bytes
         self._held_bytes = 0
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._accepting: set[asyncio.Task[object]] = set()
+        self.closing = False
+        """Whether connections end with their next answer."""
+
+        self.stopped_listening = False
 
     async def start(self, address: str, port: int) -> int:
         """Listen; returns the port."""
         loop = asyncio.get_running_loop()
+        self._listener = socket.create_server((address, port), backlog=BACKLOG)
+        self._listener.setblocking(False)
         self._server = await loop.create_server(
-            self._connection, address, port, backlog=BACKLOG, reuse_address=True
+            self._connection, sock=self._listener, backlog=BACKLOG
         )
-        return int(self._server.sockets[0].getsockname()[1])
+        return int(self._listener.getsockname()[1])
 
     def _connection(self) -> asyncio.BaseProtocol:
         if len(self.connections) >= self._max_connections:
@@ -390,17 +402,34 @@
         return self._held_bytes > self._max_held_bytes
 
     def stop_listening(self) -> None:
-        """Take no new connections."""
+        """Take no new connections but those that wait at the listener already."""
+        self.stopped_listening = True
+        self._accept_waiting()
         if self._server is not None:
             self._server.close()
 
+    def _accept_waiting(self) -> None:
+        """Accept what callers opened; closing the listener would reset it unread."""
+        loop = asyncio.get_running_loop()
+        while self._listener is not None and self._listener.fileno() >= 0:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            conn.setblocking(False)
+            task = loop.create_task(loop.connect_accepted_socket(self._connection, conn))
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
+
     def close_idle(self) -> None:
         """Close connections that rest; others close after their answer."""
+        self.closing = True
         for connection in list(self.connections):
             connection.close_when_idle()
 
     def announce_close(self) -> None:
         """Let every connection end with its next answer, without closing those that rest."""
+        self.closing = True
         for connection in self.connections:
             connection.close_after_answer = True
 
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import ClassVar
 
 from testtools import TestCase
@@ -219,3 +220,31 @@
             return answer
 
         self.assertIn(b"200", run(scenario()))
+
+    def test_caller_whose_connection_waits_at_the_listener_is_answered(self) -> None:
+        async def scenario() -> bytes:
+            server = Server()
+            port = await server.server.start("127.0.0.1", 0)
+            caller = socket.create_connection(("127.0.0.1", port))
+            server.server.stop_listening()
+            server.server.close_idle()
+            reader, writer = await asyncio.open_connection(sock=caller)
+            writer.write(GOOD)
+            answer = await asyncio.wait_for(reader.read(65536), 2.0)
+            writer.close()
+            return answer
+
+        answer = run(scenario())
+        self.assertIn(b"200", answer)
+        self.assertIn(b"Connection: close", answer)
+
+    def test_connections_opened_after_the_announcement_end_with_their_answer(self) -> None:
+        async def scenario() -> bytes:
+            server = Server()
+            port = await server.server.start("127.0.0.1", 0)
+            server.server.announce_close()
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GOOD)
+            return await asyncio.wait_for(reader.read(), 2.0)
+
+        self.assertIn(b"Connection: close", run(scenario()))
