--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -14,7 +14,7 @@
 from mountstand.serving.events import EventSplitter
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import Worker, WorkerDirectory
-from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.decisions import DecisionLog, milliseconds
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken
 
@@ -49,6 +49,10 @@
     restored: bool = False
     """Whether another process ran the first part."""
 
+    sent_at_s: float | None = None
+    first_event_at_s: float | None = None
+    """When the present attempt was sent and when its answer began, on the loop's clock."""
+
     def preempt(self) -> None:
         """Close the item's stream, since online work needs the slot."""
         self.preempted = True
@@ -86,6 +90,7 @@
         self, progress: ItemProgress, route: Route, worker: Worker
     ) -> ItemResult | None:
         """Make one attempt; returns the item's end, or ``None`` if it must be tried again."""
+        progress.sent_at_s = progress.first_event_at_s = None
         try:
             progress.connection = await self._context.connections.acquire(worker, repeatable=True)
             if progress.preempted:
@@ -111,6 +116,7 @@
         loop = asyncio.get_running_loop()
         call = self._call(progress)
         headers = context.protocol.request_headers(call, worker, None, progress.last_event_id)
+        progress.sent_at_s = loop.time()
         connection.send(
             call.method,
             call.target,
@@ -133,6 +139,7 @@
         if head.status != 200:
             return self._note_failure(progress, route, worker, head.status)
         began_s = loop.time()
+        progress.first_event_at_s = began_s
         try:
             await self._collect(progress, worker, connection)
         finally:
@@ -140,6 +147,12 @@
         worker.health.own.add(loop.time(), failed=False)
         if not progress.restored:
             context.room.durations.note(worker.record.service, progress.ran_s)
+        self._log(
+            "item_completed",
+            item=progress.item.item_id,
+            worker=worker.record.worker_id,
+            **self._run_times(progress),
+        )
         return ItemResult(
             progress.index,
             progress.item.item_id,
@@ -199,7 +212,21 @@
             last_event=progress.last_event_id,
             in_flight=worker.in_flight,
             load=worker.load.total if worker.load else None,
+            **self._run_times(progress),
         )
 
+    def _run_times(self, progress: ItemProgress) -> dict[str, float | int | None]:
+        """Return what a line tells of the present attempt's times and of the item's prompt."""
+        now_s = asyncio.get_running_loop().time()
+        sent_s, first_s = progress.sent_at_s, progress.first_event_at_s
+        prompt = progress.item.prompt
+        return {
+            "read_ms": milliseconds(first_s - sent_s) if first_s and sent_s else None,
+            "ms": milliseconds(now_s - sent_s) if sent_s else None,
+            "ran_ms": milliseconds(progress.ran_s),
+            "shared_tokens": prompt.shared_tokens,
+            "own_tokens": prompt.own_tokens,
+        }
+
     def _log(self, event: str, **fields: object) -> None:
         self._context.log.event(event, job=self._job_id, **fields)
--- a/mountstand/serving/batch_pace.py
+++ b/mountstand/serving/batch_pace.py
@@ -12,12 +12,12 @@
 from collections.abc import Iterable
 
 PACE_SHARE = 0.5
-"""Share of the time until items are due over which they are spread. The other half is for what may
-still go wrong: workers that leave, rises of online requests, a daemon's death."""
+"""Share of the time until items are due over which they are spread. The other half is for what
+may still go wrong: workers that leave, rises of online requests, a daemon's death."""
 
 UNKNOWN_RUN_SHARE = 0.125
-"""Share of the time left that an item is taken to run while none has ended yet. Too small a guess is
-put right by how long the items that run have been running."""
+"""Share of the time left that an item is taken to run while none has ended yet. Too small a guess
+is put right by how long the items that run have been running."""
 
 
 def paced_until(begun_at_s: float, due_at_s: float) -> float:
--- a/mountstand/serving/exchange_log.py
+++ b/mountstand/serving/exchange_log.py
@@ -6,7 +6,7 @@
 
 from mountstand.serving.exchange import Exchange, Outcome
 from mountstand.serving.workers import Worker
-from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.decisions import DecisionLog, milliseconds
 from mountstand.telemetry.serving_metrics import ServingMetrics
 
 
@@ -69,9 +69,7 @@
             first_event_ms=None if first_s is None else milliseconds(first_s - received_at_s),
             ms=milliseconds(duration_s),
             load=None if load is None else [load.running, load.waiting, load.slots],
+            target_ms=milliseconds(exchange.route.target_latency_s),
+            shared_tokens=exchange.call.prompt.shared_tokens,
+            own_tokens=exchange.call.prompt.own_tokens,
         )
-
-
-def milliseconds(seconds: float) -> float:
-    """Return a duration as it is logged."""
-    return round(seconds * 1000, 1)
--- a/mountstand/telemetry/decisions.py
+++ b/mountstand/telemetry/decisions.py
@@ -75,6 +75,11 @@
         return True
 
 
+def milliseconds(seconds: float) -> float:
+    """Return a duration as it is logged."""
+    return round(seconds * 1000, 1)
+
+
 def _json_value(value: Any) -> Any:
     """Return a field's value as JSON can tell it: an age that is not known yet becomes null."""
     if isinstance(value, float) and not math.isfinite(value):
