--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -12,8 +12,9 @@
 from mountstand.serving.configuration import Configuration, Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter
+from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
-from mountstand.serving.workers import Worker, WorkerDirectory
+from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog, milliseconds
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken
--- a/mountstand/platform/__main__.py
+++ b/mountstand/platform/__main__.py
@@ -15,7 +15,7 @@
 from mountstand.platform.store_client import PlatformStore
 from mountstand.platform.worker_protocol import PlatformWorkerProtocol
 from mountstand.serving.configuration import Configuration
-from mountstand.serving.workers import WorkerRecord
+from mountstand.serving.worker import WorkerRecord
 from mountstand.serving_node import ServingNode
 from mountstand.serving_settings import ServingSettings
 from mountstand.store.rows import StoredRow
--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -14,7 +14,7 @@
     Service,
     ServiceShare,
 )
-from mountstand.serving.workers import WorkerRecord
+from mountstand.serving.worker import WorkerRecord
 from mountstand.store.rows import StoredRow
 from mountstand.transport.http_server import ServerLimits
 
--- a/mountstand/platform/worker_protocol.py
+++ b/mountstand/platform/worker_protocol.py
@@ -4,8 +4,8 @@
 
 from mountstand.platform import names
 from mountstand.serving.prompt import Prompt, PromptPart
+from mountstand.serving.worker import LoadReport, Worker
 from mountstand.serving.worker_protocol import Call, ReplyKind, ReplyMeaning
-from mountstand.serving.workers import LoadReport, Worker
 from mountstand.transport.headers import Header, Headers, number
 from mountstand.transport.http_client import ReplyHead
 
--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -18,7 +18,9 @@
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.slot_demand import SlotDemand, Waiting
 from mountstand.serving.spread import round_by_chance
-from mountstand.serving.workers import FULL, Worker, WorkerDirectory
+from mountstand.serving.worker import Worker
+from mountstand.serving.worker_choice import FULL
+from mountstand.serving.workers import WorkerDirectory
 
 
 def _free_slots(workers: list[Worker], now_s: float) -> float:
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -11,7 +11,7 @@
 import asyncio
 
 from mountstand.serving.rest_limit import RestLimit
-from mountstand.serving.workers import Worker
+from mountstand.serving.worker import Worker
 from mountstand.transport.adaptive_timeout import AdaptiveTimeout
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, connect
 
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -6,8 +6,8 @@
 from enum import Enum
 
 from mountstand.serving.configuration import Route
+from mountstand.serving.worker import LoadReport
 from mountstand.serving.worker_protocol import Call
-from mountstand.serving.workers import LoadReport
 from mountstand.transport.responder import Responder
 
 
--- a/mountstand/serving/exchange_log.py
+++ b/mountstand/serving/exchange_log.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from mountstand.serving.exchange import Exchange, Outcome
-from mountstand.serving.workers import Worker
+from mountstand.serving.worker import Worker
 from mountstand.telemetry.decisions import DecisionLog, milliseconds
 from mountstand.telemetry.serving_metrics import ServingMetrics
 
--- a/mountstand/serving/feeds.py
+++ b/mountstand/serving/feeds.py
@@ -11,7 +11,8 @@
 from typing import Protocol
 
 from mountstand.serving.configuration import Configuration
-from mountstand.serving.workers import WorkerDirectory, WorkerRecord
+from mountstand.serving.worker import WorkerRecord
+from mountstand.serving.workers import WorkerDirectory
 from mountstand.store.rows import StoredRow
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -16,8 +16,9 @@
 from mountstand.serving.exchange import Exchange, Outcome, WorkerSilent
 from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.online_queue import OnlineQueue, start_times
+from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
-from mountstand.serving.workers import Worker, WorkerDirectory
+from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_client import (
@@ -116,7 +117,7 @@
             if outcome is Outcome.DELIVERED:
                 exchange.delivered = True
                 duration_s = asyncio.get_running_loop().time() - exchange.sent_at_s
-                self._directory.durations.note(exchange.service, duration_s)
+                self._directory.chooser.durations.note(exchange.service, duration_s)
                 return
             self._log.attempt_failed(exchange, worker, outcome)
             if not self._may_go_on(exchange, outcome):
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -172,7 +172,7 @@
         """Send what changed, and forget daemons that fell silent."""
         self._regroup()
         self._expire(now_s)
-        self._directory.picture_age_s = self.hops * self.period_s / 2
+        self._directory.chooser.picture_age_s = self.hops * self.period_s / 2
         own = self._own_counts(now_s)
         unreachable = self._unreachable(now_s)
         if self._is_head:
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -20,7 +20,8 @@
 from mountstand.serving.prompt import Prompt
 from mountstand.serving.slot_demand import SlotDemand, Waiting
 from mountstand.serving.spread import UsualDurations, round_by_chance
-from mountstand.serving.workers import Worker, WorkerDirectory
+from mountstand.serving.worker import Worker
+from mountstand.serving.workers import WorkerDirectory
 
 START_SHARE = 0.35
 """Share of its objective within which a request must be at a worker to be in time. The rest is for
@@ -184,7 +185,7 @@
         """Return how many requests end per second at a full worker, 0 where nothing is known."""
         service = worker.record.service
         batch = min(worker.batch, worker.slots())
-        online_s = self._directory.durations.usual_s(service)
+        online_s = self._directory.chooser.durations.usual_s(service)
         batch_s = self.batch_durations.usual_s(service)
         ends_per_s = (worker.slots() - batch) / online_s if online_s else 0.0
         return ends_per_s + (batch / batch_s if batch_s else 0.0)
--- a/mountstand/serving/worker_protocol.py
+++ b/mountstand/serving/worker_protocol.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
-from mountstand.serving.workers import LoadReport, Worker
+from mountstand.serving.worker import LoadReport, Worker
 from mountstand.transport.headers import Header, Headers
 from mountstand.transport.http_client import ReplyHead
 
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -28,8 +28,9 @@
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.slot_demand import Work
+from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import WorkerProtocol
-from mountstand.serving.workers import Worker, WorkerDirectory
+from mountstand.serving.workers import WorkerDirectory
 from mountstand.serving_feeds import FeedTargets, ServingFeeds
 from mountstand.serving_settings import ServingSettings, SocketAddress
 from mountstand.store.rows import ObjectStore, RowStore
--- a/tests/model/test_online_queue.py
+++ b/tests/model/test_online_queue.py
@@ -11,7 +11,7 @@
 from mountstand.serving.online_queue import start_times
 from mountstand.serving.prompt import EMPTY_PROMPT
 from mountstand.serving.slot_demand import Waiting
-from mountstand.serving.workers import LoadReport, Worker
+from mountstand.serving.worker import LoadReport, Worker
 from tests.serving.test_routing import worker_record
 from tests.stand_ins.harness import Fleet
 from tests.stand_ins.paused_clock import run_paused
--- a/tests/serving/test_batch_room.py
+++ b/tests/serving/test_batch_room.py
@@ -11,7 +11,7 @@
 from mountstand.serving.online_queue import StartTimes
 from mountstand.serving.prompt import EMPTY_PROMPT
 from mountstand.serving.slot_demand import Waiting
-from mountstand.serving.workers import LoadReport, Worker
+from mountstand.serving.worker import LoadReport, Worker
 from tests.serving.test_routing import worker_record
 from tests.stand_ins.harness import Fleet, run
 from tests.stand_ins.store import settle
@@ -42,7 +42,7 @@
 
     async def let_online_requests_wait(self) -> None:
         """Make 1.5 requests too few to give way to: ten slots end that many in 0.15 s."""
-        self.directory.durations.note("llm", 1.0)
+        self.directory.chooser.durations.note("llm", 1.0)
         self.room.durations.note("llm", 1.0)
         times = StartTimes(in_time_s=1.0, latest_s=1.0, queue_s=0.15)
         self.assertIsNotNone(await self.queue.acquire("llm", EMPTY_PROMPT, times))
--- a/tests/serving/test_routing.py
+++ b/tests/serving/test_routing.py
@@ -13,7 +13,8 @@
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.prompt import EMPTY_PROMPT
-from mountstand.serving.workers import LoadReport, WorkerDirectory, WorkerRecord
+from mountstand.serving.worker import LoadReport, WorkerRecord
+from mountstand.serving.workers import WorkerDirectory
 from mountstand.wire.gossip import LoadDigest
 from tests.stand_ins.digest_link import RecordingLink
 from tests.stand_ins.harness import HOST, configuration, route
--- a/tests/stand_ins/harness.py
+++ b/tests/stand_ins/harness.py
@@ -22,7 +22,8 @@
 )
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.online_queue import OnlineQueue
-from mountstand.serving.workers import WorkerDirectory, WorkerRecord
+from mountstand.serving.worker import WorkerRecord
+from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_server import ServerLimits
