--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -12,7 +12,7 @@
 from mountstand.serving.configuration import Configuration, Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter
-from mountstand.serving.worker import Worker
+from mountstand.serving.worker import PromptReading, Worker
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog, milliseconds
@@ -92,11 +92,12 @@
     ) -> ItemResult | None:
         """Make one attempt; returns the item's end, or ``None`` if it must be tried again."""
         progress.sent_at_s = progress.first_event_at_s = None
+        reading = PromptReading(worker, progress.item.prompt)
         try:
             progress.connection = await self._context.connections.acquire(worker, repeatable=True)
             if progress.preempted:
                 return None
-            return await self._exchange(progress, route, worker, progress.connection)
+            return await self._exchange(progress, route, worker, progress.connection, reading)
         except (ConnectFailed, ReplyBroken, TimeoutError) as problem:
             cause = "preempted" if progress.preempted else str(problem) or "silent"
             if isinstance(problem, ReplyBroken) and progress.connection is not None:
@@ -106,12 +107,18 @@
             self._log_attempt(progress, worker, cause)
             return None
         finally:
+            reading.end()
             if progress.connection is not None:
                 self._context.connections.release(worker, progress.connection, 1)
                 progress.connection = None
 
     async def _exchange(
-        self, progress: ItemProgress, route: Route, worker: Worker, connection: ClientConnection
+        self,
+        progress: ItemProgress,
+        route: Route,
+        worker: Worker,
+        connection: ClientConnection,
+        reading: PromptReading,
     ) -> ItemResult | None:
         context = self._context
         loop = asyncio.get_running_loop()
@@ -127,6 +134,7 @@
         )
         async with asyncio.timeout(FIRST_EVENT_S):
             head = await connection.read_head()
+        reading.end()
         worker.note_heard(loop.time())
         meaning = context.protocol.meaning(head)
         if meaning.load is not None:
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from mountstand.serving.configuration import Route
-from mountstand.serving.worker import LoadReport
+from mountstand.serving.worker import LoadReport, PromptReading
 from mountstand.serving.worker_protocol import Call
 from mountstand.transport.responder import Responder
 
@@ -51,3 +51,11 @@
     """How long it waited at this daemon for a worker."""
 
     load: LoadReport | None = None
+    reading: PromptReading | None = None
+    """The reading of its prompt by the worker of the present attempt."""
+
+    def end_reading(self) -> None:
+        """Note that the worker has read the prompt, or that the attempt is over."""
+        if self.reading is not None:
+            self.reading.end()
+            self.reading = None
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -16,7 +16,7 @@
 from mountstand.serving.exchange import Exchange, Outcome, WorkerSilent
 from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.online_queue import OnlineQueue, start_times
-from mountstand.serving.worker import Worker
+from mountstand.serving.worker import PromptReading, Worker
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
@@ -173,6 +173,7 @@
         exchange.tried.add(worker.record.worker_id)
         exchange.worker_id = worker.record.worker_id
         self._room.yield_to_online(worker, asyncio.get_running_loop().time())
+        exchange.reading = PromptReading(worker, exchange.call.prompt)
         connection: ClientConnection | None = None
         try:
             connection = await self._connections.acquire(
@@ -184,6 +185,7 @@
             exchange.unreachable_ids.add(worker.record.worker_id)
             return Outcome.NOT_SENT
         finally:
+            exchange.end_reading()
             worker.in_flight -= 1
             if connection is not None:
                 self._connections.release(worker, connection, self.idle_per_worker)
@@ -341,6 +343,7 @@
         for event in events:
             if event.event_id is not None:
                 exchange.last_event_id = event.event_id
+        exchange.end_reading()
         if exchange.first_event_at_s is None:
             exchange.first_event_at_s = asyncio.get_running_loop().time()
         exchange.responder.write(b"".join(event.raw for event in events))
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -34,6 +34,13 @@
 """A daemon that sent none for so long is taken to have nothing in flight: three digests that got
 lost, and more where periods are long."""
 
+TOKENS_PER_BLOCK = 64
+"""Unread tokens are told in blocks of so many, so that most fit a byte; a block is read in about a
+millisecond."""
+
+MOST_BLOCKS = 1_000_000
+"""Unread blocks of one worker that a digest may claim; more than any worker can hold."""
+
 QUARTERS = 4
 MOST_QUARTERS = 65_535
 UNREACHABLE_TOLD_S = 0.3
@@ -67,8 +74,9 @@
 class LoadCounts:
     """What daemons tell of one worker or one service.
 
-    Of a worker what they have in flight there and the outcomes they saw, in quarters; of a service
-    how many requests or batch items of theirs wait for it.
+    Of a worker what they have in flight there, the outcomes they saw, in quarters, and how many
+    blocks of tokens it has still to read; of a service how many requests or batch items of theirs
+    wait for it.
     """
 
     online: int = 0
@@ -77,6 +85,7 @@
     failed: int = 0
     waiting: int = 0
     late: int = 0
+    unread: int = 0
 
     def add(self, other: LoadCounts) -> None:
         """Add another's counts."""
@@ -86,6 +95,7 @@
         self.failed += other.failed
         self.waiting += other.waiting
         self.late += other.late
+        self.unread += other.unread
 
     def take_off(self, other: LoadCounts) -> None:
         """Take another's counts off."""
@@ -95,11 +105,18 @@
         self.failed -= other.failed
         self.waiting -= other.waiting
         self.late -= other.late
+        self.unread -= other.unread
 
     def copy(self) -> LoadCounts:
         """Return counts of the same value."""
         return LoadCounts(
-            self.online, self.batch, self.succeeded, self.failed, self.waiting, self.late
+            self.online,
+            self.batch,
+            self.succeeded,
+            self.failed,
+            self.waiting,
+            self.late,
+            self.unread,
         )
 
     @property
@@ -192,6 +209,7 @@
             digest.failed or (0,) * len(digest.keys),
             digest.waiting or (0,) * len(digest.keys),
             digest.late or (0,) * len(digest.keys),
+            _bounded(digest.unread) or (0,) * len(digest.keys),
             strict=False,
         )
         by_key = {key: LoadCounts(*values) for key, *values in counts}
@@ -245,6 +263,7 @@
                 worker.batch_in_flight,
                 quarters(outcomes.succeeded),
                 quarters(outcomes.failed),
+                unread=-(-worker.own_unread // TOKENS_PER_BLOCK),
             )
             if not counts.empty:
                 counts_by_key[worker.key] = counts
@@ -295,6 +314,7 @@
             counts = peers.get(worker.key, none)
             worker.peer_online = max(0, counts.online)
             worker.peer_batch = max(0, counts.batch)
+            worker.peer_unread = max(0, counts.unread) * TOKENS_PER_BLOCK
             worker.health.peers_succeeded = max(0, counts.succeeded) / QUARTERS
             worker.health.peers_failed = max(0, counts.failed) / QUARTERS
         for work, demand in self._demand_by_work.items():
@@ -347,6 +367,7 @@
         scope,
         _unless_zero(counts.waiting for _, counts in told),
         _unless_zero(counts.late for _, counts in told),
+        _unless_zero(counts.unread for _, counts in told),
     )
 
 
@@ -355,6 +376,11 @@
     return min(MOST_QUARTERS, int(count * QUARTERS))
 
 
+def _bounded(blocks: Iterable[int]) -> tuple[int, ...]:
+    """Return a peer's unread blocks within bounds, so that no claim hides those of others."""
+    return tuple(min(MOST_BLOCKS, max(0, count)) for count in blocks)
+
+
 def _unless_zero(values: Iterable[int]) -> tuple[int, ...]:
     """Return a list of a digest, empty if it says nothing."""
     listed = tuple(values)
--- a/mountstand/serving/prompt.py
+++ b/mountstand/serving/prompt.py
@@ -34,6 +34,11 @@
         """Tokens of the last part."""
         return self.parts[-1].tokens if self.parts else 0
 
+    @property
+    def tokens(self) -> int:
+        """Tokens of all parts."""
+        return sum(part.tokens for part in self.parts)
+
     @property
     def affinity_key(self) -> str | None:
         """What decides the home worker, or ``None`` where reuse would save little.
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from mountstand.serving.prompt import Prompt
 from mountstand.serving.worker_health import WorkerHealth, new_health
 
 LOAD_TRUST_S = 2.0
@@ -60,6 +61,11 @@
     batch_in_flight: int = 0
     peer_online: int = 0
     peer_batch: int = 0
+    own_unread: int = 0
+    peer_unread: int = 0
+    """Tokens of prompts that this daemon and the others sent, and that are still to be read; at
+    most, since parts that the worker keeps need no reading."""
+
     load: LoadReport | None = None
     load_at_s: float = float("-inf")
     known_at_load: int = 0
@@ -90,6 +96,11 @@
         """Batch items that all daemons are known to have in flight here."""
         return self.batch_in_flight + self.peer_batch
 
+    @property
+    def unread(self) -> int:
+        """Tokens of prompts that the worker has still to read, as far as is known."""
+        return self.own_unread + self.peer_unread
+
     def note_load(self, load: LoadReport, now_s: float) -> None:
         """Take a load report."""
         self.load = load
@@ -135,3 +146,19 @@
             change = self.known - self.known_at_load
             return max(float(self.in_flight), float(self.load.total + change))
         return float(self.known)
+
+
+class PromptReading:
+    """Counts a prompt's tokens at its worker as unread until the first event comes."""
+
+    __slots__ = ("_tokens", "_worker")
+
+    def __init__(self, worker: Worker, prompt: Prompt) -> None:
+        self._worker = worker
+        self._tokens = prompt.tokens
+        worker.own_unread += self._tokens
+
+    def end(self) -> None:
+        """Note that the prompt was read, or that the request ended before; repeats do nothing."""
+        self._worker.own_unread -= self._tokens
+        self._tokens = 0
--- a/mountstand/serving/worker_choice.py
+++ b/mountstand/serving/worker_choice.py
@@ -1,8 +1,15 @@
-"""Which worker a request or batch item goes to, among those that may be asked."""
+"""Which worker a request or batch item goes to, among those that may be asked.
+
+With slots free, what a request waits for is reading: a worker reads prompts in the order of their
+arrival, so the first event comes after what is still to be read there and what it has to read of
+this prompt itself. Both are counted in tokens, as :class:`mountstand.serving.worker.PromptReading`
+and the digests of the other daemons tell them, so that no reading speed needs to be known.
+"""
 
 from __future__ import annotations
 
 import random
+from heapq import nlargest
 
 from mountstand.hashing import rendezvous_weight
 from mountstand.serving.prompt import Prompt
@@ -23,8 +30,13 @@
 """Fill below which it matters little how even loads are. Spreading over all free slots leaves room
 for a rise of traffic that nobody can have seen yet."""
 
-AFFINITY_FILL = 0.9
-"""A home worker filled beyond this share of its slots gives the request to the next home."""
+HOMES = 3
+"""Workers that requests with the same shared parts go to at most while these have a free slot. Each
+further one has to read the shared parts once more."""
+
+READ_TOLERANCE = 4
+"""Up to so many times a prompt's own size, it matters little what a worker has still to read; the
+evenness of the load goes first. Peers tell of reading so late that less is over by then."""
 
 
 class WorkerChooser:
@@ -42,22 +54,34 @@
 
     def choose(self, candidates: list[Worker], prompt: Prompt, now_s: float) -> Worker:
         """Choose among workers of one service, of which there is one at least."""
-        key = prompt.affinity_key
-        if key is not None:
-            return self._choose_home(candidates, key, now_s)
-        return self.choose_least_loaded(candidates, now_s)
+        home = self._choose_home(candidates, prompt, now_s)
+        return home or self.choose_least_loaded(candidates, prompt, now_s)
+
+    def _choose_home(self, candidates: list[Worker], prompt: Prompt, now_s: float) -> Worker | None:
+        """Choose one of the homes of a prompt's shared parts, if it has any with a free slot.
 
-    def _choose_home(self, candidates: list[Worker], key: str, now_s: float) -> Worker:
-        homes = sorted(
-            candidates, key=lambda w: rendezvous_weight(key, w.record.worker_id), reverse=True
+        The first home is taken to keep the shared parts. Others must read them again, so they come
+        into question only if more than that is to be read at the first.
+        """
+        key = prompt.affinity_key
+        if key is None:
+            return None
+        homes = nlargest(
+            HOMES, candidates, key=lambda w: rendezvous_weight(key, w.record.worker_id)
         )
-        for worker in homes:
-            if worker.estimated_load(now_s) < worker.slots() * AFFINITY_FILL:
-                return worker
-        return self.choose_least_loaded(candidates, now_s)
+        free = [home for home in homes if home.estimated_load(now_s) + 1 <= home.slots()]
+
+        def tokens_before_first_event(home: Worker) -> int:
+            return home.unread + (0 if home is homes[0] else prompt.shared_tokens)
+
+        return min(free, key=tokens_before_first_event, default=None)
+
+    def choose_least_loaded(self, candidates: list[Worker], prompt: Prompt, now_s: float) -> Worker:
+        """Choose a worker so that the loads even out, given what peers send unseen meanwhile.
 
-    def choose_least_loaded(self, candidates: list[Worker], now_s: float) -> Worker:
-        """Choose a worker so that the loads even out, given what peers send unseen meanwhile."""
+        Workers that have much to read before this prompt are avoided.
+        """
+        tolerated = max(1, prompt.tokens * READ_TOLERANCE)
         spread = self._sample(candidates, SPREAD_SIZE)
         unseen = self.durations.arrivals(
             spread[0].record.service,
@@ -65,20 +89,26 @@
             self.picture_age_s,
         )
         if unseen > UNSEEN_PER_WORKER * len(spread):
-            return self._choose_by_weight(spread, unseen, now_s)
+            return self._choose_by_weight(spread, unseen, tolerated, now_s)
         sample = self._sample(candidates, SAMPLE_SIZE)
 
-        def cost(worker: Worker) -> tuple[float, bool, float]:
+        def cost(worker: Worker) -> tuple[int, float, bool, float]:
             fill = worker.estimated_load(now_s) / worker.slots()
             elsewhere = worker.record.zone != self._zone
-            return (round(fill, 2), elsewhere, self._source.random())
+            return (worker.unread // tolerated, round(fill, 2), elsewhere, self._source.random())
 
         return min(sample, key=cost)
 
-    def _choose_by_weight(self, candidates: list[Worker], unseen: float, now_s: float) -> Worker:
+    def _choose_by_weight(
+        self, candidates: list[Worker], unseen: float, tolerated: int, now_s: float
+    ) -> Worker:
         """Choose by chance, the likelier the more a worker lacks to the level of all."""
         fills = _fills(candidates, now_s)
-        weights = weights_below(fills, max(FULL, level_after(fills, unseen)))
+        lacking = weights_below(fills, max(FULL, level_after(fills, unseen)))
+        weights = [
+            lack * tolerated / (tolerated + worker.unread)
+            for lack, worker in zip(lacking, candidates, strict=True)
+        ]
         if not any(weights):
             return self._source.choice(candidates)
         return self._source.choices(candidates, weights)[0]
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from mountstand.serving.prompt import Prompt
+from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
 from mountstand.serving.worker import Worker, WorkerRecord
 from mountstand.serving.worker_choice import WorkerChooser
 from mountstand.serving.worker_health import judge
@@ -128,7 +128,9 @@
             if worker.takes_work(now_s)
             and worker.estimated_load(now_s) + 1 <= worker.slots() * fill
         ]
-        return self.chooser.choose_least_loaded(candidates, now_s) if candidates else None
+        if not candidates:
+            return None
+        return self.chooser.choose_least_loaded(candidates, EMPTY_PROMPT, now_s)
 
     @property
     def services(self) -> list[str]:
--- a/mountstand/wire/frames.py
+++ b/mountstand/wire/frames.py
@@ -20,7 +20,7 @@
 from mountstand.wire.bodies import BodyCodec, BodyError
 
 MAGIC = b"MS"
-VERSION = 3
+VERSION = 4
 MAC_BYTES = 16
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 REPLAY_WINDOW = 1024
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -71,7 +71,8 @@
     a service. ``online`` and ``batch`` are in flight at a worker; ``succeeded`` and ``failed`` are
     outcomes seen lately, in quarters; ``waiting`` and ``late`` are requests or batch items that
     wait for a service and can be in time, or cannot; ``unreachable`` are keys of workers that just
-    now accepted no connection.
+    now accepted no connection; ``unread`` is what a worker has still to read of prompts, in blocks
+    of tokens (:data:`mountstand.serving.load_sharing.TOKENS_PER_BLOCK`).
     """
 
     keys: tuple[int, ...] = ()
@@ -83,6 +84,7 @@
     scope: Scope = Scope.DAEMON
     waiting: tuple[int, ...] = ()
     late: tuple[int, ...] = ()
+    unread: tuple[int, ...] = ()
 
 
 GossipMessage = Ping | PingRequest | Ack | MembersSync | LoadDigest
--- a/tests/serving/test_routing.py
+++ b/tests/serving/test_routing.py
@@ -11,9 +11,9 @@
 from mountstand.platform.worker_protocol import parse_prompt
 from mountstand.serving.configuration import RequestKind, ServiceShare, ShareChooser
 from mountstand.serving.load_groups import Peer
-from mountstand.serving.load_sharing import LoadSharing
+from mountstand.serving.load_sharing import TOKENS_PER_BLOCK, LoadSharing
 from mountstand.serving.prompt import EMPTY_PROMPT
-from mountstand.serving.worker import LoadReport, WorkerRecord
+from mountstand.serving.worker import LoadReport, PromptReading, WorkerRecord
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.wire.gossip import LoadDigest
 from tests.stand_ins.digest_link import RecordingLink
@@ -106,6 +106,46 @@
         self.directory.workers["w1"].in_flight = 1
         self.assertEqual("w2", self.choose("aa:10,bb:100"))
 
+    def test_a_worker_that_reads_a_long_prompt_is_avoided(self) -> None:
+        """Free slots say nothing of the reading that a short prompt would wait for."""
+        for name in ("w1", "w2"):
+            self.directory.workers[name].in_flight = 1
+        reading = PromptReading(self.directory.workers["w0"], parse_prompt("aa:9000,bb:4000"))
+        self.assertEqual({"w1", "w2"}, {self.choose("cc:100,dd:400") for _ in range(20)})
+        reading.end()
+        reading.end()
+        self.assertEqual("w0", self.choose("cc:100,dd:400"))
+
+    def test_reading_that_peers_tell_of_counts(self) -> None:
+        sharing = LoadSharing(self.directory, Peer("own", "zone-a"), RecordingLink())
+        keys = tuple(worker.key for worker in self.directory.workers.values())
+        sharing.handle("peer", LoadDigest(keys, (0,) * 3, (0,) * 3, unread=(200, 0, 200)), 0.0)
+        self.assertEqual({"w1"}, {self.choose("cc:100,dd:400") for _ in range(20)})
+
+    def test_absurd_claims_of_a_peer_hide_nothing_and_draw_no_work(self) -> None:
+        sharing = LoadSharing(self.directory, Peer("own", "zone-a"), RecordingLink())
+        keys = tuple(worker.key for worker in self.directory.workers.values())
+        nothing = (0,) * 3
+        sharing.handle("sound", LoadDigest(keys, nothing, nothing, unread=(200, 0, 0)), 0.0)
+        absurd = LoadDigest(keys, nothing, nothing, unread=(-(10**9), 0, 10**12))
+        sharing.handle("absurd", absurd, 0.0)
+        self.assertEqual({"w1"}, {self.choose("cc:100,dd:400") for _ in range(20)})
+        self.assertEqual(200 * TOKENS_PER_BLOCK, self.directory.workers["w0"].unread)
+
+    def test_a_short_queue_of_prompts_is_tolerated_for_an_even_load(self) -> None:
+        self.directory.workers["w1"].in_flight = 2
+        self.directory.workers["w2"].in_flight = 2
+        PromptReading(self.directory.workers["w0"], parse_prompt("aa:100,bb:400"))
+        self.assertEqual("w0", self.choose("cc:100,dd:400"))
+
+    def test_home_is_left_only_for_more_reading_than_it_saves(self) -> None:
+        prompt = "aa:5000,bb:100"
+        home = self.choose(prompt)
+        PromptReading(self.directory.workers[home], parse_prompt("cc:4900,dd:50"))
+        self.assertEqual(home, self.choose(prompt))
+        PromptReading(self.directory.workers[home], parse_prompt("cc:4900,dd:50"))
+        self.assertNotEqual(home, self.choose(prompt))
+
     def test_unreachable_worker_is_avoided_for_a_while(self) -> None:
         self.directory.workers["w1"].in_flight = 3
         self.directory.workers["w2"].in_flight = 3
