--- a/mountstand/serving_feeds.py
+++ b/mountstand/serving_feeds.py
@@ -24,10 +24,15 @@
 """When all start at once each daemon's row would answer a call of every other. Failure detection
 tells changes of a daemon's state sooner than its row."""
 
-LONGEST_PAUSE_SHARE = 1 / 6
+LONGEST_PAUSE_SHARE = 1 / 3
 """A daemon looks at the jobs this often at least, as a share of the time within which the end of a
 job must be obeyed; an owner that learns of an end so late has most of that time left."""
 
+WAIT_SHARE = 0.5
+"""How long feeds are held, as a share of the time without the store after which a daemon no longer
+counts as in touch. A feed that broke without a word is noticed a second after its wait, in time to
+be followed again before the daemon is bound by what it tells."""
+
 
 class KnownPeers(PeerAddresses):
     """Daemons that run as far as is known, or else the seeds of the settings."""
@@ -75,6 +80,7 @@
         self.daemons.pause_s = DAEMONS_PAUSE_S
         self.jobs = TableWatcher(store, HEADS, partitions(), targets.apply_jobs, log)
         self._known_peers = KnownPeers(settings, targets.registry)
+        self._hold(settings)
         self.peer_tables = PeerTables(
             [self.configuration, self.workers, self.daemons],
             self._known_peers,
@@ -83,8 +89,16 @@
         )
 
     def use_settings(self, settings: ServingSettings) -> None:
-        """Ask other seeds from now on."""
+        """Ask other seeds from now on, and hold feeds as the bounds allow."""
         self._known_peers.settings = settings
+        self._hold(settings)
+
+    def _hold(self, settings: ServingSettings) -> None:
+        """Set how long the calls of each feed are held."""
+        wait_s = settings.contact_s * WAIT_SHARE
+        for feed in (self.configuration, self.workers, self.daemons):
+            feed.wait_s = wait_s
+        self.jobs.wait_s = min(wait_s, settings.cancel_s * WAIT_SHARE)
 
     def share_out(self, daemons: int, cancel_s: float) -> None:
         """Divide the calls that follow the jobs among so many daemons."""
--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -18,9 +18,9 @@
 )
 from mountstand.telemetry.decisions import DecisionLog
 
-WAIT_MS = 1500
-"""How long a feed call is held. It bounds how late a broken feed is noticed, so it is a fraction
-of every bound that depends on a feed; a held call costs nothing but itself."""
+WAIT_S = 1.5
+"""How long a feed call is held where nothing else is said. It bounds how late a broken feed is
+noticed; a held call costs nothing but itself."""
 
 FIRST_RETRY_S = 0.05
 LONGEST_RETRY_S = 0.5
@@ -67,6 +67,7 @@
         self.now_read_at_s: float | None = None
         self.fresh_at_s = float("-inf")
         self.loaded = asyncio.Event()
+        self.wait_s = WAIT_S
         self.pause_s = 0.0
         """Pause after an answer with changes: what changes meanwhile comes in one answer."""
 
@@ -153,7 +154,7 @@
             self._take(TableChange([row for page in pages for row in page.rows], True))
             self.loaded.set()
         else:
-            page = await self._store.changes(self._table, self._version, WAIT_MS)
+            page = await self._store.changes(self._table, self._version, int(self.wait_s * 1000))
             pages = [page]
             self._advance(page)
             if page.rows:
