--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -62,7 +62,8 @@
         if request.path != names.RESOLVE_PATH:
             responder.send(404)
             return
-        addresses = self._node.callers_addresses()
+        zone = parse_qs(request.query).get(names.CALLER_ZONE, [""])[0]
+        addresses = self._node.callers_addresses(zone)
         if not addresses:
             refuse(responder, RETRY_UNAVAILABLE_S)
             return
--- a/mountstand/platform/names.py
+++ b/mountstand/platform/names.py
@@ -18,6 +18,7 @@
 
 # Calls of callers
 RESOLVE_PATH = "/resolve"
+CALLER_ZONE = "zone"
 JOB_PREFIX = "/lots/"
 ITEM_PREFIX = "/items/"
 
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -15,6 +15,7 @@
 from mountstand.jobs.owners import Owners
 from mountstand.jobs.repository import JobRepository
 from mountstand.jobs.service import JobService
+from mountstand.membership.caller_addresses import addresses_for
 from mountstand.membership.datagrams import FAILURE_DETECTION, DatagramMembership
 from mountstand.membership.digest_link import MembershipLink
 from mountstand.membership.member import Member
@@ -118,7 +119,7 @@
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[HttpServer] = []
-        source_of_chance = random.Random()
+        self._source_of_chance = source_of_chance = random.Random()
         self.directory = WorkerDirectory(
             settings.zone, source_of_chance, settings.drain_s * LEAVING_USE_SHARE
         )
@@ -224,12 +225,11 @@
         informed = self.configuration is not None and self.feeds.workers.loaded.is_set()
         return informed and not self._stopping
 
-    def callers_addresses(self) -> list[str]:
-        """Return the addresses that callers may use."""
+    def callers_addresses(self, zone: str) -> list[str]:
+        """Return the addresses that a caller in ``zone`` may use."""
         if self.configuration is None:
             return []
-        rows = self.registry.sound()
-        return [row.callers_address for row in rows]
+        return addresses_for(zone, self.registry.sound(), self._source_of_chance)
 
     def store_age_s(self) -> float:
         """Return how old this daemon's picture of the jobs may be."""
