--- a/mountstand/membership/digest_link.py
+++ b/mountstand/membership/digest_link.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from mountstand.membership.datagrams import DatagramMembership
+from mountstand.membership.registry import DaemonRegistry
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import DigestLink
 from mountstand.wire.gossip import LoadDigest
@@ -13,14 +14,18 @@
 class MembershipLink(DigestLink):
     """Sends digests in the datagrams of failure detection, to members that answered lately."""
 
-    __slots__ = ("_membership",)
+    __slots__ = ("_membership", "_registry")
 
-    def __init__(self, membership: DatagramMembership) -> None:
+    def __init__(self, membership: DatagramMembership, registry: DaemonRegistry) -> None:
         self._membership = membership
+        self._registry = registry
 
     def peers(self) -> list[Peer]:
         """Return the daemons that are believed to run, leaving ones included."""
-        return [Peer(m.member_id, m.zone) for m in self._membership.answering_members()]
+        return [
+            Peer(member.member_id, member.zone, self._registry.capacity_of(member.member_id))
+            for member in self._membership.answering_members()
+        ]
 
     def send(self, digest: LoadDigest, receivers: Iterable[str]) -> None:
         """Send a digest to daemons."""
--- a/mountstand/membership/registry.py
+++ b/mountstand/membership/registry.py
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True)
 class DaemonRow:
-    """Where one daemon is; ``token`` names the process."""
+    """Where one daemon is; ``token`` names the process, ``capacity`` is its processor in cores."""
 
     name: str
     token: str
@@ -46,6 +46,7 @@
     control_address: str = ""
     incarnation: int = 0
     leaving: bool = False
+    capacity: float = 1.0
 
     def encode(self) -> bytes:
         """Return the row's value."""
@@ -59,6 +60,7 @@
                 "control_address": self.control_address,
                 "incarnation": self.incarnation,
                 "leaving": self.leaving,
+                "capacity": self.capacity,
             }
         )
 
@@ -125,6 +127,11 @@
             return row.leaving
         return self.membership.incarnation(row.name) < row.incarnation + RESTART_MS
 
+    def capacity_of(self, name: str) -> float:
+        """Return the processor of a daemon's machine in cores, 1 where its row is not known."""
+        known = self._rows.get(name)
+        return known[0].capacity if known is not None else DaemonRow.capacity
+
     def control_addresses(self) -> list[SocketAddress]:
         """Return the control addresses of the other daemons that run."""
         running = self.membership.running_names() if self.membership is not None else set()
--- a/mountstand/platform/settings.py
+++ b/mountstand/platform/settings.py
@@ -56,6 +56,7 @@
         contact_s=_number(bounds, "contact_ms", 3000.0) / 1000,
         cancel_s=_number(bounds, "cancel_ms", 3000.0) / 1000,
         status_s=_number(bounds, "status_s", 120.0),
+        capacity=_number(limits, "cpu_share", 1.0) * _number(limits, "cores", 1.0),
         memory_mb=_number(limits, "memory_mb", 256.0),
         max_descriptors=int(_number(limits, "max_fds", 1024.0)),
         seeds=_seeds(fields),
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from mountstand.serving.load_groups import LoadGroup, Peer, group_of
+from mountstand.serving.load_groups import LoadGroup, Peer, group_of, serving_members
 from mountstand.serving.slot_demand import SlotDemand, Waiting, Work, service_key
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.wire.gossip import LoadDigest, Scope
@@ -65,9 +66,15 @@
         """Send a digest to daemons."""
 
 
+MEMBERS_EVERY = 4
+"""Members to which no callers are sent are told of the fleet in every fourth period only: they need
+to know it for callers with an old list, and to become a head at any moment."""
+
 HOPS_ALONE = 1
 HOPS_GROUPED = 3
-"""Digests that word of a request takes to reach a daemon: directly, or by two heads."""
+HOPS_IDLE = HOPS_GROUPED + MEMBERS_EVERY - 1
+"""Digests that word of a request takes to reach a daemon: directly, or by two heads, or to a member
+that is told seldom."""
 
 
 @dataclass(slots=True)
@@ -158,6 +165,9 @@
         self._link = link
         self._peers: frozenset[Peer] = frozenset()
         self._group = group_of(own, ())
+        self._serving: frozenset[str] = frozenset()
+        self._slots = 0
+        self._ticks = 0
         self._heard_by_sender: dict[str, _Heard] = {}
         self._unreachable_heard: dict[int, float] = {}
         self._own_told: CountsByKey = {}
@@ -169,12 +179,24 @@
         """How often digests are sent, given the size of the fleet."""
         if not self._group.grouped:
             return DIRECT_PERIOD_S
-        return max(GROUPED_PERIOD_S, self._group.most_sent / DIGESTS_PER_S)
+        members = self._group.most_members
+        if self._heads_serve_alone:
+            members = math.ceil(members / MEMBERS_EVERY)
+        return max(GROUPED_PERIOD_S, (len(self._group.heads) - 1 + members) / DIGESTS_PER_S)
 
     @property
     def hops(self) -> int:
         """How many digests word of a request takes to get here."""
-        return HOPS_GROUPED if self._group.grouped else HOPS_ALONE
+        if not self._group.grouped:
+            return HOPS_ALONE
+        if not self._heads_serve_alone:
+            return HOPS_GROUPED
+        return HOPS_ALONE if self._is_head else HOPS_IDLE
+
+    @property
+    def _heads_serve_alone(self) -> bool:
+        """Whether all daemons that callers are told of are heads."""
+        return self._serving <= self._group.heads
 
     @property
     def _is_head(self) -> bool:
@@ -229,8 +251,11 @@
         heads = _sum(self._heard_with(Scope.GROUP))
         group = _sum([own, members]) if members else own
         self._send(Scope.GROUP, group, unreachable, self._group.other_heads)
-        if self._group.members:
-            self._send(Scope.FLEET, _sum([group, heads]), unreachable, self._group.members)
+        every = MEMBERS_EVERY if self._heads_serve_alone else 1
+        self._ticks += 1
+        if self._group.members and self._ticks % every == 0:
+            fleet = _sum([group, heads])
+            self._send(Scope.FLEET, fleet, unreachable, self._group.members, every)
         self._take_over(_sum([members, heads]) if members else heads)
 
     def _send(
@@ -239,10 +264,11 @@
         counts_by_key: CountsByKey,
         unreachable: tuple[int, ...],
         receivers: tuple[str, ...],
+        periods: int = 1,
     ) -> None:
-        """Send a digest if it changed or was not sent for some periods."""
+        """Send a digest if it changed or was not sent for a while; ``periods`` since the last."""
         digest = _digest(scope, counts_by_key, unreachable)
-        unsent_s = self._unsent_s_by_scope.get(scope, 0.0) + self.period_s
+        unsent_s = self._unsent_s_by_scope.get(scope, 0.0) + periods * self.period_s
         if digest == self._sent_by_scope.get(scope) and unsent_s < REFRESH_S:
             self._unsent_s_by_scope[scope] = unsent_s
             return
@@ -289,9 +315,13 @@
 
     def _regroup(self) -> None:
         peers = frozenset(self._link.peers())
-        if peers != self._peers:
-            self._peers = peers
-            self._group = group_of(self._own_peer, peers)
+        slots = self._directory.slots()
+        if peers == self._peers and slots == self._slots:
+            return
+        self._peers = peers
+        self._slots = slots
+        self._group = group_of(self._own_peer, peers)
+        self._serving = serving_members(peers | {self._own_peer}, slots)
 
     def _expire(self, now_s: float) -> None:
         limit_s = max(EXPIRY_S, EXPIRY_PERIODS * self.period_s)
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -132,6 +132,11 @@
             return None
         return self.chooser.choose_least_loaded(candidates, EMPTY_PROMPT, now_s)
 
+    def slots(self) -> int:
+        """Return how many requests all listed workers run at once."""
+        listed = (w for w in self.workers.values() if w.leaving_since_s is None)
+        return sum(worker.slots() for worker in listed)
+
     @property
     def services(self) -> list[str]:
         """The services that have workers."""
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -25,7 +25,7 @@
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.feeds import ConfigurationSource, ConfigurationState, WorkersState
 from mountstand.serving.forwarder import Forwarder
-from mountstand.serving.load_groups import Peer
+from mountstand.serving.load_groups import Peer, serving_members
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.slot_demand import Work
@@ -168,6 +168,7 @@
             settings.zone,
             str(settings.listeners.control or ""),
             incarnation,
+            capacity=settings.capacity,
         )
         self.registry = DaemonRegistry(store, own, self.log, self._handle_members)
         self.membership = DatagramMembership(
@@ -182,8 +183,8 @@
         self.registry.membership = self.membership
         self.load_sharing = LoadSharing(
             self.directory,
-            Peer(settings.name, settings.zone),
-            MembershipLink(self.membership),
+            Peer(settings.name, settings.zone, settings.capacity),
+            MembershipLink(self.membership, self.registry),
             {Work.ONLINE: self.queue.demand, Work.BATCH: self.room.demand},
         )
         self.membership.on_message = self._handle_peer_message
@@ -229,7 +230,14 @@
         """Return the addresses that a caller in ``zone`` may use."""
         if self.configuration is None:
             return []
-        return addresses_for(zone, self.registry.sound(), self._source_of_chance)
+        return addresses_for(zone, self._serving_daemons(), self._source_of_chance)
+
+    def _serving_daemons(self) -> list[DaemonRow]:
+        """Return as few of the sound daemons as carry the load."""
+        sound = self.registry.sound()
+        peers = [Peer(row.name, row.zone, row.capacity) for row in sound]
+        serving = serving_members(peers, self.directory.slots())
+        return [row for row in sound if row.name in serving]
 
     def store_age_s(self) -> float:
         """Return how old this daemon's picture of the jobs may be."""
@@ -256,7 +264,7 @@
         self.feeds.share_out(daemons, self.settings.cancel_s)
         services = self.configuration.services.values() if self.configuration else []
         allowed = min((service.max_connections for service in services), default=DEFAULT_ALLOWED)
-        share = int(allowed * IDLE_SHARE / daemons)
+        share = int(allowed * IDLE_SHARE / max(1, len(self._serving_daemons())))
         self.forwarder.idle_per_worker = max(1, min(MOST_IDLE, share))
 
     def _handle_peer_message(self, sender_id: str, message: GossipMessage) -> None:
--- a/mountstand/serving_settings.py
+++ b/mountstand/serving_settings.py
@@ -50,8 +50,9 @@
     ``drain_s`` is the time within which a leaving worker must get no new work; ``grace_s`` the time
     from the request to stop until the process is killed; ``contact_s`` the time without the store
     after which a process no longer counts as in touch; ``cancel_s`` the time within which the end
-    of a job must be obeyed; ``status_s`` how long results of a job can be asked for. ``seeds`` are
-    control addresses of some daemons, which may be out of date.
+    of a job must be obeyed; ``status_s`` how long results of a job can be asked for; ``capacity``
+    the processor that the machine has, in cores. ``seeds`` are control addresses of some daemons,
+    which may be out of date.
     """
 
     name: str
@@ -67,6 +68,7 @@
     contact_s: float = 3.0
     cancel_s: float = 3.0
     status_s: float = 120.0
+    capacity: float = 1.0
     memory_mb: float = 256.0
     max_descriptors: int = 1024
     seeds: tuple[SocketAddress, ...] = ()
--- a/tests/serving/test_load_groups.py
+++ b/tests/serving/test_load_groups.py
@@ -6,7 +6,13 @@
 
 from testtools import TestCase
 
-from mountstand.serving.load_groups import MOST_HEADS, Peer, group_of
+from mountstand.serving.load_groups import (
+    CORES_PER_SLOT,
+    MOST_HEADS,
+    Peer,
+    group_of,
+    serving_members,
+)
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.workers import WorkerDirectory
 from tests.serving.test_routing import worker_record
@@ -43,6 +49,49 @@
         self.assertEqual(("d1", (), ()), (group.head, group.members, group.other_heads))
 
 
+class ServingMembers(TestCase):
+    """Callers are told of as few daemons as carry the load."""
+
+    LARGE_CORES = 2.0
+    SMALL_CORES = 0.5
+
+    def fleet(self) -> list[Peer]:
+        """Return 90 daemons, of which the first 24 have large machines."""
+        return [
+            Peer(peer.member_id, peer.zone, self.LARGE_CORES if i < 24 else self.SMALL_CORES)
+            for i, peer in enumerate(peers(90))
+        ]
+
+    def test_heads_are_the_machines_with_the_most_processor(self) -> None:
+        fleet = self.fleet()
+        large = {peer.member_id for peer in fleet[:24]}
+        heads = group_of(fleet[40], fleet).heads
+        self.assertLessEqual(heads, large)
+
+    def test_a_small_fleet_serves_whole(self) -> None:
+        fleet = peers(MOST_HEADS)
+        self.assertEqual({peer.member_id for peer in fleet}, serving_members(fleet, 10))
+
+    def test_heads_serve_alone_while_they_carry_the_load(self) -> None:
+        fleet = self.fleet()
+        heads = group_of(fleet[40], fleet).heads
+        carried = int(len(heads) * self.LARGE_CORES / CORES_PER_SLOT)
+        self.assertEqual(heads, serving_members(fleet, carried))
+        self.assertLess(len(heads), len(serving_members(fleet, carried + 100)))
+
+    def test_more_serve_as_the_workers_are_more_and_all_in_the_end(self) -> None:
+        fleet = self.fleet()
+        counts = [len(serving_members(fleet, slots)) for slots in range(0, 3000, 100)]
+        self.assertEqual(sorted(counts), counts)
+        self.assertEqual(90, counts[-1])
+
+    def test_every_zone_serves(self) -> None:
+        fleet = self.fleet()
+        zone_by_id = {peer.member_id: peer.zone for peer in fleet}
+        zones = {zone_by_id[member] for member in serving_members(fleet, 600)}
+        self.assertEqual(set(ZONES), zones)
+
+
 class Fleet:
     """Daemons whose digests arrive at once."""
 
