--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -51,6 +51,9 @@
     """How long it waited at this daemon for a worker."""
 
     load: LoadReport | None = None
+    expected_load: float = 0.0
+    """Requests at its worker as far as was known when it was sent there, this one included."""
+
     reading: PromptReading | None = None
     """The reading of its prompt by the worker of the present attempt."""
 
--- a/mountstand/serving/exchange_log.py
+++ b/mountstand/serving/exchange_log.py
@@ -69,6 +69,7 @@
             first_event_ms=None if first_s is None else milliseconds(first_s - received_at_s),
             ms=milliseconds(duration_s),
             load=None if load is None else [load.running, load.waiting, load.slots],
+            expected_load=round(exchange.expected_load, 1),
             target_ms=milliseconds(exchange.route.target_latency_s),
             shared_tokens=exchange.call.prompt.shared_tokens,
             own_tokens=exchange.call.prompt.own_tokens,
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -172,7 +172,9 @@
         """Make one attempt at a worker that counts the request already."""
         exchange.tried.add(worker.record.worker_id)
         exchange.worker_id = worker.record.worker_id
-        self._room.yield_to_online(worker, asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        exchange.expected_load = worker.estimated_load(now_s)
+        self._room.yield_to_online(worker, now_s)
         exchange.reading = PromptReading(worker, exchange.call.prompt)
         connection: ClientConnection | None = None
         try:
