--- a/tests/serving/test_load_groups.py
+++ b/tests/serving/test_load_groups.py
@@ -138,6 +138,26 @@
             online, _ = self.told(count)
             self.assertEqual({count}, online, f"{count} daemons")
 
+    def test_heads_that_serve_alone_know_of_a_request_after_one_digest(self) -> None:
+        fleet = Fleet(90)
+        fleet.period(0.0)
+        heads = fleet.sharing_by_id["d0"].group.heads
+        for head in heads:
+            fleet.directory_by_id[head].workers["w0"].in_flight = 1
+        fleet.period(0.1)
+        for head in heads:
+            fleet.sharing_by_id[head].tick(0.2)
+            self.assertEqual(len(heads), fleet.directory_by_id[head].workers["w0"].online)
+            self.assertEqual(1, fleet.sharing_by_id[head].hops)
+
+    def test_word_takes_longer_where_others_serve_too(self) -> None:
+        fleet = Fleet(90)
+        for sharing in fleet.sharing_by_id.values():
+            directory = sharing._directory
+            directory.put(worker_record(1, slots=10_000), 0.0)
+        fleet.period(0.0)
+        self.assertEqual({3}, {sharing.hops for sharing in fleet.sharing_by_id.values()})
+
     def test_datagrams_grow_with_the_fleet_and_not_with_its_square(self) -> None:
         _, few = self.told(90)
         _, many = self.told(360)
