--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -17,7 +17,6 @@
 from mountstand.jobs.item_execution import ItemExecutor, ItemProgress, RunnerContext
 from mountstand.jobs.model import ItemResult, JobHead, JobItem, SavedProgress
 from mountstand.jobs.repository import new_write_id
-from mountstand.serving.batch_pace import paced_until
 from mountstand.serving.batch_room import Placement, Urgency
 from mountstand.serving.configuration import Route
 from mountstand.store.rows import ABSENT, Conflict, OutcomeUnknown, StoreError
@@ -60,7 +59,6 @@
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._waiting_tasks: set[asyncio.Task[None]] = set()
-        self._begun_at_s = 0.0
         self._draining = False
         self._over = False
 
@@ -71,7 +69,6 @@
 
     async def run(self) -> None:
         """Run until nothing is left to do here; cancels its items when it ends."""
-        self._begun_at_s = asyncio.get_running_loop().time()
         for progress in self._progress.values():
             task = asyncio.create_task(self._run_item(progress))
             self._tasks.add(task)
@@ -284,10 +281,9 @@
     def _urgency(self, route: Route, service: str, progress: ItemProgress) -> Urgency:
         age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
         left_s = route.completion_target_s - age_s
-        due_at_s = asyncio.get_running_loop().time() + left_s
+        now_s = asyncio.get_running_loop().time()
         usual_s = self._context.room.durations.usual_s(service)
-        run_s = max(0.0, usual_s - progress.ran_s)
-        return Urgency(due_at_s, run_s, paced_until(self._begun_at_s, due_at_s))
+        return Urgency(now_s + left_s, max(0.0, usual_s - progress.ran_s))
 
     def _expired(self, route: Route) -> bool:
         age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from mountstand.serving.batch_pace import slots_for
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.slot_demand import SlotDemand, Waiting
 from mountstand.serving.spread import round_by_chance
@@ -49,8 +48,6 @@
 
     due_at_s: float
     run_s: float = 0.0
-    paced_until_s: float = 0.0
-    """By when it should have ended at an even pace; from then on it takes any slot it can get."""
 
     def in_time(self, now_s: float) -> bool:
         """Return whether the item ends before it is due if it begins now."""
@@ -66,15 +63,9 @@
     """A batch item's place at a worker, from its grant until ``BatchRoom.release``."""
 
     worker: Worker
-    urgency: Urgency
-    granted_at_s: float
+    rank: tuple[bool, float]
     preempt: Callable[[], None] = lambda: None
 
-    @property
-    def rank(self) -> tuple[bool, float]:
-        """The place in the order of items when it was granted; the greatest gives way first."""
-        return self.urgency.rank(self.granted_at_s)
-
 
 @dataclass(slots=True)
 class _Waiter:
@@ -150,25 +141,12 @@
         return waiting | running
 
     def _order_waiting(self, now_s: float) -> None:
-        """Put the waiting items in order, since some became late meanwhile.
-
-        Counts those that should have a slot by now; the others have time and wait for their turn.
-        """
+        """Put the waiting items in order, since some became late meanwhile, and count them."""
         for service, waiters in self._waiting.items():
             waiters[:] = [waiter for waiter in waiters if not waiter.granted.done()]
             waiters.sort(key=lambda waiter: waiter.urgency.rank(now_s))
-            wanted = min(len(waiters), self._paced_slots(service, now_s))
-            in_time = sum(waiter.urgency.in_time(now_s) for waiter in waiters[:wanted])
-            self.demand.own_by_service[service] = Waiting(in_time, wanted - in_time)
-
-    def _paced_slots(self, service: str, now_s: float) -> int:
-        """Return how many more of this daemon's items should run now."""
-        running = self._running(service)
-        ends_s = [placement.urgency.paced_until_s for placement in running]
-        ends_s += [waiter.urgency.paced_until_s for waiter in self._waiting[service]]
-        longest_s = max((now_s - placement.granted_at_s for placement in running), default=0.0)
-        usual_s = self.durations.usual_s(service) or None
-        return max(0, slots_for(ends_s, usual_s, longest_s, now_s) - len(running))
+            in_time = sum(waiter.urgency.in_time(now_s) for waiter in waiters)
+            self.demand.own_by_service[service] = Waiting(in_time, len(waiters) - in_time)
 
     def yield_to_online(self, worker: Worker, now_s: float) -> None:
         """Take one item off a worker that is full, since an online request is sent there."""
@@ -177,15 +155,14 @@
 
     def preempt_one(self, service: str) -> None:
         """Take this daemon's least urgent item of a service off its worker, if there is one."""
-        self._preempt_least_urgent(self._running(service))
-
-    def _running(self, service: str) -> list[Placement]:
-        return [
-            placement
-            for placements in self._placements.values()
-            for placement in placements
-            if placement.worker.record.service == service
-        ]
+        self._preempt_least_urgent(
+            [
+                placement
+                for placements in self._placements.values()
+                for placement in placements
+                if placement.worker.record.service == service
+            ]
+        )
 
     def _grant(self, service: str, allowance: int, now_s: float) -> None:
         waiting = self._waiting.get(service, [])
@@ -196,7 +173,7 @@
             waiter = waiting.pop(0)
             worker.in_flight += 1
             worker.batch_in_flight += 1
-            placement = Placement(worker, waiter.urgency, now_s)
+            placement = Placement(worker, waiter.urgency.rank(now_s))
             self._placements.setdefault(worker.record.worker_id, []).append(placement)
             waiter.granted.set_result(placement)
             allowance -= 1
