--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -14,6 +14,7 @@
 
 from mountstand.serving.load_groups import LoadGroup, Peer, group_of, serving_members
 from mountstand.serving.slot_demand import SlotDemand, Waiting, Work, service_key
+from mountstand.serving.worker import Worker
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.wire.gossip import LoadDigest, Scope
 
@@ -170,6 +171,7 @@
         self._ticks = 0
         self._heard_by_sender: dict[str, _Heard] = {}
         self._unreachable_heard: dict[int, float] = {}
+        self._worker_by_key: dict[int, Worker] = {}
         self._own_told: CountsByKey = {}
         self._sent_by_scope: dict[Scope, LoadDigest] = {}
         self._unsent_s_by_scope: dict[Scope, float] = {}
@@ -241,6 +243,7 @@
             strict=False,
         )
         by_key = {key: LoadCounts(*values) for key, *values in counts}
+        former = self._heard_by_sender.get(sender)
         self._heard_by_sender[sender] = _Heard(now_s, digest.scope, by_key)
         for key in digest.unreachable:
             self._unreachable_heard[key] = now_s
@@ -248,6 +251,8 @@
             self._note_unreachable(set(digest.unreachable), now_s)
         if not self._group.grouped:
             self._take_over(_sum(self._heard_with(Scope.DAEMON, Scope.GROUP)))
+        elif self._is_head and former is not None and former.scope is digest.scope:
+            self._take_over_change(former.counts_by_key, by_key)
 
     # Sending
 
@@ -360,7 +365,8 @@
     def _take_over(self, peers: CountsByKey) -> None:
         """Tell each worker what all other daemons have there."""
         none = LoadCounts()
-        for worker in self._directory.workers.values():
+        self._worker_by_key = {worker.key: worker for worker in self._directory.workers.values()}
+        for worker in self._worker_by_key.values():
             counts = peers.get(worker.key, none)
             worker.peer_online = max(0, counts.online)
             worker.peer_batch = max(0, counts.batch)
@@ -373,6 +379,22 @@
                 waiting = Waiting(max(0, counts.waiting), max(0, counts.late))
                 demand.peers_by_service[service] = waiting
 
+    def _take_over_change(self, former: CountsByKey, latest: CountsByKey) -> None:
+        """Add to each worker by how much one sender's counts changed, until the next sum of all.
+
+        Summing up all senders for each digest would cost a head too much.
+        """
+        none = LoadCounts()
+        for key in former.keys() | latest.keys():
+            worker = self._worker_by_key.get(key)
+            if worker is None:
+                continue
+            before, after = former.get(key, none), latest.get(key, none)
+            worker.peer_online = max(0, worker.peer_online + after.online - before.online)
+            worker.peer_batch = max(0, worker.peer_batch + after.batch - before.batch)
+            unread = worker.peer_unread + (after.unread - before.unread) * TOKENS_PER_BLOCK
+            worker.peer_unread = max(0, unread)
+
     def _peers_by_head(self) -> CountsByKey:
         """Return the sum over the other daemons; the head's word on the fleet includes this one."""
         fleet = self._heard_by_sender.get(self._group.head)
