--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -12,6 +12,17 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from mountstand.serving.load_counts import (
+    QUARTERS,
+    TOKENS_PER_BLOCK,
+    CountsByKey,
+    LoadCounts,
+    counts_in,
+    digest_of,
+    has_items,
+    quarters,
+    total_of,
+)
 from mountstand.serving.load_groups import LoadGroup, Peer, group_of, serving_members
 from mountstand.serving.slot_demand import SlotDemand, Waiting, Work, service_key
 from mountstand.serving.worker import Worker
@@ -36,22 +47,10 @@
 """A daemon that sent none for so long is taken to have nothing in flight: three digests that got
 lost, and more where periods are long."""
 
-TOKENS_PER_BLOCK = 64
-"""Unread tokens are told in blocks of so many, so that most fit a byte; a block is read in about a
-millisecond."""
-
-MOST_BLOCKS = 1_000_000
-"""Unread blocks of one worker that a digest may claim; more than any worker can hold."""
-
-QUARTERS = 4
-MOST_QUARTERS = 65_535
 UNREACHABLE_TOLD_S = 0.3
 """How long a worker that accepted no connection is told as unreachable: peers hear it in one of
 the next digests, and a worker that answers again is not told any more."""
 
-MOST_WORKERS = 1000
-"""Workers named in one digest, which must fit a datagram. The idlest are left out."""
-
 
 class DigestLink(ABC):
     """How digests reach other daemons, and which daemons there are."""
@@ -78,69 +77,6 @@
 that is told seldom."""
 
 
-@dataclass(slots=True)
-class LoadCounts:
-    """What daemons tell of one worker or one service.
-
-    Of a worker what they have in flight there, the outcomes they saw, in quarters, and how many
-    blocks of tokens it has still to read; of a service how many requests or batch items of theirs
-    wait for it.
-    """
-
-    online: int = 0
-    batch: int = 0
-    succeeded: int = 0
-    failed: int = 0
-    waiting: int = 0
-    late: int = 0
-    unread: int = 0
-
-    def add(self, other: LoadCounts) -> None:
-        """Add another's counts."""
-        self.online += other.online
-        self.batch += other.batch
-        self.succeeded += other.succeeded
-        self.failed += other.failed
-        self.waiting += other.waiting
-        self.late += other.late
-        self.unread += other.unread
-
-    def take_off(self, other: LoadCounts) -> None:
-        """Take another's counts off."""
-        self.online -= other.online
-        self.batch -= other.batch
-        self.succeeded -= other.succeeded
-        self.failed -= other.failed
-        self.waiting -= other.waiting
-        self.late -= other.late
-        self.unread -= other.unread
-
-    def copy(self) -> LoadCounts:
-        """Return counts of the same value."""
-        return LoadCounts(
-            self.online,
-            self.batch,
-            self.succeeded,
-            self.failed,
-            self.waiting,
-            self.late,
-            self.unread,
-        )
-
-    @property
-    def items(self) -> int:
-        """How many requests and items it is about."""
-        return self.online + self.batch + self.waiting + self.late
-
-    @property
-    def empty(self) -> bool:
-        """Whether there is nothing to tell."""
-        return not (self.items or self.succeeded or self.failed)
-
-
-CountsByKey = dict[int, LoadCounts]
-
-
 @dataclass(slots=True)
 class _Heard:
     """The last digest of one sender."""
@@ -231,18 +167,7 @@
 
     def handle(self, sender: str, digest: LoadDigest, now_s: float) -> None:
         """Take the digest of another daemon."""
-        counts = zip(
-            digest.keys,
-            digest.online,
-            digest.batch,
-            digest.succeeded or (0,) * len(digest.keys),
-            digest.failed or (0,) * len(digest.keys),
-            digest.waiting or (0,) * len(digest.keys),
-            digest.late or (0,) * len(digest.keys),
-            _bounded(digest.unread) or (0,) * len(digest.keys),
-            strict=False,
-        )
-        by_key = {key: LoadCounts(*values) for key, *values in counts}
+        by_key = counts_in(digest)
         former = self._heard_by_sender.get(sender)
         self._heard_by_sender[sender] = _Heard(now_s, digest.scope, by_key)
         for key in digest.unreachable:
@@ -250,7 +175,7 @@
         if digest.unreachable:
             self._note_unreachable(set(digest.unreachable), now_s)
         if not self._group.grouped:
-            self._take_over(_sum(self._heard_with(Scope.DAEMON, Scope.GROUP)))
+            self._take_over(total_of(self._heard_with(Scope.DAEMON, Scope.GROUP)))
         elif self._is_head and former is not None and former.scope is digest.scope:
             self._take_over_change(former.counts_by_key, by_key)
 
@@ -258,16 +183,16 @@
 
     def _tick_as_head(self, own: CountsByKey, unreachable: tuple[int, ...]) -> None:
         """Tell the other heads what the group has, and the members what the fleet has."""
-        members = _sum(self._heard_with(Scope.DAEMON))
-        heads = _sum(self._heard_with(Scope.GROUP))
-        group = _sum([own, members]) if members else own
+        members = total_of(self._heard_with(Scope.DAEMON))
+        heads = total_of(self._heard_with(Scope.GROUP))
+        group = total_of([own, members]) if members else own
         self._send(Scope.GROUP, group, unreachable, self._group.other_heads)
         receivers = self._members_to_tell()
         if receivers:
-            fleet = _sum([group, heads])
+            fleet = total_of([group, heads])
             # Receivers differ from period to period, so an unchanged digest may be new to some.
             self._send(Scope.FLEET, fleet, unreachable, receivers, always=self._heads_serve_alone)
-        self._take_over(_sum([members, heads]) if members else heads)
+        self._take_over(total_of([members, heads]) if members else heads)
 
     def _members_to_tell(self) -> tuple[str, ...]:
         """Return the members that are told of the fleet in this period."""
@@ -291,7 +216,7 @@
         always: bool = False,
     ) -> None:
         """Send a digest, unless ``always`` only if it changed or was not sent for some periods."""
-        digest = _digest(scope, counts_by_key, unreachable)
+        digest = digest_of(scope, counts_by_key, unreachable)
         unsent_s = self._unsent_s_by_scope.get(scope, 0.0) + self.period_s
         unchanged = digest == self._sent_by_scope.get(scope)
         if unchanged and unsent_s < REFRESH_S and not always:
@@ -400,7 +325,7 @@
         fleet = self._heard_by_sender.get(self._group.head)
         if fleet is None or fleet.scope is not Scope.FLEET:
             return {}
-        peers = _sum([fleet.counts_by_key])
+        peers = total_of([fleet.counts_by_key])
         for key, counts in self._own_told.items():
             if key in peers:
                 peers[key].take_off(counts)
@@ -410,55 +335,3 @@
         for worker in self._directory.workers.values():
             if worker.key in keys:
                 worker.note_unreachable_for_peer(now_s)
-
-
-def has_items(counts_by_key: CountsByKey) -> bool:
-    """Return whether requests or items are in flight or wait."""
-    return any(counts.items for counts in counts_by_key.values())
-
-
-def _sum(parts: Iterable[CountsByKey]) -> CountsByKey:
-    total: CountsByKey = {}
-    for counts_by_key in parts:
-        for key, counts in counts_by_key.items():
-            known = total.get(key)
-            if known is None:
-                total[key] = counts.copy()
-            else:
-                known.add(counts)
-    return total
-
-
-def _digest(scope: Scope, counts_by_key: CountsByKey, unreachable: tuple[int, ...]) -> LoadDigest:
-    told = list(counts_by_key.items())
-    if len(told) > MOST_WORKERS:
-        told.sort(key=lambda item: -item[1].items)
-        told = told[:MOST_WORKERS]
-    return LoadDigest(
-        tuple(key for key, _ in told),
-        tuple(counts.online for _, counts in told),
-        tuple(counts.batch for _, counts in told),
-        _unless_zero(counts.succeeded for _, counts in told),
-        _unless_zero(counts.failed for _, counts in told),
-        unreachable[:MOST_WORKERS],
-        scope,
-        _unless_zero(counts.waiting for _, counts in told),
-        _unless_zero(counts.late for _, counts in told),
-        _unless_zero(counts.unread for _, counts in told),
-    )
-
-
-def quarters(count: float) -> int:
-    """Return a count of outcomes as a digest tells it."""
-    return min(MOST_QUARTERS, int(count * QUARTERS))
-
-
-def _bounded(blocks: Iterable[int]) -> tuple[int, ...]:
-    """Return a peer's unread blocks within bounds, so that no claim hides those of others."""
-    return tuple(min(MOST_BLOCKS, max(0, count)) for count in blocks)
-
-
-def _unless_zero(values: Iterable[int]) -> tuple[int, ...]:
-    """Return a list of a digest, empty if it says nothing."""
-    listed = tuple(values)
-    return listed if any(listed) else ()
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -106,7 +106,7 @@
         if full or all(waiter.times.is_late(now_s) for waiter in waiting):
             worker = self._choose(service, prompt, times, now_s)
             if worker is not None:
-                return worker
+                return _count(worker)
         if full or not self._directory.of_service(service):
             return self._choose_any(service, prompt, now_s)
         return await self._wait(service, _Waiter(prompt, times, _new_future()), times)
@@ -118,7 +118,7 @@
             async with asyncio.timeout_at(times.latest_s):
                 return await waiter.chosen
         except TimeoutError:
-            if waiter.chosen.done() and not waiter.chosen.cancelled():
+            if _is_chosen(waiter):
                 return waiter.chosen.result()
             now_s = asyncio.get_running_loop().time()
             return self._choose_any(service, waiter.prompt, now_s)
@@ -196,12 +196,12 @@
     def _choose(
         self, service: str, prompt: Prompt, times: StartTimes, now_s: float
     ) -> Worker | None:
-        """Choose a worker that starts a request soon, and count the request there."""
+        """Choose a worker that starts a request soon; the caller counts the request there."""
 
         def starts_soon(worker: Worker) -> bool:
             return self._starts_soon(worker, times.queue_s, now_s)
 
-        return _count(self._directory.choose(service, prompt, set(), now_s, starts_soon))
+        return self._directory.choose(service, prompt, set(), now_s, starts_soon)
 
     def _choose_any(self, service: str, prompt: Prompt, now_s: float) -> Worker | None:
         return _count(self._directory.choose(service, prompt, set(), now_s))
@@ -213,7 +213,6 @@
         worker = self._choose(service, waiting[0].prompt, waiting[0].times, now_s)
         if worker is None:
             return False
-        worker.in_flight -= 1
         _grant(waiting.pop(0), worker)
         return True
 
@@ -238,13 +237,17 @@
 
 
 def _grant(waiter: _Waiter, worker: Worker) -> None:
-    worker.in_flight += 1
-    waiter.chosen.set_result(worker)
+    waiter.chosen.set_result(_count(worker))
+
+
+def _is_chosen(waiter: _Waiter) -> bool:
+    """Return whether the wait ended with a choice."""
+    return waiter.chosen.done() and not waiter.chosen.cancelled()
 
 
 def _give_back(waiter: _Waiter) -> None:
     """Free the slot of a request that ended before it could use it."""
-    if waiter.chosen.done() and not waiter.chosen.cancelled():
+    if _is_chosen(waiter):
         worker = waiter.chosen.result()
         if worker is not None:
             worker.in_flight -= 1
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -72,7 +72,7 @@
     outcomes seen lately, in quarters; ``waiting`` and ``late`` are requests or batch items that
     wait for a service and can be in time, or cannot; ``unreachable`` are keys of workers that just
     now accepted no connection; ``unread`` is what a worker has still to read of prompts, in blocks
-    of tokens (:data:`mountstand.serving.load_sharing.TOKENS_PER_BLOCK`).
+    of tokens (:data:`mountstand.serving.load_counts.TOKENS_PER_BLOCK`).
     """
 
     keys: tuple[int, ...] = ()
--- a/tests/serving/test_routing.py
+++ b/tests/serving/test_routing.py
@@ -10,8 +10,9 @@
 
 from mountstand.platform.worker_protocol import parse_prompt
 from mountstand.serving.configuration import RequestKind, ServiceShare, ShareChooser
+from mountstand.serving.load_counts import TOKENS_PER_BLOCK
 from mountstand.serving.load_groups import Peer
-from mountstand.serving.load_sharing import TOKENS_PER_BLOCK, LoadSharing
+from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.prompt import EMPTY_PROMPT
 from mountstand.serving.worker import LoadReport, PromptReading, WorkerRecord
 from mountstand.serving.workers import WorkerDirectory
