--- a/mountstand/membership/datagrams.py
+++ b/mountstand/membership/datagrams.py
@@ -9,6 +9,7 @@
 
 from mountstand.errors import MessageRejected
 from mountstand.membership.member import Member, MemberState
+from mountstand.membership.member_log import MemberLog
 from mountstand.membership.state import (
     Instruction,
     MemberChanged,
@@ -41,7 +42,7 @@
         self._state = MembershipState(self_member, config, random.Random())
         self._config = config
         self._codec = codec
-        self._log = log
+        self._member_log = MemberLog(log)
         self._on_change = on_change
         self._transport: asyncio.DatagramTransport | None = None
         self.on_message: Callable[[str, GossipMessage], None] = lambda sender_id, message: None
@@ -134,18 +135,14 @@
 
     def _carry_out(self, instructions: list[Instruction]) -> None:
         changed = False
+        now_s = asyncio.get_running_loop().time()
         for instruction in instructions:
             if isinstance(instruction, SendMessage):
                 self._send(instruction)
             elif isinstance(instruction, MemberChanged):
                 changed = True
-                member = instruction.member
-                self._log.event(
-                    "member_changed",
-                    member=member.member_id,
-                    state=member.state.name.lower(),
-                    incarnation=member.incarnation,
-                )
+                self._member_log.note(instruction.member, now_s)
+        self._member_log.flush(now_s)
         if changed:
             self._on_change()
 
