--- a/mountstand/serving/load_groups.py
+++ b/mountstand/serving/load_groups.py
@@ -22,10 +22,10 @@
 
 from mountstand.hashing import rendezvous_weight
 
-MOST_HEADS = 24
+MOST_HEADS = 12
 """Heads tell each other everything, so their number bounds what a head sends and opens. Where they
-alone serve callers, it also bounds what is lost with one of them: with half as many a daemon that
-is killed takes twice as many requests along (docs/design/deciding.md)."""
+alone serve callers it also bounds what is lost with one of them; 24 lost hardly less on days with
+kills and sent half as much again between zones (docs/design/deciding.md)."""
 
 HEAD_KEY = "head"
 
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -34,10 +34,10 @@
 (docs/design/deciding.md)."""
 
 GROUPED_PERIOD_S = 0.08
-DIGESTS_PER_S = 400.0
-"""Shortest period where heads add up digests, and how many a daemon sends at most: about 3 % of a
-core on the smallest machines played. Word takes three digests there at worst: with 100 a second the
-quiet day of 63 daemons earned 0.754, with 200 0.848 (docs/design/deciding.md)."""
+DIGESTS_PER_S = 200.0
+"""Shortest period where heads add up digests, and how many a head sends at most. Word takes three
+digests there at worst: with 100 a second the quiet day of 63 daemons earned 0.754, with 200 0.848
+(docs/design/deciding.md)."""
 
 REFRESH_S = 0.5
 """An unchanged digest is sent again after this time, or after a period if that is longer."""
@@ -116,7 +116,7 @@
     def period_s(self) -> float:
         """How often digests are sent, given the size of the fleet."""
         if not self._group.grouped:
-            return max(DIRECT_PERIOD_S, (len(self._group.heads) - 1) / DIGESTS_PER_S)
+            return DIRECT_PERIOD_S
         members = self._group.most_members
         if self._heads_serve_alone:
             members = math.ceil(members / MEMBERS_EVERY)
