--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -43,7 +43,9 @@
     """When an item is due, and how long it has still to run as far as can be told.
 
     Items that can still be in time go before those that cannot, and among equals the earliest
-    due: with too few slots some are in time, where equal shares would make all late.
+    due: with too few slots some are in time, where equal shares would make all late. Of those due
+    together, as the items of one job, the one with the least left to run goes first: an item that
+    was taken off would otherwise wait for all others of its job, again each time.
     """
 
     due_at_s: float
@@ -53,9 +55,9 @@
         """Return whether the item ends before it is due if it begins now."""
         return now_s + self.run_s <= self.due_at_s
 
-    def rank(self, now_s: float) -> tuple[bool, float]:
+    def rank(self, now_s: float) -> tuple[bool, float, float]:
         """Return the item's place in the order of those that begin now; the least goes first."""
-        return (not self.in_time(now_s), self.due_at_s)
+        return (not self.in_time(now_s), self.due_at_s, self.run_s)
 
 
 @dataclass(eq=False)
@@ -63,9 +65,16 @@
     """A batch item's place at a worker, from its grant until ``BatchRoom.release``."""
 
     worker: Worker
-    rank: tuple[bool, float]
+    urgency: Urgency
+    granted_at_s: float
     preempt: Callable[[], None] = lambda: None
 
+    def rank(self, now_s: float) -> tuple[bool, float, float]:
+        """Return the item's place in the order of those that run; the greatest gives way first."""
+        ran_s = now_s - self.granted_at_s
+        left_s = max(0.0, self.urgency.run_s - ran_s)
+        return Urgency(self.urgency.due_at_s, left_s).rank(now_s)
+
 
 @dataclass(slots=True)
 class _Waiter:
@@ -173,7 +182,7 @@
             waiter = waiting.pop(0)
             worker.in_flight += 1
             worker.batch_in_flight += 1
-            placement = Placement(worker, waiter.urgency.rank(now_s))
+            placement = Placement(worker, waiter.urgency, now_s)
             self._placements.setdefault(worker.record.worker_id, []).append(placement)
             waiter.granted.set_result(placement)
             allowance -= 1
@@ -206,7 +215,8 @@
 
     def _preempt_least_urgent(self, placements: list[Placement]) -> None:
         if placements:
-            placement = max(placements, key=lambda each: each.rank)
+            now_s = asyncio.get_running_loop().time()
+            placement = max(placements, key=lambda each: each.rank(now_s))
             self._placements_at(placement.worker).remove(placement)
             placement.preempt()
 
--- a/tests/serving/test_batch_room.py
+++ b/tests/serving/test_batch_room.py
@@ -196,6 +196,31 @@
             self.scenario(work, seed=seed)
         self.assertTrue(10 <= len(taken) <= 45, len(taken))
 
+    def test_of_items_due_together_the_one_with_the_least_left_to_run_goes_first(self) -> None:
+        """Found at 195 machines: items taken off waited 20 s behind their job's others."""
+
+        async def work() -> None:
+            tasks = await self.wait(Urgency(10.0, 3.0), Urgency(10.0, 3.0), Urgency(10.0, 1.0))
+            self.assertEqual([False, False, True], await self.granted(tasks))
+
+        self.scenario(work, slots=1)
+
+    def test_of_items_due_together_the_one_with_the_most_left_to_run_is_taken_off(self) -> None:
+        async def work() -> None:
+            taken: list[str] = []
+            now_s = asyncio.get_running_loop().time()
+            runs_s = (1.0, 3.0, 2.0)
+            tasks = await self.wait(*[Urgency(now_s + 100, run_s) for run_s in runs_s])
+            self.room.tick(now_s)
+            await settle()
+            for name, task in zip(("short", "long", "middle"), tasks, strict=True):
+                task.result().preempt = lambda name=name: taken.append(name)
+            for _ in tasks:
+                self.room.preempt_one("llm")
+            self.assertEqual(["long", "middle", "short"], taken)
+
+        self.scenario(work)
+
     def test_cancelled_wait_takes_no_slot(self) -> None:
         async def work() -> None:
             tasks = await self.wait(SOON)
