--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -9,6 +9,7 @@
 
 from mountstand.serving.configuration import RequestKind, Route
 from mountstand.serving.forwarder import Forwarder
+from mountstand.serving.prompt import EMPTY_PROMPT, Prompt, PromptPart
 from mountstand.serving.worker_protocol import Call
 from mountstand.transport.http_client import ClientConnection, ConnectFailed
 from mountstand.transport.http_server import HttpServer, Responder, ServerLimits, ServerRequest
@@ -34,6 +35,7 @@
         self.workers = [StandInWorker(f"w{n}", *script) for n, script in enumerate(scripts)]
         self.fleet = Fleet(*self.workers)
         self.deadline_s: float | None = None
+        self.prompt = EMPTY_PROMPT
 
     async def __aenter__(self) -> Front:
         await self.fleet.__aenter__()
@@ -64,6 +66,7 @@
             request.target,
             tuple(request.headers.end_to_end()),
             request.body,
+            self.prompt,
         )
         limit_s = self.deadline_s or self.route.timeout_s
         deadline_s = request.received_at_s + limit_s
@@ -192,6 +195,48 @@
         run(scenario())
 
 
+class Reading(TestCase):
+    """A prompt counts as unread at its worker until the first event, however the request ends."""
+
+    PROMPT = Prompt((PromptPart("aa", 100), PromptPart("bb", 400)))
+
+    def unread(self, front: Front) -> int:
+        return sum(worker.unread for worker in front.fleet.directory.workers.values())
+
+    def test_until_the_first_event(self) -> None:
+        async def scenario() -> None:
+            async with Front(PLAIN_STREAM, (stream(3, gap_s=0.3),)) as front:
+                front.prompt = self.PROMPT
+                asked = asyncio.create_task(front.ask())
+                worker = front.fleet.directory.workers["w0"]
+                await eventually(lambda: worker.last_heard_s > 0 and not worker.unread, "it begins")
+                self.assertEqual(1, worker.in_flight)
+                await asked
+
+        run(scenario())
+
+    def test_while_the_worker_says_nothing(self) -> None:
+        async def scenario() -> None:
+            async with Front(ONCE, (silence,)) as front:
+                front.prompt = self.PROMPT
+                front.deadline_s = 0.5
+                asked = asyncio.create_task(front.ask())
+                await eventually(lambda: self.unread(front) == 500, "it waits")
+                self.assertEqual(504, (await asked)[0])
+                self.assertEqual(0, self.unread(front))
+
+        run(scenario())
+
+    def test_no_longer_than_the_attempt_that_failed(self) -> None:
+        async def scenario() -> None:
+            async with Front(REPEATABLE, (reset,), (reset,)) as front:
+                front.prompt = self.PROMPT
+                await front.ask()
+                self.assertEqual(0, self.unread(front))
+
+        run(scenario())
+
+
 class FinalAnswers(TestCase):
     def test_request_that_outlasts_its_deadline_is_answered_then(self) -> None:
         async def scenario() -> None:
