--- a/mountstand/serving/worker_choice.py
+++ b/mountstand/serving/worker_choice.py
@@ -23,9 +23,8 @@
 SPREAD_SIZE = 64
 """Workers that a choice by chance considers at most, so that it costs the same in any fleet."""
 
-FRESH_SHARE = 1 / 16
-"""The picture of the load is fresh while it is younger than this share of a usual request: peers
-can then have taken no more than so many of the slots unseen, however steep a rise."""
+UNSEEN_PER_WORKER = 0.5
+"""Up to so many requests per worker that peers began unseen, the picture of the load is fresh."""
 
 FULL = 1.0
 """Fill below which it matters little how even loads are. Spreading over all free slots leaves room
@@ -83,9 +82,14 @@
         Workers that have much to read before this prompt are avoided.
         """
         tolerated = max(1, prompt.tokens * READ_TOLERANCE)
-        if not self._is_fresh(candidates[0].record.service):
-            spread = self._sample(candidates, SPREAD_SIZE)
-            return self._choose_by_weight(spread, tolerated, now_s)
+        spread = self._sample(candidates, SPREAD_SIZE)
+        unseen = self.durations.arrivals(
+            spread[0].record.service,
+            sum(worker.peer_online for worker in spread),
+            self.picture_age_s,
+        )
+        if unseen > UNSEEN_PER_WORKER * len(spread):
+            return self._choose_by_weight(spread, unseen, tolerated, now_s)
         sample = self._sample(candidates, SAMPLE_SIZE)
 
         def cost(worker: Worker) -> tuple[int, float, bool, float]:
@@ -95,23 +99,11 @@
 
         return min(sample, key=cost)
 
-    def _is_fresh(self, service: str) -> bool:
-        """Return whether few requests can have begun that no digest told of.
-
-        How many do at present says nothing of the begin of a rise, which is when workers are
-        overrun by all who saw them empty.
-        """
-        usual_s = self.durations.usual_s(service)
-        return not usual_s or self.picture_age_s <= usual_s * FRESH_SHARE
-
-    def _choose_by_weight(self, candidates: list[Worker], tolerated: int, now_s: float) -> Worker:
+    def _choose_by_weight(
+        self, candidates: list[Worker], unseen: float, tolerated: int, now_s: float
+    ) -> Worker:
         """Choose by chance, the likelier the more a worker lacks to the level of all."""
         fills = _fills(candidates, now_s)
-        unseen = self.durations.arrivals(
-            candidates[0].record.service,
-            sum(worker.peer_online for worker in candidates),
-            self.picture_age_s,
-        )
         lacking = weights_below(fills, max(FULL, level_after(fills, unseen)))
         weights = [
             lack * tolerated / (tolerated + worker.unread)
