--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -50,6 +50,11 @@
         self.assertIsNone(settings.metrics)
         self.assertEqual((9100, "/m/x"), settings_from({**GOOD, "metrics": "9100/m/x"}).metrics)
 
+    def test_capacity_is_the_processor_in_cores(self) -> None:
+        limits = {"cpu_share": 0.717, "cores": 3}
+        self.assertAlmostEqual(2.151, settings_from({**GOOD, "limits": limits}).capacity)
+        self.assertEqual(1.0, settings_from(GOOD).capacity, "not told")
+
     def test_errors_name_the_key(self) -> None:
         cases: dict[str, Any] = {
             "node": None,
@@ -60,6 +65,7 @@
             "internal_ports": [1],
             "bounds.grace_s": "long",
             "limits.max_fds": -1,
+            "limits.cpu_share": "half",
             "metrics": "figures",
         }
         for path, value in cases.items():
