--- a/mountstand/serving/load_groups.py
+++ b/mountstand/serving/load_groups.py
@@ -98,7 +98,7 @@
     serving: set[str] = set()
     cores = 0.0
     for position, peer in _zone_by_zone(ranked_by_zone.values()):
-        is_head = position < math.ceil(len(ranked_by_zone[peer.zone]) / size)
+        is_head = position < _head_count(ranked_by_zone[peer.zone], size)
         if is_head or cores < slots * CORES_PER_SLOT:
             serving.add(peer.member_id)
             cores += peer.capacity
@@ -129,9 +129,14 @@
     return sorted(placed, key=lambda each: (each[0], each[1].zone))
 
 
+def _head_count(ranked: list[Peer], size: int) -> int:
+    """Return how many heads a zone has, so that groups have ``size`` daemons on average."""
+    return math.ceil(len(ranked) / size)
+
+
 def _heads(ranked: list[Peer], size: int) -> list[str]:
-    """Return the heads of one zone, so many that groups have ``size`` daemons on average."""
-    return [peer.member_id for peer in ranked[: math.ceil(len(ranked) / size)]]
+    """Return the heads of one zone."""
+    return [peer.member_id for peer in ranked[: _head_count(ranked, size)]]
 
 
 def _head_of(member_id: str, heads: list[str]) -> str:
