--- a/mountstand/jobs/acceptance.py
+++ b/mountstand/jobs/acceptance.py
@@ -35,6 +35,7 @@
     ACCEPTED = "accepted"
     REFUSED = "refused"
     OVER_QUOTA = "over quota"
+    ID_TAKEN = "id taken"
     UNCLEAR = "unclear"
 
 
--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -82,10 +82,11 @@
 class ItemExecutor:
     """Puts the items of one job to workers."""
 
-    def __init__(self, context: RunnerContext, job_id: str, host: str) -> None:
+    def __init__(self, context: RunnerContext, job_id: str, host: str, tenant: str = "") -> None:
         self._context = context
         self._job_id = job_id
         self._host = host
+        self._tenant = tenant
 
     async def attempt(
         self, progress: ItemProgress, route: Route, worker: Worker
@@ -208,7 +209,14 @@
     def _call(self, progress: ItemProgress) -> Call:
         item = progress.item
         return Call(
-            item.item_id, self._host, "POST", item.target, item.headers, item.body, item.prompt
+            request_id=item.item_id,
+            host=self._host,
+            method="POST",
+            target=item.target,
+            headers=item.headers,
+            body=item.body,
+            prompt=item.prompt,
+            tenant=self._tenant,
         )
 
     def _log_attempt(self, progress: ItemProgress, worker: Worker, cause: str) -> None:
--- a/mountstand/jobs/model.py
+++ b/mountstand/jobs/model.py
@@ -40,6 +40,8 @@
     path: str
     items: tuple[JobItem, ...]
     document: bytes
+    tenant: str = ""
+    """The name of the tenant that handed it in, empty where callers need no key."""
 
     @property
     def tokens(self) -> int:
@@ -64,7 +66,7 @@
     ``owner`` is the process that runs the job, ``done`` the bits of the items that are listed,
     ``listed`` how many these are, ``write_id`` names the write that made this version, and
     ``accepted_ms`` is the store's clock at acceptance. ``waiting_tokens`` are those of the items
-    that are not listed.
+    that are not listed, ``tenant`` the name of the tenant that the job belongs to.
     """
 
     job_id: str
@@ -79,6 +81,7 @@
     ended: bool = False
     object_name: str = ""
     waiting_tokens: int = 0
+    tenant: str = ""
 
     @property
     def open(self) -> bool:
@@ -120,6 +123,7 @@
                 "ended": self.ended,
                 "object": self.object_name,
                 "waiting_tokens": self.waiting_tokens,
+                "tenant": self.tenant,
             }
         )
 
@@ -140,6 +144,7 @@
         ended=fields["ended"],
         object_name=fields["object"],
         waiting_tokens=fields.get("waiting_tokens", 0),
+        tenant=fields.get("tenant", ""),
     )
 
 
@@ -151,11 +156,17 @@
     path: str
     accepted_ms: int
     document: bytes
+    tenant: str = ""
 
 
 def encode_submission(submission: JobSubmission, accepted_ms: int) -> bytes:
     """Return the object that holds a submission: one line of JSON, then the document."""
-    fields = {"host": submission.host, "path": submission.path, "accepted_ms": accepted_ms}
+    fields = {
+        "host": submission.host,
+        "path": submission.path,
+        "accepted_ms": accepted_ms,
+        "tenant": submission.tenant,
+    }
     return orjson.dumps(fields) + b"\n" + submission.document
 
 
@@ -163,7 +174,9 @@
     """Return the submission that an object holds."""
     line, _, document = value.partition(b"\n")
     fields = orjson.loads(line)
-    return KeptSubmission(fields["host"], fields["path"], fields["accepted_ms"], document)
+    return KeptSubmission(
+        fields["host"], fields["path"], fields["accepted_ms"], document, fields.get("tenant", "")
+    )
 
 
 @dataclass(frozen=True)
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -45,7 +45,7 @@
         self.head = head
         self._version = version
         self._items = items
-        self._executor = ItemExecutor(context, head.job_id, head.host)
+        self._executor = ItemExecutor(context, head.job_id, head.host, head.tenant)
         self._progress = {
             index: ItemProgress(index, item)
             for index, item in enumerate(items)
@@ -283,7 +283,15 @@
         left_s = route.completion_target_s - age_s
         now_s = asyncio.get_running_loop().time()
         usual_s = self._context.room.durations.usual_s(service)
-        return Urgency(now_s + left_s, max(0.0, usual_s - progress.ran_s))
+        run_s = max(0.0, usual_s - progress.ran_s)
+        return Urgency(now_s + left_s, run_s, self._priority(route))
+
+    def _priority(self, route: Route) -> int:
+        """Return the priority of the job's tenant, or that of its route."""
+        configuration = self._context.configuration()
+        tenants = configuration.tenants.by_name if configuration else {}
+        tenant = tenants.get(self.head.tenant)
+        return route.priority if tenant is None else tenant.priority_before(route.priority)
 
     def _expired(self, route: Route) -> bool:
         age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -1,4 +1,4 @@
-"""Batch jobs of one daemon: acceptance, reads, ends, and which jobs this daemon runs.
+"""Batch jobs of one daemon: acceptance, ends, and which jobs this daemon runs.
 
 Every answer follows from the store, or from results that cannot change any more. Which daemon runs
 a job is decided by a conditional write of its head; liveness of owners only decides who tries.
@@ -7,27 +7,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from mountstand.jobs.acceptance import JobAcceptance, Stored, SubmitOutcome
 from mountstand.jobs.item_execution import RunnerContext
-from mountstand.jobs.model import (
-    ItemResult,
-    JobHead,
-    JobItem,
-    JobSubmission,
-    SavedProgress,
-    decode_head,
-)
+from mountstand.jobs.model import JobHead, JobItem, JobSubmission, SavedProgress, decode_head
 from mountstand.jobs.owners import Owners
 from mountstand.jobs.quota import TokenQuota
+from mountstand.jobs.reading import ANY_TENANT, JobPage, JobReads, may_see
 from mountstand.jobs.repository import JobRepository, new_write_id
-from mountstand.jobs.result_cache import ResultCache
 from mountstand.jobs.runner import JobRunner
 from mountstand.serving.configuration import Route
-from mountstand.store.rows import ABSENT, Conflict, StoreError, StoreRefused
+from mountstand.store.rows import Conflict, StoreError, StoreRefused
 from mountstand.store.watch import TableChange
 
 SCAN_S = 0.5
@@ -43,19 +35,6 @@
 RETRY_S = 0.05
 """How often a planned stop looks whether the last job is handed on."""
 
-CACHED_RESULT_BYTES = 16 * 1024 * 1024
-CACHED_DOCUMENTS = 8
-"""Bounds of what is kept to spare reads of the store; everything kept is immutable."""
-
-
-@dataclass(frozen=True)
-class JobPage:
-    """Listed results of a job from one position on."""
-
-    total: int
-    next_position: int
-    results: list[ItemResult]
-
 
 class JobService:
     """The batch jobs of one daemon."""
@@ -70,19 +49,16 @@
         self._context = context
         self._repository: JobRepository = context.repository
         self._owners = owners
-        self._parse_document = parse_document
         self._keep_s = keep_s
         self._heads: dict[str, tuple[JobHead, int]] = {}
         self._runners: dict[str, JobRunner] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._adopting: set[str] = set()
         self._orphan_since_s: dict[str, float] = {}
-        self._waiters: dict[str, asyncio.Event] = {}
-        self._cache = ResultCache(CACHED_RESULT_BYTES)
-        self._documents: OrderedDict[str, tuple[JobItem, ...]] = OrderedDict()
         self._draining = False
         self._next_object_scan_s = 0.0
         self._without_head: set[str] = set()
+        self._reads = JobReads(self._repository, parse_document, self._known, self._running)
         self._quota = TokenQuota(
             context.repository.rows,
             lambda: [head for head, _ in self._heads.values()],
@@ -95,8 +71,9 @@
         self, submission: JobSubmission, route: Route, deadline_s: float
     ) -> SubmitOutcome:
         """Take a job. Once a write may have reached the store, it is never called refused."""
-        if submission.job_id in self._heads:
-            return SubmitOutcome.ACCEPTED
+        known = self._known(submission.job_id)
+        if known is not None:
+            return _outcome_of_known(submission, known)
         try:
             head = self._new_head(submission)
         except StoreRefused:
@@ -117,58 +94,51 @@
 
     async def _refuse_unless_known(self, submission: JobSubmission) -> SubmitOutcome:
         """Refuse a job that does not fit, unless another daemon took it: it is sent again then."""
-        known = await self._load_any(submission.job_id)
-        return SubmitOutcome.OVER_QUOTA if known is None else SubmitOutcome.ACCEPTED
+        found = await self._reads.load_any(submission.job_id)
+        return (
+            SubmitOutcome.OVER_QUOTA if found is None else _outcome_of_known(submission, found[0])
+        )
 
     async def _accept(
         self, submission: JobSubmission, head: JobHead, target_latency_s: float, deadline_s: float
     ) -> SubmitOutcome:
+        was_there = False
 
         def begin(stored: Stored) -> None:
+            nonlocal was_there
+            was_there = stored.begin is None
             if stored.begin is not None:
                 self._begin(*stored.begin, submission.items)
 
         acceptance = JobAcceptance(self._repository, submission, head)
-        return await acceptance.run(target_latency_s, deadline_s, begin)
-
-    async def read(self, job_id: str, after: int, wait_s: float, max_bytes: int) -> JobPage | None:
-        """Return results from position ``after`` on; waits up to ``wait_s`` for the first.
+        outcome = await acceptance.run(target_latency_s, deadline_s, begin)
+        if was_there and submission.tenant:
+            found = await self._reads.load_any(submission.job_id)
+            return outcome if found is None else _outcome_of_known(submission, found[0])
+        return outcome
 
-        Returns ``None`` if the store has no such job. Raises ``StoreError`` where unsure.
-        """
-        cached = self._read_cached(job_id, after, max_bytes)
-        if cached is not None:
-            return cached
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + wait_s
-        waiter = self._waiters.setdefault(job_id, asyncio.Event())
-        found = await self._repository.load(job_id)
-        if found is None:
-            return await self._page_of_accepted(job_id, after)
-        head = found[0]
-        if head.listed <= after and head.open and wait_s > 0:
-            try:
-                async with asyncio.timeout_at(deadline_s):
-                    await waiter.wait()
-            except TimeoutError:
-                pass
-            found = await self._repository.load(job_id)
-            if found is None:
-                return None
-            head = found[0]
-        return await self._page(head, after, max_bytes)
-
-    async def item_body(self, job_id: str, item_id: str) -> bytes | None:
-        """Return the body of an item, or ``None`` where the store has none."""
-        runner = self._runners.get(job_id)
-        items = runner.items if runner is not None else await self._items_of(job_id)
-        return next((item.body for item in items if item.item_id == item_id), None)
-
-    async def end(self, job_id: str) -> bool:
-        """End a job; returns whether there is one. Raises ``StoreError``."""
+    async def read(
+        self,
+        job_id: str,
+        after: int,
+        wait_s: float,
+        max_bytes: int,
+        reader: str | None = ANY_TENANT,
+    ) -> JobPage | None:
+        """Return a page of results; see :meth:`JobReads.page`."""
+        return await self._reads.page(job_id, after, wait_s, max_bytes, reader)
+
+    async def item_body(
+        self, job_id: str, item_id: str, reader: str | None = ANY_TENANT
+    ) -> bytes | None:
+        """Return the body of an item; see :meth:`JobReads.item_body`."""
+        return await self._reads.item_body(job_id, item_id, reader)
+
+    async def end(self, job_id: str, reader: str | None = ANY_TENANT) -> bool:
+        """End a job; returns whether ``reader`` has one. Raises ``StoreError``."""
         while True:
-            found = await self._load_any(job_id)
-            if found is None:
+            found = await self._reads.load_any(job_id)
+            if found is None or not may_see(reader, found[0]):
                 return False
             head, version = found
             if not head.ended:
@@ -201,12 +171,18 @@
         runner = self._runners.get(head.job_id)
         if runner is not None:
             runner.handle_head(head, version)
-        waiter = self._waiters.pop(head.job_id, None)
-        if waiter is not None:
-            waiter.set()
+        self._reads.note_change(head.job_id)
         if head.open and not head.owner:
             self._consider(head, version)
 
+    def _known(self, job_id: str) -> JobHead | None:
+        known = self._heads.get(job_id)
+        return known[0] if known is not None else None
+
+    def _running(self, job_id: str) -> tuple[JobHead, tuple[JobItem, ...]] | None:
+        runner = self._runners.get(job_id)
+        return (runner.head, runner.items) if runner is not None else None
+
     def _latest_version(self, job_id: str) -> int:
         known = self._heads.get(job_id)
         return known[1] if known is not None else 0
@@ -247,7 +223,7 @@
             seen_twice = [job_id for job_id in without_head if job_id in self._without_head]
             self._without_head = set(without_head)
             for job_id in seen_twice:
-                found = await self._load_any(job_id)
+                found = await self._reads.load_any(job_id)
                 if found is not None:
                     await self._adopt(*found)
         except StoreError:
@@ -270,7 +246,7 @@
     async def _adopt(self, head: JobHead, version: int) -> None:
         adopted = replace(head, owner=self._owners.own_token, write_id=new_write_id())
         try:
-            items = await self._load_items(head)
+            items = await self._reads.load_items(head)
             if items is None:
                 return
             version = await self._repository.change_head(adopted, version)
@@ -331,73 +307,6 @@
         while self._runners:
             await asyncio.sleep(RETRY_S)
 
-    # Reads
-
-    def _read_cached(self, job_id: str, after: int, max_bytes: int) -> JobPage | None:
-        known = self._heads.get(job_id)
-        if known is None:
-            return None
-        results = self._cache.run_from(job_id, after, max_bytes)
-        if not results:
-            return None
-        return JobPage(known[0].total, after + len(results), results)
-
-    async def _page(self, head: JobHead, after: int, max_bytes: int) -> JobPage:
-        if head.listed <= after:
-            return JobPage(head.total, after, [])
-        listed = await self._repository.results(head, after, max_bytes)
-        for position, result in listed:
-            self._cache.put(head.job_id, position, result)
-        return JobPage(head.total, after + len(listed), [result for _, result in listed])
-
-    async def _load_any(self, job_id: str) -> tuple[JobHead, int] | None:
-        """Return a job's head, also that of a job kept as an object without a head row."""
-        found = await self._repository.load(job_id)
-        if found is not None:
-            return found
-        accepted = await self._repository.load_accepted(job_id)
-        if accepted is None:
-            return None
-        name, kept = accepted
-        items = self._parse_document(kept.document)
-        head = JobHead(
-            job_id=job_id,
-            host=kept.host,
-            path=kept.path,
-            total=len(items),
-            waiting_tokens=sum(item.tokens for item in items),
-            accepted_ms=kept.accepted_ms,
-            owner="",
-            write_id=new_write_id(),
-            object_name=name,
-        )
-        return head, ABSENT
-
-    async def _page_of_accepted(self, job_id: str, after: int) -> JobPage | None:
-        """Return the empty page of a job that has no head row yet."""
-        runner = self._runners.get(job_id)
-        if runner is not None:
-            return JobPage(runner.head.total, after, [])
-        found = await self._load_any(job_id)
-        return None if found is None else await self._page(found[0], after, 1)
-
-    async def _items_of(self, job_id: str) -> tuple[JobItem, ...]:
-        cached = self._documents.get(job_id)
-        if cached is not None:
-            return cached
-        found = await self._load_any(job_id)
-        items = await self._load_items(found[0]) if found is not None else None
-        if items is None:
-            return ()
-        self._documents[job_id] = items
-        while len(self._documents) > CACHED_DOCUMENTS:
-            self._documents.popitem(last=False)
-        return items
-
-    async def _load_items(self, head: JobHead) -> tuple[JobItem, ...] | None:
-        document = await self._repository.document(head)
-        return self._parse_document(document) if document is not None else None
-
     # Small parts
 
     def _new_head(self, submission: JobSubmission) -> JobHead:
@@ -410,6 +319,7 @@
             waiting_tokens=submission.tokens,
             owner="" if self._draining else self._owners.own_token,
             write_id=new_write_id(),
+            tenant=submission.tenant,
         )
 
     async def _drop_old(self, head: JobHead, version: int) -> None:
@@ -429,3 +339,10 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _outcome_of_known(submission: JobSubmission, known: JobHead) -> SubmitOutcome:
+    """Return the answer to a job that is there already: sent again, or another tenant's."""
+    if may_see(submission.tenant or ANY_TENANT, known):
+        return SubmitOutcome.ACCEPTED
+    return SubmitOutcome.ID_TAKEN
--- a/mountstand/membership/registry.py
+++ b/mountstand/membership/registry.py
@@ -118,6 +118,11 @@
             rows.append(self.own)
         return rows
 
+    def listed(self) -> list[DaemonRow]:
+        """Return the rows of daemons that are not leaving, whether they run or not."""
+        listed = [row for row, _ in self._rows.values() if row.name != self.own.name]
+        return [row for row in [*listed, self.own] if not self._is_leaving(row)]
+
     def _is_leaving(self, row: DaemonRow) -> bool:
         """Return whether the process that is leaving by its row is still the one that runs.
 
--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -10,16 +10,19 @@
 
 import orjson
 
+from mountstand.errors import MountstandError
 from mountstand.jobs.acceptance import SubmitOutcome
 from mountstand.jobs.model import ItemResult, ItemState, JobItem, JobSubmission
-from mountstand.jobs.service import JobPage
+from mountstand.jobs.reading import ANY_TENANT, JobPage
 from mountstand.platform import names
 from mountstand.platform.worker_protocol import parse_prompt
-from mountstand.serving.configuration import RequestKind, Route
+from mountstand.serving.configuration import Configuration, RequestKind, Route
 from mountstand.serving.forwarder import RETRY_UNAVAILABLE_S
 from mountstand.serving.worker_protocol import Call
 from mountstand.serving_node import ServingNode
 from mountstand.store.rows import StoreError
+from mountstand.tenants.errors import KeyNotVerifiable, TenantOverLimit, UnknownKey
+from mountstand.tenants.tenant import Tenant
 from mountstand.transport.headers import Header, number
 from mountstand.transport.responder import Responder, ServerRequest, refuse
 
@@ -77,12 +80,33 @@
         if configuration is None:
             refuse(responder, RETRY_UNAVAILABLE_S)
             return
+        try:
+            await self._dispatch(configuration, request, responder)
+        except (UnknownKey, KeyNotVerifiable) as denial:
+            self._node.log.event(
+                "caller_denied",
+                code=denial.code,
+                cause=denial.detail,
+                path=request.path,
+                request=request.headers.get(names.REQUEST_ID.lower()),
+                configuration=configuration.version,
+                configuration_age_s=round(self._node.configuration_age_s(), 3),
+            )
+            deny(responder, denial)
+        except TenantOverLimit as denial:
+            deny(responder, denial)
+
+    async def _dispatch(
+        self, configuration: Configuration, request: ServerRequest, responder: Responder
+    ) -> None:
         host = request.headers.get("host") or ""
-        if request.path.startswith(names.JOB_PREFIX):
-            await self._handle_job(request, responder)
-            return
-        if request.path.startswith(names.ITEM_PREFIX):
-            await self._handle_item(request, responder)
+        if request.path.startswith((names.JOB_PREFIX, names.ITEM_PREFIX)):
+            public = configuration.has_public_jobs(host)
+            reader = self._reader(configuration, self._caller(configuration, request, public))
+            if request.path.startswith(names.JOB_PREFIX):
+                await self._handle_job(request, responder, reader)
+            else:
+                await self._handle_item(request, responder, reader)
             return
         route = configuration.match(host, request.path)
         if route is None:
@@ -90,13 +114,31 @@
                 "no_route", host=host, path=request.path, configuration=configuration.version
             )
             responder.send(404)
-        elif route.kind is RequestKind.BATCH:
-            await self._submit(route, request, responder)
+            return
+        tenant = self._caller(configuration, request, route.public)
+        if route.kind is RequestKind.BATCH:
+            await self._submit(route, request, responder, tenant)
         else:
-            await self._forward(route, request, responder)
-
-    async def _forward(self, route: Route, request: ServerRequest, responder: Responder) -> None:
+            await self._forward(route, request, responder, tenant)
+
+    def _caller(
+        self, configuration: Configuration, request: ServerRequest, public: bool
+    ) -> Tenant | None:
+        """Return the caller's tenant, if it has one. Raises what ``CallerAccess`` does."""
+        key = request.headers.get(names.CALLER_KEY.lower())
+        return self._node.access.identify(configuration.tenants, key, public=public)
+
+    def _reader(self, configuration: Configuration, tenant: Tenant | None) -> str | None:
+        """Return whose batch jobs a caller may see."""
+        if not configuration.tenants:
+            return ANY_TENANT
+        return tenant.name if tenant is not None else ""
+
+    async def _forward(
+        self, route: Route, request: ServerRequest, responder: Responder, tenant: Tenant | None
+    ) -> None:
         request_id = request.headers.get(names.REQUEST_ID.lower()) or ""
+        await self._node.access.admit(tenant, request_id)
         call = Call(
             request_id=request_id,
             host=request.headers.get("host") or "",
@@ -106,10 +148,16 @@
             body=request.body,
             prompt=parse_prompt(request.headers.get(names.PREFIX.lower())),
             last_event_id=number(request.headers.get(names.LAST_EVENT_ID.lower())),
+            tenant=tenant.name if tenant is not None else "",
+            priority=tenant.priority_before(route.priority) if tenant else route.priority,
         )
-        deadline_s = self._deadline_s(route, request)
         await self._node.forwarder.forward(
-            route, call, responder, request.received_at_s, deadline_s
+            route,
+            call,
+            responder,
+            request.received_at_s,
+            self._deadline_s(route, request),
+            lambda: self._node.access.give_back(tenant),
         )
 
     def _deadline_s(self, route: Route, request: ServerRequest) -> float:
@@ -121,7 +169,9 @@
 
     # Batch jobs
 
-    async def _submit(self, route: Route, request: ServerRequest, responder: Responder) -> None:
+    async def _submit(
+        self, route: Route, request: ServerRequest, responder: Responder, tenant: Tenant | None
+    ) -> None:
         job_id = request.headers.get(names.REQUEST_ID.lower())
         if request.method != "POST" or not job_id or len(job_id) > 100:
             responder.send(400)
@@ -133,11 +183,13 @@
             responder.send(400)
             return
         host = request.headers.get("host") or ""
-        submission = JobSubmission(job_id, host, request.path, items, request.body)
+        owner = tenant.name if tenant is not None else ""
+        submission = JobSubmission(job_id, host, request.path, items, request.body, owner)
         outcome = await self._node.jobs.submit(submission, route, self._deadline_s(route, request))
         self._node.log.event(
             "job_submitted",
             job=job_id,
+            tenant=owner,
             items=len(items),
             outcome=outcome.value,
             store_age_s=round(self._node.store_age_s(), 3),
@@ -148,23 +200,29 @@
             refuse(responder, RETRY_UNAVAILABLE_S)
         elif outcome is SubmitOutcome.OVER_QUOTA:
             refuse(responder, RETRY_OVER_QUOTA_S, 429)
+        elif outcome is SubmitOutcome.ID_TAKEN:
+            responder.send(409)
         else:
             responder.send(504)
 
-    async def _handle_job(self, request: ServerRequest, responder: Responder) -> None:
+    async def _handle_job(
+        self, request: ServerRequest, responder: Responder, reader: str | None
+    ) -> None:
         job_id = unquote(request.path.removeprefix(names.JOB_PREFIX))
         try:
             if request.method == "DELETE":
-                await self._end_job(job_id, responder)
+                await self._end_job(job_id, responder, reader)
             elif request.method == "GET":
-                await self._read_job(job_id, request, responder)
+                await self._read_job(job_id, request, responder, reader)
             else:
                 responder.send(405)
         except StoreError as problem:
             self._node.log.event("job_unsure", job=job_id, cause=type(problem).__name__)
             refuse(responder, RETRY_UNAVAILABLE_S)
 
-    async def _read_job(self, job_id: str, request: ServerRequest, responder: Responder) -> None:
+    async def _read_job(
+        self, job_id: str, request: ServerRequest, responder: Responder, reader: str | None
+    ) -> None:
         query = parse_qs(request.query)
         after = number(query.get("after", ["0"])[0])
         if after is None or after < 0:
@@ -172,18 +230,18 @@
             return
         wait_ms = number(request.headers.get(names.WAIT_MS.lower())) or 0
         wait_s = min(MAX_WAIT_S, wait_ms / 1000)
-        page = await self._node.jobs.read(job_id, after, wait_s, MAX_PAGE_BYTES)
+        page = await self._node.jobs.read(job_id, after, wait_s, MAX_PAGE_BYTES, reader)
         if page is None:
             self._node.log.event("job_unknown", job=job_id)
             responder.send(404)
             return
         responder.send(200, JSON, encode_page(page))
 
-    async def _end_job(self, job_id: str, responder: Responder) -> None:
+    async def _end_job(self, job_id: str, responder: Responder, reader: str | None) -> None:
         deadline_s = asyncio.get_running_loop().time() + DELETE_TIMEOUT_S
         while True:
             try:
-                found = await self._node.jobs.end(job_id)
+                found = await self._node.jobs.end(job_id, reader)
             except StoreError:
                 if asyncio.get_running_loop().time() > deadline_s:
                     raise
@@ -193,11 +251,13 @@
             responder.send(200 if found else 404)
             return
 
-    async def _handle_item(self, request: ServerRequest, responder: Responder) -> None:
+    async def _handle_item(
+        self, request: ServerRequest, responder: Responder, reader: str | None
+    ) -> None:
         job_id = unquote(request.path.removeprefix(names.ITEM_PREFIX))
         item_id = parse_qs(request.query).get("id", [""])[0]
         try:
-            body = await self._node.jobs.item_body(job_id, item_id)
+            body = await self._node.jobs.item_body(job_id, item_id, reader)
         except StoreError:
             refuse(responder, RETRY_UNAVAILABLE_S)
             return
@@ -207,6 +267,14 @@
             responder.send(200, [("Content-Type", "application/octet-stream")], body)
 
 
+def deny(responder: Responder, denial: MountstandError) -> None:
+    """Answer a caller whose request is not taken, with the time to come back if that helps."""
+    if denial.retry_after_s is None:
+        responder.send(denial.http_status)
+    else:
+        refuse(responder, denial.retry_after_s, denial.http_status)
+
+
 def parse_items(document: bytes) -> tuple[JobItem, ...]:
     """Return the items of a submission. Raises ``MalformedJob``."""
     try:
--- a/mountstand/platform/names.py
+++ b/mountstand/platform/names.py
@@ -30,6 +30,8 @@
 EXPECTED_WORKER = "Expect-Instance"
 LOAD = "Server-Load"
 NOT_RUN = "Not-Run"
+CALLER_KEY = "Api-Key"
+TENANT = "Tenant"
 WAIT_MS = "Wait-Ms"
 
 # Words
--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -16,6 +16,7 @@
 )
 from mountstand.serving.worker import WorkerRecord
 from mountstand.store.rows import StoredRow
+from mountstand.tenants.tenant import Tenant, TenantIndex
 from mountstand.transport.http_server import ServerLimits
 
 KINDS = {
@@ -52,6 +53,18 @@
             header_timeout_s=limits.get("header_timeout_ms", 3000) / 1000,
             idle_timeout_s=limits.get("idle_timeout_ms", 15000) / 1000,
         ),
+        tenants=TenantIndex(_tenant(tenant) for tenant in fields.get("tenants") or ()),
+    )
+
+
+def _tenant(fields: dict[str, Any]) -> Tenant:
+    priority = fields.get("priority")
+    return Tenant(
+        name=str(fields["name"]),
+        keys=tuple(str(key) for key in fields.get("api_keys") or ()),
+        priority=None if priority is None else int(priority),
+        rate_per_s=float(fields.get("rate_per_s") or 0),
+        burst=float(fields.get("burst") or 0),
     )
 
 
@@ -93,6 +106,8 @@
         retention_s=float(fields.get("retention_s") or 0),
         completion_target_s=(fields.get("completion_target_ms") or 0) / 1000,
         max_waiting_tokens=int(fields.get("max_queued_tokens") or 0),
+        priority=int(fields.get("priority") or 0),
+        public=bool(fields.get("public")),
         first_event_patience_s=_patience_s(fields),
     )
 
--- a/mountstand/platform/settings.py
+++ b/mountstand/platform/settings.py
@@ -11,6 +11,7 @@
 from mountstand.errors import InvalidSettings
 from mountstand.platform.names import SETTINGS_VARIABLE
 from mountstand.serving_settings import Listeners, ServingSettings, SocketAddress, StoreSettings
+from mountstand.tenants.limits import LimitTolerance
 
 Fields = dict[str, Any]
 
@@ -60,6 +61,19 @@
         memory_mb=_number(limits, "memory_mb", 256.0),
         max_descriptors=int(_number(limits, "max_fds", 1024.0)),
         seeds=_seeds(fields),
+        limit_tolerance=_limit_tolerance(bounds),
+    )
+
+
+def _limit_tolerance(bounds: Fields) -> LimitTolerance:
+    usual = LimitTolerance()
+    window_s = _number(bounds, "quota_window_s", usual.window_s)
+    if window_s <= 0:
+        raise InvalidSettings(f"quota_window_s: must be more than 0 (got {window_s})")
+    return LimitTolerance(
+        window_s,
+        _number(bounds, "quota_overshoot", usual.overshoot),
+        _number(bounds, "quota_slack", usual.slack),
     )
 
 
--- a/mountstand/platform/worker_protocol.py
+++ b/mountstand/platform/worker_protocol.py
@@ -10,9 +10,17 @@
 from mountstand.transport.http_client import ReplyHead
 
 REPLACED = frozenset(
-    name.lower() for name in (names.DEADLINE_MS, names.EXPECTED_WORKER, names.LAST_EVENT_ID, "Host")
+    name.lower()
+    for name in (
+        names.CALLER_KEY,
+        names.DEADLINE_MS,
+        names.EXPECTED_WORKER,
+        names.LAST_EVENT_ID,
+        names.TENANT,
+        "Host",
+    )
 )
-"""Headers of a caller that the system sets itself."""
+"""Headers of a caller that the system sets itself, or that no worker may see."""
 
 
 class PlatformWorkerProtocol:
@@ -27,6 +35,8 @@
         if not any(name.lower() == names.REQUEST_ID.lower() for name, _ in call.headers):
             headers.append((names.REQUEST_ID, call.request_id))
         headers.append((names.EXPECTED_WORKER, worker.record.worker_id))
+        if call.tenant:
+            headers.append((names.TENANT, call.tenant))
         if time_left_ms is not None:
             headers.append((names.DEADLINE_MS, str(time_left_ms)))
         if resume_after is not None:
--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -12,7 +12,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.slot_demand import SlotDemand, Waiting
@@ -45,19 +45,21 @@
     Items that can still be in time go before those that cannot, and among equals the earliest
     due: with too few slots some are in time, where equal shares would make all late. Of those due
     together, as the items of one job, the one with the least left to run goes first: an item that
-    was taken off would otherwise wait for all others of its job, again each time.
+    was taken off would otherwise wait for all others of its job, again each time. ``priority``, 0
+    being the most urgent, goes before the due time among those in time, and among the others.
     """
 
     due_at_s: float
     run_s: float = 0.0
+    priority: int = 0
 
     def in_time(self, now_s: float) -> bool:
         """Return whether the item ends before it is due if it begins now."""
         return now_s + self.run_s <= self.due_at_s
 
-    def rank(self, now_s: float) -> tuple[bool, float, float]:
+    def rank(self, now_s: float) -> tuple[bool, int, float, float]:
         """Return the item's place in the order of those that begin now; the least goes first."""
-        return (not self.in_time(now_s), self.due_at_s, self.run_s)
+        return (not self.in_time(now_s), self.priority, self.due_at_s, self.run_s)
 
 
 @dataclass(eq=False)
@@ -69,11 +71,11 @@
     granted_at_s: float
     preempt: Callable[[], None] = lambda: None
 
-    def rank(self, now_s: float) -> tuple[bool, float, float]:
+    def rank(self, now_s: float) -> tuple[bool, int, float, float]:
         """Return the item's place in the order of those that run; the greatest gives way first."""
         ran_s = now_s - self.granted_at_s
         left_s = max(0.0, self.urgency.run_s - ran_s)
-        return Urgency(self.urgency.due_at_s, left_s).rank(now_s)
+        return replace(self.urgency, run_s=left_s).rank(now_s)
 
 
 @dataclass(slots=True)
--- a/mountstand/serving/configuration.py
+++ b/mountstand/serving/configuration.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from mountstand.tenants.tenant import TenantIndex
 from mountstand.transport.http_server import ServerLimits
 
 
@@ -46,6 +47,12 @@
     max_waiting_tokens: int = 0
     """Tokens of batch items that may wait on the route, over all daemons; 0 is no bound."""
 
+    priority: int = 0
+    """Its rank among routes, 0 being the most urgent."""
+
+    public: bool = False
+    """Whether callers need no key."""
+
     first_event_patience_s: float | None = None
     """How long callers wait for the first event of a stream before they leave, if that is known."""
 
@@ -78,6 +85,7 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: ServerLimits
+    tenants: TenantIndex = field(default_factory=TenantIndex)
     _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False, repr=False)
 
     def __post_init__(self) -> None:
@@ -91,11 +99,17 @@
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``."""
+        routes = self._routes_of(host)
+        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+
+    def has_public_jobs(self, host: str) -> bool:
+        """Return whether some batch jobs of ``host`` need no key."""
+        return any(r.public and r.kind is RequestKind.BATCH for r in self._routes_of(host))
+
+    def _routes_of(self, host: str) -> list[Route]:
         name = host.lower()
         routes = self._by_host.get(name)
-        if routes is None:
-            routes = self._by_host.get(name.rpartition(":")[0], [])
-        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+        return self._by_host.get(name.rpartition(":")[0], []) if routes is None else routes
 
 
 class ShareChooser:
--- a/mountstand/serving/exchange_log.py
+++ b/mountstand/serving/exchange_log.py
@@ -57,6 +57,8 @@
             request=exchange.call.request_id,
             route=exchange.route.name,
             service=exchange.service,
+            tenant=exchange.call.tenant,
+            priority=exchange.call.priority,
             worker=exchange.worker_id,
             status=status,
             outcome="caller gone" if gone else ("ok" if exchange.delivered else "broken"),
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Route, ShareChooser
@@ -88,8 +89,12 @@
         responder: Responder,
         received_at_s: float,
         deadline_s: float,
+        on_not_run: Callable[[], object] = lambda: None,
     ) -> None:
-        """Answer ``call``; ``deadline_s`` is on the loop's clock."""
+        """Answer ``call``; ``deadline_s`` is on the loop's clock.
+
+        ``on_not_run`` is called at the end if no worker was given the request.
+        """
         loop = asyncio.get_running_loop()
         exchange = Exchange(route, call, responder, self._shares.choose(route), deadline_s)
         exchange.last_event_id = call.last_event_id
@@ -103,6 +108,8 @@
             exchange.cause = "deadline"
             self._end_unfinished(exchange)
         finally:
+            if exchange.runs == 0:
+                on_not_run()
             self._log.request_ended(exchange, received_at_s, loop.time(), gone)
 
     async def _run_attempts(self, exchange: Exchange, received_at_s: float) -> None:
@@ -129,7 +136,8 @@
         """Return the first worker to try, once one can start the request soon."""
         route = exchange.route
         patience_s = min(route.patience_s, exchange.deadline_s - received_at_s)
-        times = start_times(received_at_s, route.target_latency_s, patience_s)
+        priority = exchange.call.priority
+        times = start_times(received_at_s, route.target_latency_s, patience_s, priority)
         worker = await self._queue.acquire(exchange.service, exchange.call.prompt, times)
         exchange.waited_s = asyncio.get_running_loop().time() - received_at_s
         return worker
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -44,28 +44,33 @@
     """Until when a request should be at a worker, in seconds on the loop's clock.
 
     After ``in_time_s`` its answer will be late; ``latest_s`` is the end of waiting here.
-    ``queue_s`` is how long it may wait at the worker.
+    ``queue_s`` is how long it may wait at the worker. ``priority`` is the rank of the request among
+    those that can still be in time, and among the late, 0 being the most urgent.
     """
 
     in_time_s: float
     latest_s: float
     queue_s: float
+    priority: int = 0
 
     def is_late(self, now_s: float) -> bool:
         """Return whether the answer will be late if the request starts now."""
         return now_s > self.in_time_s
 
-    def rank(self, now_s: float) -> tuple[bool, float]:
+    def rank(self, now_s: float) -> tuple[bool, int, float]:
         """Return the place in the order of those that start now; the least goes first."""
-        return (self.is_late(now_s), self.in_time_s)
+        return (self.is_late(now_s), self.priority, self.in_time_s)
 
 
-def start_times(received_at_s: float, target_latency_s: float, patience_s: float) -> StartTimes:
+def start_times(
+    received_at_s: float, target_latency_s: float, patience_s: float, priority: int = 0
+) -> StartTimes:
     """Return when a request should start that was received at ``received_at_s``."""
     return StartTimes(
         received_at_s + target_latency_s * START_SHARE,
         received_at_s + max(target_latency_s, patience_s) * PATIENCE_SHARE,
         target_latency_s * QUEUE_SHARE,
+        priority,
     )
 
 
--- a/mountstand/serving/worker_protocol.py
+++ b/mountstand/serving/worker_protocol.py
@@ -27,6 +27,11 @@
     body: bytes
     prompt: Prompt = EMPTY_PROMPT
     last_event_id: int | None = None
+    tenant: str = ""
+    """The name of the caller's tenant, empty where callers need no key."""
+
+    priority: int = 0
+    """The rank of an online request among those that wait, 0 being the most urgent."""
 
 
 class ReplyKind(Enum):
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -33,19 +33,16 @@
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.serving_feeds import FeedTargets, ServingFeeds
+from mountstand.serving_limits import ServingLimits
+from mountstand.serving_listeners import CallerInterface, ServingListeners
 from mountstand.serving_settings import ServingSettings, SocketAddress
 from mountstand.store.rows import ObjectStore, RowStore
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
-from mountstand.transport.http_server import (
-    FIRST_REQUEST_S,
-    HttpServer,
-    Responder,
-    ServerLimits,
-    ServerRequest,
-)
+from mountstand.tenants.access import CallerAccess
+from mountstand.transport.http_server import FIRST_REQUEST_S
 from mountstand.wire.frames import FrameCodec
-from mountstand.wire.gossip import GossipBodies, GossipMessage, LoadDigest
+from mountstand.wire.gossip import GossipBodies, GossipMessage, LoadDigest, TokenAsk, TokenGrant
 
 CLUSTER_KEY = "insecure-development-key"
 """The platform gives no secret to its processes; the frames' hash only keeps strangers' datagrams
@@ -55,13 +52,6 @@
 PAUSE_TOLD_S = 0.5
 """A timer that is so late tells that the process did not run: frozen, or without its processor."""
 
-BODY_MEMORY_SHARE = 0.2
-"""Share of the memory that callers' bodies may take; each stands in memory about twice, once
-more on its way to a worker."""
-
-DESCRIPTOR_SHARE = 0.6
-"""Share of the descriptors that callers' connections may take."""
-
 DEFAULT_ALLOWED = 100
 IDLE_SHARE = 0.5
 MOST_IDLE = 8
@@ -86,19 +76,6 @@
         """Make further calls to ``address``."""
 
 
-class CallerInterface(Protocol):
-    """What callers and the platform's checks speak."""
-
-    async def handle_request(self, request: ServerRequest, responder: Responder) -> None:
-        """Answer a request of a caller."""
-
-    async def handle_ready(self, request: ServerRequest, responder: Responder) -> None:
-        """Tell whether callers may be sent here."""
-
-    async def handle_directory(self, request: ServerRequest, responder: Responder) -> None:
-        """Tell a caller which addresses to use."""
-
-
 class ServingNode:
     """The process that serves callers on one machine."""
 
@@ -118,7 +95,7 @@
         self._store = store
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
-        self._servers: list[HttpServer] = []
+        self._listeners = ServingListeners(self._note_rejected)
         self._source_of_chance = source_of_chance = random.Random()
         self.directory = WorkerDirectory(
             settings.zone, source_of_chance, settings.drain_s * LEAVING_USE_SHARE
@@ -138,7 +115,11 @@
             log,
         )
         self._build_membership(store)
-        self._configuration_state = ConfigurationState(source, log, self._apply_limits)
+        self._limits = ServingLimits(settings, self.membership, self.registry, source_of_chance)
+        self.access = CallerAccess(
+            self._limits.gate, self._configuration_may_be_stale, metrics, log
+        )
+        self._configuration_state = ConfigurationState(source, log, self._use_configuration)
         workers_state = WorkersState(source, self.directory, log)
         self.feeds = ServingFeeds(
             store,
@@ -244,6 +225,16 @@
         serving = serving_members(peers, self.directory.slots())
         return [row for row in sound if row.name in serving]
 
+    def configuration_age_s(self) -> float:
+        """Return how old this daemon's picture of the configuration may be."""
+        return self.feeds.configuration.age_s(asyncio.get_running_loop().time())
+
+    def _configuration_may_be_stale(self) -> bool:
+        """Return whether the configuration may have changed without being seen here."""
+        return (
+            self.feeds.configuration.failing or self.configuration_age_s() > self.settings.contact_s
+        )
+
     def store_age_s(self) -> float:
         """Return how old this daemon's picture of the jobs may be."""
         return self.feeds.jobs.age_s(asyncio.get_running_loop().time())
@@ -259,9 +250,9 @@
 
     # Feeds
 
-    def _apply_limits(self, configuration: Configuration) -> None:
-        for server in self._servers:
-            server.limits = configuration.limits
+    def _use_configuration(self, configuration: Configuration) -> None:
+        self._listeners.use_limits(configuration.limits)
+        self._limits.use_tenants(configuration.tenants)
 
     def _handle_members(self) -> None:
         """Share out among the daemons what all of them together may use."""
@@ -271,38 +262,21 @@
         allowed = min((service.max_connections for service in services), default=DEFAULT_ALLOWED)
         share = int(allowed * IDLE_SHARE / max(1, len(self._serving_daemons())))
         self.forwarder.idle_per_worker = max(1, min(MOST_IDLE, share))
+        self._limits.use_fleet(self.directory.slots())
 
     def _handle_peer_message(self, sender_id: str, message: GossipMessage) -> None:
         if isinstance(message, LoadDigest):
             now_s = asyncio.get_running_loop().time()
             self.load_sharing.handle(sender_id, message, now_s)
+        elif isinstance(message, TokenAsk | TokenGrant):
+            self._limits.handle(sender_id, message)
 
     # Life
 
     async def start(self, interface: CallerInterface) -> None:
         """Listen and begin to follow the store."""
-        listeners = self.settings.listeners
         await self.membership.start(self.settings.address, self.settings.gossip_port)
-        limit = int(self.settings.max_descriptors * DESCRIPTOR_SHARE)
-        callers = HttpServer(
-            interface.handle_request,
-            ServerLimits(),
-            self._note_rejected,
-            max_connections=limit,
-            max_held_bytes=int(self.settings.memory_mb * BODY_MEMORY_SHARE * 1024 * 1024),
-        )
-        self._callers = callers
-        self._servers.append(callers)
-        await callers.start(listeners.callers.host, listeners.callers.port)
-        for address, handler in (
-            (listeners.ready, interface.handle_ready),
-            (listeners.directory, interface.handle_directory),
-            (listeners.control, self.feeds.peer_tables.handle),
-        ):
-            if address is not None:
-                server = HttpServer(handler, ServerLimits(), self._note_rejected)
-                await server.start(address.host, address.port)
-                self._servers.append(server)
+        await self._listeners.start(self.settings, interface, self.feeds.peer_tables.handle)
         for work in (
             *self.feeds.runs(),
             self._register(),
@@ -320,20 +294,21 @@
         began_s = loop.time()
         end_s = began_s + self.settings.grace_s - STOP_MARGIN_S
         self._stopping = True
-        self.log.event("stop_begun", connections=len(self._callers.connections))
+        self.log.event("stop_begun", connections=self._listeners.callers_connections)
         self.membership.leave()
-        self._callers.announce_close()
+        self._listeners.announce_close()
         self._spawn(self.registry.announce_leaving())
         drained = asyncio.create_task(self.jobs.drain())
         await asyncio.sleep(CLOSE_LISTENERS_AFTER_S)
-        self._callers.stop_listening()
-        self._callers.close_idle()
+        self._listeners.close_to_callers()
         await asyncio.sleep(FIRST_REQUEST_S)
-        while loop.time() < end_s and not (drained.done() and not self._callers.connections):
+        while loop.time() < end_s:
+            if drained.done() and not self._listeners.callers_connections:
+                break
             await asyncio.sleep(0.05)
         self.log.event(
             "daemon_stopped",
-            connections_left=len(self._callers.connections),
+            connections_left=self._listeners.callers_connections,
             jobs_handed_on=drained.done(),
             after_s=round(loop.time() - began_s, 3),
         )
@@ -357,6 +332,7 @@
         self.settings = settings
         self._store.use_address(settings.store.address)
         self.feeds.use_settings(settings)
+        self._limits.use_settings(settings)
         self.directory.leaving_use_s = settings.drain_s * LEAVING_USE_SHARE
         self.log.event("reload", changed=changed)
 
--- a/mountstand/serving_settings.py
+++ b/mountstand/serving_settings.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from mountstand.tenants.limits import LimitTolerance
 
 
 @dataclass(frozen=True)
@@ -52,7 +54,7 @@
     after which a process no longer counts as in touch; ``cancel_s`` the time within which the end
     of a job must be obeyed; ``status_s`` how long results of a job can be asked for; ``capacity``
     the processor that the machine has, in cores. ``seeds`` are control addresses of some daemons,
-    which may be out of date.
+    which may be out of date. ``limit_tolerance`` is how exactly the limits of tenants must be kept.
     """
 
     name: str
@@ -72,3 +74,4 @@
     memory_mb: float = 256.0
     max_descriptors: int = 1024
     seeds: tuple[SocketAddress, ...] = ()
+    limit_tolerance: LimitTolerance = field(default_factory=LimitTolerance)
--- a/mountstand/telemetry/serving_metrics.py
+++ b/mountstand/telemetry/serving_metrics.py
@@ -50,6 +50,12 @@
             ["outcome"],
             registry=self._registry,
         )
+        self._denied = Counter(
+            "mountstand_callers_denied_total",
+            "Calls refused for the caller's key or its tenant's limit, by code",
+            ["code"],
+            registry=self._registry,
+        )
         self._jobs_owned = Gauge(
             "mountstand_jobs_owned", "Batch jobs run by this daemon", registry=self._registry
         )
@@ -72,6 +78,10 @@
         """Count a batch item."""
         self._batch_items.labels(outcome).inc()
 
+    def caller_denied(self, code: str) -> None:
+        """Count a call that was refused for its key or its tenant's limit."""
+        self._denied.labels(code).inc()
+
     def jobs_owned(self, count: int) -> None:
         """Set how many batch jobs this daemon runs."""
         self._jobs_owned.set(count)
--- /dev/null
+++ b/mountstand/tenants/tenant.py
@@ -0,0 +1,61 @@
+"""Tenants and the keys that their callers present."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+FINGERPRINT_BYTES = 4
+"""Enough to tell the few keys of a tenant apart in a line of a log, too few to guess a key from."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A tenant of the fleet.
+
+    ``rate_per_s`` requests a second are allowed over all daemons, with ``burst`` on top; a rate of
+    0 is no limit. ``priority`` goes before that of a route, 0 being the most urgent; ``None``
+    leaves it to the route. Keys are secrets: they are compared, never printed.
+    """
+
+    name: str
+    keys: tuple[str, ...] = field(default=(), repr=False)
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    @property
+    def number(self) -> int:
+        """The number that stands for the tenant among daemons."""
+        return zlib.crc32(self.name.encode())
+
+    def priority_before(self, route_priority: int) -> int:
+        """Return the priority of this tenant's requests on a route."""
+        return route_priority if self.priority is None else self.priority
+
+
+class TenantIndex:
+    """The tenants of one version of the configuration, by name and by key."""
+
+    __slots__ = ("_by_key", "by_name")
+
+    def __init__(self, tenants: Iterable[Tenant] = ()) -> None:
+        self.by_name = {tenant.name: tenant for tenant in tenants}
+        self._by_key = {key: tenant for tenant in self.by_name.values() for key in tenant.keys}
+
+    def __bool__(self) -> bool:
+        """Whether callers need keys at all."""
+        return bool(self.by_name)
+
+    def of_key(self, key: str | None) -> Tenant | None:
+        """Return the tenant that holds ``key``, or ``None`` where nobody does."""
+        return self._by_key.get(key) if key else None
+
+
+def fingerprint(key: str | None) -> str:
+    """Return what may stand in a log for a key; an empty text where there is none."""
+    if not key:
+        return ""
+    return hashlib.blake2b(key.encode(), digest_size=FINGERPRINT_BYTES).hexdigest()
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -87,7 +87,26 @@
     unread: tuple[int, ...] = ()
 
 
-GossipMessage = Ping | PingRequest | Ack | MembersSync | LoadDigest
+class TokenAsk(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a daemon for tokens of a tenant's limit; answered by a ``TokenGrant`` of that number.
+
+    ``tenant`` is the CRC-32 of the tenant's name, ``units`` are thousandths of a token.
+    """
+
+    number: int
+    tenant: int
+    units: int
+
+
+class TokenGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Lends tokens, which the sender has taken from its own part; ``units`` may be 0."""
+
+    number: int
+    tenant: int
+    units: int
+
+
+GossipMessage = Ping | PingRequest | Ack | MembersSync | LoadDigest | TokenAsk | TokenGrant
 
 KINDS: dict[int, type[GossipMessage]] = {
     1: Ping,
@@ -95,6 +114,8 @@
     3: Ack,
     7: MembersSync,
     19: LoadDigest,
+    20: TokenAsk,
+    21: TokenGrant,
 }
 
 
--- a/tests/jobs/test_quota.py
+++ b/tests/jobs/test_quota.py
@@ -56,6 +56,28 @@
                 daemon = Daemon(MemoryRowStore(), *heads)
                 self.assertIs(expected, run(daemon.reserve(submission("new"))))
 
+    def test_each_tenant_has_the_bound_for_itself(self) -> None:
+        full = head("a", BOUND, tenant="first")
+        daemon = Daemon(MemoryRowStore(), full)
+        first = replace(submission("new"), tenant="first")
+        second = replace(submission("other"), tenant="second")
+        self.assertFalse(run(daemon.reserve(first)))
+        self.assertTrue(run(daemon.reserve(second)))
+
+    def test_tenants_reserve_apart(self) -> None:
+        async def scenario() -> list[bool]:
+            store = MemoryRowStore()
+            taken = []
+            for tenant in ("first", "second"):
+                daemon = Daemon(store, head(f"{tenant}-a", 600, tenant=tenant))
+                taken += [
+                    await daemon.reserve(replace(submission(f"{tenant}-{n}"), tenant=tenant))
+                    for n in range(5)
+                ]
+            return taken
+
+        self.assertEqual([True] * 4 + [False] + [True] * 4 + [False], run(scenario()))
+
     def test_without_a_bound_everything_fits(self) -> None:
         daemon = Daemon(MemoryRowStore(), head("a", 10 * BOUND))
         self.assertTrue(run(daemon.quota.reserve(UNBOUNDED, submission("new"), 0)))
--- a/tests/serving/test_batch_room.py
+++ b/tests/serving/test_batch_room.py
@@ -62,6 +62,16 @@
 
         self.scenario(work, slots=1)
 
+    def test_items_in_time_go_by_priority_before_their_due_time(self) -> None:
+        async def work() -> None:
+            urgent = Urgency(20.0, priority=0)
+            tasks = await self.wait(Urgency(10.0, priority=1), LATE, urgent)
+            self.assertEqual([False, False, True], await self.granted(tasks))
+            self.room.release(tasks[2].result())
+            self.assertEqual([True, False, True], await self.granted(tasks))
+
+        self.scenario(work, slots=1)
+
     def test_slots_of_workers_that_take_no_work_are_not_free(self) -> None:
         async def work() -> None:
             for number in (1, 2):
--- a/tests/serving/test_online_queue.py
+++ b/tests/serving/test_online_queue.py
@@ -68,6 +68,20 @@
 
         self.scenario(work)
 
+    def test_the_more_urgent_go_first_and_late_ones_last_whatever_their_priority(self) -> None:
+        async def work() -> None:
+            self.worker.in_flight = SLOTS
+            now_s = self.loop.time()
+            late = await self.ask(start_times(now_s - OBJECTIVE_S, OBJECTIVE_S, PATIENCE_S, 0))
+            usual = await self.ask(start_times(now_s, OBJECTIVE_S, PATIENCE_S, 1))
+            urgent = await self.ask(start_times(now_s, OBJECTIVE_S, PATIENCE_S, 0))
+            for expected in ([False, False, True], [False, True, True], [True, True, True]):
+                self.end_one()
+                await settle()
+                self.assertEqual(expected, [late.done(), usual.done(), urgent.done()])
+
+        self.scenario(work)
+
     def test_a_request_waits_while_all_slots_are_taken_and_gets_the_next_one(self) -> None:
         async def work() -> None:
             self.worker.in_flight = SLOTS
--- a/tests/unit/test_errors.py
+++ b/tests/unit/test_errors.py
@@ -4,7 +4,8 @@
 
 from testtools import TestCase
 
-import mountstand.engines.http_backend  # noqa: F401 (defines error kinds of its own)
+import mountstand.engines.http_backend
+import mountstand.tenants.errors  # noqa: F401 (likewise)
 from mountstand import errors
 
 TABLE = Path(__file__).parents[2] / "docs" / "operators" / "errors.md"
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -12,6 +12,7 @@
 
 from mountstand.errors import InvalidSettings
 from mountstand.platform.settings import load_settings, settings_from
+from mountstand.tenants.limits import LimitTolerance
 
 GOOD: dict[str, Any] = {
     "node": "front-1",
@@ -55,6 +56,14 @@
         self.assertAlmostEqual(2.151, settings_from({**GOOD, "limits": limits}).capacity)
         self.assertEqual(1.0, settings_from(GOOD).capacity, "not told")
 
+    def test_limit_tolerance_is_read_or_usual(self) -> None:
+        bounds = {"quota_window_s": 4, "quota_overshoot": 0.2, "quota_slack": 7}
+        tolerance = settings_from({**GOOD, "bounds": bounds}).limit_tolerance
+        self.assertEqual(LimitTolerance(4.0, 0.2, 7.0), tolerance)
+        self.assertEqual(LimitTolerance(), settings_from(GOOD).limit_tolerance)
+        with ExpectedException(InvalidSettings, ".*quota_window_s.*"):
+            settings_from({**GOOD, "bounds": {"quota_window_s": 0}})
+
     def test_errors_name_the_key(self) -> None:
         cases: dict[str, Any] = {
             "node": None,
