--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -120,7 +120,15 @@
             log,
         )
         self._build_membership(store)
-        self._limits = ServingLimits(settings, self.membership, self.registry, source_of_chance)
+        self._limits = ServingLimits(
+            settings,
+            self.membership,
+            self.registry,
+            store,
+            self._store_now_ms,
+            source_of_chance,
+            log,
+        )
         self.access = CallerAccess(
             self._limits.gate, self._configuration_may_be_stale, metrics, log
         )
@@ -296,6 +304,7 @@
             self.jobs.run(),
             self._sweep(),
             self._share_load(),
+            self._limits.run(),
         ):
             self._spawn(work)
         self.log.event("daemon_started", zone=self.settings.zone, token=self.registry.own.token)
--- a/mountstand/tenants/gate.py
+++ b/mountstand/tenants/gate.py
@@ -1,8 +1,9 @@
-"""Lets requests of tenants through, and asks other daemons for tokens where this one runs short.
+"""Lets requests of tenants through, and asks other daemons where this one runs short.
 
-Most requests find a token here. One that does not waits for the answers of the other daemons, some
-milliseconds; all requests of a tenant that wait share one question. Where nobody has a token to
-spare, the tenant is at its limit: its further requests are refused at once for a moment.
+Most requests fit into this daemon's part of the limit. One that does not waits for the answers of
+the other daemons, some milliseconds; all requests of a tenant that wait share one question. Where
+nobody has anything to spare, the tenant is at its limit: its further requests are refused at once
+for a moment.
 """
 
 from __future__ import annotations
@@ -21,19 +22,20 @@
 """How long answers are waited for: a datagram there and back takes two milliseconds between zones,
 and a busy daemon some more. Answers that come later still count for later requests."""
 
-SPREAD_TOKENS = 4.0
-"""The first question asks all others together for so many times what is lacking, an even part of
-each: a few empty or silent ones do no harm, and little is moved in vain."""
-
-SPARE_TOKENS = 1.0
-"""Asked for beyond what is lacking, for requests that come while the answers are under way."""
+MOST_ROUNDS = 3
+"""Questions that one request waits for at most. The first asks every other daemon for an even share
+of what is lacking; the next ones ask those that had it for what others did not have."""
 
 MOST_ASKED = 24
 """Daemons that one question goes to at most, so that its cost has a bound in any fleet."""
 
 PAUSE_S = 0.25
-"""How long a tenant's requests are refused at once after nobody had a token. What refills meanwhile
-is found by the next question."""
+"""How long a tenant's requests are refused at once after nobody had anything to spare. What comes
+back meanwhile is found by the next question."""
+
+
+REFUSED_S = 1.0
+"""Requests that were refused within this time are counted as coming back before a further one."""
 
 
 class TokenLink(ABC):
@@ -58,7 +60,7 @@
 
 
 class LimitGate:
-    """Takes tokens of this daemon's parts, and borrows from others."""
+    """Counts requests against this daemon's parts of the limits, and borrows from others."""
 
     def __init__(self, limits: TenantLimits, link: TokenLink, rng: random.Random) -> None:
         self.limits = limits
@@ -68,15 +70,15 @@
         self._future_by_number: dict[int, asyncio.Future[None]] = {}
 
     def take(self, tenant: Tenant) -> bool:
-        """Take a token that is here; returns whether there was one."""
-        return self.limits.take(tenant, asyncio.get_running_loop().time())
+        """Count a request if it fits into this daemon's part; returns whether it does."""
+        return self.limits.take(tenant, self._now_s())
 
     def give_back(self, tenant: Tenant) -> None:
-        """Put a token back."""
-        self.limits.give_back(tenant, asyncio.get_running_loop().time())
+        """Count a request no more that reached no worker."""
+        self.limits.give_back(tenant, self._now_s())
 
     async def borrow(self, tenant: Tenant) -> float | None:
-        """Take a token with the help of others; returns ``None``, or when one may be had."""
+        """Count a request with the help of others; returns ``None``, or when one may fit."""
         loop = asyncio.get_running_loop()
         shortage = self._shortage_by_tenant.setdefault(tenant.name, _Shortage())
         if loop.time() >= shortage.paused_until_s:
@@ -91,7 +93,7 @@
 
     def handle(self, sender: str, message: TokenAsk | TokenGrant) -> None:
         """Answer another daemon's question, or take its answer."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._now_s()
         if isinstance(message, TokenAsk):
             self._link.send(self.limits.lend(message, now_s), (sender,))
             return
@@ -101,28 +103,32 @@
             answered.set_result(None)
 
     async def _ask_around(self, tenant: Tenant, shortage: _Shortage) -> bool:
-        """Ask for a part of each first, then for all that is lacking."""
+        """Ask the others until there is enough or nobody has anything to spare."""
         peers = self.limits.standing.peers
         if len(peers) > MOST_ASKED:
             peers = self._rng.sample(peers, MOST_ASKED)
-        for part in (min(1.0, SPREAD_TOKENS / max(1, len(peers))), 1.0):
+        for _ in range(MOST_ROUNDS):
             if not peers:
                 return False
-            await self._ask(tenant, shortage, part, peers)
+            peers = await self._ask(tenant, shortage, peers)
             if self.take(tenant):
                 return True
         return False
 
-    async def _ask(
-        self, tenant: Tenant, shortage: _Shortage, part: float, peers: list[str]
-    ) -> None:
-        """Ask ``peers`` for a part of what is lacking, or wait for the question under way."""
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def _ask(self, tenant: Tenant, shortage: _Shortage, peers: list[str]) -> list[str]:
+        """Ask ``peers`` for what is lacking, or wait for the question under way.
+
+        Returns those that may have more to spare.
+        """
         if shortage.answered is not None:
             await asyncio.wait([shortage.answered], timeout=ROUND_S)
-            return
+            return peers
         loop = asyncio.get_running_loop()
-        lacking = shortage.waiting + SPARE_TOKENS
-        question = self.limits.ask(tenant, lacking * part, peers, loop.time())
+        lacking = self.limits.lacking(tenant, shortage.waiting, loop.time())
+        question = self.limits.ask(tenant, lacking, peers, loop.time())
         answered: asyncio.Future[None] = loop.create_future()
         shortage.answered = self._future_by_number[question.number] = answered
         try:
@@ -133,12 +139,13 @@
             del self._future_by_number[question.number]
             if not answered.done():
                 answered.set_result(None)
+        return self.limits.lenders(question.number)
 
     def _refuse(self, tenant: Tenant, shortage: _Shortage, now_s: float) -> float:
-        """Return when a request that is refused now may fit: one after another at the limit's rate.
+        """Return when a request that is refused now may fit.
 
-        Requests that were refused within the last second come back first.
+        Requests that were refused a moment ago come back first, each when one more fits.
         """
-        shortage.refused_s = [at_s for at_s in shortage.refused_s if now_s - at_s < 1.0]
+        shortage.refused_s = [at_s for at_s in shortage.refused_s if now_s - at_s < REFUSED_S]
         shortage.refused_s.append(now_s)
-        return len(shortage.refused_s) / tenant.rate_per_s
+        return self.limits.free_again_s(tenant, len(shortage.refused_s), now_s)
