--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -59,6 +59,17 @@
 EVENT_STREAM = "text/event-stream"
 
 
+SAID_NOTHING = frozenset({Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.OTHER_WORKER})
+"""Ends of attempts that say nothing about whether a worker serves well."""
+
+
+def worker_failed(exchange: Exchange, outcome: Outcome) -> bool:
+    """Return whether an attempt failed at its worker."""
+    if outcome in SAID_NOTHING:
+        return False
+    return outcome is not Outcome.DELIVERED or exchange.responder.status == WORKER_FAILED
+
+
 class Forwarder:
     """Runs online requests at workers."""
 
@@ -123,8 +134,7 @@
             self._note_outcome(exchange, worker, outcome)
             if outcome is Outcome.DELIVERED:
                 exchange.delivered = True
-                duration_s = asyncio.get_running_loop().time() - exchange.sent_at_s
-                self._directory.chooser.durations.note(exchange.service, duration_s)
+                self._note_duration(exchange)
                 return
             self._log.attempt_failed(exchange, worker, outcome)
             if not self._may_go_on(exchange, outcome):
@@ -142,11 +152,17 @@
         exchange.waited_s = asyncio.get_running_loop().time() - received_at_s
         return worker
 
+    def _note_duration(self, exchange: Exchange) -> None:
+        """Learn how long requests usually take from one that was served."""
+        if exchange.responder.status < WORKER_FAILED:
+            duration_s = asyncio.get_running_loop().time() - exchange.sent_at_s
+            self._directory.chooser.durations.note(exchange.service, duration_s)
+
     def _note_outcome(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
         """Count what the attempt says about the worker."""
-        if outcome in (Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.OTHER_WORKER):
+        if outcome in SAID_NOTHING:
             return
-        failed = outcome is not Outcome.DELIVERED or exchange.responder.status == WORKER_FAILED
+        failed = worker_failed(exchange, outcome)
         worker.health.own.add(asyncio.get_running_loop().time(), failed=failed)
 
     def _choose(self, exchange: Exchange) -> Worker | None:
@@ -185,21 +201,42 @@
         self._room.yield_to_online(worker, now_s)
         exchange.reading = PromptReading(worker, exchange.call.prompt)
         connection: ClientConnection | None = None
+        outcome: Outcome | None = None
         try:
             connection = await self._connections.acquire(
                 worker, repeatable=exchange.route.repeatable
             )
-            return await self._exchange_with(exchange, worker, connection)
+            outcome = await self._exchange_with(exchange, worker, connection)
+            return outcome
         except ConnectFailed as problem:
             exchange.cause = f"connect: {problem}"
             exchange.unreachable_ids.add(worker.record.worker_id)
             return Outcome.NOT_SENT
         finally:
             exchange.end_reading()
-            worker.in_flight -= 1
             if connection is not None:
                 self._connections.release(worker, connection, self.idle_per_worker)
-            self._queue.hand_over(worker, asyncio.get_running_loop().time())
+            self._leave(exchange, worker, outcome)
+
+    def _leave(self, exchange: Exchange, worker: Worker, outcome: Outcome | None) -> None:
+        """Count the request at its worker no more, or later if the worker failed it.
+
+        A worker that fails within milliseconds would look empty and draw the requests of all
+        daemons, until it is ejected; one that breaks off still runs what it was sent, perhaps.
+        """
+        loop = asyncio.get_running_loop()
+        left_s = 0.0
+        if outcome is not None and worker_failed(exchange, outcome):
+            usual_s = self._directory.chooser.durations.usual_s(exchange.service)
+            left_s = exchange.sent_at_s + usual_s - loop.time()
+        if left_s > 0:
+            loop.call_later(left_s, self._free_slot, worker)
+        else:
+            self._free_slot(worker)
+
+    def _free_slot(self, worker: Worker) -> None:
+        worker.in_flight -= 1
+        self._queue.hand_over(worker, asyncio.get_running_loop().time())
 
     async def _exchange_with(
         self, exchange: Exchange, worker: Worker, connection: ClientConnection
--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -336,3 +336,60 @@
 def pick(line: dict[str, Any]) -> tuple[str, str, str]:
     """Return what identifies an attempt's line."""
     return line["request"], line["worker"], line["outcome"]
+
+
+class FastFailures(TestCase):
+    """A worker that fails within milliseconds must not look empty, and so draw the work of all."""
+
+    USUAL_S = 0.6
+
+    def left_counted(self, used: Route, *script: Answer) -> list[int]:
+        """Return what is counted at a worker right after a request, and after the usual time."""
+
+        async def scenario() -> list[int]:
+            async with Front(used, script) as front:
+                front.fleet.directory.chooser.durations.note("llm", self.USUAL_S)
+                await front.ask()
+                worker = front.fleet.directory.workers["w0"]
+                counted = [worker.in_flight]
+                await asyncio.sleep(self.USUAL_S + 0.1)
+                return [*counted, worker.in_flight]
+
+        return run(scenario())
+
+    def test_a_failed_request_counts_for_as_long_as_requests_usually_take(self) -> None:
+        cases = {
+            "an answer of 500": (ONCE, BAD, [1, 0]),
+            "a reset": (ONCE, reset, [1, 0]),
+            "a stream that breaks off": (PLAIN_STREAM, stream(3, cut_after=1), [1, 0]),
+            "success": (ONCE, whole(), [0, 0]),
+            "a refusal": (ONCE, not_run(), [0, 0]),
+            "a bad request": (ONCE, whole(b"", "422 Unprocessable Content"), [0, 0]),
+        }
+        for name, (used, answer, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(expected, self.left_counted(used, answer), name)
+
+    def test_failures_do_not_change_how_long_requests_usually_take(self) -> None:
+        async def scenario() -> float:
+            async with Front(ONCE, (BAD,)) as front:
+                durations = front.fleet.directory.chooser.durations
+                durations.note("llm", self.USUAL_S)
+                await front.ask()
+                return durations.usual_s("llm")
+
+        self.assertEqual(self.USUAL_S, run(scenario()))
+
+    def test_a_failing_worker_gets_no_more_than_its_share(self) -> None:
+        async def scenario() -> int:
+            good = stream(4, gap_s=0.1)
+            async with Front(PLAIN_STREAM, (BAD,), (good,), (good,), (good,)) as front:
+                front.fleet.directory.chooser.durations.note("llm", 0.4)
+                asked = []
+                for number in range(24):
+                    asked.append(asyncio.create_task(front.ask(f"r{number}")))
+                    await asyncio.sleep(0.02)
+                await asyncio.gather(*asked)
+                return front.fleet.received().count("w0")
+
+        self.assertLessEqual(run(scenario()), 9)
