--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -25,6 +25,8 @@
 )
 from mountstand.serving.load_groups import LoadGroup, Peer, group_of, serving_members
 from mountstand.serving.slot_demand import SlotDemand, Waiting, Work, service_key
+from mountstand.serving.slot_shares import own_slots
+from mountstand.serving.worker import Worker
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.wire.gossip import LoadDigest, Scope
 
@@ -107,6 +109,7 @@
         self._heard_by_sender: dict[str, _Heard] = {}
         self._unreachable_heard: dict[int, float] = {}
         self._told_keys: set[int] = set()
+        self._dealt_for: dict[int, Worker] | None = None
         self._own_told: CountsByKey = {}
         self._sent_by_scope: dict[Scope, LoadDigest] = {}
         self._unsent_s_by_scope: dict[Scope, float] = {}
@@ -153,6 +156,7 @@
     def tick(self, now_s: float) -> None:
         """Send what changed, and forget daemons that fell silent."""
         self._regroup()
+        self._deal_slots()
         self._expire(now_s)
         self._directory.chooser.picture_age_s = self.hops * self.period_s / 2
         own = self._own_counts(now_s)
@@ -272,6 +276,21 @@
         self._slots = slots
         self._group = group_of(self._own_peer, peers)
         self._serving = serving_members(peers | {self._own_peer}, slots)
+        self._dealt_for = None
+
+    def _deal_slots(self) -> None:
+        """Deal the slots of all workers out anew where daemons or workers changed."""
+        by_key = self._directory.by_key
+        if self._dealt_for is by_key:
+            return
+        self._dealt_for = by_key
+        serving = [p for p in self._peers | {self._own_peer} if p.member_id in self._serving]
+        dealt: dict[str, int] = {}
+        for service in self._directory.services:
+            dealt |= own_slots(
+                self._own_peer.member_id, serving, self._directory.of_service(service)
+            )
+        self._directory.chooser.own_slots = dealt
 
     def _expire(self, now_s: float) -> None:
         limit_s = max(EXPIRY_S, EXPIRY_PERIODS * self.period_s)
--- a/mountstand/serving/worker_choice.py
+++ b/mountstand/serving/worker_choice.py
@@ -43,7 +43,8 @@
     """Chooses by load, and by home where much of a prompt is shared.
 
     ``picture_age_s`` is how old what peers tell of their requests is on average, ``durations`` how
-    long online requests usually take.
+    long online requests usually take, ``own_slots`` how many slots of which workers are dealt to
+    this daemon (:mod:`mountstand.serving.slot_shares`).
     """
 
     def __init__(self, zone: str, source: random.Random) -> None:
@@ -51,6 +52,7 @@
         self._source = source
         self.picture_age_s = 0.0
         self.durations = UsualDurations()
+        self.own_slots: dict[str, int] = {}
 
     def choose(self, candidates: list[Worker], prompt: Prompt, now_s: float) -> Worker:
         """Choose among workers of one service, of which there is one at least."""
@@ -82,6 +84,9 @@
         Workers that have much to read before this prompt are avoided.
         """
         tolerated = max(1, prompt.tokens * READ_TOLERANCE)
+        own = self._choose_own(candidates, tolerated, now_s)
+        if own is not None:
+            return own
         spread = self._sample(candidates, SPREAD_SIZE)
         unseen = self.durations.arrivals(
             spread[0].record.service,
@@ -99,6 +104,22 @@
 
         return min(sample, key=cost)
 
+    def _choose_own(self, candidates: list[Worker], tolerated: int, now_s: float) -> Worker | None:
+        """Choose the worker with most of this daemon's own slots free, if there is any."""
+
+        def free(worker: Worker) -> float:
+            own = self.own_slots.get(worker.record.worker_id, 0) - worker.in_flight
+            return min(own, worker.slots() - worker.estimated_load(now_s))
+
+        own = [
+            worker
+            for worker in candidates
+            if worker.record.worker_id in self.own_slots
+            and worker.unread < tolerated
+            and free(worker) >= 1
+        ]
+        return max(own, key=lambda worker: (free(worker), self._source.random()), default=None)
+
     def _choose_by_weight(
         self, candidates: list[Worker], unseen: float, tolerated: int, now_s: float
     ) -> Worker:
