--- a/mountstand/membership/digest_link.py
+++ b/mountstand/membership/digest_link.py
@@ -1,14 +1,15 @@
-"""Sends load digests between daemons in the datagrams of failure detection."""
+"""Sends load digests and slots between daemons in the datagrams of failure detection."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from mountstand.membership.datagrams import DatagramMembership
 from mountstand.membership.registry import DaemonRegistry
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import DigestLink
-from mountstand.wire.gossip import LoadDigest
+from mountstand.serving.slot_lending import SlotLink
+from mountstand.wire.gossip import LoadDigest, SlotAsk, SlotGrant
 
 
 class MembershipLink(DigestLink):
@@ -30,3 +31,16 @@
     def send(self, digest: LoadDigest, receivers: Iterable[str]) -> None:
         """Send a digest to daemons."""
         self._membership.send(digest, receivers)
+
+
+class MembershipSlotLink(SlotLink):
+    """Sends questions for slots, and grants."""
+
+    __slots__ = ("_membership",)
+
+    def __init__(self, membership: DatagramMembership) -> None:
+        self._membership = membership
+
+    def send(self, message: SlotAsk | SlotGrant, receivers: Collection[str]) -> None:
+        """Send a message to daemons."""
+        self._membership.send(message, receivers)
--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -192,9 +192,9 @@
         if worker.batch_in_flight and self._online.excess(worker, now_s) > 0:
             self._preempt_least_urgent(self._placements_at(worker))
 
-    def preempt_one(self, service: str) -> None:
-        """Take this daemon's least urgent item of a service off its worker, if there is one."""
-        self._preempt_least_urgent(
+    def preempt_one(self, service: str) -> Worker | None:
+        """Take this daemon's least urgent item of a service off, if there is one; return where."""
+        return self._preempt_least_urgent(
             [
                 placement
                 for placements in self._placements.values()
@@ -246,12 +246,27 @@
     def _placements_at(self, worker: Worker) -> list[Placement]:
         return self._placements.get(worker.record.worker_id, [])
 
-    def _preempt_least_urgent(self, placements: list[Placement]) -> None:
-        if placements:
-            now_s = asyncio.get_running_loop().time()
-            placement = max(placements, key=lambda each: each.rank(now_s))
-            self._placements_at(placement.worker).remove(placement)
-            placement.preempt()
+    def _preempt_least_urgent(self, placements: list[Placement]) -> Worker | None:
+        if not placements:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        placement = max(placements, key=lambda each: each.rank(now_s))
+        self._placements_at(placement.worker).remove(placement)
+        placement.preempt()
+        return placement.worker
+
+    def preempt_for_peer(self, service: str) -> Worker | None:
+        """Take an item off that runs in one of this daemon's own slots, for another daemon."""
+        own_slots = self._directory.chooser.own_slots
+        return self._preempt_least_urgent(
+            [
+                placement
+                for worker_id, placements in self._placements.items()
+                if worker_id in own_slots
+                for placement in placements
+                if placement.worker.record.service == service
+            ]
+        )
 
     def forget(self, workers: set[str]) -> None:
         """Drop what is kept of workers that are gone."""
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -25,7 +25,7 @@
 )
 from mountstand.serving.load_groups import LoadGroup, Peer, group_of, serving_members
 from mountstand.serving.slot_demand import SlotDemand, Waiting, Work, service_key
-from mountstand.serving.slot_shares import own_slots
+from mountstand.serving.slot_shares import deal_slots
 from mountstand.serving.worker import Worker
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.wire.gossip import LoadDigest, Scope
@@ -285,12 +285,18 @@
             return
         self._dealt_for = by_key
         serving = [p for p in self._peers | {self._own_peer} if p.member_id in self._serving]
-        dealt: dict[str, int] = {}
-        for service in self._directory.services:
-            dealt |= own_slots(
-                self._own_peer.member_id, serving, self._directory.of_service(service)
-            )
-        self._directory.chooser.own_slots = dealt
+        dealt_by_service = {
+            service: deal_slots(serving, self._directory.of_service(service))
+            for service in self._directory.services
+        }
+        own = self._own_peer.member_id
+        self._directory.chooser.owners_by_service = dealt_by_service
+        self._directory.chooser.own_slots = {
+            worker_id: by_owner[own]
+            for dealt in dealt_by_service.values()
+            for worker_id, by_owner in dealt.items()
+            if own in by_owner
+        }
 
     def _expire(self, now_s: float) -> None:
         limit_s = max(EXPIRY_S, EXPIRY_PERIODS * self.period_s)
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -19,6 +19,7 @@
 
 from mountstand.serving.prompt import Prompt
 from mountstand.serving.slot_demand import SlotDemand, Waiting
+from mountstand.serving.slot_lending import SlotLending
 from mountstand.serving.spread import UsualDurations, round_by_chance
 from mountstand.serving.worker import Worker
 from mountstand.serving.workers import WorkerDirectory
@@ -35,6 +36,9 @@
 """Share of a caller's patience after which a request is sent to a worker, whatever waits there.
 What is left is more than a worker's short queue and the reading of a prompt take."""
 
+MOST_BORROWING = 8
+"""Requests of a service that look for slots of other daemons at a time."""
+
 MOST_WAITING = 1000
 """Requests that wait here at most; further ones go to a worker at once, which may refuse them."""
 
@@ -95,7 +99,9 @@
         self._source = source
         self.demand = SlotDemand()
         self.batch_durations = UsualDurations()
-        self.preempt_own: Callable[[str], object] = lambda service: None
+        self.preempt_own: Callable[[str], Worker | None] = lambda service: None
+        self.lending: SlotLending | None = None
+        self._borrowing: dict[str, set[asyncio.Task[None]]] = {}
         self._waiting: dict[str, list[_Waiter]] = {}
         self._queue_s_by_service: dict[str, float] = {}
 
@@ -109,7 +115,7 @@
         waiting = self._waiting.setdefault(service, [])
         full = len(waiting) >= MOST_WAITING
         if full or all(waiter.times.is_late(now_s) for waiter in waiting):
-            worker = self._choose(service, prompt, times, now_s)
+            worker = self._choose_now(service, prompt, times, now_s)
             if worker is not None:
                 return _count(worker)
         if full or not self._directory.of_service(service):
@@ -118,7 +124,8 @@
 
     async def _wait(self, service: str, waiter: _Waiter, times: StartTimes) -> Worker | None:
         self._waiting[service].append(waiter)
-        self.preempt_own(service)
+        if self.preempt_own(service) is None:
+            self._borrow(service)
         try:
             async with asyncio.timeout_at(times.latest_s):
                 return await waiter.chosen
@@ -141,6 +148,10 @@
         """Return how many requests wait, here and at peers as far as is known."""
         return len(self._waiting.get(service, ())) + self.demand.peers(service).total
 
+    def waits_here(self, service: str) -> bool:
+        """Return whether requests wait at this daemon."""
+        return bool(self._waiting.get(service))
+
     def tick(self, now_s: float, hops: int = 0) -> None:
         """Hand free slots to requests that wait; call once per period of the digests.
 
@@ -152,12 +163,53 @@
             self._order(service, now_s)
             if not waiting:
                 continue
+            if self._lends(service):
+                self._borrow(service)
+                continue
             room = self.room(service, now_s)
             allowed = self.demand.share_of(service, room) * part
             for _ in range(round_by_chance(allowed, self._source)):
                 if not self._grant_first(service, now_s):
                     break
 
+    # Slots of other daemons
+
+    def _lends(self, service: str) -> bool:
+        return self.lending is not None and self.lending.can_borrow(service)
+
+    def _choose_now(
+        self, service: str, prompt: Prompt, times: StartTimes, now_s: float
+    ) -> Worker | None:
+        """Choose a worker at once: by exact knowledge where slots are dealt out, or by the picture.
+
+        Prompts that some worker keeps most of go by the picture to that worker.
+        """
+        if self._lends(service) and prompt.affinity_key is None:
+            return self._directory.choose_own(service, now_s)
+        return self._choose(service, prompt, times, now_s)
+
+    def _borrow(self, service: str) -> None:
+        """Look for slots of other daemons for the requests that wait."""
+        if not self._lends(service):
+            return
+        borrowing = self._borrowing.setdefault(service, set())
+        wanted = min(MOST_BORROWING, len(self._waiting.get(service, ())))
+        for _ in range(wanted - len(borrowing)):
+            task = asyncio.create_task(self._borrow_one(service))
+            borrowing.add(task)
+            task.add_done_callback(borrowing.discard)
+
+    async def _borrow_one(self, service: str) -> None:
+        """Borrow a slot and give it to the request that goes first then."""
+        assert self.lending is not None
+        worker = await self.lending.borrow(service)
+        waiting = self._waiting.get(service)
+        if worker is None or not waiting:
+            return
+        self._order(service, asyncio.get_running_loop().time())
+        if waiting:
+            _grant(waiting.pop(0), worker)
+
     def hand_over(self, worker: Worker, now_s: float) -> None:
         """Give a slot that this daemon just freed at ``worker`` to a request that waits here."""
         service = worker.record.service
--- /dev/null
+++ b/mountstand/serving/slot_lending.py
@@ -0,0 +1,154 @@
+"""Slots of other daemons for requests that find none of this daemon's own free.
+
+A daemon asks one that has free slots by the picture, or batch items that would give way; that one
+knows exactly, and names a worker. It counts the slot as taken until the borrower's digests show it.
+A daemon that says nothing holds nothing back: its workers are used by the picture then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from mountstand.serving.slot_demand import Work, service_key
+from mountstand.serving.worker import Worker
+from mountstand.serving.workers import WorkerDirectory
+from mountstand.wire.gossip import SlotAsk, SlotGrant
+
+ANSWER_S = 0.02
+"""How long an answer is waited for: a datagram there and back takes two milliseconds between zones,
+and a busy daemon some more."""
+
+MOST_ASKED = 3
+"""Daemons that one request asks, one after another; each answer takes some milliseconds."""
+
+NO_WORKER = 0
+"""What an answer names that lends nothing."""
+
+
+class SlotLink(ABC):
+    """How questions and grants reach other daemons."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def send(self, message: SlotAsk | SlotGrant, receivers: Collection[str]) -> None:
+        """Send a message to daemons; it may get lost."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Offer:
+    """A daemon that may have slots to lend, by the picture."""
+
+    owner: str
+    slots: float
+    worker: Worker
+    """Its worker with most of them, for the case that it says nothing."""
+
+
+class SlotLending:
+    """Borrows slots from other daemons, and lends this daemon's own.
+
+    ``may_lend`` says whether no request waits here itself; ``preempt_own`` takes a batch item of
+    this daemon off one of its own slots and returns the worker, if there is one.
+    """
+
+    def __init__(
+        self, directory: WorkerDirectory, own: str, link: SlotLink, rng: random.Random
+    ) -> None:
+        self._directory = directory
+        self._own = own
+        self._link = link
+        self._rng = rng
+        self._numbers = itertools.count(rng.getrandbits(32))
+        self._answer_by_number: dict[int, asyncio.Future[int]] = {}
+        self.may_lend: Callable[[str], bool] = lambda service: True
+        self.preempt_own: Callable[[str], Worker | None] = lambda service: None
+
+    def can_borrow(self, service: str) -> bool:
+        """Return whether there are daemons to ask."""
+        return bool(self._directory.chooser.owners_by_service.get(service))
+
+    async def borrow(self, service: str) -> Worker | None:
+        """Return a worker that has a slot for one request of this daemon, if one is found."""
+        asked: set[str] = set()
+        for _ in range(MOST_ASKED):
+            offer = self._best_offer(service, asked)
+            if offer is None:
+                return None
+            asked.add(offer.owner)
+            worker = await self._ask(service, offer)
+            if worker is not None:
+                return worker
+        return None
+
+    def handle(self, sender: str, message: SlotAsk | SlotGrant) -> None:
+        """Answer another daemon's question, or take its answer."""
+        if isinstance(message, SlotAsk):
+            worker = self._lend(message.service)
+            key = worker.key if worker is not None else NO_WORKER
+            self._link.send(SlotGrant(message.number, key), (sender,))
+            return
+        answer = self._answer_by_number.get(message.number)
+        if answer is not None and not answer.done():
+            answer.set_result(message.worker)
+
+    async def _ask(self, service: str, offer: _Offer) -> Worker | None:
+        number = next(self._numbers)
+        answer = self._answer_by_number[number] = asyncio.get_running_loop().create_future()
+        try:
+            self._link.send(SlotAsk(number, service_key(service, Work.ONLINE)), (offer.owner,))
+            async with asyncio.timeout(ANSWER_S):
+                key = await answer
+        except TimeoutError:
+            now_s = asyncio.get_running_loop().time()
+            return offer.worker if offer.worker.has_free_slot(now_s) else None
+        finally:
+            del self._answer_by_number[number]
+        worker = self._directory.by_key.get(key)
+        now_s = asyncio.get_running_loop().time()
+        return worker if worker is not None and worker.takes_work(now_s) else None
+
+    def _lend(self, key: int) -> Worker | None:
+        """Return a worker whose slot another daemon may use, and count the slot as taken."""
+        now_s = asyncio.get_running_loop().time()
+        for service in self._directory.services:
+            if service_key(service, Work.ONLINE) != key:
+                continue
+            if not self.may_lend(service):
+                return None
+            worker = self._directory.choose_own(service, now_s) or self.preempt_own(service)
+            if worker is not None:
+                worker.note_lent(now_s)
+            return worker
+        return None
+
+    def _best_offer(self, service: str, asked: set[str]) -> _Offer | None:
+        """Return one of the daemons that may lend, the likelier the more slots they have."""
+        now_s = asyncio.get_running_loop().time()
+        best_by_owner: dict[str, _Offer] = {}
+        owners_by_worker = self._directory.chooser.owners_by_service.get(service, {})
+        for worker in self._directory.of_service(service):
+            if not worker.takes_work(now_s):
+                continue
+            free = worker.slots() - worker.estimated_load(now_s) + worker.peer_batch
+            if free < 1:
+                continue
+            for owner, slots in owners_by_worker.get(worker.record.worker_id, {}).items():
+                if owner == self._own or owner in asked:
+                    continue
+                known = best_by_owner.get(owner)
+                found = min(free, slots)
+                if known is None:
+                    best_by_owner[owner] = _Offer(owner, found, worker)
+                else:
+                    best = worker if found > known.slots else known.worker
+                    best_by_owner[owner] = _Offer(owner, known.slots + found, best)
+        offers = list(best_by_owner.values())
+        if not offers:
+            return None
+        return self._rng.choices(offers, [offer.slots for offer in offers])[0]
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -20,6 +20,10 @@
 PEER_DOUBT_S = 0.3
 """A worker heard from more recently is reachable from here, whatever a peer says."""
 
+LENT_S = 0.2
+"""A slot that was lent counts as taken for so long. By then the borrower's digests show its
+request: they are sent ten times a second at least."""
+
 FULL_S = 0.1
 """Pause after a worker refused because it was full."""
 
@@ -74,6 +78,7 @@
     last_heard_s: float = float("-inf")
     unreachable_at_s: float = float("-inf")
     leaving_since_s: float | None = None
+    lent_until_s: list[float] = field(default_factory=list)
     health: WorkerHealth = field(default_factory=new_health)
 
     @cached_property
@@ -128,6 +133,20 @@
         """Avoid the worker for a moment."""
         self.avoid_until_s = max(self.avoid_until_s, now_s + FULL_S)
 
+    def note_lent(self, now_s: float) -> None:
+        """Count a slot as taken that another daemon is about to use."""
+        self.lent_until_s.append(now_s + LENT_S)
+
+    def lent(self, now_s: float) -> int:
+        """Return how many slots were lent a moment ago."""
+        if self.lent_until_s:
+            self.lent_until_s = [until_s for until_s in self.lent_until_s if until_s > now_s]
+        return len(self.lent_until_s)
+
+    def has_free_slot(self, now_s: float) -> bool:
+        """Return whether one more request would start at once, as far as is known."""
+        return self.estimated_load(now_s) + 1 <= self.slots()
+
     def slots(self) -> int:
         """Return how many requests run at once."""
         return max(1, self.record.slots)
--- a/mountstand/serving/worker_choice.py
+++ b/mountstand/serving/worker_choice.py
@@ -13,6 +13,7 @@
 
 from mountstand.hashing import rendezvous_weight
 from mountstand.serving.prompt import Prompt
+from mountstand.serving.slot_shares import SlotsByOwner
 from mountstand.serving.spread import UsualDurations, level_after, weights_below
 from mountstand.serving.worker import Worker
 
@@ -44,7 +45,7 @@
 
     ``picture_age_s`` is how old what peers tell of their requests is on average, ``durations`` how
     long online requests usually take, ``own_slots`` how many slots of which workers are dealt to
-    this daemon (:mod:`mountstand.serving.slot_shares`).
+    this daemon, and ``owners_by_service`` those of all (:mod:`mountstand.serving.slot_shares`).
     """
 
     def __init__(self, zone: str, source: random.Random) -> None:
@@ -53,6 +54,7 @@
         self.picture_age_s = 0.0
         self.durations = UsualDurations()
         self.own_slots: dict[str, int] = {}
+        self.owners_by_service: dict[str, dict[str, SlotsByOwner]] = {}
 
     def choose(self, candidates: list[Worker], prompt: Prompt, now_s: float) -> Worker:
         """Choose among workers of one service, of which there is one at least."""
@@ -84,7 +86,7 @@
         Workers that have much to read before this prompt are avoided.
         """
         tolerated = max(1, prompt.tokens * READ_TOLERANCE)
-        own = self._choose_own(candidates, tolerated, now_s)
+        own = self.choose_own(candidates, tolerated, now_s)
         if own is not None:
             return own
         spread = self._sample(candidates, SPREAD_SIZE)
@@ -104,12 +106,13 @@
 
         return min(sample, key=cost)
 
-    def _choose_own(self, candidates: list[Worker], tolerated: int, now_s: float) -> Worker | None:
+    def choose_own(self, candidates: list[Worker], tolerated: int, now_s: float) -> Worker | None:
         """Choose the worker with most of this daemon's own slots free, if there is any."""
 
         def free(worker: Worker) -> float:
             own = self.own_slots.get(worker.record.worker_id, 0) - worker.in_flight
-            return min(own, worker.slots() - worker.estimated_load(now_s))
+            left = min(own, worker.slots() - worker.estimated_load(now_s))
+            return left - worker.lent(now_s)
 
         own = [
             worker
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from collections.abc import Callable, Iterable
 
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
@@ -153,6 +154,13 @@
             return None
         return self.chooser.choose_least_loaded(candidates, EMPTY_PROMPT, now_s)
 
+    def choose_own(self, service: str, now_s: float) -> Worker | None:
+        """Choose a worker of which one of this daemon's own slots is free, if there is any."""
+        own_slots = self.chooser.own_slots
+        own = [w for w in self.of_service(service) if w.record.worker_id in own_slots]
+        usable = [worker for worker in own if worker.takes_work(now_s)]
+        return self.chooser.choose_own(usable, sys.maxsize, now_s)
+
     def _drawn(self, service: str) -> list[Worker]:
         """Return some workers of a service that has many, else none."""
         workers = self.of_service(service)
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -17,7 +17,7 @@
 from mountstand.jobs.service import JobService
 from mountstand.membership.caller_addresses import addresses_for
 from mountstand.membership.datagrams import FAILURE_DETECTION, DatagramMembership
-from mountstand.membership.digest_link import MembershipLink
+from mountstand.membership.digest_link import MembershipLink, MembershipSlotLink
 from mountstand.membership.member import Member
 from mountstand.membership.registry import DaemonRegistry, DaemonRow, new_token
 from mountstand.serving.batch_room import BatchRoom
@@ -29,6 +29,7 @@
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.slot_demand import Work
+from mountstand.serving.slot_lending import SlotLending
 from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
@@ -42,7 +43,15 @@
 from mountstand.tenants.access import CallerAccess
 from mountstand.transport.http_server import FIRST_REQUEST_S
 from mountstand.wire.frames import FrameCodec
-from mountstand.wire.gossip import GossipBodies, GossipMessage, LoadDigest, TokenAsk, TokenGrant
+from mountstand.wire.gossip import (
+    GossipBodies,
+    GossipMessage,
+    LoadDigest,
+    SlotAsk,
+    SlotGrant,
+    TokenAsk,
+    TokenGrant,
+)
 
 CLUSTER_KEY = "insecure-development-key"
 """The platform gives no secret to its processes; the frames' hash only keeps strangers' datagrams
@@ -120,6 +129,11 @@
             log,
         )
         self._build_membership(store)
+        self.queue.lending = self._lending = SlotLending(
+            self.directory, settings.name, MembershipSlotLink(self.membership), source_of_chance
+        )
+        self._lending.may_lend = lambda service: not self.queue.waits_here(service)
+        self._lending.preempt_own = self.room.preempt_for_peer
         self._limits = ServingLimits(
             settings,
             self.membership,
@@ -290,6 +304,8 @@
             self.load_sharing.handle(sender_id, message, now_s)
         elif isinstance(message, TokenAsk | TokenGrant):
             self._limits.handle(sender_id, message)
+        elif isinstance(message, SlotAsk | SlotGrant):
+            self._lending.handle(sender_id, message)
 
     # Life
 
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -106,7 +106,34 @@
     units: int
 
 
-GossipMessage = Ping | PingRequest | Ack | MembersSync | LoadDigest | TokenAsk | TokenGrant
+class SlotAsk(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a daemon for one of its slots; answered by a ``SlotGrant`` of that number.
+
+    ``service`` is the service's key (:mod:`mountstand.serving.slot_demand`).
+    """
+
+    number: int
+    service: int
+
+
+class SlotGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Lends a slot of the worker with a key, or none if the key is 0."""
+
+    number: int
+    worker: int
+
+
+GossipMessage = (
+    Ping
+    | PingRequest
+    | Ack
+    | MembersSync
+    | LoadDigest
+    | TokenAsk
+    | TokenGrant
+    | SlotAsk
+    | SlotGrant
+)
 
 KINDS: dict[int, type[GossipMessage]] = {
     1: Ping,
@@ -116,6 +143,8 @@
     19: LoadDigest,
     20: TokenAsk,
     21: TokenGrant,
+    22: SlotAsk,
+    23: SlotGrant,
 }
 
 
--- a/tests/serving/test_slot_shares.py
+++ b/tests/serving/test_slot_shares.py
@@ -10,7 +10,7 @@
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt, PromptPart
-from mountstand.serving.slot_shares import own_slots
+from mountstand.serving.slot_shares import deal_slots
 from mountstand.serving.worker import Worker, WorkerRecord
 from mountstand.serving.workers import WorkerDirectory
 from tests.serving.test_routing import worker_record
@@ -35,33 +35,33 @@
         for count in (1, 2, 6, 45, 46):
             with self.subTest(workers=count):
                 fleet = workers(count)
-                dealt = [own_slots(peer.member_id, DAEMONS, fleet) for peer in DAEMONS]
-                by_worker: Counter[str] = Counter()
-                for each in dealt:
-                    by_worker.update(each)
-                self.assertEqual({w.record.worker_id: 6 for w in fleet}, dict(by_worker))
-                totals = [sum(each.values()) for each in dealt]
-                self.assertLessEqual(max(totals) - min(totals), 1)
+                dealt = deal_slots(DAEMONS, fleet)
+                self.assertEqual({w.record.worker_id for w in fleet}, set(dealt))
+                self.assertEqual({6}, {sum(by_owner.values()) for by_owner in dealt.values()})
+                totals = Counter({peer.member_id: 0 for peer in DAEMONS})
+                for by_owner in dealt.values():
+                    totals.update(by_owner)
+                self.assertLessEqual(max(totals.values()) - min(totals.values()), 1)
 
     def test_most_slots_are_in_the_daemons_own_zone(self) -> None:
         fleet = workers(45)
         zone_by_id = {w.record.worker_id: w.record.zone for w in fleet}
+        zone_by_daemon = {peer.member_id: peer.zone for peer in DAEMONS}
         near = sum(
             slots
-            for peer in DAEMONS
-            for worker_id, slots in own_slots(peer.member_id, DAEMONS, fleet).items()
-            if zone_by_id[worker_id] == peer.zone
+            for worker_id, by_owner in deal_slots(DAEMONS, fleet).items()
+            for owner, slots in by_owner.items()
+            if zone_by_id[worker_id] == zone_by_daemon[owner]
         )
         self.assertGreater(near, 0.8 * 45 * 6)
 
     def test_the_order_of_the_lists_does_not_matter(self) -> None:
         fleet = workers(45)
-        expected = own_slots("d04", DAEMONS, fleet)
-        self.assertEqual(expected, own_slots("d04", DAEMONS[::-1], fleet[::-1]))
+        self.assertEqual(deal_slots(DAEMONS, fleet), deal_slots(DAEMONS[::-1], fleet[::-1]))
 
-    def test_a_daemon_that_serves_nobody_has_none(self) -> None:
-        self.assertEqual({}, own_slots("other", DAEMONS, workers(6)))
-        self.assertEqual({}, own_slots("d01", DAEMONS, []))
+    def test_nothing_is_dealt_where_nobody_serves_or_nothing_is_there(self) -> None:
+        self.assertEqual({}, deal_slots([], workers(6)))
+        self.assertEqual({}, deal_slots(DAEMONS, []))
 
 
 class Choice(TestCase):
