--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -166,7 +166,10 @@
             for waiter in self._waiting.get(service, ())
         ]
         due = min(usable, pace.due(times_left_s, now_s))
-        begun = self._grant(service, round_by_chance(max(spare, due), self._source), now_s)
+        begun = self._grant(service, round_by_chance(spare, self._source), now_s)
+        begun += self._grant(
+            service, round_by_chance(max(0.0, due - begun), self._source), now_s, own_only=True
+        )
         pace.note_begun(begun)
 
     def _services_concerned(self) -> set[str]:
@@ -203,12 +206,20 @@
             ]
         )
 
-    def _grant(self, service: str, allowance: int, now_s: float) -> int:
-        """Begin waiting items, ``allowance`` at most; returns how many."""
+    def _grant(self, service: str, allowance: int, now_s: float, *, own_only: bool = False) -> int:
+        """Begin waiting items, ``allowance`` at most; returns how many.
+
+        Those that begin in slots wanted for the next rise begin in this daemon's own, from which it
+        can take them off at once.
+        """
         waiting = self._waiting.get(service, [])
+        own_only = own_only and bool(self._directory.chooser.own_slots)
         begun = 0
         while waiting and begun < allowance:
-            worker = self._directory.choose_below(service, FULL, now_s)
+            if own_only:
+                worker = self._directory.choose_own(service, now_s)
+            else:
+                worker = self._directory.choose_below(service, FULL, now_s)
             if worker is None:
                 break
             waiter = waiting.pop(0)
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -203,26 +203,40 @@
         """Borrow a slot and give it to the request that goes first then."""
         assert self.lending is not None
         worker = await self.lending.borrow(service)
+        if worker is not None:
+            self.use(worker)
+
+    def hand_over(self, worker: Worker, now_s: float) -> None:
+        """Give a slot that this daemon just freed at ``worker`` to a request that waits here."""
+        service = worker.record.service
         waiting = self._waiting.get(service)
-        if worker is None or not waiting:
+        if not worker.takes_work(now_s):
             return
-        self._order(service, asyncio.get_running_loop().time())
         if waiting:
+            self._order(service, now_s)
+        if not waiting:
+            self._offer(worker, now_s)
+        elif self._starts_soon(worker, waiting[0].times.queue_s, now_s):
             _grant(waiting.pop(0), worker)
 
-    def hand_over(self, worker: Worker, now_s: float) -> None:
-        """Give a slot that this daemon just freed at ``worker`` to a request that waits here."""
+    def _offer(self, worker: Worker, now_s: float) -> None:
+        """Lend a slot that nobody here needs to a daemon that asked in vain."""
+        own = worker.record.worker_id in self._directory.chooser.own_slots
+        if self.lending is not None and own and worker.has_free_slot(now_s):
+            self.lending.offer(worker, now_s)
+
+    def use(self, worker: Worker) -> None:
+        """Give a slot that another daemon offered to the request that goes first."""
         service = worker.record.service
         waiting = self._waiting.get(service)
-        if not waiting or not worker.takes_work(now_s):
-            return
-        self._order(service, now_s)
-        if waiting and self._starts_soon(worker, waiting[0].times.queue_s, now_s):
+        if waiting:
+            self._order(service, asyncio.get_running_loop().time())
+        if waiting:
             _grant(waiting.pop(0), worker)
 
     def room(self, service: str, now_s: float) -> float:
         """Return how many more online requests the workers of a service could start soon."""
-        queue_s = self._queue_s_by_service.get(service, 0.0)
+        queue_s = 0.0 if self._lends(service) else self._queue_s_by_service.get(service, 0.0)
         return sum(
             max(0.0, self._limit(worker, queue_s) - worker.estimated_load(now_s))
             for worker in self._directory.of_service(service)
--- a/mountstand/serving/slot_lending.py
+++ b/mountstand/serving/slot_lending.py
@@ -11,6 +11,7 @@
 import itertools
 import random
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
@@ -23,9 +24,15 @@
 """How long an answer is waited for: a datagram there and back takes two milliseconds between zones,
 and a busy daemon some more."""
 
+OFFER_S = 0.25
+"""A daemon that was told that nothing is free gets the next slot that is, if that is so soon."""
+
 MOST_ASKED = 3
 """Daemons that one request asks, one after another; each answer takes some milliseconds."""
 
+MOST_UNSERVED = 64
+"""Questions that are remembered at most; the oldest go first."""
+
 NO_WORKER = 0
 """What an answer names that lends nothing."""
 
@@ -50,11 +57,21 @@
     """Its worker with most of them, for the case that it says nothing."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Unserved:
+    """A question of another daemon to which nothing was free."""
+
+    sender: str
+    number: int
+    until_s: float
+
+
 class SlotLending:
     """Borrows slots from other daemons, and lends this daemon's own.
 
     ``may_lend`` says whether no request waits here itself; ``preempt_own`` takes a batch item of
-    this daemon off one of its own slots and returns the worker, if there is one.
+    this daemon off one of its own slots and returns the worker, if there is one. ``use`` gives a
+    slot that was offered late to a request that still waits.
     """
 
     def __init__(
@@ -68,6 +85,8 @@
         self._answer_by_number: dict[int, asyncio.Future[int]] = {}
         self.may_lend: Callable[[str], bool] = lambda service: True
         self.preempt_own: Callable[[str], Worker | None] = lambda service: None
+        self.use: Callable[[Worker], object] = lambda worker: None
+        self._unserved_by_service: dict[str, deque[_Unserved]] = {}
 
     def can_borrow(self, service: str) -> bool:
         """Return whether there are daemons to ask."""
@@ -89,13 +108,25 @@
     def handle(self, sender: str, message: SlotAsk | SlotGrant) -> None:
         """Answer another daemon's question, or take its answer."""
         if isinstance(message, SlotAsk):
-            worker = self._lend(message.service)
-            key = worker.key if worker is not None else NO_WORKER
-            self._link.send(SlotGrant(message.number, key), (sender,))
+            self._answer(sender, message)
             return
         answer = self._answer_by_number.get(message.number)
         if answer is not None and not answer.done():
             answer.set_result(message.worker)
+            return
+        worker = self._directory.by_key.get(message.worker)
+        if worker is not None and worker.takes_work(asyncio.get_running_loop().time()):
+            self.use(worker)
+
+    def offer(self, worker: Worker, now_s: float) -> None:
+        """Lend a slot that just became free to a daemon that asked in vain a moment ago."""
+        unserved = self._unserved_by_service.get(worker.record.service)
+        while unserved:
+            question = unserved.popleft()
+            if question.until_s > now_s:
+                worker.note_lent(now_s)
+                self._link.send(SlotGrant(question.number, worker.key), (question.sender,))
+                return
 
     async def _ask(self, service: str, offer: _Offer) -> Worker | None:
         number = next(self._numbers)
@@ -113,19 +144,29 @@
         now_s = asyncio.get_running_loop().time()
         return worker if worker is not None and worker.takes_work(now_s) else None
 
-    def _lend(self, key: int) -> Worker | None:
-        """Return a worker whose slot another daemon may use, and count the slot as taken."""
+    def _answer(self, sender: str, question: SlotAsk) -> None:
+        """Lend a slot, or remember who asked."""
         now_s = asyncio.get_running_loop().time()
-        for service in self._directory.services:
-            if service_key(service, Work.ONLINE) != key:
-                continue
-            if not self.may_lend(service):
-                return None
-            worker = self._directory.choose_own(service, now_s) or self.preempt_own(service)
-            if worker is not None:
-                worker.note_lent(now_s)
-            return worker
-        return None
+        service = self._service(question.service)
+        worker = self._lend(service, now_s) if service is not None else None
+        if worker is None and service is not None:
+            unserved = self._unserved_by_service.setdefault(service, deque(maxlen=MOST_UNSERVED))
+            unserved.append(_Unserved(sender, question.number, now_s + OFFER_S))
+        key = worker.key if worker is not None else NO_WORKER
+        self._link.send(SlotGrant(question.number, key), (sender,))
+
+    def _lend(self, service: str, now_s: float) -> Worker | None:
+        """Return a worker whose slot another daemon may use, and count the slot as taken."""
+        if not self.may_lend(service):
+            return None
+        worker = self._directory.choose_own(service, now_s) or self.preempt_own(service)
+        if worker is not None:
+            worker.note_lent(now_s)
+        return worker
+
+    def _service(self, key: int) -> str | None:
+        services = self._directory.services
+        return next((s for s in services if service_key(s, Work.ONLINE) == key), None)
 
     def _best_offer(self, service: str, asked: set[str]) -> _Offer | None:
         """Return one of the daemons that may lend, the likelier the more slots they have."""
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -134,6 +134,7 @@
         )
         self._lending.may_lend = lambda service: not self.queue.waits_here(service)
         self._lending.preempt_own = self.room.preempt_for_peer
+        self._lending.use = self.queue.use
         self._limits = ServingLimits(
             settings,
             self.membership,
