--- a/mountstand/membership/digest_link.py
+++ b/mountstand/membership/digest_link.py
@@ -8,8 +8,8 @@
 from mountstand.membership.registry import DaemonRegistry
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import DigestLink
-from mountstand.serving.slot_lending import SlotLink
-from mountstand.wire.gossip import LoadDigest, SlotAsk, SlotGrant
+from mountstand.serving.slot_lending import SlotLink, SlotMessage
+from mountstand.wire.gossip import LoadDigest
 
 
 class MembershipLink(DigestLink):
@@ -41,6 +41,6 @@
     def __init__(self, membership: DatagramMembership) -> None:
         self._membership = membership
 
-    def send(self, message: SlotAsk | SlotGrant, receivers: Collection[str]) -> None:
+    def send(self, message: SlotMessage, receivers: Collection[str]) -> None:
         """Send a message to daemons."""
         self._membership.send(message, receivers)
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -36,6 +36,10 @@
 """Share of a caller's patience after which a request is sent to a worker, whatever waits there.
 What is left is more than a worker's short queue and the reading of a prompt take."""
 
+TIGHT_FACTOR = 4.0
+"""While more slots are free than so many times the requests that began since the digests, a choice
+by the picture hardly ever meets another one, and costs no question."""
+
 MOST_BORROWING = 8
 """Requests of a service that look for slots of other daemons at a time."""
 
@@ -185,9 +189,19 @@
         Prompts that some worker keeps most of go by the picture to that worker.
         """
         if self._lends(service) and prompt.affinity_key is None:
-            return self._directory.choose_own(service, now_s)
+            own = self._directory.choose_own(service, now_s)
+            if own is not None or self._is_tight(service, now_s):
+                return own
         return self._choose(service, prompt, times, now_s)
 
+    def _is_tight(self, service: str, now_s: float) -> bool:
+        """Return whether requests that nobody here knows of may have taken most free slots."""
+        workers = self._directory.of_service(service)
+        online = sum(worker.online for worker in workers)
+        chooser = self._directory.chooser
+        unseen = chooser.durations.arrivals(service, online, chooser.picture_age_s)
+        return unseen * TIGHT_FACTOR > self.room(service, now_s)
+
     def _borrow(self, service: str) -> None:
         """Look for slots of other daemons for the requests that wait."""
         if not self._lends(service):
@@ -200,11 +214,8 @@
             task.add_done_callback(borrowing.discard)
 
     async def _borrow_one(self, service: str) -> None:
-        """Borrow a slot and give it to the request that goes first then."""
         assert self.lending is not None
-        worker = await self.lending.borrow(service)
-        if worker is not None:
-            self.use(worker)
+        await self.lending.borrow(service)
 
     def hand_over(self, worker: Worker, now_s: float) -> None:
         """Give a slot that this daemon just freed at ``worker`` to a request that waits here."""
@@ -225,14 +236,16 @@
         if self.lending is not None and own and worker.has_free_slot(now_s):
             self.lending.offer(worker, now_s)
 
-    def use(self, worker: Worker) -> None:
-        """Give a slot that another daemon offered to the request that goes first."""
+    def use(self, worker: Worker) -> bool:
+        """Give a lent slot to the request that goes first; returns whether one waits."""
         service = worker.record.service
         waiting = self._waiting.get(service)
         if waiting:
             self._order(service, asyncio.get_running_loop().time())
-        if waiting:
-            _grant(waiting.pop(0), worker)
+        if not waiting:
+            return False
+        _grant(waiting.pop(0), worker)
+        return True
 
     def room(self, service: str, now_s: float) -> float:
         """Return how many more online requests the workers of a service could start soon."""
--- a/mountstand/serving/slot_lending.py
+++ b/mountstand/serving/slot_lending.py
@@ -18,12 +18,15 @@
 from mountstand.serving.slot_demand import Work, service_key
 from mountstand.serving.worker import Worker
 from mountstand.serving.workers import WorkerDirectory
-from mountstand.wire.gossip import SlotAsk, SlotGrant
+from mountstand.wire.gossip import SlotAsk, SlotGrant, SlotReturn
 
 ANSWER_S = 0.02
 """How long an answer is waited for: a datagram there and back takes two milliseconds between zones,
 and a busy daemon some more."""
 
+HELD_S = 0.02
+"""Time for the word of a request to be sent, beyond that which digests take."""
+
 OFFER_S = 0.25
 """A daemon that was told that nothing is free gets the next slot that is, if that is so soon."""
 
@@ -37,13 +40,16 @@
 """What an answer names that lends nothing."""
 
 
+SlotMessage = SlotAsk | SlotGrant | SlotReturn
+
+
 class SlotLink(ABC):
     """How questions and grants reach other daemons."""
 
     __slots__ = ()
 
     @abstractmethod
-    def send(self, message: SlotAsk | SlotGrant, receivers: Collection[str]) -> None:
+    def send(self, message: SlotMessage, receivers: Collection[str]) -> None:
         """Send a message to daemons; it may get lost."""
 
 
@@ -71,7 +77,7 @@
 
     ``may_lend`` says whether no request waits here itself; ``preempt_own`` takes a batch item of
     this daemon off one of its own slots and returns the worker, if there is one. ``use`` gives a
-    slot that was offered late to a request that still waits.
+    slot to a request that waits here, and returns whether there is one.
     """
 
     def __init__(
@@ -82,41 +88,51 @@
         self._link = link
         self._rng = rng
         self._numbers = itertools.count(rng.getrandbits(32))
-        self._answer_by_number: dict[int, asyncio.Future[int]] = {}
+        self._answer_by_number: dict[int, asyncio.Future[bool]] = {}
         self.may_lend: Callable[[str], bool] = lambda service: True
         self.preempt_own: Callable[[str], Worker | None] = lambda service: None
-        self.use: Callable[[Worker], object] = lambda worker: None
+        self.use: Callable[[Worker], bool] = lambda worker: False
         self._unserved_by_service: dict[str, deque[_Unserved]] = {}
 
     def can_borrow(self, service: str) -> bool:
         """Return whether there are daemons to ask."""
         return bool(self._directory.chooser.owners_by_service.get(service))
 
-    async def borrow(self, service: str) -> Worker | None:
-        """Return a worker that has a slot for one request of this daemon, if one is found."""
+    async def borrow(self, service: str) -> None:
+        """Look for a slot for one of the requests that wait here."""
         asked: set[str] = set()
         for _ in range(MOST_ASKED):
             offer = self._best_offer(service, asked)
             if offer is None:
-                return None
+                return
             asked.add(offer.owner)
-            worker = await self._ask(service, offer)
-            if worker is not None:
-                return worker
-        return None
+            if await self._ask(service, offer):
+                return
 
-    def handle(self, sender: str, message: SlotAsk | SlotGrant) -> None:
+    def handle(self, sender: str, message: SlotMessage) -> None:
         """Answer another daemon's question, or take its answer."""
+        now_s = asyncio.get_running_loop().time()
         if isinstance(message, SlotAsk):
             self._answer(sender, message)
-            return
-        answer = self._answer_by_number.get(message.number)
-        if answer is not None and not answer.done():
-            answer.set_result(message.worker)
-            return
-        worker = self._directory.by_key.get(message.worker)
-        if worker is not None and worker.takes_work(asyncio.get_running_loop().time()):
-            self.use(worker)
+        elif isinstance(message, SlotReturn):
+            worker = self._directory.by_key.get(message.worker)
+            if worker is not None:
+                worker.note_returned()
+                self.offer(worker, now_s)
+        else:
+            lent = message.worker != NO_WORKER and self._use_lent(sender, message.worker, now_s)
+            answer = self._answer_by_number.get(message.number)
+            if answer is not None and not answer.done():
+                answer.set_result(lent)
+
+    def _use_lent(self, sender: str, key: int, now_s: float) -> bool:
+        """Use a lent slot, or give it back; returns whether it was lent in vain or used."""
+        worker = self._directory.by_key.get(key)
+        if worker is None or not worker.takes_work(now_s):
+            return False
+        if not self.use(worker):
+            self._link.send(SlotReturn(key), (sender,))
+        return True
 
     def offer(self, worker: Worker, now_s: float) -> None:
         """Lend a slot that just became free to a daemon that asked in vain a moment ago."""
@@ -124,25 +140,27 @@
         while unserved:
             question = unserved.popleft()
             if question.until_s > now_s:
-                worker.note_lent(now_s)
+                worker.note_lent(self._held_until_s(now_s))
                 self._link.send(SlotGrant(question.number, worker.key), (question.sender,))
                 return
 
-    async def _ask(self, service: str, offer: _Offer) -> Worker | None:
+    def _held_until_s(self, now_s: float) -> float:
+        """Return until when a lent slot counts as taken: then digests show what runs there."""
+        return now_s + 2 * self._directory.chooser.picture_age_s + HELD_S
+
+    async def _ask(self, service: str, offer: _Offer) -> bool:
+        """Ask one daemon; returns whether it lent a slot, or said nothing and one was used."""
         number = next(self._numbers)
         answer = self._answer_by_number[number] = asyncio.get_running_loop().create_future()
         try:
             self._link.send(SlotAsk(number, service_key(service, Work.ONLINE)), (offer.owner,))
             async with asyncio.timeout(ANSWER_S):
-                key = await answer
+                return await answer
         except TimeoutError:
             now_s = asyncio.get_running_loop().time()
-            return offer.worker if offer.worker.has_free_slot(now_s) else None
+            return offer.worker.has_free_slot(now_s) and self.use(offer.worker)
         finally:
             del self._answer_by_number[number]
-        worker = self._directory.by_key.get(key)
-        now_s = asyncio.get_running_loop().time()
-        return worker if worker is not None and worker.takes_work(now_s) else None
 
     def _answer(self, sender: str, question: SlotAsk) -> None:
         """Lend a slot, or remember who asked."""
@@ -161,7 +179,7 @@
             return None
         worker = self._directory.choose_own(service, now_s) or self.preempt_own(service)
         if worker is not None:
-            worker.note_lent(now_s)
+            worker.note_lent(self._held_until_s(now_s))
         return worker
 
     def _service(self, key: int) -> str | None:
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -20,10 +20,6 @@
 PEER_DOUBT_S = 0.3
 """A worker heard from more recently is reachable from here, whatever a peer says."""
 
-LENT_S = 0.2
-"""A slot that was lent counts as taken for so long. By then the borrower's digests show its
-request: they are sent ten times a second at least."""
-
 FULL_S = 0.1
 """Pause after a worker refused because it was full."""
 
@@ -133,9 +129,14 @@
         """Avoid the worker for a moment."""
         self.avoid_until_s = max(self.avoid_until_s, now_s + FULL_S)
 
-    def note_lent(self, now_s: float) -> None:
+    def note_lent(self, until_s: float) -> None:
         """Count a slot as taken that another daemon is about to use."""
-        self.lent_until_s.append(now_s + LENT_S)
+        self.lent_until_s.append(until_s)
+
+    def note_returned(self) -> None:
+        """Count a lent slot as taken no more."""
+        if self.lent_until_s:
+            self.lent_until_s.pop()
 
     def lent(self, now_s: float) -> int:
         """Return how many slots were lent a moment ago."""
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -49,6 +49,7 @@
     LoadDigest,
     SlotAsk,
     SlotGrant,
+    SlotReturn,
     TokenAsk,
     TokenGrant,
 )
@@ -305,7 +306,7 @@
             self.load_sharing.handle(sender_id, message, now_s)
         elif isinstance(message, TokenAsk | TokenGrant):
             self._limits.handle(sender_id, message)
-        elif isinstance(message, SlotAsk | SlotGrant):
+        elif isinstance(message, SlotAsk | SlotGrant | SlotReturn):
             self._lending.handle(sender_id, message)
 
     # Life
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -123,6 +123,12 @@
     worker: int
 
 
+class SlotReturn(msgspec.Struct, frozen=True, array_like=True):
+    """Gives a lent slot of the worker with a key back unused."""
+
+    worker: int
+
+
 GossipMessage = (
     Ping
     | PingRequest
@@ -133,6 +139,7 @@
     | TokenGrant
     | SlotAsk
     | SlotGrant
+    | SlotReturn
 )
 
 KINDS: dict[int, type[GossipMessage]] = {
@@ -145,6 +152,7 @@
     21: TokenGrant,
     22: SlotAsk,
     23: SlotGrant,
+    24: SlotReturn,
 }
 
 
