--- a/mountstand/serving/slot_lending.py
+++ b/mountstand/serving/slot_lending.py
@@ -75,9 +75,10 @@
 class SlotLending:
     """Borrows slots from other daemons, and lends this daemon's own.
 
-    ``may_lend`` says whether no request waits here itself; ``preempt_own`` takes a batch item of
-    this daemon off one of its own slots and returns the worker, if there is one. ``use`` gives a
-    slot to a request that waits here, and returns whether there is one.
+    ``may_lend`` says whether no request waits here itself, so that free slots may go to others;
+    ``preempt_own`` takes a batch item of this daemon off one of its own slots and returns the
+    worker, if there is one: requests that wait here have each had one taken off already. ``use``
+    gives a slot to a request that waits here, and returns whether there is one.
     """
 
     def __init__(
@@ -175,9 +176,9 @@
 
     def _lend(self, service: str, now_s: float) -> Worker | None:
         """Return a worker whose slot another daemon may use, and count the slot as taken."""
-        if not self.may_lend(service):
-            return None
-        worker = self._directory.choose_own(service, now_s) or self.preempt_own(service)
+        worker = self._directory.choose_own(service, now_s) if self.may_lend(service) else None
+        if worker is None:
+            worker = self.preempt_own(service)
         if worker is not None:
             worker.note_lent(self._held_until_s(now_s))
         return worker
