--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -166,10 +166,7 @@
             for waiter in self._waiting.get(service, ())
         ]
         due = min(usable, pace.due(times_left_s, now_s))
-        begun = self._grant(service, round_by_chance(spare, self._source), now_s)
-        begun += self._grant(
-            service, round_by_chance(max(0.0, due - begun), self._source), now_s, own_only=True
-        )
+        begun = self._grant(service, round_by_chance(max(spare, due), self._source), now_s)
         pace.note_begun(begun)
 
     def _services_concerned(self) -> set[str]:
@@ -206,20 +203,12 @@
             ]
         )
 
-    def _grant(self, service: str, allowance: int, now_s: float, *, own_only: bool = False) -> int:
-        """Begin waiting items, ``allowance`` at most; returns how many.
-
-        Those that begin in slots wanted for the next rise begin in this daemon's own, from which it
-        can take them off at once.
-        """
+    def _grant(self, service: str, allowance: int, now_s: float) -> int:
+        """Begin waiting items, ``allowance`` at most; returns how many."""
         waiting = self._waiting.get(service, [])
-        own_only = own_only and bool(self._directory.chooser.own_slots)
         begun = 0
         while waiting and begun < allowance:
-            if own_only:
-                worker = self._directory.choose_own(service, now_s)
-            else:
-                worker = self._directory.choose_below(service, FULL, now_s)
+            worker = self._directory.choose_below(service, FULL, now_s)
             if worker is None:
                 break
             waiter = waiting.pop(0)
@@ -266,19 +255,6 @@
         placement.preempt()
         return placement.worker
 
-    def preempt_for_peer(self, service: str) -> Worker | None:
-        """Take an item off that runs in one of this daemon's own slots, for another daemon."""
-        own_slots = self._directory.chooser.own_slots
-        return self._preempt_least_urgent(
-            [
-                placement
-                for worker_id, placements in self._placements.items()
-                if worker_id in own_slots
-                for placement in placements
-                if placement.worker.record.service == service
-            ]
-        )
-
     def forget(self, workers: set[str]) -> None:
         """Drop what is kept of workers that are gone."""
         for worker_id in [known for known in self._placements if known not in workers]:
--- a/mountstand/serving/slot_lending.py
+++ b/mountstand/serving/slot_lending.py
@@ -76,9 +76,9 @@
     """Borrows slots from other daemons, and lends this daemon's own.
 
     ``may_lend`` says whether no request waits here itself, so that free slots may go to others;
-    ``preempt_own`` takes a batch item of this daemon off one of its own slots and returns the
-    worker, if there is one: requests that wait here have each had one taken off already. ``use``
-    gives a slot to a request that waits here, and returns whether there is one.
+    ``preempt_own`` takes a batch item of this daemon off and returns the worker, if there is one:
+    requests that wait here have each had one taken off already. ``use`` gives a slot to a request
+    that waits here, and returns whether there is one.
     """
 
     def __init__(
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -134,7 +134,7 @@
             self.directory, settings.name, MembershipSlotLink(self.membership), source_of_chance
         )
         self._lending.may_lend = lambda service: not self.queue.waits_here(service)
-        self._lending.preempt_own = self.room.preempt_for_peer
+        self._lending.preempt_own = self.room.preempt_one
         self._lending.use = self.queue.use
         self._limits = ServingLimits(
             settings,
