--- a/mountstand/serving/pace.py
+++ b/mountstand/serving/pace.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-PACE_SHARE = 0.5
+PACE_SHARE = 0.2
 """Share of the time that is left to an item within which its turn should come. The rest is for what
 goes wrong: items that are taken off, workers that fail, a store that is away."""
 
