--- a/mountstand/serving/pace.py
+++ b/mountstand/serving/pace.py
@@ -9,7 +9,7 @@
 goes wrong: items that are taken off, workers that fail, a store that is away."""
 
 MOST_CREDIT = 2.0
-"""Items that may begin at once after none could begin for a while."""
+"""Items that may begin on top after none could begin for a while."""
 
 
 class Pace:
@@ -35,7 +35,7 @@
                 overdue += 1
             else:
                 begin_by_chance += passed_s / (left_s * PACE_SHARE)
-        self._credit = min(MOST_CREDIT, self._credit + begin_by_chance)
+        self._credit = min(MOST_CREDIT, self._credit) + begin_by_chance
         return int(self._credit) + overdue
 
     def note_begun(self, items: int) -> None:
