--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,6 +17,7 @@
 from tests.soak.faults import FaultInjector
 from tests.soak.history import Violation
 from tests.soak.site import Site
+from tests.soak.tenants import WINDOW_S
 
 SETTLE_S = 30.0
 """After the last fault, all accepted work must end within this time."""
@@ -60,6 +61,9 @@
         if late:
             await jobs
         site.history.check_ends(asyncio.get_running_loop().time())
+        for tenant in site.tenants.tenants:
+            if tenant.rate_per_s:
+                site.history.check_limit(tenant.name, WINDOW_S, tenant.most_in_window)
         await _check_alive(site, folder)
     finally:
         await site.stop()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,11 +16,22 @@
     stream_body,
     whole_body,
 )
-from tests.soak.site import HOST, ONLINE_TIMEOUT_S, ServingProcess, Site, job_document
+from tests.soak.site import (
+    CONFIG_APPLY_S,
+    HOST,
+    ONLINE_TIMEOUT_S,
+    ServingProcess,
+    Site,
+    job_document,
+)
+from tests.soak.tenants import UNKNOWN_KEY, SoakTenant
 
 CONNECT_S = 1.0
 CALL_TIMEOUT_S = ONLINE_TIMEOUT_S + 4.0
 SUBMIT_TRIES = 4
+FOREIGN_SHARE = 0.05
+"""Share of reads of a job that are tried with a key of another tenant."""
+
 KINDS = ("stream", "single", "plain", "once")
 REPEATABLE = frozenset({"stream", "plain"})
 
@@ -60,13 +71,19 @@
         process = self._any_process()
         kind = rng.choice(KINDS)
         loop = asyncio.get_running_loop()
+        tenant = self._site.tenants.any_tenant()
+        key = self._site.tenants.any_key(tenant)
         req = OnlineRequest(
-            f"{kind}-{next(self._numbers)}", kind in REPEATABLE, loop.time(), ONLINE_TIMEOUT_S
+            f"{kind}-{next(self._numbers)}",
+            kind in REPEATABLE,
+            loop.time(),
+            ONLINE_TIMEOUT_S,
+            tenant.name,
         )
         self._history.online[req.request_id] = req
         try:
             status, body = await self._call(
-                process, "POST", f"/{kind}/{req.request_id}", req.request_id, b"x"
+                process, "POST", f"/{kind}/{req.request_id}", key, req.request_id, b"x"
             )
         except NoAnswer as exc:
             self.status_counts["none"] += 1
@@ -78,6 +95,7 @@
         self.status_counts[str(status)] += 1
         now_s = loop.time()
         self._history.note_answer(req, status, now_s)
+        self._check_key(process, req, tenant, key, status)
         self._check_body(kind, req, status, body)
         late_s = now_s - req.sent_at_s - req.timeout_s
         if late_s > SLACK_S and process.in_touch(req.sent_at_s) and self._links_sound(process):
@@ -85,6 +103,27 @@
                 "CONFIG", req.request_id, f"answered {late_s:.2f} s after its time-out", now_s
             )
 
+    def _check_key(
+        self,
+        process: ServingProcess,
+        req: OnlineRequest,
+        tenant: SoakTenant,
+        key: str,
+        status: int,
+    ) -> None:
+        """Good keys are never turned away; others are, by processes in touch."""
+        if status == 401 and key in tenant.keys:
+            self._history.violate("DENIED", req.request_id, "401 for a good key", req.sent_at_s)
+        if status != 200 or key in tenant.keys:
+            return
+        since_s = tenant.withdrawn_at_s.get(key, float("-inf"))
+        if key == UNKNOWN_KEY:
+            self._history.violate("ROUTE", req.request_id, "served an unknown key", req.sent_at_s)
+        elif req.sent_at_s - since_s > CONFIG_APPLY_S + SLACK_S and process.in_touch(since_s):
+            late_s = req.sent_at_s - since_s
+            detail = f"served a key {late_s:.2f} s after it was withdrawn"
+            self._history.violate("CONFIG", req.request_id, detail, req.sent_at_s)
+
     def _check_body(self, kind: str, req: OnlineRequest, status: int, body: bytes) -> None:
         if status != 200:
             return
@@ -122,7 +161,8 @@
         if rng.random() < 0.2:
             item_ids[-1] += "-undoable"
             self._history.given_up_reasons.add(item_ids[-1])
-        job = BatchJob(f"job-{number}", item_ids)
+        tenant = self._site.tenants.free_tenant()
+        job = BatchJob(f"job-{number}", item_ids, tenant.name)
         self._history.jobs[job.job_id] = job
         for item_id in item_ids:
             self._history.job_by_item[item_id] = job
@@ -143,6 +183,7 @@
                     self._any_process(),
                     "POST",
                     f"/batch/{job.job_id}",
+                    self._key_of(job),
                     job.job_id,
                     job_document(job.item_ids),
                 )
@@ -168,7 +209,9 @@
         job.end_asked = True
         while not self._over(job):
             try:
-                status, _ = await self._call(self._any_process(), "DELETE", f"/lots/{job.job_id}")
+                status, _ = await self._call(
+                    self._any_process(), "DELETE", f"/lots/{job.job_id}", self._key_of(job)
+                )
             except (NoAnswer, ConnectFailed):
                 await asyncio.sleep(0.2)
                 continue
@@ -193,10 +236,17 @@
 
     async def _read_page(self, job: BatchJob, after: int) -> None:
         target = f"/lots/{job.job_id}?after={after}"
+        foreign = self._site.rng.random() < FOREIGN_SHARE
+        key = self._foreign_key(job) if foreign else self._key_of(job)
         try:
-            status, body = await self._call(self._any_process(), "GET", target)
+            status, body = await self._call(self._any_process(), "GET", target, key)
         except (NoAnswer, ConnectFailed):
             return
+        if foreign:
+            if status == 200:
+                now_s = asyncio.get_running_loop().time()
+                self._history.violate("MIXED", job.job_id, "read by another tenant", now_s)
+            return
         self.status_counts[f"read {status}"] += 1
         now_s = asyncio.get_running_loop().time()
         if status in (404, 410):
@@ -207,6 +257,14 @@
                 self._history.violate("MIXED", job.job_id, f"total {page['total']}", now_s)
             self._history.note_page(job, after, page["results"], now_s)
 
+    def _key_of(self, job: BatchJob) -> str:
+        tenants = self._site.tenants.tenants
+        return next(tenant.keys[-1] for tenant in tenants if tenant.name == job.tenant)
+
+    def _foreign_key(self, job: BatchJob) -> str:
+        tenants = self._site.tenants.tenants
+        return next(tenant.keys[-1] for tenant in tenants if tenant.name != job.tenant)
+
     def _violate_unknown(self, job: BatchJob) -> None:
         now_s = asyncio.get_running_loop().time()
         self._history.violate("LOST", job.job_id, "404 for an accepted job", now_s)
@@ -227,7 +285,8 @@
         self._history.online[request_id] = req
         try:
             target = f"{prefix}plain/{request_id}"
-            status, _ = await self._call(process, "POST", target, request_id, b"x")
+            key = self._site.tenants.free_tenant().keys[-1]
+            status, _ = await self._call(process, "POST", target, key, request_id, b"x")
         except (NoAnswer, ConnectFailed):
             return None
         return status
@@ -242,6 +301,7 @@
         process: ServingProcess,
         method: str,
         target: str,
+        key: str,
         request_id: str = "",
         body: bytes = b"",
     ) -> tuple[int, bytes]:
@@ -249,7 +309,7 @@
         conn = await connect("127.0.0.1", process.caller_link.port, CONNECT_S)
         assert conn._transport is not None
         local_port = conn._transport.get_extra_info("sockname")[1]
-        headers = [("Host", HOST)]
+        headers = [("Host", HOST), ("Api-Key", key)]
         if request_id:
             headers += [("Request-Id", request_id)]
             headers += [("Deadline-Ms", str(int(ONLINE_TIMEOUT_S * 1000)))]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,6 +22,11 @@
 STORE_FAULTS = ("refuse", "lose", "drop", "hang", "late")
 FEED_CALL = "changes"
 RESTART_S = 0.3
+KEY_KNOWN_S = 12.0
+KEY_OVERLAP_S = 1.0
+"""A new key is used once all processes know it, also those that were cut off meanwhile; callers
+have this long to stop using the old one."""
+
 STOP_SLACK_S = 3.0
 
 
@@ -50,6 +55,8 @@
             self._harm_worker_link,
             self._replace_worker,
             self._change_configuration,
+            self._rotate_keys,
+            self._mute_connections,
         ]
         rng = self._site.rng
         while not self.stopping:
@@ -164,6 +171,17 @@
         link.faults = LinkFaults()
         process.note_disturbed(self._now_s())
 
+    async def _mute_connections(self) -> None:
+        """Let the open connections of some links go silent for good, without a reset."""
+        rng = self._site.rng
+        for process in self._site.processes:
+            if rng.random() < 0.5:
+                process.note_disturbed(self._now_s())
+                rng.choice([process.caller_link, process.store_link]).mute_open()
+        for link in self._site.worker_links.values():
+            if rng.random() < 0.5:
+                link.mute_open()
+
     # Store
 
     async def _harm_store(self) -> None:
@@ -248,5 +266,19 @@
         if added is not None:
             await self.check_route(added, began_s)
 
+    async def _rotate_keys(self) -> None:
+        """Give a tenant a new key, and a moment later take its oldest away."""
+        tenant = self._site.tenants.any_tenant()
+        key = tenant.add_key()
+        tenant.keys.remove(key)
+        tenant.keys.insert(0, key)
+        self._site.write_configuration()
+        await asyncio.sleep(KEY_KNOWN_S)
+        tenant.keys.remove(key)
+        tenant.keys.append(key)
+        await asyncio.sleep(KEY_OVERLAP_S)
+        tenant.withdraw_oldest(self._now_s())
+        self._site.write_configuration()
+
     async def check_route(self, prefix: str, since_s: float) -> None:
         """Check that processes in touch know a route; replaced by the soak's caller."""
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -39,6 +39,9 @@
     at_s: float
     resume_after: int = 0
     draining_since_s: float | None = None
+    tenant: str | None = None
+    key: str | None = None
+    """The tenant and the caller's key as the worker got them."""
 
 
 @dataclass(slots=True)
@@ -49,6 +52,7 @@
     repeatable: bool
     sent_at_s: float
     timeout_s: float
+    tenant: str = ""
     status: int | None = None
     ended_at_s: float | None = None
 
@@ -59,6 +63,7 @@
 
     job_id: str
     item_ids: list[str]
+    tenant: str = ""
     accepted_at_s: float | None = None
     refused_everywhere: bool = False
     ended_at_s: float | None = None
@@ -90,6 +95,7 @@
         runs.append(run)
         self._check_draining(request_id, run)
         req = self.online.get(request_id)
+        self._check_tenant(request_id, run, req or self.job_by_item.get(request_id))
         if req is not None:
             self._check_online_run(req, runs, run)
             return
@@ -101,6 +107,33 @@
         else:
             self._check_cancelled(job, request_id, run)
 
+    def _check_tenant(
+        self, request_id: str, run: Run, asked: OnlineRequest | BatchJob | None
+    ) -> None:
+        """Workers get the tenant of the caller's key, and never the key."""
+        if run.key is not None:
+            self.violate("UNASKED", request_id, "the caller's key reached a worker", run.at_s)
+        if asked is not None and asked.tenant and run.tenant != asked.tenant:
+            detail = f"ran for tenant {run.tenant}, sent by {asked.tenant}"
+            self.violate("UNASKED", request_id, detail, run.at_s)
+
+    def check_limit(self, tenant: str, window_s: float, most: float) -> None:
+        """No window holds more runs of a tenant's requests than it may."""
+        runs = [r[0].at_s for i, r in self.runs_by_id.items() if self._tenant_of(i) == tenant]
+        runs.sort()
+        first = 0
+        for last, at_s in enumerate(runs):
+            while at_s - runs[first] > window_s:
+                first += 1
+            if last - first + 1 > most:
+                detail = f"{last - first + 1} runs within {window_s} s, {most:.0f} may be"
+                self.violate("QUOTA", tenant, detail, at_s)
+                return
+
+    def _tenant_of(self, request_id: str) -> str | None:
+        req = self.online.get(request_id)
+        return req.tenant if req is not None else None
+
     def _check_draining(self, request_id: str, run: Run) -> None:
         """No new work goes to a worker that is leaving, from processes in touch."""
         since_s = run.draining_since_s
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -34,7 +34,16 @@
 class FaultProxy:
     """Listens on a port of its own and passes connections on to ``target_port``."""
 
-    __slots__ = ("_rng", "_server", "_writers", "faults", "port", "target_port", "unreached_ports")
+    __slots__ = (
+        "_muted",
+        "_rng",
+        "_server",
+        "_writers",
+        "faults",
+        "port",
+        "target_port",
+        "unreached_ports",
+    )
 
     def __init__(self, target_port: int, rng: random.Random) -> None:
         self.target_port = target_port
@@ -45,6 +54,11 @@
         self._rng = rng
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._muted: set[asyncio.StreamWriter] = set()
+
+    def mute_open(self) -> None:
+        """Let every open connection go silent for good, without a reset; new ones work."""
+        self._muted |= self._writers
 
     async def start(self) -> FaultProxy:
         """Begin to listen."""
@@ -76,9 +90,11 @@
             reset(writer.transport)
         finally:
             self._writers.discard(writer)
+            self._muted.discard(writer)
             writer.transport.abort()
             if target is not None:
                 self._writers.discard(target)
+                self._muted.discard(target)
                 target.transport.abort()
 
     async def _relay(
@@ -103,7 +119,7 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while piece := await reader.read(READ_BYTES):
-                while getattr(self.faults, silence):
+                while getattr(self.faults, silence) or writer in self._muted:
                     await asyncio.sleep(POLL_S)
                 if self.faults.delay_s:
                     await asyncio.sleep(self.faults.delay_s)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -17,6 +17,7 @@
 from mountstand.transport.http_client import ConnectFailed, ReplyBroken, connect
 from tests.soak.history import CANCEL_S, DRAIN_S, History
 from tests.soak.proxy import FaultProxy
+from tests.soak.tenants import OVERSHOOT, SLACK, WINDOW_S, SoakTenants
 from tests.soak.workers import SLOTS, SoakWorker
 from tests.stand_ins.store import StandInStore
 
@@ -29,7 +30,9 @@
 READY_TIMEOUT_S = 20.0
 
 
-def configuration(version: int, extra_prefixes: list[str]) -> dict[str, Any]:
+def configuration(
+    version: int, extra_prefixes: list[str], tenants: list[dict[str, Any]]
+) -> dict[str, Any]:
     """Return a configuration as the operator writes it."""
     routes = [
         {"name": "stream", "path_prefix": "/stream/", "kind": "streaming", "resumable": True},
@@ -56,6 +59,7 @@
         "routes": [{**common, **route} for route in routes],
         "services": [{"name": "llm", "max_conns": 200}],
         "limits": {"header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": tenants,
     }
 
 
@@ -160,6 +164,9 @@
                 "contact_ms": CONTACT_S * 1000,
                 "cancel_ms": CANCEL_S * 1000,
                 "drain_ms": DRAIN_S * 1000,
+                "quota_window_s": WINDOW_S,
+                "quota_overshoot": OVERSHOOT,
+                "quota_slack": SLACK,
             },
             "limits": {"max_fds": 512, "memory_mb": 256},
             "platform": {"address": f"127.0.0.1:{self.store_link.port}", "row_bytes": 65536},
@@ -179,6 +186,7 @@
         self.processes: list[ServingProcess] = []
         self.config_version = 0
         self.extra_prefixes: list[str] = []
+        self.tenants = SoakTenants(rng)
         self.store_disturbed_until_s = 0.0
         self._folder = folder
         self._counts = (processes, workers)
@@ -224,7 +232,7 @@
     def write_configuration(self) -> int:
         """Write the next version; returns it."""
         self.config_version += self.rng.randint(1, 5)
-        fields = configuration(self.config_version, self.extra_prefixes)
+        fields = configuration(self.config_version, self.extra_prefixes, self.tenants.entries())
         self._write_row("op", "config", fields)
         return self.config_version
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -53,7 +53,15 @@
             return
         now_s = asyncio.get_running_loop().time()
         self._history.note_run(
-            req.request_id, Run(self.worker_id, now_s, req.resume_after, self.draining_since_s)
+            req.request_id,
+            Run(
+                self.worker_id,
+                now_s,
+                req.resume_after,
+                self.draining_since_s,
+                req.headers.get("tenant"),
+                req.headers.get("api-key"),
+            ),
         )
         self.running += 1
         try:
