--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -23,6 +23,13 @@
     BROKEN_MIDWAY = "broken midway"
 
 
+SAID_NOTHING = frozenset({Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.OTHER_WORKER})
+"""Ends of attempts that say nothing about whether a worker serves well."""
+
+WORKER_FAILED = 500
+"""The status with which a worker says that it failed a request."""
+
+
 class WorkerSilent(Exception):
     """A worker neither answers nor accepts connections."""
 
@@ -62,3 +69,10 @@
         if self.reading is not None:
             self.reading.end()
             self.reading = None
+
+
+def worker_failed(exchange: Exchange, outcome: Outcome) -> bool:
+    """Return whether an attempt failed at its worker."""
+    if outcome in SAID_NOTHING:
+        return False
+    return outcome is not Outcome.DELIVERED or exchange.responder.status == WORKER_FAILED
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -14,7 +14,14 @@
 from mountstand.serving.configuration import Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
-from mountstand.serving.exchange import Exchange, Outcome, WorkerSilent
+from mountstand.serving.exchange import (
+    SAID_NOTHING,
+    WORKER_FAILED,
+    Exchange,
+    Outcome,
+    WorkerSilent,
+    worker_failed,
+)
 from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.online_queue import OnlineQueue, start_times
 from mountstand.serving.worker import PromptReading, Worker
@@ -51,7 +58,6 @@
 STALL_GAPS = 2.0
 """A resumable stream is resumed elsewhere after so many of the longest pauses that are in time."""
 
-WORKER_FAILED = 500
 HANG_S = 1.5
 """A worker that says nothing for so long counts as failing, while it is waited for. Full workers
 refuse sooner, and what all of a service do alike ejects none."""
@@ -59,17 +65,6 @@
 EVENT_STREAM = "text/event-stream"
 
 
-SAID_NOTHING = frozenset({Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.OTHER_WORKER})
-"""Ends of attempts that say nothing about whether a worker serves well."""
-
-
-def worker_failed(exchange: Exchange, outcome: Outcome) -> bool:
-    """Return whether an attempt failed at its worker."""
-    if outcome in SAID_NOTHING:
-        return False
-    return outcome is not Outcome.DELIVERED or exchange.responder.status == WORKER_FAILED
-
-
 class Forwarder:
     """Runs online requests at workers."""
 
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -30,12 +30,12 @@
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.slot_demand import Work
 from mountstand.serving.slot_lending import SlotLending
-from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.serving_feeds import FeedTargets, ServingFeeds
 from mountstand.serving_limits import ServingLimits
 from mountstand.serving_listeners import CallerInterface, ServingListeners
+from mountstand.serving_periodic import PeriodicWork
 from mountstand.serving_settings import ServingSettings, SocketAddress
 from mountstand.store.rows import ObjectStore, RowStore
 from mountstand.telemetry.decisions import DecisionLog
@@ -58,10 +58,6 @@
 """The platform gives no secret to its processes; the frames' hash only keeps strangers' datagrams
 and damaged ones apart."""
 
-SWEEP_S = 0.25
-PAUSE_TOLD_S = 0.5
-"""A timer that is so late tells that the process did not run: frozen, or without its processor."""
-
 DEFAULT_ALLOWED = 100
 IDLE_SHARE = 0.5
 MOST_IDLE = 8
@@ -130,6 +126,9 @@
             log,
         )
         self._build_membership(store)
+        self._periodic = PeriodicWork(
+            self.directory, self.connections, self.queue, self.room, self.load_sharing, log
+        )
         self.queue.lending = self._lending = SlotLending(
             self.directory, settings.name, MembershipSlotLink(self.membership), source_of_chance
         )
@@ -320,8 +319,8 @@
             self._register(),
             self.membership.run(),
             self.jobs.run(),
-            self._sweep(),
-            self._share_load(),
+            self._periodic.sweep(),
+            self._periodic.share_load(),
             self._limits.run(),
         ):
             self._spawn(work)
@@ -381,41 +380,6 @@
             await asyncio.sleep(0.02)
         await self.registry.run()
 
-    async def _sweep(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            began_s = loop.time()
-            await asyncio.sleep(SWEEP_S)
-            self._note_pause(loop.time() - began_s - SWEEP_S)
-            self.directory.sweep(loop.time())
-            self.room.forget(set(self.directory.workers))
-            self.connections.sweep(set(self.directory.workers), loop.time())
-
-    def _note_pause(self, late_s: float) -> None:
-        """Tell that this process stood still: what it knows is older by that much."""
-        if late_s > PAUSE_TOLD_S:
-            self.log.event("process_paused", for_s=round(late_s, 3))
-
-    async def _share_load(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(self.load_sharing.period_s)
-            self.load_sharing.tick(loop.time())
-            for worker in self.directory.judge_health(loop.time()):
-                self._log_ejection(worker)
-            self.queue.tick(loop.time(), self.load_sharing.hops)
-            self.room.tick(loop.time(), self.load_sharing.hops)
-
-    def _log_ejection(self, worker: Worker) -> None:
-        health = worker.health
-        self.log.event(
-            "worker_ejected",
-            worker=worker.record.worker_id,
-            failure_rate=round(health.failure_rate, 2),
-            outcomes=round(health.outcomes, 1),
-            for_s=health.ejection_s,
-        )
-
     def _note_rejected(self, status: int) -> None:
         self.log.event("request_malformed", status=status)
 
