--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -275,8 +275,7 @@
         return ends_per_s + (batch / batch_s if batch_s else 0.0)
 
     def _starts_soon(self, worker: Worker, queue_s: float, now_s: float) -> bool:
-        load = worker.estimated_load(now_s) + worker.lent(now_s)
-        return load + 1 <= self._limit(worker, queue_s)
+        return worker.estimated_load(now_s) + 1 <= self._limit(worker, queue_s)
 
     def _choose(
         self, service: str, prompt: Prompt, times: StartTimes, now_s: float
--- a/mountstand/serving/pace.py
+++ b/mountstand/serving/pace.py
@@ -8,10 +8,6 @@
 """Share of the time that is left to an item within which its turn should come. The rest is for what
 goes wrong: items that are taken off, workers that fail, a store that is away."""
 
-LATE_S = 10.0
-"""Items that cannot be in time any more begin within about this time, if no slots are spare before:
-they earn little, and a rise that finds its slots taken costs more."""
-
 MOST_CREDIT = 2.0
 """Items that may begin on top after none could begin for a while."""
 
@@ -28,17 +24,14 @@
     def due(self, times_left_s: Iterable[float], now_s: float) -> int:
         """Return how many items should begin now.
 
-        ``times_left_s`` are the times that the waiting items have until they must have begun; those
-        of late ones are below zero.
+        ``times_left_s`` are the times that the waiting items have until they must have begun.
         """
         passed_s = 0.0 if self._at_s is None else max(0.0, now_s - self._at_s)
         self._at_s = now_s
         begin_by_chance = 0.0
         overdue = 0
         for left_s in times_left_s:
-            if left_s < 0:
-                begin_by_chance += passed_s / LATE_S
-            elif left_s <= passed_s:
+            if left_s <= passed_s:
                 overdue += 1
             else:
                 begin_by_chance += passed_s / (left_s * PACE_SHARE)
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -146,7 +146,7 @@
 
     def has_free_slot(self, now_s: float) -> bool:
         """Return whether one more request would start at once, as far as is known."""
-        return self.estimated_load(now_s) + self.lent(now_s) + 1 <= self.slots()
+        return self.estimated_load(now_s) + 1 <= self.slots()
 
     def slots(self) -> int:
         """Return how many requests run at once."""
