--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -15,8 +15,6 @@
 from dataclasses import dataclass, replace
 
 from mountstand.serving.online_queue import OnlineQueue
-from mountstand.serving.pace import Pace
-from mountstand.serving.rises import RiseMemory
 from mountstand.serving.slot_demand import SlotDemand, Waiting
 from mountstand.serving.spread import round_by_chance
 from mountstand.serving.worker import Worker
@@ -25,12 +23,10 @@
 
 
 def _free_slots(workers: list[Worker], now_s: float) -> float:
-    """Return how many slots of ``workers`` are free."""
-    return sum(
-        max(0.0, worker.slots() - worker.estimated_load(now_s))
-        for worker in workers
-        if worker.takes_work(now_s)
-    )
+    """Return how many slots of ``workers`` batch work may take in all."""
+    usable = [worker for worker in workers if worker.takes_work(now_s)]
+    free = sum(max(0.0, worker.slots() - worker.estimated_load(now_s)) for worker in usable)
+    return max(0.0, free - usual_fluctuation(sum(worker.online for worker in usable)))
 
 
 def usual_fluctuation(online: int) -> float:
@@ -104,8 +100,6 @@
         online.preempt_own = self.preempt_one
         self._waiting: dict[str, list[_Waiter]] = {}
         self._placements: dict[str, list[Placement]] = {}
-        self._rises_by_service: dict[str, RiseMemory] = {}
-        self._pace_by_service: dict[str, Pace] = {}
 
     async def acquire(self, service: str, urgency: Urgency) -> Placement:
         """Wait for a slot at a worker of ``service``; the caller must release it."""
@@ -137,7 +131,6 @@
         """
         part = 1 / (1 + hops / 2)
         self._order_waiting(now_s)
-        self._note_online(now_s)
         for service in self._services_concerned():
             workers = self._directory.of_service(service)
             for worker in workers:
@@ -145,29 +138,8 @@
             if self._online.waiting(service):
                 self._preempt_for_waiting(service, now_s, part)
             else:
-                self._grant_free(service, workers, now_s, part)
-
-    def _note_online(self, now_s: float) -> None:
-        """Learn how steeply online requests rise."""
-        for service in self._directory.services:
-            online = sum(worker.online for worker in self._directory.of_service(service))
-            self._rises_by_service.setdefault(service, RiseMemory()).note(online, now_s)
-
-    def _grant_free(self, service: str, workers: list[Worker], now_s: float, part: float) -> None:
-        """Begin items in slots that the next rise leaves, and others as far as they must begin."""
-        online = sum(worker.online for worker in workers)
-        free = _free_slots(workers, now_s) - usual_fluctuation(online)
-        rise = self._rises_by_service[service].expected(now_s)
-        spare = self.demand.share_of(service, max(0.0, free - rise)) * part
-        usable = self.demand.share_of(service, max(0.0, free)) * part
-        pace = self._pace_by_service.setdefault(service, Pace())
-        times_left_s = [
-            waiter.urgency.due_at_s - waiter.urgency.run_s - now_s
-            for waiter in self._waiting.get(service, ())
-        ]
-        due = min(usable, pace.due(times_left_s, now_s))
-        begun = self._grant(service, round_by_chance(max(spare, due), self._source), now_s)
-        pace.note_begun(begun)
+                allowed = self.demand.share_of(service, _free_slots(workers, now_s)) * part
+                self._grant(service, round_by_chance(allowed, self._source), now_s)
 
     def _services_concerned(self) -> set[str]:
         """Return the services of this daemon's items that run or wait."""
@@ -203,22 +175,19 @@
             ]
         )
 
-    def _grant(self, service: str, allowance: int, now_s: float) -> int:
-        """Begin waiting items, ``allowance`` at most; returns how many."""
+    def _grant(self, service: str, allowance: int, now_s: float) -> None:
         waiting = self._waiting.get(service, [])
-        begun = 0
-        while waiting and begun < allowance:
+        while waiting and allowance > 0:
             worker = self._directory.choose_below(service, FULL, now_s)
             if worker is None:
-                break
+                return
             waiter = waiting.pop(0)
             worker.in_flight += 1
             worker.batch_in_flight += 1
             placement = Placement(worker, waiter.urgency, now_s)
             self._placements.setdefault(worker.record.worker_id, []).append(placement)
             waiter.granted.set_result(placement)
-            begun += 1
-        return begun
+            allowance -= 1
 
     def _preempt_excess(self, worker: Worker, now_s: float, part: float) -> None:
         """Take off this daemon's part of the batch items that are too many."""
