--- a/tests/model/test_tenant_limits.py
+++ b/tests/model/test_tenant_limits.py
@@ -14,7 +14,7 @@
 from mountstand.tenants.marks import NO_FORMER, UNKNOWN_FORMER, FormerMarks, Marks
 from mountstand.tenants.standing import Standing
 from mountstand.tenants.tenant import Tenant, TenantIndex
-from mountstand.wire.gossip import TokenGrant
+from mountstand.wire.gossip import GossipBodies, TokenAsk, TokenGrant
 from tests.model.limit_fleet import NOTICED_S, TOLERANCE, LimitFleet, bound
 from tests.stand_ins.paused_clock import run_paused
 
@@ -401,6 +401,29 @@
         self.assertEqual((0.0, list(self.FLEET)), (standing.share, standing.peers))
 
 
+class Sizes(TestCase):
+    """Bytes between daemons do not grow with the number of tenants."""
+
+    def test_a_question_and_a_grant_are_small(self) -> None:
+        bodies = GossipBodies()
+        largest = 2**62 - 1, 2**32 - 1, 1_000_000
+        for message in (TokenAsk(*largest), TokenGrant(*largest)):
+            self.assertLessEqual(len(bodies.encode(message)[1]), 24)
+
+    def test_many_tenants_at_their_usual_rate_are_never_asked_for(self) -> None:
+        async def scenario() -> tuple[int, int]:
+            tenants = [Tenant(f"t{n}", rate_per_s=20, burst=20) for n in range(1400)]
+            fleet = LimitFleet(12, tenants)
+            await fleet.advance(10.0)
+            for tenant in tenants:
+                for name in fleet.names:
+                    fleet.ask(name, tenant.name)
+            await fleet.settle()
+            return sum(map(len, fleet.admitted_s.values())), fleet.messages
+
+        self.assertEqual((12 * 1400, 0), run_paused(scenario()))
+
+
 class Waiting(TestCase):
     def test_a_caller_that_leaves_while_it_waits_leaves_nothing_behind(self) -> None:
         async def scenario() -> tuple[int, int]:
