--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -269,13 +269,12 @@
     async def _rotate_keys(self) -> None:
         """Give a tenant a new key, and a moment later take its oldest away."""
         tenant = self._site.tenants.any_tenant()
-        key = tenant.add_key()
-        tenant.keys.remove(key)
-        tenant.keys.insert(0, key)
+        if tenant.coming is not None:
+            return
+        tenant.prepare_key()
         self._site.write_configuration()
         await asyncio.sleep(KEY_KNOWN_S)
-        tenant.keys.remove(key)
-        tenant.keys.append(key)
+        tenant.use_prepared()
         await asyncio.sleep(KEY_OVERLAP_S)
         tenant.withdraw_oldest(self._now_s())
         self._site.write_configuration()
--- a/tests/soak/tenants.py
+++ b/tests/soak/tenants.py
@@ -26,18 +26,26 @@
     burst: float = 0.0
     keys: list[str] = field(default_factory=list)
     withdrawn_at_s: dict[str, float] = field(default_factory=dict)
+    coming: str | None = None
+    """A new key that is in the configuration and not used yet."""
+
     made: int = 0
 
-    def add_key(self) -> str:
-        """Make a new key."""
+    def prepare_key(self) -> None:
+        """Make a new key that callers do not use yet."""
         self.made += 1
-        key = f"secret-{self.name}-{self.made}"
-        self.keys.append(key)
-        return key
+        self.coming = f"secret-{self.name}-{self.made}"
+
+    def use_prepared(self) -> None:
+        """Let callers use the new key."""
+        assert self.coming is not None
+        self.keys.append(self.coming)
+        self.coming = None
 
     def withdraw_oldest(self, now_s: float) -> None:
-        """Take the oldest key away."""
-        self.withdrawn_at_s[self.keys.pop(0)] = now_s
+        """Take the oldest key away, unless it is the only one."""
+        if len(self.keys) > 1:
+            self.withdrawn_at_s[self.keys.pop(0)] = now_s
 
     @property
     def most_in_window(self) -> float:
@@ -48,7 +56,7 @@
         """Return the tenant as the operator writes it."""
         return {
             "name": self.name,
-            "api_keys": list(self.keys),
+            "api_keys": [*self.keys, *([self.coming] if self.coming else [])],
             "priority": 1,
             "rate_per_s": self.rate_per_s,
             "burst": self.burst,
@@ -62,8 +70,8 @@
         self._rng = rng
         self.tenants = [SoakTenant("alpha"), SoakTenant("beta"), SoakTenant("tight", 4.0, 4.0)]
         for tenant in self.tenants:
-            tenant.add_key()
-            tenant.add_key()
+            tenant.prepare_key()
+            tenant.use_prepared()
 
     def any_tenant(self) -> SoakTenant:
         """Return a tenant by chance."""
