--- a/mountstand/serving/slot_lending.py
+++ b/mountstand/serving/slot_lending.py
@@ -127,7 +127,7 @@
                 answer.set_result(lent)
 
     def _use_lent(self, sender: str, key: int, now_s: float) -> bool:
-        """Use a lent slot, or give it back unused; returns whether its worker can be used at all."""
+        """Use a lent slot, or give it back; returns whether its worker can be used at all."""
         worker = self._directory.by_key.get(key)
         if worker is None or not worker.takes_work(now_s):
             return False
