--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -63,7 +63,7 @@
         name=str(fields["name"]),
         keys=tuple(str(key) for key in fields.get("api_keys") or ()),
         priority=None if priority is None else int(priority),
-        rate_per_s=float(fields.get("rate_per_s") or 0),
+        requests_per_s=float(fields.get("rate_per_s") or 0),
         burst=float(fields.get("burst") or 0),
     )
 
--- a/mountstand/serving_limits.py
+++ b/mountstand/serving_limits.py
@@ -184,7 +184,7 @@
     def use_tenants(self, tenants: TenantIndex) -> None:
         """Keep the limits of a new configuration."""
         self._limits.use_tenants(tenants)
-        if any(tenant.rate_per_s > 0 for tenant in tenants.by_name.values()):
+        if any(tenant.requests_per_s > 0 for tenant in tenants.by_name.values()):
             self._has_limits.set()
 
     def use_fleet(self, slots: int) -> None:
--- a/mountstand/tenants/access.py
+++ b/mountstand/tenants/access.py
@@ -59,7 +59,7 @@
             "tenant_over_limit",
             request=request_id,
             tenant=tenant.name,
-            rate_per_s=tenant.rate_per_s,
+            requests_per_s=tenant.requests_per_s,
             burst=tenant.burst,
             retry_after_s=round(retry_after_s, 3),
         )
--- a/mountstand/tenants/limits.py
+++ b/mountstand/tenants/limits.py
@@ -60,7 +60,7 @@
 
     def limit_of(self, tenant: Tenant) -> float:
         """Return how many requests a window may hold."""
-        return tenant.rate_per_s * self.window_s + tenant.burst
+        return tenant.requests_per_s * self.window_s + tenant.burst
 
     def beyond(self, tenant: Tenant) -> float:
         """Return by how many requests of a window the limit may be exceeded."""
@@ -161,7 +161,7 @@
 
     def use_tenants(self, tenants: TenantIndex) -> None:
         """Keep the limits of these tenants from now on."""
-        limited = [tenant for tenant in tenants.by_name.values() if tenant.rate_per_s > 0]
+        limited = [tenant for tenant in tenants.by_name.values() if tenant.requests_per_s > 0]
         self._by_number = {tenant.number: tenant for tenant in limited}
         for number in self._part_by_number.keys() - self._by_number.keys():
             del self._part_by_number[number]
@@ -170,7 +170,7 @@
 
     def take(self, tenant: Tenant, now_s: float) -> bool:
         """Count a request; returns whether it is within the limit as far as is known here."""
-        if tenant.rate_per_s <= 0:
+        if tenant.requests_per_s <= 0:
             return True
         part = self._part(tenant, now_s)
         own = max(0.0, 1 - part.borrowed)
@@ -182,7 +182,7 @@
 
     def give_back(self, tenant: Tenant, now_s: float) -> None:
         """Count a request no more that reached no worker."""
-        if tenant.rate_per_s > 0:
+        if tenant.requests_per_s > 0:
             self._part(tenant, now_s).used.add(-1.0, now_s)
 
     def lacking(self, tenant: Tenant, requests: int, now_s: float) -> float:
--- a/mountstand/tenants/tenant.py
+++ b/mountstand/tenants/tenant.py
@@ -15,7 +15,7 @@
 class Tenant:
     """A tenant of the fleet.
 
-    ``rate_per_s`` requests a second are allowed over all daemons, with ``burst`` on top; a rate of
+    ``requests_per_s`` requests a second are allowed over all daemons, with ``burst`` on top; a rate of
     0 is no limit. ``priority`` goes before that of a route, 0 being the most urgent; ``None``
     leaves it to the route. Keys are secrets: they are compared, never printed.
     """
@@ -23,7 +23,7 @@
     name: str
     keys: tuple[str, ...] = field(default=(), repr=False)
     priority: int | None = None
-    rate_per_s: float = 0.0
+    requests_per_s: float = 0.0
     burst: float = 0.0
 
     @property
--- a/tests/model/limit_fleet.py
+++ b/tests/model/limit_fleet.py
@@ -32,7 +32,7 @@
 
 def bound(tenant: Tenant) -> float:
     """Return the most requests of a tenant that any window may hold."""
-    limit = tenant.rate_per_s * TOLERANCE.window_s + tenant.burst
+    limit = tenant.requests_per_s * TOLERANCE.window_s + tenant.burst
     return limit + TOLERANCE.beyond(tenant)
 
 
@@ -173,7 +173,7 @@
     seconds = 20.0
     step_s = 0.01
     for _ in range(round(seconds / step_s)):
-        expected = tenant.rate_per_s * load * step_s
+        expected = tenant.requests_per_s * load * step_s
         for _ in range(int(expected) + (fleet.rng.random() < expected % 1)):
             fleet.ask(fleet.names[fleet.rng.randrange(daemons)], tenant.name)
         await fleet.advance(step_s)
@@ -184,7 +184,10 @@
 
 def main() -> None:
     """Print a table: what is let through below the limit, and the most in a window above it."""
-    tenants = [Tenant("small", rate_per_s=5, burst=5), Tenant("large", rate_per_s=100, burst=100)]
+    tenants = [
+        Tenant("small", requests_per_s=5, burst=5),
+        Tenant("large", requests_per_s=100, burst=100),
+    ]
     loads = {"0.6 of the limit": 0.6, "ten times the limit": 10.0}
     spreads = {"all daemons": 13, "one daemon": 1}
     print(
--- a/tests/model/test_tenant_limits.py
+++ b/tests/model/test_tenant_limits.py
@@ -18,8 +18,8 @@
 from tests.model.limit_fleet import NOTICED_S, TOLERANCE, LimitFleet, bound
 from tests.stand_ins.paused_clock import run_paused
 
-SMALL = Tenant("small", rate_per_s=5, burst=5)
-LARGE = Tenant("large", rate_per_s=40, burst=40)
+SMALL = Tenant("small", requests_per_s=5, burst=5)
+LARGE = Tenant("large", requests_per_s=40, burst=40)
 TENANTS = [SMALL, LARGE]
 SIZE = 9
 LONG_CUT_S = 18.0
@@ -164,7 +164,7 @@
         self.assert_within(run_paused(scenario()))
 
     def test_a_lower_limit_holds_at_once(self) -> None:
-        lower = Tenant("large", rate_per_s=5, burst=5)
+        lower = Tenant("large", requests_per_s=5, burst=5)
 
         async def scenario() -> int:
             run = Disturbed(5)
@@ -184,7 +184,7 @@
         rng = random.Random(11)
         await fleet.advance(10.0)
         for _ in range(2000):
-            if rng.random() < tenant.rate_per_s * 0.9 * 0.01:
+            if rng.random() < tenant.requests_per_s * 0.9 * 0.01:
                 fleet.ask(fleet.names[rng.randrange(daemons)], tenant.name)
             await fleet.advance(0.01)
         await fleet.settle()
@@ -412,7 +412,7 @@
 
     def test_many_tenants_at_their_usual_rate_are_never_asked_for(self) -> None:
         async def scenario() -> tuple[int, int]:
-            tenants = [Tenant(f"t{n}", rate_per_s=20, burst=20) for n in range(1400)]
+            tenants = [Tenant(f"t{n}", requests_per_s=20, burst=20) for n in range(1400)]
             fleet = LimitFleet(12, tenants)
             await fleet.advance(10.0)
             for tenant in tenants:
--- a/tests/serving/test_caller_access.py
+++ b/tests/serving/test_caller_access.py
@@ -20,7 +20,7 @@
 from tests.stand_ins.harness import LineLog
 from tests.stand_ins.paused_clock import run_paused
 
-TENANT = Tenant("a", ("key-a",), rate_per_s=5, burst=5)
+TENANT = Tenant("a", ("key-a",), requests_per_s=5, burst=5)
 TENANTS = TenantIndex([TENANT])
 NO_TENANTS = TenantIndex()
 
