--- a/mountstand/tenants/tenant.py
+++ b/mountstand/tenants/tenant.py
@@ -15,8 +15,8 @@
 class Tenant:
     """A tenant of the fleet.
 
-    ``requests_per_s`` requests a second are allowed over all daemons, with ``burst`` on top; a rate of
-    0 is no limit. ``priority`` goes before that of a route, 0 being the most urgent; ``None``
+    ``requests_per_s`` requests a second are allowed over all daemons, with ``burst`` on top; a rate
+    of 0 is no limit. ``priority`` goes before that of a route, 0 being the most urgent; ``None``
     leaves it to the route. Keys are secrets: they are compared, never printed.
     """
 
