Sight: contents of requests that broke, and which workers ended under them

Change: a number for host, method, path, caller and body, whatever the id, in attempt_failed and item_attempt_failed; worker_ended after two refused connects within 0.1 s; a counter. No decision uses them yet.

--- a/mountstand/hashing.py
+++ b/mountstand/hashing.py
@@ -1,10 +1,24 @@
-"""Rendezvous hashing: the same ranking of nodes for a key on every daemon."""
+"""Hashes that are the same on every daemon: rankings of nodes, and keys of contents."""
 
 from __future__ import annotations
 
 import hashlib
 from collections.abc import Iterable
 
+CONTENT_KEY_BYTES = 8
+"""Two of a thousand contents that are kept are alike by chance once in 10^13 times."""
+
+LENGTH_BYTES = 8
+
+
+def content_key(*parts: bytes) -> int:
+    """Return a number of 64 bits that stands for ``parts`` and where each of them ends."""
+    digest = hashlib.blake2b(digest_size=CONTENT_KEY_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
+        digest.update(part)
+    return int.from_bytes(digest.digest(), "big")
+
 
 def rendezvous_weight(key: str, node: str) -> int:
     """Return the weight of ``node`` for ``key``; the highest weight owns the key."""
--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -13,6 +13,7 @@
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter
 from mountstand.serving.worker import PromptReading, Worker
+from mountstand.serving.worker_ends import WorkerEnds
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog, milliseconds
@@ -71,6 +72,7 @@
     protocol: WorkerProtocol
     shares: ShareChooser
     room: BatchRoom
+    ends: WorkerEnds
     metrics: ServingMetrics
     log: DecisionLog
     configuration: Callable[[], Configuration | None]
@@ -103,6 +105,9 @@
             cause = "preempted" if progress.preempted else str(problem) or "silent"
             if isinstance(problem, ReplyBroken) and progress.connection is not None:
                 self._context.connections.note_broken(progress.connection)
+            broken = isinstance(problem, ReplyBroken) and progress.sent_at_s is not None
+            if broken and not progress.preempted:
+                self._context.ends.note_broken(worker, self._call(progress))
             if not progress.preempted and not isinstance(problem, ConnectFailed):
                 worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
             self._log_attempt(progress, worker, cause)
@@ -125,7 +130,6 @@
         loop = asyncio.get_running_loop()
         call = self._call(progress)
         headers = context.protocol.request_headers(call, worker, None, progress.last_event_id)
-        progress.sent_at_s = loop.time()
         connection.send(
             call.method,
             call.target,
@@ -133,6 +137,7 @@
             call.body,
             lambda reply: context.protocol.belongs_to(call, reply),
         )
+        progress.sent_at_s = loop.time()
         async with asyncio.timeout(FIRST_EVENT_S):
             head = await connection.read_head()
         reading.end()
@@ -225,6 +230,7 @@
             item=progress.item.item_id,
             worker=worker.record.worker_id,
             cause=cause,
+            content=f"{self._call(progress).content_key:016x}",
             failures=progress.failures,
             last_event=progress.last_event_id,
             in_flight=worker.in_flight,
--- a/mountstand/serving/exchange_log.py
+++ b/mountstand/serving/exchange_log.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from mountstand.serving.exchange import Exchange, Outcome
+from mountstand.serving.exchange import SAID_NOTHING, Exchange, Outcome
 from mountstand.serving.worker import Worker
 from mountstand.telemetry.decisions import DecisionLog, milliseconds
 from mountstand.telemetry.serving_metrics import ServingMetrics
@@ -22,6 +22,7 @@
     def attempt_failed(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
         """Tell of an attempt that did not deliver, with what was known of its worker."""
         self._metrics.attempt_failed(outcome.value)
+        told_nothing = outcome in SAID_NOTHING
         loop_s = asyncio.get_running_loop().time()
         self._log.event(
             "attempt_failed",
@@ -31,6 +32,7 @@
             worker_version=worker.record.version,
             outcome=outcome.value,
             cause=exchange.cause,
+            content=None if told_nothing else f"{exchange.call.content_key:016x}",
             runs=exchange.runs,
             max_attempts=exchange.route.max_attempts,
             repeatable=exchange.route.repeatable,
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -25,6 +25,7 @@
 from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.online_queue import OnlineQueue, start_times
 from mountstand.serving.worker import PromptReading, Worker
+from mountstand.serving.worker_ends import WorkerEnds
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
@@ -76,6 +77,7 @@
         shares: ShareChooser,
         queue: OnlineQueue,
         room: BatchRoom,
+        ends: WorkerEnds,
         metrics: ServingMetrics,
         log: DecisionLog,
     ) -> None:
@@ -85,6 +87,7 @@
         self._protocol = protocol
         self._shares = shares
         self._room = room
+        self._ends = ends
         self._log = ExchangeLog(metrics, log)
         self.idle_per_worker = 4
 
@@ -259,6 +262,7 @@
         except (ReplyBroken, WorkerSilent) as problem:
             if isinstance(problem, ReplyBroken):
                 self._connections.note_broken(connection)
+                self._ends.note_broken(worker, exchange.call)
             exchange.cause = str(problem)
             midway = exchange.responder.started
             return Outcome.BROKEN_MIDWAY if midway else Outcome.MAY_HAVE_RUN
--- /dev/null
+++ b/mountstand/serving/worker_ends.py
@@ -0,0 +1,102 @@
+"""Finds out which workers ended while they ran requests.
+
+An exchange that breaks says little: a link may have failed, or the worker may have closed this
+connection alone. Whether its process is gone shows in a moment, as its machine refuses connections
+until the worker is back some seconds later. A worker that leaves as planned is expected to end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from mountstand.serving.connections import WorkerConnections
+from mountstand.serving.worker import Worker
+from mountstand.serving.worker_protocol import Call
+from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.serving_metrics import ServingMetrics
+from mountstand.transport.http_client import ConnectFailed
+
+REFUSALS_NEEDED = 2
+"""Refused connects that tell an end: a worker with too many connections may refuse one as well."""
+
+PAUSE_S = 0.1
+"""Time between checks. Workers need seconds to start again, so that none is taken for its
+successor."""
+
+MOST_CHECKS = 3
+"""A worker that neither accepts nor refuses twice in so many checks is behind a broken link, as far
+as is known; each check in vain makes this daemon avoid it for longer."""
+
+KEYS_TOLD = 20
+"""Contents that a line names at most; engines run about as many requests at once."""
+
+
+class WorkerEndObserver(ABC):
+    """Is told of workers that ended."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def note_worker_ended(self, worker: Worker, content_keys: Sequence[int]) -> None:
+        """Take the contents of the requests that broke as ``worker`` ended."""
+
+
+class WorkerEnds:
+    """Checks workers at which exchanges broke, each once at a time."""
+
+    def __init__(
+        self, connections: WorkerConnections, metrics: ServingMetrics, log: DecisionLog
+    ) -> None:
+        self._connections = connections
+        self._metrics = metrics
+        self._log = log
+        self._broken_by_worker: dict[str, set[int]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.observers: list[WorkerEndObserver] = []
+
+    def note_broken(self, worker: Worker, call: Call) -> None:
+        """Note that the exchange of ``call`` broke at ``worker`` after it was sent."""
+        if worker.leaving_since_s is not None:
+            return
+        broken = self._broken_by_worker.get(worker.record.worker_id)
+        if broken is not None:
+            broken.add(call.content_key)
+            return
+        self._broken_by_worker[worker.record.worker_id] = {call.content_key}
+        task = asyncio.create_task(self._check(worker))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check(self, worker: Worker) -> None:
+        try:
+            ended = await self._has_ended(worker)
+        finally:
+            broken = self._broken_by_worker.pop(worker.record.worker_id)
+        if not ended:
+            return
+        self._metrics.worker_ended()
+        self._log.event(
+            "worker_ended",
+            worker=worker.record.worker_id,
+            worker_version=worker.record.version,
+            contents=[f"{key:016x}" for key in sorted(broken)[:KEYS_TOLD]],
+            broken=len(broken),
+        )
+        for observer in self.observers:
+            observer.note_worker_ended(worker, sorted(broken))
+
+    async def _has_ended(self, worker: Worker) -> bool:
+        refusals = 0
+        for _ in range(MOST_CHECKS):
+            try:
+                await self._connections.check(worker)
+            except ConnectFailed as problem:
+                refusals += problem.refused
+            else:
+                return False
+            if refusals >= REFUSALS_NEEDED:
+                return True
+            await asyncio.sleep(PAUSE_S)
+        return False
--- a/mountstand/serving/worker_protocol.py
+++ b/mountstand/serving/worker_protocol.py
@@ -4,8 +4,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from functools import cached_property
 from typing import Protocol
 
+from mountstand.hashing import content_key
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
 from mountstand.serving.worker import LoadReport, Worker
 from mountstand.transport.headers import Header, Headers
@@ -33,6 +35,15 @@
     priority: int = 0
     """The rank of an online request among those that wait, 0 being the most urgent."""
 
+    @cached_property
+    def content_key(self) -> int:
+        """The number that stands for what is asked and by whom, whatever the id of the request.
+
+        A caller that sends a request again gives it another id; path, body and caller stay.
+        """
+        texts = (self.host, self.method, self.target, self.tenant)
+        return content_key(*(text.encode() for text in texts), self.body)
+
 
 class ReplyKind(Enum):
     """What an answer says about the request."""
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -30,6 +30,7 @@
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.slot_demand import Work
 from mountstand.serving.slot_lending import SlotLending
+from mountstand.serving.worker_ends import WorkerEnds
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.serving_feeds import FeedTargets, ServingFeeds
@@ -115,6 +116,7 @@
         self.queue = OnlineQueue(self.directory, source_of_chance)
         self.room = BatchRoom(self.directory, self.queue, source_of_chance)
         shares = ShareChooser(source_of_chance)
+        self.ends = WorkerEnds(self.connections, metrics, log)
         self.forwarder = Forwarder(
             self.directory,
             self.connections,
@@ -122,6 +124,7 @@
             shares,
             self.queue,
             self.room,
+            self.ends,
             metrics,
             log,
         )
@@ -212,6 +215,7 @@
             protocol=protocol,
             shares=shares,
             room=self.room,
+            ends=self.ends,
             metrics=self.metrics,
             log=self.log,
             configuration=lambda: self.configuration,
--- a/mountstand/telemetry/serving_metrics.py
+++ b/mountstand/telemetry/serving_metrics.py
@@ -56,6 +56,11 @@
             ["code"],
             registry=self._registry,
         )
+        self._workers_ended = Counter(
+            "mountstand_workers_ended_total",
+            "Workers whose process was found to be gone while it ran requests of this daemon",
+            registry=self._registry,
+        )
         self._jobs_owned = Gauge(
             "mountstand_jobs_owned", "Batch jobs run by this daemon", registry=self._registry
         )
@@ -82,6 +87,10 @@
         """Count a call that was refused for its key or its tenant's limit."""
         self._denied.labels(code).inc()
 
+    def worker_ended(self) -> None:
+        """Count a worker that ended under requests."""
+        self._workers_ended.inc()
+
     def jobs_owned(self, count: int) -> None:
         """Set how many batch jobs this daemon runs."""
         self._jobs_owned.set(count)
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -23,7 +23,14 @@
 
 
 class ConnectFailed(Exception):
-    """No connection came up, so nothing was sent."""
+    """No connection came up, so nothing was sent.
+
+    ``refused`` tells that the machine answered and nothing listens there; silence has other causes.
+    """
+
+    def __init__(self, reason: str, *, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class ReplyBroken(Exception):
@@ -322,5 +329,6 @@
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(ClientConnection, host, port)
     except (OSError, TimeoutError) as problem:
-        raise ConnectFailed(str(problem) or type(problem).__name__) from None
+        refused = isinstance(problem, ConnectionRefusedError)
+        raise ConnectFailed(str(problem) or type(problem).__name__, refused=refused) from None
     return protocol
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -64,6 +64,7 @@
             protocol=fleet.protocol,
             shares=fleet.shares,
             room=fleet.room,
+            ends=fleet.ends,
             metrics=fleet.metrics,
             log=fleet.log,
             configuration=lambda: self.configuration,
--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -47,6 +47,7 @@
             fleet.shares,
             fleet.queue,
             fleet.room,
+            fleet.ends,
             fleet.metrics,
             fleet.log,
         )
--- /dev/null
+++ b/tests/serving/test_worker_ends.py
@@ -0,0 +1,65 @@
+"""Which breaks of an exchange are taken for the end of a worker."""
+
+from __future__ import annotations
+
+import asyncio
+
+from testtools import TestCase
+
+from mountstand.serving.worker_protocol import Call
+from tests.stand_ins.harness import HOST, Fleet, eventually, run
+from tests.stand_ins.worker import StandInWorker
+
+
+def call(request_id: str = "r1", body: bytes = b"body", tenant: str = "") -> Call:
+    """Return a request as it is put to workers."""
+    return Call(request_id, HOST, "POST", "/x", (), body, tenant=tenant)
+
+
+class Ends(TestCase):
+    def test_a_worker_that_refuses_connections_has_ended(self) -> None:
+        async def body() -> None:
+            async with Fleet(StandInWorker("w0")) as fleet:
+                worker = fleet.directory.workers["w0"]
+                await fleet.workers[0].stop()
+                fleet.ends.note_broken(worker, call("r1", b"one"))
+                fleet.ends.note_broken(worker, call("r2", b"two"))
+                await eventually(lambda: fleet.log.lines("worker_ended"), "end told")
+                (line,) = fleet.log.lines("worker_ended")
+                self.assertEqual(("w0", 2), (line["worker"], line["broken"]))
+                self.assertIn(f"{call('r9', b'one').content_key:016x}", line["contents"])
+
+        run(body())
+
+    def test_a_worker_that_accepts_connections_runs_on(self) -> None:
+        async def body() -> None:
+            async with Fleet(StandInWorker("w0")) as fleet:
+                fleet.ends.note_broken(fleet.directory.workers["w0"], call())
+                await asyncio.sleep(0.5)
+                self.assertEqual([], fleet.log.lines("worker_ended"))
+                self.assertEqual(1, fleet.workers[0].connections)
+
+        run(body())
+
+    def test_the_end_of_a_worker_that_was_leaving_is_planned(self) -> None:
+        async def body() -> None:
+            async with Fleet(StandInWorker("w0")) as fleet:
+                worker = fleet.directory.workers["w0"]
+                fleet.directory.remove("w0", 1, asyncio.get_running_loop().time())
+                await fleet.workers[0].stop()
+                fleet.ends.note_broken(worker, call())
+                await asyncio.sleep(0.5)
+                self.assertEqual([], fleet.log.lines("worker_ended"))
+
+        run(body())
+
+
+class Contents(TestCase):
+    def test_the_id_of_a_request_is_no_part_of_its_content(self) -> None:
+        self.assertEqual(call("r1").content_key, call("r2").content_key)
+
+    def test_caller_path_and_body_are(self) -> None:
+        keys = {call().content_key, call(body=b"other").content_key, call(tenant="t").content_key}
+        keys.add(Call("r1", HOST, "POST", "/x", (), b"body\x00").content_key)
+        keys.add(Call("r1", HOST, "POST", "/xb", (), b"ody").content_key)
+        self.assertEqual(5, len(keys))
--- a/tests/stand_ins/harness.py
+++ b/tests/stand_ins/harness.py
@@ -23,6 +23,7 @@
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.worker import WorkerRecord
+from mountstand.serving.worker_ends import WorkerEnds
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
@@ -104,6 +105,7 @@
         self.room = BatchRoom(self.directory, self.queue, random.Random(1))
         self.metrics = ServingMetrics()
         self.log = LineLog()
+        self.ends = WorkerEnds(self.connections, self.metrics, self.log)
 
     async def __aenter__(self) -> Fleet:
         """Start the workers and list them."""
