Hold back requests that crash the workers that run them

Change: mountstand/quarantine. A content under which three workers ended is refused with 503 and the time of its next trial before it waits for a worker; items of batch jobs wait without a slot until their retention. Daemons merge sets of ends told in datagrams, asked for at the start, and kept in the store. An end counts once the worker's machine refuses connections; planned ends and ends that a worse content explains do not; a whole answer clears a content.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -8,12 +8,12 @@
 
 from mountstand.jobs.model import ItemResult, ItemState, JobItem
 from mountstand.jobs.repository import JobRepository
+from mountstand.quarantine.service import RequestQuarantine
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Configuration, Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter
 from mountstand.serving.worker import PromptReading, Worker
-from mountstand.serving.worker_ends import WorkerEnds
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog, milliseconds
@@ -48,6 +48,9 @@
     ran_s: float = 0.0
     """How long attempts that this daemon made ran at workers."""
 
+    held_back: bool = False
+    """Whether it was told that the item crashes workers and waits."""
+
     restored: bool = False
     """Whether another process ran the first part."""
 
@@ -72,7 +75,7 @@
     protocol: WorkerProtocol
     shares: ShareChooser
     room: BatchRoom
-    ends: WorkerEnds
+    quarantine: RequestQuarantine
     metrics: ServingMetrics
     log: DecisionLog
     configuration: Callable[[], Configuration | None]
@@ -107,7 +110,7 @@
                 self._context.connections.note_broken(progress.connection)
             broken = isinstance(problem, ReplyBroken) and progress.sent_at_s is not None
             if broken and not progress.preempted:
-                self._context.ends.note_broken(worker, self._call(progress))
+                self._context.quarantine.note_broken(worker, self._call(progress))
             if not progress.preempted and not isinstance(problem, ConnectFailed):
                 worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
             self._log_attempt(progress, worker, cause)
@@ -160,6 +163,7 @@
         finally:
             progress.ran_s += loop.time() - began_s
         worker.health.own.add(loop.time(), failed=False)
+        context.quarantine.note_served(call)
         if not progress.restored:
             context.room.durations.note(worker.record.service, progress.ran_s)
         self._log(
@@ -206,6 +210,10 @@
             return self.given_up(progress, "attempts used up", route.name)
         return None
 
+    def blocked_for_s(self, progress: ItemProgress) -> float:
+        """Return for how long an item may not be sent to workers, 0 if it may be."""
+        return self._context.quarantine.blocked_for_s(self._call(progress))
+
     def given_up(self, progress: ItemProgress, cause: str, route: str) -> ItemResult:
         """Return the end of an item that is given up."""
         self._log("item_given_up", item=progress.item.item_id, cause=cause, route=route)
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -25,6 +25,9 @@
 """How often the events of running items are kept in the store: a crash costs this much of a run,
 a save costs one call per job."""
 
+HELD_BACK_CHECK_S = 1.0
+"""How often an item that crashes workers is looked at again, until it is blocked no more."""
+
 RETRY_FIRST_S = 0.1
 RETRY_LONGEST_S = 0.5
 """Pause of a failed write to the store, and of an item after a failure."""
@@ -253,9 +256,13 @@
             return self._executor.given_up(progress, "route removed", "")
         if self._expired(route):
             return self._executor.given_up(progress, "retention over", route.name)
+        if self._executor.blocked_for_s(progress):
+            await self._hold_back(progress)
+            return None
         placement = await self._wait_for_slot(route, progress)
         try:
-            if self._draining or not self._surely_open():
+            blocked = self._executor.blocked_for_s(progress) > 0
+            if self._draining or blocked or not self._surely_open():
                 return None
             progress.preempted = False
             placement.preempt = progress.preempt
@@ -263,6 +270,23 @@
         finally:
             self._context.room.release(placement)
 
+    async def _hold_back(self, progress: ItemProgress) -> None:
+        """Let an item that crashes workers wait for a moment.
+
+        Nothing but its content is wrong with it, so it is neither failed nor listed before its
+        retention is over; the others of its job go on.
+        """
+        task = asyncio.current_task()
+        assert task is not None
+        if not progress.held_back:
+            progress.held_back = True
+            self._log("item_held_back", item=progress.item.item_id)
+        self._waiting_tasks.add(task)
+        try:
+            await asyncio.sleep(HELD_BACK_CHECK_S)
+        finally:
+            self._waiting_tasks.discard(task)
+
     async def _wait_for_slot(self, route: Route, progress: ItemProgress) -> Placement:
         task = asyncio.current_task()
         assert task is not None
--- a/mountstand/membership/datagrams.py
+++ b/mountstand/membership/datagrams.py
@@ -59,6 +59,11 @@
             self._carry_out(self._state.handle_tick(loop.time()))
             await asyncio.sleep(self._config.period_s / TICKS_PER_PERIOD)
 
+    @property
+    def own_name(self) -> str:
+        """The name of this daemon."""
+        return self._state.self_member.member_id
+
     def live_names(self) -> set[str]:
         """Return the members believed to run and not to be leaving."""
         return {
--- a/mountstand/membership/digest_link.py
+++ b/mountstand/membership/digest_link.py
@@ -1,15 +1,16 @@
-"""Sends load digests and slots between daemons in the datagrams of failure detection."""
+"""Sends digests, slots and reports of crashes in the datagrams of failure detection."""
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from mountstand.membership.datagrams import DatagramMembership
 from mountstand.membership.registry import DaemonRegistry
+from mountstand.quarantine.service import ReportLink
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import DigestLink
 from mountstand.serving.slot_lending import SlotLink, SlotMessage
-from mountstand.wire.gossip import LoadDigest
+from mountstand.wire.gossip import CrashQuery, CrashReport, LoadDigest
 
 
 class MembershipLink(DigestLink):
@@ -44,3 +45,27 @@
     def send(self, message: SlotMessage, receivers: Collection[str]) -> None:
         """Send a message to daemons."""
         self._membership.send(message, receivers)
+
+
+class MembershipReportLink(ReportLink):
+    """Sends reports of crashes; ``serving`` returns the daemons that callers are sent to."""
+
+    __slots__ = ("_membership", "_serving")
+
+    def __init__(
+        self, membership: DatagramMembership, serving: Callable[[], frozenset[str]]
+    ) -> None:
+        self._membership = membership
+        self._serving = serving
+
+    def running(self) -> Collection[str]:
+        """Return the other daemons that are believed to run."""
+        return self._membership.running_names() - {self._membership.own_name}
+
+    def serving(self) -> Collection[str]:
+        """Return those of them that callers are sent to."""
+        return self._serving() - {self._membership.own_name}
+
+    def send(self, message: CrashReport | CrashQuery, receivers: Collection[str]) -> None:
+        """Send a message to daemons."""
+        self._membership.send(message, receivers)
--- /dev/null
+++ b/mountstand/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Holds back requests that crash the workers that run them."""
--- /dev/null
+++ b/mountstand/quarantine/reports.py
@@ -0,0 +1,61 @@
+"""What daemons tell each other of contents that crash workers.
+
+Ages stand in place of times, since daemons share no clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from mountstand.quarantine.suspects import NEVER_S, CrashSuspects
+from mountstand.wire.gossip import NEVER_SERVED, CrashReport, SuspectEntry
+
+ENTRIES_PER_REPORT = 12
+"""At most 93 bytes each, so that a report stays within a datagram of 1,200 bytes."""
+
+
+def report_of(suspects: CrashSuspects, contents: Iterable[int], now_s: float) -> CrashReport:
+    """Return what is known of some contents."""
+    known = [content for content in contents if content in suspects.by_content]
+    return CrashReport(tuple(_entry(suspects, content, now_s) for content in known))
+
+
+def reports_of(suspects: CrashSuspects, contents: list[int], now_s: float) -> list[CrashReport]:
+    """Return what is known of any number of contents, in reports that fit a datagram."""
+    starts = range(0, len(contents), ENTRIES_PER_REPORT)
+    return [
+        report_of(suspects, contents[start : start + ENTRIES_PER_REPORT], now_s) for start in starts
+    ]
+
+
+def take_report(suspects: CrashSuspects, report: CrashReport, now_s: float) -> list[int]:
+    """Merge a report; returns the contents of which it said something new."""
+    return [
+        entry.content
+        for entry in report.suspects
+        if suspects.take(entry.content, *_times(entry, now_s))
+    ]
+
+
+def _entry(suspects: CrashSuspects, content: int, now_s: float) -> SuspectEntry:
+    suspect = suspects.by_content[content]
+    served = suspect.served_at_s != NEVER_S
+    return SuspectEntry(
+        content,
+        tuple(suspect.ended_at_s),
+        tuple(_age_ms(now_s, at_s) for at_s in suspect.ended_at_s.values()),
+        _age_ms(now_s, suspect.served_at_s) if served else NEVER_SERVED,
+    )
+
+
+def _times(entry: SuspectEntry, now_s: float) -> tuple[dict[int, float], float]:
+    """Return when workers ended, by their keys, and when the content was served."""
+    pairs = zip(entry.workers, entry.ages_ms, strict=False)
+    ended_at_s = {worker: now_s - max(0, age_ms) / 1000 for worker, age_ms in pairs}
+    if entry.served_ms == NEVER_SERVED:
+        return ended_at_s, NEVER_S
+    return ended_at_s, now_s - max(0, entry.served_ms) / 1000
+
+
+def _age_ms(now_s: float, at_s: float) -> int:
+    return max(0, round((now_s - at_s) * 1000))
--- /dev/null
+++ b/mountstand/quarantine/suspects.py
@@ -0,0 +1,179 @@
+"""Which contents crash workers, as a pure state machine.
+
+As a worker ends, each request that broke there may have done it. One that is the cause is there
+again when the next worker ends, and the next; the others go on elsewhere and are served. So a
+content is blocked once ``CRASHES_TO_BLOCK`` workers ended under it, counted without ends that a
+content with more of them explains, and without those before it was last served whole.
+
+All statements merge: sets of ends only grow, an end keeps its earliest time and service its latest.
+Daemons that have heard the same, in whatever order, judge alike. Times are seconds on the clock of
+the daemon that holds the state.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+CRASHES_TO_BLOCK = 3
+"""Ends of workers under one content that are no chance any more. With a tenth of all runs beside a
+crash, which is what a content that comes twice a second does to nine workers, one run in a thousand
+is beside three in a row."""
+
+MOST_ENDS = 8
+"""Ends that are kept of one content. More change neither whether it is blocked nor for how long."""
+
+EVIDENCE_S = 600.0
+"""How long an end counts. Callers that send a request again do so within seconds to minutes."""
+
+FIRST_BLOCK_S = 600.0
+"""A block after three ends; each further end doubles it, up to five hours with ``MOST_ENDS``. What
+is blocked is tried again after that, since workers may have been mended meanwhile."""
+
+CLOCK_SLACK_S = 1.0
+"""Uncertainty of times that other daemons tell: theirs are ages, which grow on the way."""
+
+MOST_SUSPECTS = 1024
+"""Contents that are kept, some 400 bytes each. A crash brings as many as the worker has slots."""
+
+NEVER_S = float("-inf")
+
+
+@dataclass(slots=True)
+class Suspect:
+    """What is known of one content: ends of workers by the workers' keys, and its last service."""
+
+    ended_at_s: dict[int, float] = field(default_factory=dict)
+    served_at_s: float = NEVER_S
+
+    @property
+    def last_end_s(self) -> float:
+        """When a worker last ended under it."""
+        return max(self.ended_at_s.values(), default=NEVER_S)
+
+    def take(self, ended_at_s: Mapping[int, float], served_at_s: float) -> bool:
+        """Merge a statement; returns whether it said anything new."""
+        before = (set(self.ended_at_s), self.served_at_s)
+        if served_at_s > self.served_at_s + CLOCK_SLACK_S:
+            self.served_at_s = served_at_s
+        for worker, at_s in ended_at_s.items():
+            self.ended_at_s[worker] = min(at_s, self.ended_at_s.get(worker, at_s))
+        self._drop_refuted()
+        while len(self.ended_at_s) > MOST_ENDS:
+            del self.ended_at_s[min(self.ended_at_s, key=lambda key: self.ended_at_s[key])]
+        return (set(self.ended_at_s), self.served_at_s) != before
+
+    def _drop_refuted(self) -> None:
+        """Drop ends before the last service: what was served whole did not cause them."""
+        refuted_s = self.served_at_s + CLOCK_SLACK_S
+        self.ended_at_s = {w: at_s for w, at_s in self.ended_at_s.items() if at_s > refuted_s}
+
+
+def block_s(ends: int) -> float:
+    """Return how long a content is blocked after so many unexplained ends."""
+    return FIRST_BLOCK_S * 2.0 ** (min(ends, MOST_ENDS) - CRASHES_TO_BLOCK)
+
+
+class CrashSuspects:
+    """All suspected contents of one daemon."""
+
+    def __init__(self, most: int = MOST_SUSPECTS) -> None:
+        self._most = most
+        self.by_content: dict[int, Suspect] = {}
+        self._blocked_until_s: dict[int, float] = {}
+
+    def __bool__(self) -> bool:
+        """Return whether any content is suspected."""
+        return bool(self.by_content)
+
+    def take(
+        self, content: int, ended_at_s: Mapping[int, float], served_at_s: float = NEVER_S
+    ) -> bool:
+        """Merge what is said of a content; returns whether it was new."""
+        suspect = self.by_content.get(content)
+        if suspect is None:
+            suspect = Suspect()
+            if not suspect.take(ended_at_s, served_at_s):
+                return False
+            self.by_content[content] = suspect
+            self._make_room()
+        elif not suspect.take(ended_at_s, served_at_s):
+            return False
+        self._judge()
+        return True
+
+    def note_served(self, content: int, now_s: float) -> bool:
+        """Note that a content was served whole; returns whether it was suspected."""
+        suspect = self.by_content.get(content)
+        if suspect is None or not suspect.ended_at_s:
+            return False
+        suspect.take({}, now_s)
+        self._judge()
+        return True
+
+    def blocked_for_s(self, content: int, now_s: float) -> float:
+        """Return for how long a content may not be sent to workers, 0 if it may be."""
+        return max(0.0, self._blocked_until_s.get(content, NEVER_S) - now_s)
+
+    @property
+    def any_blocked(self) -> bool:
+        """Whether any content may be blocked; saves looking for contents in calm times."""
+        return bool(self._blocked_until_s)
+
+    def blocked_contents(self, now_s: float) -> set[int]:
+        """Return the contents that are blocked."""
+        return {key for key, until_s in self._blocked_until_s.items() if until_s > now_s}
+
+    def strongest(self) -> list[int]:
+        """Return the contents, those with the most ends first, and of equals the latest."""
+        return sorted(self.by_content, key=self._strength, reverse=True)
+
+    def forget_at_s(self, content: int) -> float:
+        """Return when a content is forgotten if nothing new is heard of it."""
+        suspect = self.by_content[content]
+        told_s = max(suspect.last_end_s, suspect.served_at_s)
+        ends = len(suspect.ended_at_s)
+        if ends < CRASHES_TO_BLOCK:
+            return told_s + EVIDENCE_S
+        return told_s + block_s(ends) + EVIDENCE_S
+
+    def expire(self, now_s: float) -> None:
+        """Forget contents of which nothing was heard for long."""
+        old = [content for content in self.by_content if self.forget_at_s(content) <= now_s]
+        for content in old:
+            del self.by_content[content]
+        if old:
+            self._judge()
+
+    def _strength(self, content: int) -> tuple[int, float]:
+        suspect = self.by_content[content]
+        return len(suspect.ended_at_s), suspect.last_end_s
+
+    def _make_room(self) -> None:
+        """Forget the weakest suspects once there are too many."""
+        if len(self.by_content) > self._most:
+            for content in self.strongest()[self._most * 9 // 10 :]:
+                del self.by_content[content]
+
+    def _judge(self) -> None:
+        """Decide anew what is blocked; those with the most ends are judged first."""
+        contents_by_ends: dict[int, list[int]] = {}
+        for content, suspect in self.by_content.items():
+            ends = len(suspect.ended_at_s)
+            if ends >= CRASHES_TO_BLOCK:
+                contents_by_ends.setdefault(ends, []).append(content)
+        self._blocked_until_s = {}
+        explained: set[int] = set()
+        for ends in sorted(contents_by_ends, reverse=True):
+            explained |= self._judge_equals(contents_by_ends[ends], explained)
+
+    def _judge_equals(self, contents: list[int], explained: set[int]) -> set[int]:
+        """Judge contents with equally many ends; returns the ends that the blocked ones explain."""
+        newly: set[int] = set()
+        for content in contents:
+            suspect = self.by_content[content]
+            unexplained = len(suspect.ended_at_s.keys() - explained)
+            if unexplained >= CRASHES_TO_BLOCK:
+                self._blocked_until_s[content] = suspect.last_end_s + block_s(unexplained)
+                newly |= suspect.ended_at_s.keys()
+        return newly
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -57,6 +57,9 @@
     waited_s: float = 0.0
     """How long it waited at this daemon for a worker."""
 
+    blocked_for_s: float = 0.0
+    """For how long its content is held back, 0 where it is not."""
+
     load: LoadReport | None = None
     expected_load: float = 0.0
     """Requests at its worker as far as was known when it was sent there, this one included."""
--- a/mountstand/serving/exchange_log.py
+++ b/mountstand/serving/exchange_log.py
@@ -42,6 +42,18 @@
             in_flight=worker.in_flight,
         )
 
+    def request_quarantined(self, exchange: Exchange) -> None:
+        """Tell of a request that is not sent on since its content crashed workers."""
+        self._metrics.request_quarantined()
+        self._log.event(
+            "request_held_back",
+            request=exchange.call.request_id,
+            content=f"{exchange.call.content_key:016x}",
+            route=exchange.route.name,
+            runs=exchange.runs,
+            for_s=round(exchange.blocked_for_s, 1),
+        )
+
     def request_ended(
         self, exchange: Exchange, received_at_s: float, now_s: float, caller_gone: bool
     ) -> None:
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 
+from mountstand.quarantine.service import RequestQuarantine
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
@@ -25,7 +26,6 @@
 from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.online_queue import OnlineQueue, start_times
 from mountstand.serving.worker import PromptReading, Worker
-from mountstand.serving.worker_ends import WorkerEnds
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
@@ -77,7 +77,7 @@
         shares: ShareChooser,
         queue: OnlineQueue,
         room: BatchRoom,
-        ends: WorkerEnds,
+        quarantine: RequestQuarantine,
         metrics: ServingMetrics,
         log: DecisionLog,
     ) -> None:
@@ -87,7 +87,7 @@
         self._protocol = protocol
         self._shares = shares
         self._room = room
-        self._ends = ends
+        self._quarantine = quarantine
         self._log = ExchangeLog(metrics, log)
         self.idle_per_worker = 4
 
@@ -122,8 +122,13 @@
             self._log.request_ended(exchange, received_at_s, loop.time(), gone)
 
     async def _run_attempts(self, exchange: Exchange, received_at_s: float) -> None:
-        worker = await self._wait_for_worker(exchange, received_at_s)
+        worker = None
+        if not self._is_quarantined(exchange):
+            worker = await self._wait_for_worker(exchange, received_at_s)
         while not exchange.responder.finished:
+            if self._is_quarantined(exchange):
+                self._refuse_quarantined(exchange, worker)
+                return
             if worker is None:
                 exchange.cause = exchange.cause or "no worker"
                 self._end_unfinished(exchange)
@@ -133,6 +138,8 @@
             if outcome is Outcome.DELIVERED:
                 exchange.delivered = True
                 self._note_duration(exchange)
+                if not worker_failed(exchange, outcome):
+                    self._quarantine.note_served(exchange.call)
                 return
             self._log.attempt_failed(exchange, worker, outcome)
             if not self._may_go_on(exchange, outcome):
@@ -146,10 +153,25 @@
         patience_s = min(route.patience_s, exchange.deadline_s - received_at_s)
         priority = exchange.call.priority
         times = start_times(received_at_s, route.target_latency_s, patience_s, priority)
-        worker = await self._queue.acquire(exchange.service, exchange.call.prompt, times)
+        worker = await self._queue.acquire(
+            exchange.service, exchange.call.prompt, times, exchange.call
+        )
         exchange.waited_s = asyncio.get_running_loop().time() - received_at_s
         return worker
 
+    def _is_quarantined(self, exchange: Exchange) -> bool:
+        """Return whether the request may not be sent to workers, and note for how long."""
+        exchange.blocked_for_s = self._quarantine.blocked_for_s(exchange.call)
+        return exchange.blocked_for_s > 0
+
+    def _refuse_quarantined(self, exchange: Exchange, worker: Worker | None) -> None:
+        """End a request that crashes workers; ``worker`` counts it already and is freed."""
+        if worker is not None:
+            self._free_slot(worker)
+        exchange.cause = "quarantined"
+        self._log.request_quarantined(exchange)
+        self._end_unfinished(exchange)
+
     def _note_duration(self, exchange: Exchange) -> None:
         """Learn how long requests usually take from one that was served."""
         if exchange.responder.status < WORKER_FAILED:
@@ -262,7 +284,7 @@
         except (ReplyBroken, WorkerSilent) as problem:
             if isinstance(problem, ReplyBroken):
                 self._connections.note_broken(connection)
-                self._ends.note_broken(worker, exchange.call)
+                self._quarantine.note_broken(worker, exchange.call)
             exchange.cause = str(problem)
             midway = exchange.responder.started
             return Outcome.BROKEN_MIDWAY if midway else Outcome.MAY_HAVE_RUN
@@ -412,6 +434,7 @@
             return
         if exchange.runs == 0:
             full = exchange.refusals > 0
-            refuse(responder, RETRY_FULL_S if full else RETRY_UNAVAILABLE_S)
+            usual_s = RETRY_FULL_S if full else RETRY_UNAVAILABLE_S
+            refuse(responder, exchange.blocked_for_s or usual_s)
             return
         responder.send(504 if exchange.cause == "deadline" else 502)
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -22,6 +22,7 @@
 from mountstand.serving.slot_lending import SlotLending
 from mountstand.serving.spread import UsualDurations, round_by_chance
 from mountstand.serving.worker import Worker
+from mountstand.serving.worker_protocol import Call
 from mountstand.serving.workers import WorkerDirectory
 
 START_SHARE = 0.35
@@ -89,6 +90,7 @@
     prompt: Prompt
     times: StartTimes
     chosen: asyncio.Future[Worker | None]
+    call: Call | None = None
 
 
 class OnlineQueue:
@@ -109,10 +111,12 @@
         self._waiting: dict[str, list[_Waiter]] = {}
         self._queue_s_by_service: dict[str, float] = {}
 
-    async def acquire(self, service: str, prompt: Prompt, times: StartTimes) -> Worker | None:
+    async def acquire(
+        self, service: str, prompt: Prompt, times: StartTimes, call: Call | None = None
+    ) -> Worker | None:
         """Wait for a worker that can start a request soon; its ``in_flight`` counts the request.
 
-        Returns ``None`` where the service has no worker to wait for.
+        Returns ``None`` where the service has no worker to wait for, or once ``call`` was rejected.
         """
         now_s = asyncio.get_running_loop().time()
         self._queue_s_by_service[service] = times.queue_s
@@ -124,7 +128,7 @@
                 return _count(worker)
         if full or not self._directory.of_service(service):
             return self._choose_any(service, prompt, now_s)
-        return await self._wait(service, _Waiter(prompt, times, _new_future()), times)
+        return await self._wait(service, _Waiter(prompt, times, _new_future(), call), times)
 
     async def _wait(self, service: str, waiter: _Waiter, times: StartTimes) -> Worker | None:
         self._waiting[service].append(waiter)
@@ -148,6 +152,14 @@
         if waiter in self._waiting[service]:
             self._waiting[service].remove(waiter)
 
+    def reject(self, content_key: int) -> None:
+        """End the wait of all requests with a content, without a worker."""
+        for waiting in self._waiting.values():
+            for waiter in waiting:
+                rejected = waiter.call is not None and waiter.call.content_key == content_key
+                if rejected and not waiter.chosen.done():
+                    waiter.chosen.set_result(None)
+
     def waiting(self, service: str) -> int:
         """Return how many requests wait, here and at peers as far as is known."""
         return len(self._waiting.get(service, ())) + self.demand.peers(service).total
--- a/mountstand/serving_feeds.py
+++ b/mountstand/serving_feeds.py
@@ -1,4 +1,4 @@
-"""What a serving process follows in the store: configuration, workers, daemons and jobs."""
+"""What a serving process follows in the store: one feed per table that it needs."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 from mountstand.jobs.repository import HEADS, partitions
 from mountstand.membership.registry import DAEMONS, DaemonRegistry
+from mountstand.quarantine.stored import SUSPECTS
 from mountstand.serving.feeds import ConfigurationSource
 from mountstand.serving_settings import ServingSettings, SocketAddress
 from mountstand.store.peer_tables import PeerAddresses, PeerTables
@@ -34,6 +35,12 @@
 be followed again before the daemon is bound by what it tells."""
 
 
+SUSPECTS_WAIT_S = 10.0
+"""How long the call that follows contents that crash workers is held. Daemons tell each other at
+once, so this feed matters after a loss of all of them, or where they are cut off from each other;
+held so long it costs a twentieth of the calls that the other feeds make."""
+
+
 class KnownPeers(PeerAddresses):
     """Daemons that run as far as is known, or else the seeds of the settings."""
 
@@ -58,10 +65,11 @@
     apply_workers: Callable[[TableChange], None]
     registry: DaemonRegistry
     apply_jobs: Callable[[TableChange], None]
+    apply_suspects: Callable[[TableChange], None]
 
 
 class ServingFeeds:
-    """Watchers of the tables, and the exchange of the first three with peers."""
+    """Watchers of the tables, and the exchange of all but the jobs with peers."""
 
     def __init__(
         self,
@@ -78,11 +86,13 @@
         self.workers = shared(source.workers_table, targets.apply_workers)
         self.daemons = shared(DAEMONS, targets.registry.apply)
         self.daemons.pause_s = DAEMONS_PAUSE_S
+        self.suspects = shared(SUSPECTS, targets.apply_suspects)
+        self.suspects.wait_s = SUSPECTS_WAIT_S
         self.jobs = TableWatcher(store, HEADS, partitions(), targets.apply_jobs, log)
         self._known_peers = KnownPeers(settings, targets.registry)
         self._hold(settings)
         self.peer_tables = PeerTables(
-            [self.configuration, self.workers, self.daemons],
+            [self.configuration, self.workers, self.daemons, self.suspects],
             self._known_peers,
             log,
             random.Random(),
@@ -120,5 +130,6 @@
 
     def runs(self) -> list[Coroutine[Any, Any, None]]:
         """Return the work that follows the tables, until cancelled."""
-        followed = (self.configuration, self.workers, self.daemons, self.jobs, self.peer_tables)
+        feeds = (self.configuration, self.workers, self.daemons, self.suspects, self.jobs)
+        followed = (*feeds, self.peer_tables)
         return [each.run() for each in followed]
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -17,9 +17,15 @@
 from mountstand.jobs.service import JobService
 from mountstand.membership.caller_addresses import addresses_for
 from mountstand.membership.datagrams import FAILURE_DETECTION, DatagramMembership
-from mountstand.membership.digest_link import MembershipLink, MembershipSlotLink
+from mountstand.membership.digest_link import (
+    MembershipLink,
+    MembershipReportLink,
+    MembershipSlotLink,
+)
 from mountstand.membership.member import Member
 from mountstand.membership.registry import DaemonRegistry, DaemonRow, new_token
+from mountstand.quarantine.service import RequestQuarantine
+from mountstand.quarantine.stored import StoredSuspects
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Configuration, ShareChooser
 from mountstand.serving.connections import WorkerConnections
@@ -45,6 +51,8 @@
 from mountstand.transport.http_server import FIRST_REQUEST_S
 from mountstand.wire.frames import FrameCodec
 from mountstand.wire.gossip import (
+    CrashQuery,
+    CrashReport,
     GossipBodies,
     GossipMessage,
     LoadDigest,
@@ -116,7 +124,16 @@
         self.queue = OnlineQueue(self.directory, source_of_chance)
         self.room = BatchRoom(self.directory, self.queue, source_of_chance)
         shares = ShareChooser(source_of_chance)
-        self.ends = WorkerEnds(self.connections, metrics, log)
+        self._build_membership(store)
+        self.quarantine = RequestQuarantine(
+            settings.name,
+            WorkerEnds(self.connections, metrics, log),
+            MembershipReportLink(self.membership, lambda: self.load_sharing.serving),
+            source_of_chance,
+            metrics,
+            log,
+        )
+        self.quarantine.on_blocked = self.queue.reject
         self.forwarder = Forwarder(
             self.directory,
             self.connections,
@@ -124,11 +141,10 @@
             shares,
             self.queue,
             self.room,
-            self.ends,
+            self.quarantine,
             metrics,
             log,
         )
-        self._build_membership(store)
         self._periodic = PeriodicWork(
             self.directory, self.connections, self.queue, self.room, self.load_sharing, log
         )
@@ -151,6 +167,10 @@
             self._limits.gate, self._configuration_may_be_stale, metrics, log
         )
         self._configuration_state = ConfigurationState(source, log, self._use_configuration)
+        self._stored_suspects = StoredSuspects(
+            self.quarantine.suspects, store, self._store_now_ms, log
+        )
+        self.quarantine.use_store(self._stored_suspects)
         workers_state = WorkersState(source, self.directory, log)
         self.feeds = ServingFeeds(
             store,
@@ -160,6 +180,7 @@
                 workers_state.apply,
                 self.registry,
                 lambda change: self.jobs.apply(change),
+                self._stored_suspects.apply,
             ),
             settings,
             log,
@@ -215,7 +236,7 @@
             protocol=protocol,
             shares=shares,
             room=self.room,
-            ends=self.ends,
+            quarantine=self.quarantine,
             metrics=self.metrics,
             log=self.log,
             configuration=lambda: self.configuration,
@@ -311,6 +332,8 @@
             self._limits.handle(sender_id, message)
         elif isinstance(message, SlotAsk | SlotGrant | SlotReturn):
             self._lending.handle(sender_id, message)
+        elif isinstance(message, CrashReport | CrashQuery):
+            self.quarantine.handle(sender_id, message)
 
     # Life
 
@@ -326,6 +349,8 @@
             self._periodic.sweep(),
             self._periodic.share_load(),
             self._limits.run(),
+            self.quarantine.run(),
+            self._stored_suspects.run(),
         ):
             self._spawn(work)
         self.log.event("daemon_started", zone=self.settings.zone, token=self.registry.own.token)
--- a/mountstand/telemetry/serving_metrics.py
+++ b/mountstand/telemetry/serving_metrics.py
@@ -61,6 +61,16 @@
             "Workers whose process was found to be gone while it ran requests of this daemon",
             registry=self._registry,
         )
+        self._quarantined = Counter(
+            "mountstand_requests_quarantined_total",
+            "Online requests refused since their content crashed workers",
+            registry=self._registry,
+        )
+        self._contents_blocked = Gauge(
+            "mountstand_contents_blocked",
+            "Contents that are held back since they crashed workers",
+            registry=self._registry,
+        )
         self._jobs_owned = Gauge(
             "mountstand_jobs_owned", "Batch jobs run by this daemon", registry=self._registry
         )
@@ -91,6 +101,14 @@
         """Count a worker that ended under requests."""
         self._workers_ended.inc()
 
+    def request_quarantined(self) -> None:
+        """Count an online request that was refused for what its content did to workers."""
+        self._quarantined.inc()
+
+    def contents_blocked(self, count: int) -> None:
+        """Set how many contents are held back."""
+        self._contents_blocked.set(count)
+
     def jobs_owned(self, count: int) -> None:
         """Set how many batch jobs this daemon runs."""
         self._jobs_owned.set(count)
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -129,6 +129,33 @@
     worker: int
 
 
+NEVER_SERVED = -1
+"""Stands in ``SuspectEntry.served_ms`` for a content that was not served."""
+
+
+class SuspectEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A content under which workers ended (``Call.content_key``).
+
+    ``workers`` are the keys of these workers and ``ages_ms`` how long ago each ended; ``served_ms``
+    is how long ago the content was last served whole.
+    """
+
+    content: int
+    workers: tuple[int, ...]
+    ages_ms: tuple[int, ...]
+    served_ms: int = NEVER_SERVED
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """Tells of contents under which workers ended, or answers a ``CrashQuery``."""
+
+    suspects: tuple[SuspectEntry, ...] = ()
+
+
+class CrashQuery(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a daemon for all that it knows of such contents."""
+
+
 GossipMessage = (
     Ping
     | PingRequest
@@ -140,6 +167,8 @@
     | SlotAsk
     | SlotGrant
     | SlotReturn
+    | CrashReport
+    | CrashQuery
 )
 
 KINDS: dict[int, type[GossipMessage]] = {
@@ -153,6 +182,8 @@
     22: SlotAsk,
     23: SlotGrant,
     24: SlotReturn,
+    25: CrashReport,
+    26: CrashQuery,
 }
 
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -64,7 +64,7 @@
             protocol=fleet.protocol,
             shares=fleet.shares,
             room=fleet.room,
-            ends=fleet.ends,
+            quarantine=fleet.quarantine,
             metrics=fleet.metrics,
             log=fleet.log,
             configuration=lambda: self.configuration,
--- /dev/null
+++ b/tests/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what holds back requests that crash workers."""
--- /dev/null
+++ b/tests/quarantine/test_suspects.py
@@ -0,0 +1,153 @@
+"""Which contents are blocked: the pure state machine, and that daemons agree on it."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Iterable
+
+from testtools import TestCase
+
+from mountstand.quarantine.reports import report_of, reports_of, take_report
+from mountstand.quarantine.suspects import (
+    CRASHES_TO_BLOCK,
+    EVIDENCE_S,
+    FIRST_BLOCK_S,
+    MOST_ENDS,
+    CrashSuspects,
+    block_s,
+)
+from mountstand.wire.gossip import CrashReport, GossipBodies
+
+START_S = 1e7
+CULPRIT, OTHER, THIRD = 1, 2, 3
+
+
+def after_ends(*ends: Iterable[int], gap_s: float = 1.0) -> CrashSuspects:
+    """Return suspects after worker 0, 1 and so on ended under the contents given for each."""
+    suspects = CrashSuspects()
+    for worker, contents in enumerate(ends):
+        for content in contents:
+            suspects.take(content, {worker: START_S + worker * gap_s})
+    return suspects
+
+
+class Blocking(TestCase):
+    def test_blocked_once_three_workers_ended_under_it(self) -> None:
+        two = after_ends([CULPRIT], [CULPRIT])
+        self.assertEqual(0.0, two.blocked_for_s(CULPRIT, START_S + 2))
+        three = after_ends([CULPRIT], [CULPRIT], [CULPRIT])
+        self.assertEqual(FIRST_BLOCK_S, three.blocked_for_s(CULPRIT, START_S + 2))
+
+    def test_an_end_that_is_told_again_counts_once(self) -> None:
+        suspects = CrashSuspects()
+        for _ in range(5):
+            suspects.take(CULPRIT, {7: START_S})
+        self.assertEqual(0.0, suspects.blocked_for_s(CULPRIT, START_S))
+
+    def test_requests_that_ran_beside_it_are_not_blocked(self) -> None:
+        """Others were there at each end, none of them at all three."""
+        suspects = after_ends([CULPRIT, 10, 11], [CULPRIT, 11, 12], [CULPRIT, 12, 10])
+        blocked = suspects.blocked_contents(START_S + 3)
+        self.assertEqual({CULPRIT}, blocked)
+
+    def test_ends_that_a_worse_content_explains_do_not_count(self) -> None:
+        """One was beside the culprit three times, and the culprit at a fourth end as well."""
+        suspects = after_ends([CULPRIT, OTHER], [CULPRIT, OTHER], [CULPRIT], [CULPRIT, OTHER])
+        self.assertEqual({CULPRIT}, suspects.blocked_contents(START_S + 4))
+
+    def test_two_that_crash_workers_are_both_blocked(self) -> None:
+        """An end that both were at counts for the worse one; the other is blocked at its next."""
+        ends = ([CULPRIT], [OTHER], [CULPRIT], [OTHER], [CULPRIT, OTHER], [OTHER])
+        self.assertEqual({OTHER}, after_ends(*ends).blocked_contents(START_S + 6))
+        suspects = after_ends(*ends, [CULPRIT])
+        self.assertEqual({CULPRIT, OTHER}, suspects.blocked_contents(START_S + 7))
+
+    def test_what_was_served_since_is_not_suspected(self) -> None:
+        """A popular content runs at all workers; three of them end at once for another reason."""
+        suspects = after_ends([OTHER], [OTHER], [OTHER], gap_s=0.0)
+        self.assertEqual({OTHER}, suspects.blocked_contents(START_S))
+        self.assertTrue(suspects.note_served(OTHER, START_S + 0.1))
+        self.assertEqual(set(), suspects.blocked_contents(START_S + 0.1))
+        self.assertFalse(suspects.note_served(THIRD, START_S))
+
+    def test_a_late_word_of_an_end_before_service_changes_nothing(self) -> None:
+        suspects = after_ends([OTHER], [OTHER])
+        suspects.note_served(OTHER, START_S + 5)
+        self.assertFalse(suspects.take(OTHER, {0: START_S, 1: START_S + 1, 2: START_S + 2}))
+        self.assertEqual(set(), suspects.blocked_contents(START_S + 5))
+
+
+class Lifetime(TestCase):
+    def test_a_block_ends_and_doubles_with_the_next_crash(self) -> None:
+        suspects = after_ends([CULPRIT], [CULPRIT], [CULPRIT])
+        trial_s = START_S + 2 + FIRST_BLOCK_S
+        self.assertEqual(0.0, suspects.blocked_for_s(CULPRIT, trial_s))
+        suspects.take(CULPRIT, {9: trial_s})
+        self.assertEqual(2 * FIRST_BLOCK_S, suspects.blocked_for_s(CULPRIT, trial_s))
+
+    def test_blocks_stop_growing(self) -> None:
+        suspects = after_ends(*[[CULPRIT]] * (MOST_ENDS + 5))
+        last_s = START_S + MOST_ENDS + 4
+        self.assertEqual(block_s(MOST_ENDS), suspects.blocked_for_s(CULPRIT, last_s))
+        self.assertEqual(MOST_ENDS, len(suspects.by_content[CULPRIT].ended_at_s))
+
+    def test_forgotten_when_nothing_is_heard_for_long(self) -> None:
+        suspects = after_ends([OTHER, CULPRIT], [CULPRIT], [CULPRIT])
+        suspects.expire(START_S + EVIDENCE_S + 1)
+        self.assertEqual([CULPRIT], list(suspects.by_content))
+        suspects.expire(START_S + 2 + FIRST_BLOCK_S + EVIDENCE_S)
+        self.assertFalse(suspects)
+        self.assertFalse(suspects.any_blocked)
+
+    def test_memory_is_bounded_and_the_strongest_stay(self) -> None:
+        suspects = CrashSuspects(most=100)
+        for worker in range(CRASHES_TO_BLOCK):
+            suspects.take(CULPRIT, {worker: START_S})
+        for content in range(1000, 5000):
+            suspects.take(content, {99: START_S + content})
+            self.assertTrue(len(suspects.by_content) <= 100)
+        self.assertEqual({CULPRIT}, suspects.blocked_contents(START_S + 1))
+
+
+class Agreement(TestCase):
+    def test_daemons_agree_in_whatever_order_they_hear(self) -> None:
+        rng = random.Random(5)
+        contents = [CULPRIT, OTHER, THIRD, 10, 11, 12]
+        statements = [
+            (content, {worker: START_S + worker})
+            for worker in range(9)
+            for content in rng.sample(contents, 3)
+        ]
+        verdicts = set()
+        for _ in range(50):
+            rng.shuffle(statements)
+            suspects = CrashSuspects()
+            for content, ended_at_s in statements:
+                suspects.take(content, ended_at_s)
+            blocked = suspects.blocked_contents(START_S + 9)
+            verdicts.add(tuple(sorted((c, suspects.blocked_for_s(c, START_S)) for c in blocked)))
+        self.assertEqual(1, len(verdicts))
+
+    def test_a_report_says_the_same_on_another_clock(self) -> None:
+        told = after_ends([CULPRIT], [CULPRIT], [CULPRIT])
+        told.take(OTHER, {5: START_S})
+        told.note_served(OTHER, START_S + 2)
+        heard = CrashSuspects()
+        bodies = GossipBodies()
+        report = report_of(told, [CULPRIT, OTHER, 99], START_S + 10)
+        decoded = bodies.decode(*bodies.encode(report))
+        assert isinstance(decoded, CrashReport)
+        self.assertEqual([CULPRIT, OTHER], take_report(heard, decoded, 500.0))
+        self.assertEqual(FIRST_BLOCK_S - 8, heard.blocked_for_s(CULPRIT, 500.0))
+        self.assertEqual(492.0, heard.by_content[OTHER].served_at_s)
+        self.assertEqual([], take_report(heard, decoded, 500.2))
+
+    def test_reports_fit_a_datagram(self) -> None:
+        suspects = CrashSuspects()
+        for content, worker in itertools.product(range(2**63, 2**63 + 100), range(MOST_ENDS)):
+            suspects.take(content, {2**32 - 1 - worker: START_S - 500})
+        reports = reports_of(suspects, suspects.strongest(), START_S + 600)
+        self.assertEqual(100, sum(len(report.suspects) for report in reports))
+        sizes = [len(GossipBodies().encode(report)[1]) for report in reports]
+        self.assertTrue(max(sizes) <= 1200, max(sizes))
--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -47,7 +47,7 @@
             fleet.shares,
             fleet.queue,
             fleet.room,
-            fleet.ends,
+            fleet.quarantine,
             fleet.metrics,
             fleet.log,
         )
--- a/tests/serving/test_serving_feeds.py
+++ b/tests/serving/test_serving_feeds.py
@@ -26,7 +26,7 @@
     """Return feeds that tell nobody."""
     own = DaemonRow("front-1", "t", "127.0.0.1:1", "127.0.0.1", 1, "a")
     registry = DaemonRegistry(store, own, LineLog(), lambda: None)
-    targets = FeedTargets(lambda c: None, lambda c: None, registry, lambda c: None)
+    targets = FeedTargets(lambda c: None, lambda c: None, registry, lambda c: None, lambda c: None)
     return ServingFeeds(store, PlatformRows(), targets, settings_from(GOOD), LineLog())
 
 
--- a/tests/stand_ins/harness.py
+++ b/tests/stand_ins/harness.py
@@ -11,6 +11,7 @@
 import orjson
 
 from mountstand.platform.worker_protocol import PlatformWorkerProtocol
+from mountstand.quarantine.service import RequestQuarantine
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import (
     Configuration,
@@ -28,6 +29,7 @@
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_server import ServerLimits
+from tests.stand_ins.report_link import RecordingReportLink
 from tests.stand_ins.worker import StandInWorker
 
 Result = TypeVar("Result")
@@ -106,6 +108,10 @@
         self.metrics = ServingMetrics()
         self.log = LineLog()
         self.ends = WorkerEnds(self.connections, self.metrics, self.log)
+        self.link = RecordingReportLink()
+        self.quarantine = RequestQuarantine(
+            "test", self.ends, self.link, self.source, self.metrics, self.log
+        )
 
     async def __aenter__(self) -> Fleet:
         """Start the workers and list them."""
