Hold back crashing requests on the own interface too; keep strong suspects apart

Cause: both interfaces send work on after a worker ended. And items of one job go round together: in the test on the own interface all three items of a job were at the same workers at all three ends, so that two good ones were blocked with the cause.

Change: the sharing of suspects is a pure state machine that both interfaces drive (sharing.py); ContentQuarantine for the dispatcher, recovered streams and batch items of the own interface, with a new error request_quarantined. A request of the own interface breaks at three workers at most instead of six.

--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -32,13 +32,17 @@
 from mountstand.batch.worker_assignment import WorkerAssignment
 from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest
 from mountstand.errors import (
+    BackendFailed,
     BackendRefused,
     BackendUnreachable,
     Executed,
     MountstandError,
     PeerUnavailable,
+    RequestQuarantined,
 )
+from mountstand.online.request import request_content_key
 from mountstand.process_settings import BatchSettings
+from mountstand.quarantine.threads import ContentQuarantine
 from mountstand.routing.fleet_view import DispatchOutcome
 from mountstand.routing.router import Router
 from mountstand.store.ports import Machine, ObjectPort
@@ -68,6 +72,9 @@
 SCHEDULE_INTERVAL_S = 0.05
 IDLE_SCHEDULE_INTERVAL_S = 0.5
 RETRY_PAUSE_S = 0.1
+BROKEN_PAUSE_S = 0.5
+"""Pause of an item whose run broke: within it, it is known whether its worker ended."""
+
 STORE_RETRY_S = 0.5
 FINISH_THREADS = 4
 PREFETCH_FACTOR = 2
@@ -90,6 +97,7 @@
         assignment: WorkerAssignment,
         owners: OwnerClient,
         metrics: DaemonMetrics,
+        quarantine: ContentQuarantine,
     ) -> None:
         self._settings = settings
         self._router = router
@@ -99,6 +107,7 @@
         self._assignment = assignment
         self._owners = owners
         self._metrics = metrics
+        self._quarantine = quarantine
         self._changed = threading.Condition()
         self._held: dict[tuple[str, int], HeldRange] = {}
         self._queue: list[tuple[int, float, int, HeldRange, BatchItem]] = []
@@ -329,6 +338,12 @@
             line = failed_line(item, ItemStatus.EXPIRED, "expired", detail, Executed.NO)
             self._record(held, item, ItemStatus.EXPIRED, line)
             return DispatchOutcome.NEUTRAL
+        content = item_content_key(held, item)
+        try:
+            self._quarantine.check(content)
+        except RequestQuarantined as error:
+            self._record(held, item, ItemStatus.FAILED, error_line(item, ItemStatus.FAILED, error))
+            return DispatchOutcome.NEUTRAL
         request = BackendRequest(
             request_id=uuid.uuid4().hex,
             method="POST",
@@ -337,12 +352,29 @@
             priority=BATCH_PRIORITY + held.grant.priority,
             label=f"{held.grant.key.job_key}:{item.index}",
         )
+        with self._quarantine.running(content, worker) as allowed:
+            if not allowed:
+                self._pause(held, item)
+                return DispatchOutcome.NEUTRAL
+            return self._dispatch(held, item, worker, request, content)
+
+    def _dispatch(
+        self,
+        held: HeldRange,
+        item: BatchItem,
+        worker: Machine,
+        request: BackendRequest,
+        content: int,
+    ) -> DispatchOutcome:
         if not self._note_running(held, item, RunningItem(worker, request.request_id)):
             return DispatchOutcome.NEUTRAL
         try:
             answer = self._backend.call(worker, request, ITEM_TIMEOUT_S)
         except MountstandError as error:
+            if isinstance(error, BackendFailed):
+                self._quarantine.note_broken(worker, content)
             return self._handle_failure(held, item, worker, error)
+        self._quarantine.note_served(content)
         self._router.record_figures(worker.machine_id, answer.load)
         self._record_answer(held, item, answer)
         return DispatchOutcome.SUCCESS
@@ -387,12 +419,12 @@
         if attempts >= held.grant.max_attempts:
             self._record(held, item, ItemStatus.FAILED, error_line(item, ItemStatus.FAILED, error))
         else:
-            self._pause(held, item)
+            self._pause(held, item, BROKEN_PAUSE_S)
         return DispatchOutcome.FAILED
 
-    def _pause(self, held: HeldRange, item: BatchItem) -> None:
+    def _pause(self, held: HeldRange, item: BatchItem, pause_s: float = RETRY_PAUSE_S) -> None:
         with self._changed:
-            self._paused.append((time.monotonic() + RETRY_PAUSE_S, held, item))
+            self._paused.append((time.monotonic() + pause_s, held, item))
 
     def _record(self, held: HeldRange, item: BatchItem, status: ItemStatus, line: bytes) -> None:
         self._metrics.batch_items.labels(status.value).inc()
@@ -468,6 +500,12 @@
             self._backend.cancel(item.machine, item.request_id)
 
 
+def item_content_key(held: HeldRange, item: BatchItem) -> int:
+    """Return the number that stands for what an item asks and for whom."""
+    grant = held.grant
+    return request_content_key(grant.service, grant.tenant, "POST", item.path, item.body)
+
+
 def is_past_due(held: HeldRange) -> bool:
     """Return whether the job's due time has passed."""
     return bool(held.grant.due_time_s) and time.time() > held.grant.due_time_s
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -39,6 +39,11 @@
 from mountstand.online.service import OnlineService
 from mountstand.placement.service import PlacementService
 from mountstand.process_settings import DaemonSettings
+from mountstand.quarantine.threads import (
+    ContentQuarantine,
+    MembershipReportLink,
+    TableSuspects,
+)
 from mountstand.routing.observer import FleetObserver
 from mountstand.routing.router import Router
 from mountstand.settings.service import SettingsService
@@ -49,7 +54,7 @@
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.wire.frames import Frame, FrameCodec
-from mountstand.wire.gossip import MembersSync
+from mountstand.wire.gossip import CrashQuery, CrashReport, MembersSync
 from mountstand.wire.messages import (
     CancelJob,
     DaemonBodies,
@@ -88,8 +93,18 @@
         self._build_platform()
         self.backend = HttpBackend(self.metrics)
         self.router = Router(settings.zone, settings.seed)
-        self.online = OnlineService(self.router, self.backend, self.table, self.metrics)
         self._build_membership()
+        self.quarantine = ContentQuarantine(
+            settings.daemon_id,
+            MembershipReportLink(self.membership),
+            TableSuspects(self.table),
+            self.backend.has_ended,
+            self.metrics,
+            settings.seed,
+        )
+        self.online = OnlineService(
+            self.router, self.backend, self.table, self.metrics, self.quarantine
+        )
         self._build_batch()
         self.observer = FleetObserver(
             self.router,
@@ -113,6 +128,7 @@
         """Start every part; the callers' interface comes last."""
         self._control_server.start()
         self.membership.start()
+        self.quarantine.start()
         self.observer.start()
         self.settings_service.start()
         self.owner.start()
@@ -139,6 +155,7 @@
         self.executor.stop()
         self.observer.stop()
         self.settings_service.stop()
+        self.quarantine.stop()
         self.membership.stop()
         self._control_server.stop()
         log_state_change(logger, "daemon stopped", streams_ended=finished, batch_drained=drained)
@@ -228,6 +245,7 @@
             WorkerAssignment(self.membership, self.router),
             owners,
             self.metrics,
+            self.quarantine,
         )
         self.owner = JobOwner(
             settings,
@@ -286,6 +304,8 @@
             self.owner.look_now()
         elif isinstance(message, SettingsRequest | SettingsReply):
             self.settings_service.handle_datagram(sender_id, message)
+        elif isinstance(message, CrashReport | CrashQuery):
+            self.quarantine.handle(sender_id, message)
 
     def _callers_root(self) -> object:
         context = CallerContext(
--- a/mountstand/emulator/tcp_proxy.py
+++ b/mountstand/emulator/tcp_proxy.py
@@ -16,6 +16,8 @@
 
 READ_BYTES = 65536
 FROZEN_CHECK_S = 0.02
+CRASH_AFTER_S = 0.04
+"""Time that a worker runs a request before it crashes."""
 
 
 class ProxyPlan(BaseModel):
@@ -30,6 +32,8 @@
     lose_answers: bool = Field(False, description="Pass requests on, and close before an answer")
     delay_s: float = Field(0.0, ge=0.0, description="Hold every piece back for so long")
     cut_after_bytes: int = Field(0, ge=0, description="Close after so many bytes of an answer")
+    crash_on: str = Field("", description="Text of a request that crashes the worker behind")
+    crash_s: float = Field(0.5, ge=0.0, description="How long a worker that crashed is away")
 
 
 class ProxyApp:
@@ -40,6 +44,8 @@
         self._listen = (address, port)
         self._target = (target_address, target_port)
         self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self._crash: asyncio.Task[None] | None = None
 
     def build(self) -> web.Application:
         """Return the control application; the proxied port opens and closes with it."""
@@ -49,11 +55,24 @@
         return application
 
     async def _serve(self, application: web.Application) -> AsyncIterator[None]:
-        server = await asyncio.start_server(self._handle_connection, *self._listen)
+        await self._open()
         yield
-        server.close()
+        if self._server is not None:
+            self._server.close()
         self._close_all()
 
+    async def _open(self) -> None:
+        self._server = await asyncio.start_server(self._handle_connection, *self._listen)
+
+    async def _crash_and_return(self) -> None:
+        """Refuse connections and close all that there are, as the machine of a crashed worker."""
+        await asyncio.sleep(CRASH_AFTER_S)
+        if self._server is not None:
+            self._server.close()
+        self._close_all()
+        await asyncio.sleep(self.plan.crash_s)
+        await self._open()
+
     async def _handle_put(self, request: web.Request) -> web.Response:
         self.plan = ProxyPlan.model_validate_json(await request.read())
         if self.plan.cut:
@@ -101,6 +120,8 @@
                     await asyncio.sleep(FROZEN_CHECK_S)
                 if self.plan.delay_s:
                     await asyncio.sleep(self.plan.delay_s)
+                if not answers and self._crashes(piece):
+                    self._crash = asyncio.create_task(self._crash_and_return())
                 if answers and self.plan.lose_answers:
                     return
                 limit = self.plan.cut_after_bytes
@@ -114,6 +135,12 @@
             # The other direction must end before the connection is closed.
             await asyncio.sleep(FROZEN_CHECK_S)
 
+    def _crashes(self, piece: bytes) -> bool:
+        """Return whether a piece of a request crashes a worker that runs."""
+        crashing = self._crash is not None and not self._crash.done()
+        text = self.plan.crash_on.encode()
+        return bool(text) and text in piece and not crashing
+
     def _close_all(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -181,6 +181,16 @@
         except HTTPError:
             return
 
+    def has_ended(self, machine: Machine) -> bool:
+        """Return whether the machine refuses connections; see :meth:`BackendPort.has_ended`."""
+        try:
+            socket.create_connection((machine.address, machine.port), CONNECT_TIMEOUT_S).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def load(self, machine: Machine) -> LoadReport:
         """Return the back end's load report."""
         report = self._get_json(machine, "/load")
--- a/mountstand/engines/port.py
+++ b/mountstand/engines/port.py
@@ -134,6 +134,10 @@
     def cancel(self, machine: Machine, request_id: str) -> None:
         """Stop a dispatched request; best effort, never raises."""
 
+    @abstractmethod
+    def has_ended(self, machine: Machine) -> bool:
+        """Return whether the machine answers and nothing listens there; never raises."""
+
     @abstractmethod
     def load(self, machine: Machine) -> LoadReport:
         """Return the back end's load report."""
--- a/mountstand/errors.py
+++ b/mountstand/errors.py
@@ -178,6 +178,16 @@
     default_retry_after_s = 2.0
 
 
+class RequestQuarantined(MountstandError):
+    """Workers ended under requests with this content, so it is held back."""
+
+    code = "request_quarantined"
+    title = "Requests with this content have ended several workers"
+    remedy = "Send something else; the same is tried again after the time in Retry-After."
+    http_status = 503
+    default_executed = Executed.NO
+
+
 class Stopping(MountstandError):
     """The daemon is in a planned stop."""
 
--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -97,6 +97,15 @@
         self, progress: ItemProgress, route: Route, worker: Worker
     ) -> ItemResult | None:
         """Make one attempt; returns the item's end, or ``None`` if it must be tried again."""
+        with self._context.quarantine.running(self._call(progress), worker):
+            result = await self._attempt(progress, route, worker)
+        if result is None and progress.sent_at_s is not None:
+            await self._context.quarantine.settled(worker)
+        return result
+
+    async def _attempt(
+        self, progress: ItemProgress, route: Route, worker: Worker
+    ) -> ItemResult | None:
         progress.sent_at_s = progress.first_event_at_s = None
         reading = PromptReading(worker, progress.item.prompt)
         try:
@@ -214,6 +223,10 @@
         """Return for how long an item may not be sent to workers, 0 if it may be."""
         return self._context.quarantine.blocked_for_s(self._call(progress))
 
+    def allows(self, progress: ItemProgress, worker: Worker) -> bool:
+        """Return whether an item may run at a worker beside other suspects that run there."""
+        return self._context.quarantine.allows(self._call(progress), worker)
+
     def given_up(self, progress: ItemProgress, cause: str, route: str) -> ItemResult:
         """Return the end of an item that is given up."""
         self._log("item_given_up", item=progress.item.item_id, cause=cause, route=route)
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -264,6 +264,8 @@
             blocked = self._executor.blocked_for_s(progress) > 0
             if self._draining or blocked or not self._surely_open():
                 return None
+            if not self._executor.allows(progress, placement.worker):
+                return None
             progress.preempted = False
             placement.preempt = progress.preempt
             return await self._executor.attempt(progress, route, placement.worker)
--- a/mountstand/membership/digest_link.py
+++ b/mountstand/membership/digest_link.py
@@ -6,11 +6,11 @@
 
 from mountstand.membership.datagrams import DatagramMembership
 from mountstand.membership.registry import DaemonRegistry
-from mountstand.quarantine.service import ReportLink
+from mountstand.quarantine.sharing import QuarantineMessage, ReportLink
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import DigestLink
 from mountstand.serving.slot_lending import SlotLink, SlotMessage
-from mountstand.wire.gossip import CrashQuery, CrashReport, LoadDigest
+from mountstand.wire.gossip import LoadDigest
 
 
 class MembershipLink(DigestLink):
@@ -66,6 +66,6 @@
         """Return those of them that callers are sent to."""
         return self._serving() - {self._membership.own_name}
 
-    def send(self, message: CrashReport | CrashQuery, receivers: Collection[str]) -> None:
+    def send(self, message: QuarantineMessage, receivers: Collection[str]) -> None:
         """Send a message to daemons."""
         self._membership.send(message, receivers)
--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -26,9 +26,12 @@
     MountstandError,
     NoBackend,
     Overloaded,
+    RequestQuarantined,
 )
 from mountstand.online.request import OnlineRequest
 from mountstand.online.retry_budget import RetryBudget
+from mountstand.quarantine.suspects import CRASHES_TO_BLOCK
+from mountstand.quarantine.threads import ContentQuarantine
 from mountstand.routing.chooser import RouteRequest
 from mountstand.routing.fleet_view import DispatchOutcome
 from mountstand.routing.router import Router
@@ -41,6 +44,9 @@
 """How long a worker that refused for lack of room is left out, unless it says otherwise."""
 
 NO_WORKER_PAUSE_S = 0.02
+MOST_BROKEN = CRASHES_TO_BLOCK
+"""Workers at which one request may break: past so many it is hardly the workers."""
+
 FIRST_TRY_SHARE = 0.5
 """Share of the time left that a repeatable try may take, so that a frozen back end leaves room."""
 
@@ -68,11 +74,13 @@
         backend: BackendPort,
         metrics: DaemonMetrics,
         record_backend_full: Callable[[str], None],
+        quarantine: ContentQuarantine,
     ) -> None:
         self._router = router
         self._backend = backend
         self._metrics = metrics
         self._record_backend_full = record_backend_full
+        self._quarantine = quarantine
         self._budget = RetryBudget()
         self._budget_lock = threading.Lock()
         self._cancellers = ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="cancel")
@@ -85,6 +93,7 @@
 
         dispatched = self._try_until_done(request, send)
         self._router.end(dispatched.machine.machine_id, DispatchOutcome.SUCCESS)
+        self._quarantine.note_served(request.content_key)
         return dispatched
 
     def open_stream(
@@ -97,6 +106,17 @@
 
         return self._try_until_done(request, send, excluded)
 
+    def check(self, request: OnlineRequest) -> None:
+        """Raise ``RequestQuarantined`` for a request that may not be sent to workers."""
+        self._quarantine.check(request.content_key)
+
+    def note_stream_end(self, request: OnlineRequest, machine: Machine, *, whole: bool) -> None:
+        """Note that a stream ended whole, or broke at ``machine``."""
+        if whole:
+            self._quarantine.note_served(request.content_key)
+        else:
+            self._quarantine.note_broken(machine, request.content_key)
+
     def end_stream(self, machine: Machine, outcome: DispatchOutcome) -> None:
         """Report how a stream ended."""
         self._router.end(machine.machine_id, outcome)
@@ -114,8 +134,14 @@
         with self._budget_lock:
             self._budget.deposit()
         maybe_executed = False
+        broken = 0
         last_error: MountstandError | None = None
         for _ in range(MAX_TRIES):
+            try:
+                self.check(request)
+            except RequestQuarantined as error:
+                last_error = error
+                break
             machine = self._choose(request, excluded, last_error)
             if machine is None:
                 break
@@ -129,7 +155,8 @@
                 self._learn(request, machine, dispatch.request_id, error)
                 excluded = excluded | {machine.machine_id}
                 maybe_executed = maybe_executed or error.executed is not Executed.NO
-                if not self._may_retry(request, error):
+                broken += isinstance(error, BackendFailed)
+                if broken >= MOST_BROKEN or not self._may_retry(request, error):
                     break
                 self._metrics.online_retries.labels(error.code).inc()
         raise final_error(last_error, request, maybe_executed=maybe_executed)
@@ -158,6 +185,8 @@
             self._router.end(worker_id, DispatchOutcome.NEUTRAL)
         else:
             self._router.end(worker_id, DispatchOutcome.FAILED)
+        if isinstance(error, BackendFailed) and not isinstance(error, CallerLeft):
+            self._quarantine.note_broken(machine, request.content_key)
         if isinstance(error, CrossedAnswer):
             self._metrics.crossed_answers.inc()
         if error.executed is not Executed.NO:
--- a/mountstand/online/request.py
+++ b/mountstand/online/request.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from mountstand.engines.port import CallerGone
+from mountstand.hashing import content_key
 
 
 @dataclass(frozen=True)
@@ -43,3 +45,14 @@
     prefix: tuple[str, ...] = ()
     headers: dict[str, str] = field(default_factory=dict)
     caller_gone: CallerGone | None = None
+
+    @cached_property
+    def content_key(self) -> int:
+        """The number that stands for what is asked and by whom, whatever the request's id."""
+        return request_content_key(self.service, self.tenant, self.method, self.path, self.body)
+
+
+def request_content_key(service: str, tenant: str, method: str, path: str, body: bytes) -> int:
+    """Return the content key of a request or batch item of this interface."""
+    texts = (service, tenant, method, path)
+    return content_key(*(text.encode() for text in texts), body)
--- a/mountstand/online/service.py
+++ b/mountstand/online/service.py
@@ -25,6 +25,7 @@
     StreamRelay,
     abort_caller,
 )
+from mountstand.quarantine.threads import ContentQuarantine
 from mountstand.routing.fleet_view import DispatchOutcome
 from mountstand.routing.router import Router
 from mountstand.store.ports import Machine, TablePort
@@ -59,11 +60,14 @@
         backend: BackendPort,
         table: TablePort,
         metrics: DaemonMetrics,
+        quarantine: ContentQuarantine,
     ) -> None:
         self._backend = backend
         self._metrics = metrics
         self.gate = AdmissionGate(router.capacity)
-        self._dispatcher = Dispatcher(router, backend, metrics, self.gate.record_backend_full)
+        self._dispatcher = Dispatcher(
+            router, backend, metrics, self.gate.record_backend_full, quarantine
+        )
         self._idempotent = IdempotentRunner(table)
         self.relay = StreamRelay(metrics)
         self._recovery = ThreadPoolExecutor(RECOVERY_THREADS, thread_name_prefix="stream-recovery")
@@ -77,6 +81,7 @@
 
     def call(self, request: OnlineRequest) -> BackendAnswer:
         """Run a request and return its whole answer."""
+        self._dispatcher.check(request)
         self._count_in_progress(1)
         try:
             with self.gate.admitted(request.service, request.tenant, request.deadline_s):
@@ -88,6 +93,7 @@
 
     def open_stream(self, request: OnlineRequest) -> tuple[StreamLease, OpenStream]:
         """Start a stream; hand the result to :meth:`hold_stream`."""
+        self._dispatcher.check(request)
         self._count_in_progress(1)
         try:
             return self._open_stream(request)
@@ -146,6 +152,9 @@
         return dispatched.result
 
     def _handle_stream_end(self, lease: StreamLease, stream: RelayedStream, end: StreamEnd) -> None:
+        if end is not StreamEnd.CALLER_LEFT:
+            whole = end is StreamEnd.COMPLETED
+            self._dispatcher.note_stream_end(lease.request, lease.machine, whole=whole)
         if end is StreamEnd.BROKEN:
             self._recovery.submit(self._recover, lease, stream)
             return
--- /dev/null
+++ b/mountstand/quarantine/separation.py
@@ -0,0 +1,53 @@
+"""Keeps strong suspects apart, so that the next crash tells which of them is the cause.
+
+Items of one job, or requests that broke at the same moment, are tried again at the same moment, and
+often at the same worker: those beside the cause would be there at every end, too. So two contents
+under which two workers or more ended do not run at one worker at a time, as far as a daemon knows.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from mountstand.quarantine.suspects import CrashSuspects
+
+ENDS_TO_SEPARATE = 2
+"""Contents with fewer ends run anywhere: an ordinary crash brings as many as the worker had slots,
+and keeping those apart would hold up batch work for nothing."""
+
+
+class SuspectSeparation:
+    """The strong suspects that this daemon has in flight, by worker."""
+
+    __slots__ = ("_in_flight_by_worker", "_suspects")
+
+    def __init__(self, suspects: CrashSuspects) -> None:
+        self._suspects = suspects
+        self._in_flight_by_worker: dict[str, Counter[int]] = {}
+
+    def allows(self, content: int, worker_id: str) -> bool:
+        """Return whether a content may be sent to a worker beside what this daemon has there."""
+        others = self._in_flight_by_worker.get(worker_id)
+        if not others or not self._is_strong(content):
+            return True
+        return set(others) <= {content}
+
+    def enter(self, content: int, worker_id: str) -> bool:
+        """Note a content that is sent to a worker; returns whether it must be told to leave."""
+        if not self._is_strong(content):
+            return False
+        self._in_flight_by_worker.setdefault(worker_id, Counter())[content] += 1
+        return True
+
+    def leave(self, content: int, worker_id: str) -> None:
+        """Note that an exchange that entered is over."""
+        contents = self._in_flight_by_worker[worker_id]
+        contents[content] -= 1
+        if not contents[content]:
+            del contents[content]
+        if not contents:
+            del self._in_flight_by_worker[worker_id]
+
+    def _is_strong(self, content: int) -> bool:
+        suspect = self._suspects.by_content.get(content)
+        return suspect is not None and len(suspect.ended_at_s) >= ENDS_TO_SEPARATE
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -34,7 +34,7 @@
     """Writes the suspects of one daemon to the table, and takes what rows say.
 
     ``store_now_ms`` returns the store's clock and raises ``StoreError`` where it is not known;
-    ``on_news`` is told of contents of which a row said something new.
+    ``on_news`` is called when rows said something new.
     """
 
     def __init__(
@@ -51,7 +51,7 @@
         self._rows: set[int] = set()
         self._unwritten: set[int] = set()
         self._wanted = asyncio.Event()
-        self.on_news: Callable[[list[int]], None] = lambda contents: None
+        self.on_news: Callable[[], None] = lambda: None
 
     def want(self, content: int) -> None:
         """Write what is known of a content, or remove its row if it is not suspected any more."""
@@ -67,17 +67,14 @@
         if change.complete:
             self._rows.clear()
         now_s = asyncio.get_running_loop().time()
-        news = []
+        news = False
         for row in change.rows:
             try:
-                content = int(row.key.key, 16)
-                new = self._take(content, row, now_s)
+                news = self._take(int(row.key.key, 16), row, now_s) or news
             except (ValueError, KeyError, TypeError, AttributeError) as problem:
                 self._log.event("suspect_unreadable", key=row.key.key, cause=repr(problem))
-                continue
-            if new:
-                news.append(content)
-        self.on_news(news)
+        if news:
+            self.on_news()
 
     def forgotten_rows(self) -> list[int]:
         """Return contents that have a row and are not known any more."""
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -133,7 +133,9 @@
                 exchange.cause = exchange.cause or "no worker"
                 self._end_unfinished(exchange)
                 return
-            outcome = await self._attempt(exchange, worker)
+            worker = self._separate(exchange, worker)
+            with self._quarantine.running(exchange.call, worker):
+                outcome = await self._attempt(exchange, worker)
             self._note_outcome(exchange, worker, outcome)
             if outcome is Outcome.DELIVERED:
                 exchange.delivered = True
@@ -145,6 +147,8 @@
             if not self._may_go_on(exchange, outcome):
                 self._end_unfinished(exchange)
                 return
+            if outcome not in SAID_NOTHING and self._quarantine.is_suspect(exchange.call):
+                await self._quarantine.settled(worker)
             worker = self._choose(exchange)
 
     async def _wait_for_worker(self, exchange: Exchange, received_at_s: float) -> Worker | None:
@@ -172,6 +176,25 @@
         self._log.request_quarantined(exchange)
         self._end_unfinished(exchange)
 
+    def _separate(self, exchange: Exchange, worker: Worker) -> Worker:
+        """Return the worker to use instead of one where another suspect runs, if there is any."""
+        if self._quarantine.allows(exchange.call, worker):
+            return worker
+        now_s = asyncio.get_running_loop().time()
+        call = exchange.call
+        other = self._directory.choose(
+            exchange.service,
+            call.prompt,
+            exchange.tried,
+            now_s,
+            lambda each: self._quarantine.allows(call, each),
+        )
+        if other is None:
+            return worker
+        other.in_flight += 1
+        self._free_slot(worker)
+        return other
+
     def _note_duration(self, exchange: Exchange) -> None:
         """Learn how long requests usually take from one that was served."""
         if exchange.responder.status < WORKER_FAILED:
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -53,27 +53,30 @@
         self._metrics = metrics
         self._log = log
         self._broken_by_worker: dict[str, set[int]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._check_by_worker: dict[str, asyncio.Task[None]] = {}
         self.observers: list[WorkerEndObserver] = []
 
     def note_broken(self, worker: Worker, call: Call) -> None:
         """Note that the exchange of ``call`` broke at ``worker`` after it was sent."""
         if worker.leaving_since_s is not None:
             return
-        broken = self._broken_by_worker.get(worker.record.worker_id)
-        if broken is not None:
-            broken.add(call.content_key)
-            return
-        self._broken_by_worker[worker.record.worker_id] = {call.content_key}
-        task = asyncio.create_task(self._check(worker))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        worker_id = worker.record.worker_id
+        self._broken_by_worker.setdefault(worker_id, set()).add(call.content_key)
+        if worker_id not in self._check_by_worker:
+            self._check_by_worker[worker_id] = asyncio.create_task(self._check(worker))
+
+    async def settled(self, worker: Worker) -> None:
+        """Wait until it is known whether a worker ended, if it is being checked."""
+        check = self._check_by_worker.get(worker.record.worker_id)
+        if check is not None:
+            await asyncio.wait([check])
 
     async def _check(self, worker: Worker) -> None:
         try:
             ended = await self._has_ended(worker)
         finally:
             broken = self._broken_by_worker.pop(worker.record.worker_id)
+            del self._check_by_worker[worker.record.worker_id]
         if not ended:
             return
         self._metrics.worker_ended()
--- a/mountstand/telemetry/metrics.py
+++ b/mountstand/telemetry/metrics.py
@@ -40,6 +40,11 @@
         self.streams_resumed = Counter(
             "mountstand_streams_resumed_total", "Broken streams continued", registry=registry
         )
+        self.requests_quarantined = Counter(
+            "mountstand_requests_quarantined_total",
+            "Requests and items not sent to workers since their content ended several",
+            registry=registry,
+        )
         self.batch_items = Counter(
             "mountstand_batch_items_total", "Items run by outcome", ["outcome"], registry=registry
         )
--- a/tests/integration/test_crashing_request.py
+++ b/tests/integration/test_crashing_request.py
@@ -1,15 +1,23 @@
-"""A request that crashes the workers that run it: how often real processes send it on."""
+"""A request that crashes the workers that run it: how often real processes send it on.
+
+Both interfaces, before workers that end as they run it and are back a moment later.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import time
 from base64 import b64encode
 from typing import Any
 
 import orjson
+import urllib3
 from testtools import TestCase
 
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import FleetPlan
 from mountstand.transport.http_client import ConnectFailed, ReplyBroken
+from tests.integration.helpers import job, submit, wait_completed, wait_until
 from tests.integration.test_platform_node import Process, Site, operator_configuration
 from tests.stand_ins.crashing import RestartingWorkers, WorkerList
 from tests.stand_ins.harness import run
@@ -122,3 +130,71 @@
                 self.assertEqual({"i0", "i2"}, {result["id"] for result in page["results"]})
 
         run(scenario())
+
+
+class OwnInterface(TestCase):
+    """The product's own interface on emulated engines, each behind a proxy that crashes for it."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        plan = FleetPlan(daemons=2, engines=5, applications=0, proxied=True)
+        cls.fleet = Fleet(plan)
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start()
+
+    def crash_on(self, text: str) -> None:
+        """Let all engines crash on requests that hold a text."""
+        for engine in self.fleet.engines:
+            self.fleet.set_proxy(engine, crash_on=text)
+
+    def complete(self, daemon: int, request_id: str, prompt: str, *, stream: bool) -> Any:
+        """Send a completion; returns the answer, or ``None`` where it broke off."""
+        body = {"model": "caption", "prompt": prompt, "max_tokens": 40, "stream": stream}
+        try:
+            return self.fleet.http.request(
+                "POST",
+                f"{self.fleet.daemons[daemon].callers_url}/v1/completions",
+                body=orjson.dumps(body),
+                headers={"X-Request-Id": request_id, "X-Deadline-Ms": "4000"},
+            )
+        except urllib3.exceptions.ProtocolError:
+            return None
+
+    def runs(self, label: str) -> int:
+        """Return how many runs there were of requests whose label begins so."""
+        return sum(run["label"].startswith(label) for run in self.fleet.executions())
+
+    def test_an_online_request_is_held_back_at_all_daemons(self) -> None:
+        for stream_wanted in (False, True):
+            name = f"crash-{stream_wanted}".lower()
+            self.crash_on(name)
+            for i in range(4):
+                self.complete(i % 2, f"{name}-early-{i}", name, stream=stream_wanted)
+                time.sleep(0.8)
+            time.sleep(CONTACT_S)
+            answers = [
+                self.complete(i % 2, f"{name}-late-{i}", name, stream=stream_wanted)
+                for i in range(10)
+            ]
+            self.assertTrue(self.runs(f"{name}-late") <= RETRIES_ALLOWED, name)
+            self.assertEqual(503, answers[-1].status, answers[-1].data)
+            problem = orjson.loads(answers[-1].data)
+            self.assertEqual(("request_quarantined", "no"), (problem["code"], problem["executed"]))
+            self.assertTrue(float(answers[-1].headers["Retry-After"]) > 1.0)
+            wait_until(
+                lambda: self.complete(0, "good", "a harbour", stream=False).status == 200,
+                "others are served",
+            )
+
+    def test_a_batch_item_fails_and_the_others_are_done(self) -> None:
+        self.crash_on("crash-batch")
+        lines = [
+            {"custom_id": f"i{n}", "body": {"model": "caption", "prompt": prompt, "max_tokens": 99}}
+            for n, prompt in enumerate(["a harbour", "crash-batch", "a beach"])
+        ]
+        body = b"\n".join(map(orjson.dumps, lines))
+        submit(self.fleet, self.fleet.daemons[0], "crashing-job", body, **{"X-Max-Attempts": "20"})
+        wait_completed(self.fleet, self.fleet.daemons[1], "crashing-job")
+        counts = job(self.fleet, self.fleet.daemons[1], "crashing-job")
+        self.assertEqual(2, counts["request_counts"]["completed"], counts)
--- /dev/null
+++ b/tests/serving/test_held_back.py
@@ -0,0 +1,187 @@
+"""Online requests whose content crashes workers, and those that run beside them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from testtools import TestCase
+
+from mountstand.serving.configuration import RequestKind, Route
+from mountstand.serving.worker_protocol import Call
+from tests.serving.test_forwarder import ONCE, PLAIN_STREAM, REPEATABLE, RESUMABLE, Front
+from tests.stand_ins.crashing import CrashableWorker
+from tests.stand_ins.harness import HOST, eventually, route, run
+from tests.stand_ins.worker import Answer, Received, StandInWorker, event, silence, stream, whole
+
+ANY_TRY = Call("r", HOST, "POST", "/x", (), b"body")
+"""What ``Front.ask`` sends, whatever its id."""
+
+ROUTES = (ONCE, REPEATABLE, PLAIN_STREAM, RESUMABLE)
+
+
+def block(front: Front) -> None:
+    """Let three workers have ended under the request that ``Front.ask`` sends."""
+    now_s = asyncio.get_running_loop().time()
+    for key in (1, 2, 3):
+        worker = front.fleet.directory.workers["w0"]
+        front.fleet.quarantine._sharing.note_ended(key, [ANY_TRY.content_key], now_s)
+        assert worker.in_flight >= 0
+
+
+class CrashingFront(Front):
+    """A front whose workers end as they run the request."""
+
+    def __init__(self, used: Route, *scripts: tuple[Answer, ...]) -> None:
+        super().__init__(used, *scripts)
+        self.crash = True
+        workers: list[StandInWorker] = [
+            CrashableWorker(f"w{n}", self._crashes, *script) for n, script in enumerate(scripts)
+        ]
+        self.workers[:] = workers
+        self.fleet.workers = tuple(workers)
+
+    def _crashes(self, request: Received) -> bool:
+        return self.crash
+
+
+class HeldBack(TestCase):
+    def with_front(self, used: Route, body: Any, *scripts: tuple[Answer, ...]) -> None:
+        async def scenario() -> None:
+            async with Front(used, *(scripts or ((whole(),),))) as front:
+                await body(front)
+
+        run(scenario())
+
+    def test_refused_at_once_with_the_time_of_its_next_trial(self) -> None:
+        async def body(front: Front) -> None:
+            block(front)
+            status, _, complete = await front.ask("r1")
+            self.assertEqual((503, True), (status, complete))
+            self.assertRegex(front.last_head.lower(), r"retry-after: (600|59\d\.)")
+            self.assertEqual([], front.fleet.received())
+            (line,) = front.fleet.log.lines("request_held_back")
+            self.assertEqual(("r1", 0), (line["request"], line["runs"]))
+
+        for used in ROUTES:
+            self.with_front(used, body)
+
+    def test_other_contents_are_served(self) -> None:
+        async def body(front: Front) -> None:
+            block(front)
+            other = Call("r", HOST, "POST", "/x", (), b"else")
+            self.assertEqual(0.0, front.fleet.quarantine.blocked_for_s(other))
+            other_caller = Call("r", HOST, "POST", "/x", (), b"body", tenant="t")
+            self.assertEqual(0.0, front.fleet.quarantine.blocked_for_s(other_caller))
+
+        self.with_front(REPEATABLE, body)
+
+    def test_one_that_waits_for_a_worker_is_refused_as_it_becomes_blocked(self) -> None:
+        async def body(front: Front) -> None:
+            front.fleet.quarantine.on_blocked = front.fleet.queue.reject
+            worker = front.fleet.directory.workers["w0"]
+            worker.in_flight = 4
+            asking = asyncio.create_task(front.ask("r1"))
+            await eventually(lambda: front.fleet.queue.waits_here("llm"), "it waits")
+            block(front)
+            status, _, _ = await asyncio.wait_for(asking, 0.3)
+            self.assertEqual(503, status)
+            self.assertEqual(4, worker.in_flight)
+            self.assertEqual([], front.fleet.received())
+
+        self.with_front(route(RequestKind.REPEATABLE, target_latency_s=2.0), body)
+
+    def test_one_that_ran_before_it_was_blocked_is_not_called_refused(self) -> None:
+        async def body(front: Front) -> None:
+            asking = asyncio.create_task(front.ask("r1"))
+            await eventually(lambda: len(front.fleet.received()) == 1, "it runs")
+            block(front)
+            for writer in list(front.workers[0]._writers | front.workers[1]._writers):
+                writer.transport.abort()
+            status, _, _ = await asking
+            self.assertEqual(502, status)
+            self.assertEqual(1, len(front.fleet.received()))
+
+        self.with_front(REPEATABLE, body, (silence,), (silence,))
+
+    def test_a_slot_that_it_was_given_is_free_again(self) -> None:
+        async def body(front: Front) -> None:
+            block(front)
+            worker = front.fleet.directory.workers["w0"]
+            for _ in range(5):
+                await front.ask("r1")
+            self.assertEqual(0, worker.in_flight)
+
+        self.with_front(ONCE, body)
+
+
+class Crashes(TestCase):
+    def test_the_end_of_a_worker_is_seen_on_each_kind_of_route(self) -> None:
+        async def scenario(used: Route) -> None:
+            async with CrashingFront(used, (whole(),), (whole(),), (whole(),)) as front:
+                suspects = front.fleet.quarantine.suspects
+                await front.ask("r1")
+                expected = min(used.max_attempts, 3) if used.repeatable else 1
+                key = ANY_TRY.content_key
+                await eventually(
+                    lambda: (
+                        key in suspects.by_content
+                        and len(suspects.by_content[key].ended_at_s) == expected
+                    ),
+                    f"{expected} ends on {used.name}",
+                )
+                blocked = front.fleet.quarantine.blocked_for_s(ANY_TRY) > 0
+                self.assertEqual(expected >= 3, blocked, used.name)
+
+        for used in ROUTES:
+            run(scenario(used))
+
+    def test_a_stream_beside_one_goes_on_elsewhere_and_is_cleared(self) -> None:
+        async def scenario() -> None:
+            scripts = ((stream(8, gap_s=0.05),),) * 2
+            async with CrashingFront(RESUMABLE, *scripts) as front:
+                front.crash = False
+                asking = asyncio.create_task(front.ask("r1"))
+                await eventually(lambda: front.fleet.received(), "it runs")
+                first = next(worker for worker in front.workers if worker.received)
+                await asyncio.sleep(0.12)
+                await first.stop()
+                status, got, complete = await asking
+                self.assertEqual((200, True), (status, complete))
+                self.assertEqual(b"".join(event(n) for n in range(1, 9)), got)
+                suspect = front.fleet.quarantine.suspects.by_content.get(ANY_TRY.content_key)
+                self.assertEqual({}, suspect.ended_at_s if suspect else {})
+
+        run(scenario())
+
+    def test_breaks_of_links_are_no_ends(self) -> None:
+        async def scenario() -> None:
+            script = (stream(5, cut_after=1),)
+            async with Front(RESUMABLE, script, script, script) as front:
+                await front.ask("r1")
+                await asyncio.sleep(0.5)
+                self.assertFalse(front.fleet.quarantine.suspects)
+
+        run(scenario())
+
+
+class Separation(TestCase):
+    def test_two_strong_suspects_do_not_meet_at_a_worker(self) -> None:
+        async def scenario() -> None:
+            async with Front(REPEATABLE, (whole(),), (whole(),)) as front:
+                fleet = front.fleet
+                other = Call("r", HOST, "POST", "/x", (), b"else")
+                now_s = asyncio.get_running_loop().time()
+                keys = [ANY_TRY.content_key, other.content_key]
+                for worker_key in (1, 2):
+                    fleet.quarantine._sharing.note_ended(worker_key, keys, now_s)
+                first = fleet.directory.workers["w0"]
+                with fleet.quarantine.running(other, first):
+                    self.assertFalse(fleet.quarantine.allows(ANY_TRY, first))
+                    self.assertTrue(fleet.quarantine.allows(other, first))
+                    self.assertEqual(200, (await front.ask())[0])
+                self.assertEqual(["w1"], fleet.received())
+                self.assertTrue(fleet.quarantine.allows(ANY_TRY, first))
+
+        for _ in range(6):
+            run(scenario())
--- a/tests/stand_ins/report_link.py
+++ b/tests/stand_ins/report_link.py
@@ -4,10 +4,8 @@
 
 from collections.abc import Callable, Collection
 
-from mountstand.quarantine.service import ReportLink
-from mountstand.wire.gossip import CrashQuery, CrashReport
-
-Message = CrashReport | CrashQuery
+from mountstand.quarantine.sharing import QuarantineMessage as Message
+from mountstand.quarantine.sharing import ReportLink
 
 
 class RecordingReportLink(ReportLink):
