Leases, ages, limits and deadlines are read against a clock that counts sleep

Cause: the event loop and all threads read the steady clock, which stands still while a machine is suspended. After 20 s of sleep, what was known of the store looked fresh, a caller's time looked left and was told to workers, and a lease that had run out looked held.

A daemon that stood still asks the others what crashes workers.

--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -30,6 +30,7 @@
 from mountstand.batch.owner_client import OwnerClient
 from mountstand.batch.range_renewal import RangeRenewal
 from mountstand.batch.worker_assignment import WorkerAssignment
+from mountstand.clock import elapsed_s
 from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest
 from mountstand.errors import (
     BackendFailed,
@@ -137,10 +138,10 @@
 
     def drain(self, timeout_s: float) -> bool:
         """Take no new ranges and finish those held; return whether all are finished."""
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = elapsed_s() + timeout_s
         with self._changed:
             self._draining = True
-            while self._held and time.monotonic() < deadline_s:
+            while self._held and elapsed_s() < deadline_s:
                 self._changed.wait(0.1)
             return not self._held
 
@@ -211,7 +212,7 @@
         return target - waiting - self._in_flight
 
     def _pull_from(self, owner_id: str, services: tuple[str, ...], wanted: int) -> int:
-        sent_s = time.monotonic()
+        sent_s = elapsed_s()
         request = PullRanges(self._self_id, services, wanted)
         try:
             reply = self._owners.call(owner_id, request)
@@ -268,7 +269,7 @@
                     self._changed.wait(SCHEDULE_INTERVAL_S)
 
     def _wake_paused(self) -> None:
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         waking = [entry for entry in self._paused if entry[0] <= now_s]
         self._paused = [entry for entry in self._paused if entry[0] > now_s]
         for _, held, item in waking:
@@ -295,7 +296,7 @@
                 return None
             skipped = []
             found = None
-            now_s = time.monotonic()
+            now_s = elapsed_s()
             while self._queue and found is None:
                 entry = heapq.heappop(self._queue)
                 held, item = entry[3], entry[4]
@@ -384,8 +385,8 @@
         with self._changed:
             if held.dropped or item.index in held.results:
                 return False
-            if time.monotonic() - held.renewed_s > RENEW_WINDOW_S:
-                self._paused.append((time.monotonic() + RETRY_PAUSE_S, held, item))
+            if elapsed_s() - held.renewed_s > RENEW_WINDOW_S:
+                self._paused.append((elapsed_s() + RETRY_PAUSE_S, held, item))
                 return False
             held.running[item.index] = running
             return True
@@ -424,7 +425,7 @@
 
     def _pause(self, held: HeldRange, item: BatchItem, pause_s: float = RETRY_PAUSE_S) -> None:
         with self._changed:
-            self._paused.append((time.monotonic() + pause_s, held, item))
+            self._paused.append((elapsed_s() + pause_s, held, item))
 
     def _record(self, held: HeldRange, item: BatchItem, status: ItemStatus, line: bytes) -> None:
         self._metrics.batch_items.labels(status.value).inc()
--- a/mountstand/batch/known_work.py
+++ b/mountstand/batch/known_work.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import threading
-import time
 from dataclasses import dataclass
 
+from mountstand.clock import elapsed_s
 from mountstand.wire.messages import WorkHint
 
 WORK_HINT_LIFE_S = 2.0
@@ -30,7 +30,7 @@
 
     def note(self, owner_id: str, hint: WorkHint) -> None:
         """Take an owner's hint."""
-        known = _Known(hint, time.monotonic() + WORK_HINT_LIFE_S)
+        known = _Known(hint, elapsed_s() + WORK_HINT_LIFE_S)
         with self._lock:
             self._by_owner[owner_id] = known
 
@@ -41,7 +41,7 @@
 
     def owners(self) -> list[str]:
         """Return the owners that told of work lately, by the priority of their work."""
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         with self._lock:
             self._by_owner = {
                 owner: known for owner, known in self._by_owner.items() if known.expires_s > now_s
--- a/mountstand/batch/owner.py
+++ b/mountstand/batch/owner.py
@@ -8,7 +8,6 @@
 
 import logging
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -22,6 +21,7 @@
 from mountstand.batch.lost_ranges import complete_lost_range
 from mountstand.batch.model import JobState, shard_of
 from mountstand.batch.shard_leases import ClaimLease, ReleaseLease, ShardLeases
+from mountstand.clock import elapsed_s
 from mountstand.errors import MountstandError, WriteConflict
 from mountstand.membership.service import MembershipService
 from mountstand.process_settings import BatchSettings
@@ -146,7 +146,7 @@
             shards = self._leases.interesting_shards()
         if not shards:
             return
-        started_s = time.monotonic()
+        started_s = elapsed_s()
         reading = self._store.read_shards(shards)
         live_ids = {member.member_id for member in self._membership.live_members()}
         with self._lock:
@@ -165,7 +165,7 @@
             self.look_now()
 
     def _claim(self, claim: ClaimLease) -> bool:
-        started_s = time.monotonic()
+        started_s = elapsed_s()
         try:
             version = self._store.write_lease(claim)
         except MountstandError:
@@ -214,7 +214,7 @@
 
     def _load_job(self, key: str, shard: int, epoch: int) -> None:
         try:
-            lost_after_s = time.monotonic() + LOST_GRACE_S
+            lost_after_s = elapsed_s() + LOST_GRACE_S
             ledger = self._store.recover_ledger(key, epoch, lost_after_s)
         except MountstandError as error:
             log_state_change(logger, "job cannot be loaded yet", job=key, code=error.code)
@@ -250,7 +250,7 @@
 
     def handle_pull(self, pull: PullRanges) -> GrantedRanges:
         """Give ranges to an executor that has room."""
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         left = pull.capacity_items
         grants: list[RangeGrant] = []
         for key, ledger in self._grantable(pull.services, now_s):
@@ -263,7 +263,7 @@
 
     def handle_renew(self, renew: RenewRanges) -> RenewedRanges:
         """Lengthen the leases of ranges that an executor holds."""
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         kept: list[RangeKey] = []
         dropped: list[RangeKey] = []
         with self._lock:
@@ -308,7 +308,7 @@
     def shard_epoch(self, shard: int) -> int | None:
         """Return the epoch under which this daemon verifiably holds a shard."""
         with self._lock:
-            if not self._leases.is_verified(shard, time.monotonic(), VERIFY_WINDOW_S):
+            if not self._leases.is_verified(shard, elapsed_s(), VERIFY_WINDOW_S):
                 return None
             return self._leases.held[shard].epoch
 
@@ -348,7 +348,7 @@
     def _grant(
         self, key: str, ledger: JobLedger, executor_id: str, capacity_items: int
     ) -> list[RangeGrant]:
-        ends_s = time.monotonic() + RANGE_LEASE_S
+        ends_s = elapsed_s() + RANGE_LEASE_S
         with self._lock:
             indexes = ledger.grant(executor_id, capacity_items, ends_s)
         if not ledger.record.repeatable:
@@ -390,7 +390,7 @@
     # Ranges without an executor
 
     def _expire_ranges(self) -> None:
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         lost: list[tuple[str, int]] = []
         with self._lock:
             for key, ledger in self._ledgers.items():
--- a/mountstand/batch/range_renewal.py
+++ b/mountstand/batch/range_renewal.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import contextlib
-import time
 from collections.abc import Callable
 
 from mountstand.batch.held_range import HeldRange
 from mountstand.batch.owner_client import OwnerClient
+from mountstand.clock import elapsed_s
 from mountstand.errors import PeerUnavailable
 from mountstand.wire.messages import RangeKey, RenewedRanges, RenewRanges
 
@@ -41,7 +41,7 @@
             self._renew_with(owner_id, ranges)
 
     def _renew_with(self, owner_id: str, ranges: list[HeldRange]) -> None:
-        sent_s = time.monotonic()
+        sent_s = elapsed_s()
         keys = tuple(held.grant.key for held in ranges)
         kept: set[RangeKey] = set()
         dropped: set[RangeKey] = set()
--- a/mountstand/batch/service.py
+++ b/mountstand/batch/service.py
@@ -27,6 +27,7 @@
 )
 from mountstand.batch.owner import VERIFY_WINDOW_S, JobOwner
 from mountstand.batch.shard_leases import preferred_owner
+from mountstand.clock import elapsed_s
 from mountstand.errors import (
     JobIncomplete,
     MountstandError,
@@ -130,10 +131,10 @@
         record = self._write_cancel(key)
         if record.state is not JobState.CANCELLED:
             return record
-        cancelled_s = time.monotonic()
+        cancelled_s = elapsed_s()
         if not self._tell_owner(key):
             bound_s = VERIFY_WINDOW_S + RENEW_WINDOW_S
-            time.sleep(max(0.0, cancelled_s + bound_s - time.monotonic()))
+            time.sleep(max(0.0, cancelled_s + bound_s - elapsed_s()))
         return record
 
     def _read_job(self, key: str) -> tuple[JobRecord, Row]:
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -14,6 +14,7 @@
 from mountstand.batch.owner_client import OwnerClient
 from mountstand.batch.service import BatchService
 from mountstand.batch.worker_assignment import WorkerAssignment
+from mountstand.clock import elapsed_s
 from mountstand.engines.http_backend import HttpBackend
 from mountstand.http.batches import BatchesResource
 from mountstand.http.callers import (
@@ -144,12 +145,12 @@
         """
         self._stopping.set()
         log_state_change(logger, "planned stop begins", in_progress=self.online.in_progress)
-        deadline_s = time.monotonic() + self.settings.stop_timeout_s
+        deadline_s = elapsed_s() + self.settings.stop_timeout_s
         self.membership.announce_leaving()
         drained = self.executor.drain(self.settings.stop_timeout_s * BATCH_DRAIN_SHARE)
-        finished = self.online.wait_until_idle(deadline_s - time.monotonic())
+        finished = self.online.wait_until_idle(deadline_s - elapsed_s())
         self._callers_server.stop()
-        finished = self.online.wait_until_idle(deadline_s - time.monotonic()) and finished
+        finished = self.online.wait_until_idle(deadline_s - elapsed_s()) and finished
         self.placement.stop()
         self.owner.stop()
         self.executor.stop()
--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -11,7 +11,6 @@
 import select
 import socket
 import threading
-import time
 from collections import defaultdict
 
 import orjson
@@ -19,6 +18,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from mountstand.clock import elapsed_s
 from mountstand.engines.port import (
     BackendAnswer,
     BackendPort,
@@ -43,6 +43,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CALLER_CHECK_INTERVAL_S = 0.25
+"""How often a wait looks whether the caller left, and whether the deadline passed during sleep."""
+
 CONTROL_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_PER_MACHINE = 64
 IDLE_CONNECTION_S = 20.0
@@ -70,7 +72,7 @@
 
     def take(self, machine: Machine) -> HTTPConnection | None:
         """Return a usable idle connection, or ``None``."""
-        oldest_s = time.monotonic() - IDLE_CONNECTION_S
+        oldest_s = elapsed_s() - IDLE_CONNECTION_S
         with self._lock:
             idle = self._idle[machine.address, machine.port]
             while idle:
@@ -85,7 +87,7 @@
         with self._lock:
             idle = self._idle[machine.address, machine.port]
             if len(idle) < IDLE_CONNECTIONS_PER_MACHINE:
-                idle.append((time.monotonic(), connection))
+                idle.append((elapsed_s(), connection))
                 return
         connection.close()
 
@@ -108,7 +110,7 @@
         caller_gone: CallerGone | None = None,
     ) -> BackendAnswer:
         """Send a request and return its whole answer; see :meth:`BackendPort.call`."""
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = elapsed_s() + timeout_s
         connection = self._pool.take(machine) or connect(machine, timeout_s)
         clean = False
         try:
@@ -136,7 +138,7 @@
         caller_gone: CallerGone | None = None,
     ) -> OpenStream:
         """Open a stream on a connection of its own; see :meth:`BackendPort.open_stream`."""
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = elapsed_s() + timeout_s
         connection = connect(machine, timeout_s)
         try:
             response = exchange_head(connection, request, deadline_s, caller_gone)
@@ -292,10 +294,10 @@
 ) -> None:
     """Wait until the back end sends something, the deadline passes or the caller leaves."""
     while True:
-        left_s = deadline_s - time.monotonic()
+        left_s = deadline_s - elapsed_s()
         if left_s <= 0:
             raise DeadlineExceeded()
-        interval_s = left_s if caller_gone is None else min(left_s, CALLER_CHECK_INTERVAL_S)
+        interval_s = min(left_s, CALLER_CHECK_INTERVAL_S)
         poller = select.poll()
         poller.register(connection.sock, select.POLLIN)
         if poller.poll(interval_s * 1000):
@@ -307,7 +309,7 @@
 def set_timeout(connection: HTTPConnection, deadline_s: float) -> None:
     """Bound the next blocking read by the deadline."""
     assert connection.sock is not None
-    connection.sock.settimeout(max(0.001, deadline_s - time.monotonic()))
+    connection.sock.settimeout(max(0.001, deadline_s - elapsed_s()))
 
 
 def buffered_bytes(connection: HTTPConnection, response: http.client.HTTPResponse) -> bytes:
--- a/mountstand/http/requests.py
+++ b/mountstand/http/requests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import uuid
 from collections.abc import Iterator
 from typing import Any
@@ -10,6 +9,7 @@
 import cherrypy
 import orjson
 
+from mountstand.clock import elapsed_s
 from mountstand.errors import BodyTooLarge, MalformedRequest, Unauthorized
 from mountstand.http.server import caller_is_gone
 from mountstand.online.request import OnlineRequest
@@ -116,7 +116,7 @@
     prefix: tuple[str, ...] = (),
 ) -> OnlineRequest:
     """Return the typed request for the present HTTP request."""
-    arrival_s = time.monotonic()
+    arrival_s = elapsed_s()
     environ = cherrypy.request.wsgi_environ
     repeatable = repeatable_header()
     key = identifier_header("Idempotency-Key")
--- a/mountstand/membership/service.py
+++ b/mountstand/membership/service.py
@@ -6,10 +6,10 @@
 import random
 import socket
 import threading
-import time
 from collections.abc import Callable
 
 from mountstand.background import PeriodicTask
+from mountstand.clock import elapsed_s
 from mountstand.errors import MessageRejected, MountstandError
 from mountstand.membership.member import Member, MemberState
 from mountstand.membership.state import (
@@ -101,7 +101,7 @@
             if m.role is MachineRole.DAEMON and not m.leaving
         ]
         with self._lock:
-            instructions = self._state.handle_seeds(seeds, time.monotonic())
+            instructions = self._state.handle_seeds(seeds, elapsed_s())
         self._carry_out(instructions)
         if seeds and not self._first_sync_done:
             self._first_sync_done = True
@@ -110,7 +110,7 @@
     def handle_sync(self, sync: MembersSync) -> MembersSync:
         """Answer a peer's whole list with this daemon's."""
         with self._lock:
-            instructions = self._state.handle_updates(sync.members, time.monotonic())
+            instructions = self._state.handle_updates(sync.members, elapsed_s())
         self._carry_out(instructions)
         return self._whole_list()
 
@@ -165,7 +165,7 @@
 
     def _announce(self, state: MemberState) -> None:
         with self._lock:
-            instructions = self._state.leave(state, time.monotonic())
+            instructions = self._state.leave(state, elapsed_s())
         self._carry_out(instructions)
 
     def _whole_list(self) -> MembersSync:
@@ -174,7 +174,7 @@
 
     def _tick(self) -> None:
         with self._lock:
-            instructions = self._state.handle_tick(time.monotonic())
+            instructions = self._state.handle_tick(elapsed_s())
         self._carry_out(instructions)
 
     def _carry_out(self, instructions: list[Instruction]) -> None:
@@ -218,9 +218,7 @@
 
     def _handle_frame(self, frame: Frame) -> None:
         with self._lock:
-            instructions = self._state.handle_message(
-                frame.sender_id, frame.message, time.monotonic()
-            )
+            instructions = self._state.handle_message(frame.sender_id, frame.message, elapsed_s())
         self._carry_out(instructions)
         self.on_revision(frame.sender_id, frame.revision)
         self.on_hint(frame.sender_id, frame.message)
--- a/mountstand/online/admission_gate.py
+++ b/mountstand/online/admission_gate.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from mountstand.clock import elapsed_s, wait_until
 from mountstand.errors import Overloaded
 from mountstand.online.admission import AdmissionQueue, Queued, Refused, Ticket
 
@@ -38,7 +38,7 @@
         with self._lock:
             queue = self._queue(service)
             queue.set_capacity(capacity)
-            decision = queue.offer(tenant, deadline_s, time.monotonic())
+            decision = queue.offer(tenant, deadline_s, elapsed_s())
             if isinstance(decision, Refused):
                 raise Overloaded(retry_after_s=decision.retry_after_s)
             ticket = decision.ticket
@@ -46,7 +46,7 @@
                 self._turns[id(ticket)] = turn
         if ticket.started:
             return ticket
-        turn.wait(max(0.0, deadline_s - time.monotonic()))
+        wait_until(turn, deadline_s)
         with self._lock:
             self._turns.pop(id(ticket), None)
             if not ticket.started:
@@ -71,11 +71,11 @@
     def admitted(self, service: str, tenant: str, deadline_s: float) -> Iterator[Ticket]:
         """Hold permission to dispatch for the length of the block."""
         ticket = self.enter(service, tenant, deadline_s)
-        started_s = time.monotonic()
+        started_s = elapsed_s()
         try:
             yield ticket
         finally:
-            self.leave(service, ticket, time.monotonic() - started_s)
+            self.leave(service, ticket, elapsed_s() - started_s)
 
     def _queue(self, service: str) -> AdmissionQueue:
         if service not in self._queues:
--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from mountstand.clock import elapsed_s
 from mountstand.engines.http_backend import CallerLeft, CrossedAnswer
 from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest, OpenStream
 from mountstand.errors import (
@@ -168,7 +169,7 @@
         machine = self._router.begin(route)
         if machine is None and last_error is not None:
             # Every worker was tried or refuses just now: those tried may be asked again once.
-            time.sleep(max(0.0, min(NO_WORKER_PAUSE_S, request.deadline_s - time.monotonic())))
+            time.sleep(max(0.0, min(NO_WORKER_PAUSE_S, request.deadline_s - elapsed_s())))
             machine = self._router.begin(RouteRequest(request.service, request.prefix))
         return machine
 
@@ -193,7 +194,7 @@
             self.cancel(machine, request_id)
 
     def _may_retry(self, request: OnlineRequest, error: MountstandError) -> bool:
-        if isinstance(error, CallerLeft) or time.monotonic() >= request.deadline_s:
+        if isinstance(error, CallerLeft) or elapsed_s() >= request.deadline_s:
             return False
         if error.executed is Executed.NO:
             return True
@@ -218,7 +219,7 @@
 
 def try_timeout_s(request: OnlineRequest) -> float:
     """Return how long one try may take."""
-    left_s = max(0.0, request.deadline_s - time.monotonic())
+    left_s = max(0.0, request.deadline_s - elapsed_s())
     if not request.repeatable:
         return left_s
     return min(left_s, max(MIN_TRY_S, left_s * FIRST_TRY_SHARE))
@@ -235,7 +236,7 @@
         error = Overloaded(f"every back end of {request.service} refused", retry_after_s=1.0)
     elif isinstance(error, BackendUnreachable):
         error = NoBackend(f"service {request.service}")
-    elif isinstance(error, DeadlineExceeded) and time.monotonic() < request.deadline_s:
+    elif isinstance(error, DeadlineExceeded) and elapsed_s() < request.deadline_s:
         error = BackendFailed("the back end did not answer within its share of the time")
     if maybe_executed:
         error.executed = Executed.UNKNOWN
--- a/mountstand/online/request.py
+++ b/mountstand/online/request.py
@@ -22,7 +22,7 @@
     tenant
         Whom it counts for.
     arrival_s, deadline_s
-        Monotonic clock of this daemon.
+        On the clock of :mod:`mountstand.clock`.
     repeatable
         Whether running it twice does no harm.
     idempotency_key
--- a/mountstand/online/service.py
+++ b/mountstand/online/service.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from mountstand.clock import elapsed_s
 from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest, OpenStream
 from mountstand.errors import MountstandError
 from mountstand.online.admission import Ticket
@@ -103,13 +104,13 @@
 
     def _open_stream(self, request: OnlineRequest) -> tuple[StreamLease, OpenStream]:
         ticket = self.gate.enter(request.service, request.tenant, request.deadline_s)
-        started_s = time.monotonic()
+        started_s = elapsed_s()
         try:
             opened = self._dispatcher.open_stream(request)
         except BaseException:
-            self.gate.leave(request.service, ticket, time.monotonic() - started_s)
+            self.gate.leave(request.service, ticket, elapsed_s() - started_s)
             raise
-        self._metrics.first_token.observe(time.monotonic() - request.arrival_s)
+        self._metrics.first_token.observe(elapsed_s() - request.arrival_s)
         lease = StreamLease(request, ticket, opened.machine, opened.request_id, started_s)
         return lease, opened.result
 
@@ -136,9 +137,9 @@
 
     def wait_until_idle(self, timeout_s: float) -> bool:
         """Wait for every request in progress to end; return whether all did."""
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = elapsed_s() + timeout_s
         while self._in_progress:
-            if time.monotonic() >= deadline_s:
+            if elapsed_s() >= deadline_s:
                 return False
             time.sleep(0.02)
         return True
@@ -167,7 +168,7 @@
     def _release(self, lease: StreamLease, outcome: DispatchOutcome) -> None:
         self._count_in_progress(-1)
         self._dispatcher.end_stream(lease.machine, outcome)
-        service_time_s = time.monotonic() - lease.started_s
+        service_time_s = elapsed_s() - lease.started_s
         self.gate.leave(lease.request.service, lease.ticket, service_time_s)
         self._metrics.online_requests.labels(lease.request.service, outcome.value).inc()
 
@@ -231,7 +232,7 @@
 def extend_deadline(request: OnlineRequest, time_s: float) -> OnlineRequest:
     """Return ``request`` with at least ``time_s`` left; its first token was in time already."""
     fields = dict(request.__dict__)
-    fields["deadline_s"] = max(request.deadline_s, time.monotonic() + time_s)
+    fields["deadline_s"] = max(request.deadline_s, elapsed_s() + time_s)
     fields["caller_gone"] = None
     return OnlineRequest(**fields)
 
--- a/mountstand/online/stream_relay.py
+++ b/mountstand/online/stream_relay.py
@@ -12,12 +12,12 @@
 import selectors
 import socket
 import threading
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
+from mountstand.clock import elapsed_s
 from mountstand.online.event_stream import EventStreamDecoder, MalformedStream
 from mountstand.telemetry.metrics import DaemonMetrics
 
@@ -112,10 +112,10 @@
             return
 
     def _run(self) -> None:
-        swept_s = time.monotonic()
+        swept_s = elapsed_s()
         while not self._closing.is_set():
             events = self._selector.select(SWEEP_INTERVAL_S)
-            now_s = time.monotonic()
+            now_s = elapsed_s()
             for key, mask in events:
                 if key.data is None:
                     self._take_added(now_s)
@@ -184,7 +184,7 @@
             stream.unsent += LAST_CHUNK if stream.chunked_to_caller else b""
             self._selector.unregister(stream.upstream)
         try:
-            self._flush(stream, time.monotonic())
+            self._flush(stream, elapsed_s())
         except OSError:
             self._end(stream, StreamEnd.CALLER_LEFT)
 
--- a/mountstand/placement/service.py
+++ b/mountstand/placement/service.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from mountstand.background import PeriodicTask
 from mountstand.batch.model import shard_of
+from mountstand.clock import elapsed_s
 from mountstand.engines.port import BackendPort, LoadModelOrder
 from mountstand.errors import MountstandError
 from mountstand.placement.reconciler import EngineState, PlacementTarget, next_loads
@@ -99,7 +99,7 @@
         except MountstandError:
             return EngineState(machine.machine_id, "", leaving=True)
         if given is not None:
-            expired = time.monotonic() - given.given_s > LOAD_TIMEOUT_S
+            expired = elapsed_s() - given.given_s > LOAD_TIMEOUT_S
             if version == given.version or expired:
                 del self._given[machine.machine_id]
                 given = None
@@ -113,7 +113,7 @@
             logger.debug("order not given", extra={"code": error.code})
             return
         if accepted:
-            self._given[machine.machine_id] = GivenOrder(target.version, time.monotonic())
+            self._given[machine.machine_id] = GivenOrder(target.version, elapsed_s())
         log_state_change(
             logger,
             "load ordered" if accepted else "load order refused by its fence",
--- a/mountstand/platform/__main__.py
+++ b/mountstand/platform/__main__.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 
+from mountstand.clock import SleepAwareEventLoop
 from mountstand.errors import InvalidSettings
 from mountstand.jobs.model import JobItem
 from mountstand.platform import names
@@ -91,7 +92,8 @@
     except InvalidSettings as problem:
         print(problem, file=sys.stderr)
         return 2
-    asyncio.run(serve(settings))
+    with asyncio.Runner(loop_factory=SleepAwareEventLoop) as runner:
+        runner.run(serve(settings))
     return 0
 
 
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -18,6 +18,7 @@
 from contextlib import contextmanager
 
 from mountstand.background import PeriodicTask
+from mountstand.clock import elapsed_s
 from mountstand.errors import RequestQuarantined
 from mountstand.membership.service import MembershipService
 from mountstand.quarantine.separation import SuspectSeparation
@@ -157,7 +158,7 @@
         if not self.suspects.any_blocked:
             return
         with self._lock:
-            blocked_for_s = self.suspects.blocked_for_s(content, time.monotonic())
+            blocked_for_s = self.suspects.blocked_for_s(content, elapsed_s())
         if blocked_for_s:
             self._metrics.requests_quarantined.inc()
             raise RequestQuarantined(f"content {content:016x}", retry_after_s=blocked_for_s)
@@ -195,14 +196,14 @@
         if not self.suspects:
             return
         with self._lock:
-            cleared = self._sharing.note_served(content, time.monotonic())
+            cleared = self._sharing.note_served(content, elapsed_s())
         if cleared:
             log_state_change(logger, "suspect cleared", content=f"{content:016x}")
 
     def handle(self, sender: str, message: QuarantineMessage) -> None:
         """Take what another daemon tells, or answer it."""
         with self._lock:
-            self._sharing.handle(sender, message, time.monotonic())
+            self._sharing.handle(sender, message, elapsed_s())
 
     # SuspectObserver
 
@@ -233,13 +234,13 @@
         with self._lock:
             broken = self._broken_by_machine.pop(machine.machine_id)
             if ended:
-                self._sharing.note_ended(end_key(machine), sorted(broken), time.monotonic())
+                self._sharing.note_ended(end_key(machine), sorted(broken), elapsed_s())
         if ended:
             log_state_change(logger, "worker ended", worker=machine.machine_id, broken=len(broken))
 
     def _tick(self) -> None:
         with self._lock:
-            self._sharing.tick(time.monotonic())
+            self._sharing.tick(elapsed_s())
             forgotten = self._kept - self.suspects.by_content.keys()
             self._to_store |= {c for c in forgotten if self._sharing.is_keeper(f"{c:016x}")}
 
@@ -260,18 +261,18 @@
 
     def _take_stored(self, ended_at_s_by_content: dict[int, dict[int, float]]) -> None:
         with self._lock:
-            offset_s = time.monotonic() - time.time()
+            offset_s = elapsed_s() - time.time()
             for content, ended in ended_at_s_by_content.items():
                 self._kept.add(content)
                 ended_at_s = {worker: at_s + offset_s for worker, at_s in ended.items()}
                 self.suspects.take(content, ended_at_s, NEVER_S)
-            self._sharing.note_stored(time.monotonic())
+            self._sharing.note_stored(elapsed_s())
 
     def _ended_by_wall_clock(self, content: int) -> dict[int, float]:
         suspect = self.suspects.by_content.get(content)
         if suspect is None:
             return {}
-        offset_s = time.time() - time.monotonic()
+        offset_s = time.time() - elapsed_s()
         return {worker: at_s + offset_s for worker, at_s in suspect.ended_at_s.items()}
 
 
--- a/mountstand/routing/router.py
+++ b/mountstand/routing/router.py
@@ -4,9 +4,9 @@
 
 import random
 import threading
-import time
 from collections.abc import Iterable
 
+from mountstand.clock import elapsed_s
 from mountstand.engines.port import CacheChange, LoadFigures, LoadReport
 from mountstand.routing.chooser import RouteRequest, WorkerChooser
 from mountstand.routing.fleet_view import DispatchOutcome, FleetView
@@ -38,7 +38,7 @@
     def begin(self, request: RouteRequest) -> Machine | None:
         """Choose a worker and count the dispatch; ``None`` when none may take it."""
         with self._lock:
-            worker = self._chooser.choose(request, time.monotonic())
+            worker = self._chooser.choose(request, elapsed_s())
             if worker is None:
                 return None
             self._view.begin_dispatch(worker.worker_id)
@@ -47,7 +47,7 @@
     def end(self, worker_id: str, outcome: DispatchOutcome) -> None:
         """Count the end of a dispatch."""
         with self._lock:
-            self._view.end_dispatch(worker_id, outcome, time.monotonic())
+            self._view.end_dispatch(worker_id, outcome, elapsed_s())
 
     def begin_batch(self, worker_id: str) -> None:
         """Count a batch dispatch to a worker chosen by the batch executor."""
@@ -57,12 +57,12 @@
     def end_batch(self, worker_id: str, outcome: DispatchOutcome) -> None:
         """Count the end of a batch dispatch."""
         with self._lock:
-            self._view.end_dispatch(worker_id, outcome, time.monotonic(), batch=True)
+            self._view.end_dispatch(worker_id, outcome, elapsed_s(), batch=True)
 
     def refuse_until(self, worker_id: str, delay_s: float) -> None:
         """Leave a worker out for ``delay_s`` because it refused."""
         with self._lock:
-            self._view.refuse_until(worker_id, time.monotonic() + delay_s)
+            self._view.refuse_until(worker_id, elapsed_s() + delay_s)
 
     def update_machines(self, machines: Iterable[Machine]) -> None:
         """Take over the platform's machine list."""
@@ -73,20 +73,20 @@
     def record_load(self, worker_id: str, report: LoadReport) -> None:
         """Take a load report."""
         with self._lock:
-            self._view.record_load(worker_id, report, time.monotonic())
+            self._view.record_load(worker_id, report, elapsed_s())
 
     def record_figures(self, worker_id: str, figures: LoadFigures | None) -> None:
         """Take the load that came with an answer, if it did."""
         if figures is not None:
             with self._lock:
-                self._view.record_figures(worker_id, figures, time.monotonic())
+                self._view.record_figures(worker_id, figures, elapsed_s())
 
     def record_failure(self, worker_id: str) -> None:
         """Count a failure seen outside a dispatch, such as an unanswered load poll."""
         with self._lock:
             worker = self._view.workers.get(worker_id)
             if worker is not None:
-                worker.health.record_failure(time.monotonic())
+                worker.health.record_failure(elapsed_s())
 
     def record_cache_changes(self, worker_id: str, changes: Iterable[CacheChange]) -> None:
         """Take cache events of one worker."""
@@ -131,7 +131,7 @@
 
     def models(self) -> dict[str, str]:
         """Return each model with the service that has it."""
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         if now_s - self._models_read_s > MODELS_KEPT_S or not self._models:
             with self._lock:
                 self._models = self._view.models()
@@ -141,7 +141,7 @@
     def capacity(self, service: str) -> int:
         """Return the slots of the workers of ``service`` that may get work, home zone first."""
         with self._lock:
-            candidates = self._view.candidates(service, time.monotonic())
+            candidates = self._view.candidates(service, elapsed_s())
             return sum(worker.slots for worker in candidates)
 
     def engines(self) -> list[Machine]:
@@ -162,13 +162,13 @@
         """Return how many more batch items a worker can take without displacing online work."""
         with self._lock:
             worker = self._view.workers.get(worker_id)
-            if worker is None or worker.refused_until_s > time.monotonic():
+            if worker is None or worker.refused_until_s > elapsed_s():
                 return 0
             return max(0, self._batch_slots(worker_id) - worker.batch_in_flight)
 
     def _batch_slots(self, worker_id: str) -> int:
         worker = self._view.workers.get(worker_id)
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         if worker is None or worker.leaving or worker.report is None:
             return 0
         if worker.health.is_ejected(now_s):
@@ -179,7 +179,7 @@
     def status(self) -> list[dict[str, object]]:
         """Return one line per worker for operators."""
         with self._lock:
-            now_s = time.monotonic()
+            now_s = elapsed_s()
             return [
                 {
                     "worker": worker.worker_id,
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -146,7 +146,13 @@
             log,
         )
         self._periodic = PeriodicWork(
-            self.directory, self.connections, self.queue, self.room, self.load_sharing, log
+            self.directory,
+            self.connections,
+            self.queue,
+            self.room,
+            self.load_sharing,
+            log,
+            self.quarantine.ask,
         )
         self.queue.lending = self._lending = SlotLending(
             self.directory, settings.name, MembershipSlotLink(self.membership), source_of_chance
--- a/mountstand/serving_periodic.py
+++ b/mountstand/serving_periodic.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.connections import WorkerConnections
@@ -18,7 +19,10 @@
 
 
 class PeriodicWork:
-    """Runs the parts of a serving process that act once per period."""
+    """Runs the parts of a serving process that act once per period.
+
+    ``on_pause`` is called after the process stood still, or its machine was suspended.
+    """
 
     def __init__(
         self,
@@ -28,6 +32,7 @@
         room: BatchRoom,
         load_sharing: LoadSharing,
         log: DecisionLog,
+        on_pause: Callable[[], None] = lambda: None,
     ) -> None:
         self._directory = directory
         self._connections = connections
@@ -35,6 +40,7 @@
         self._room = room
         self._load_sharing = load_sharing
         self._log = log
+        self._on_pause = on_pause
 
     async def sweep(self) -> None:
         """Forget workers and connections that are gone, until cancelled."""
@@ -62,6 +68,7 @@
         """Tell that this process stood still: what it knows is older by that much."""
         if late_s > PAUSE_TOLD_S:
             self._log.event("process_paused", for_s=round(late_s, 3))
+            self._on_pause()
 
     def _log_ejection(self, worker: Worker) -> None:
         health = worker.health
--- a/mountstand/settings/service.py
+++ b/mountstand/settings/service.py
@@ -17,6 +17,7 @@
 from pydantic import BaseModel, ValidationError
 
 from mountstand.background import PeriodicTask
+from mountstand.clock import elapsed_s
 from mountstand.errors import MountstandError, PeerUnavailable
 from mountstand.membership.member import Member
 from mountstand.membership.service import MembershipService
@@ -183,8 +184,8 @@
         """Ask by datagram, which is enough for a few changes; return whether this caught up."""
         wanted = self._heard.get(peer.member_id, 0)
         self._membership.send_hint(peer, SettingsRequest(self.revision))
-        deadline_s = time.monotonic() + DATAGRAM_ANSWER_S
-        while self.revision < wanted and time.monotonic() < deadline_s:
+        deadline_s = elapsed_s() + DATAGRAM_ANSWER_S
+        while self.revision < wanted and elapsed_s() < deadline_s:
             time.sleep(DATAGRAM_CHECK_S)
         return self.revision >= wanted
 
--- a/mountstand/store/pacing.py
+++ b/mountstand/store/pacing.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+from mountstand.clock import elapsed_s
 from mountstand.errors import StoreThrottled
 from mountstand.store.ports import ObjectPort, Outcome, TablePort, Transaction
 
@@ -28,7 +29,7 @@
     def wait(self) -> None:
         """Wait until the next operation may start."""
         with self._lock:
-            now_s = time.monotonic()
+            now_s = elapsed_s()
             self._next_s = max(self._next_s, now_s - self._burst_s) + self._interval_s
             wait_s = self._next_s - now_s
         if wait_s > 0:
--- a/mountstand/telemetry/decisions.py
+++ b/mountstand/telemetry/decisions.py
@@ -16,6 +16,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from mountstand.clock import elapsed_s
+
 LINES_PER_S = 200.0
 BURST_LINES = 600.0
 """A steady rate that a collector can take, and room for the start of a disturbance."""
@@ -44,7 +46,7 @@
     def __init__(self, node: str, stream: Any = None) -> None:
         self._node = node
         self._tokens = BURST_LINES
-        self._filled_at_s = time.monotonic()
+        self._filled_at_s = elapsed_s()
         self._left_out = 0
         self._stream = stream or NonBlockingStream(sys.stdout.fileno())
         handler = logging.StreamHandler(self._stream)
@@ -65,7 +67,7 @@
         self._logger.info(event, extra={"time_s": now_s, "node": self._node, **values})
 
     def _take_token(self) -> bool:
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         earned = (now_s - self._filled_at_s) * LINES_PER_S
         self._tokens = min(BURST_LINES, self._tokens + earned)
         self._filled_at_s = now_s
