Soak: requests and batch items that crash workers

Series of tries of one content at any process, at times two at once, and items in one of twenty jobs; a worker that crashed is back under another id after 0.5 to 3 s. Checked: no more than three runs that processes in touch sent more than 3 s (and 1.5 s of slack) after the third. The other faults draw as before.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -5,13 +5,16 @@
 import asyncio
 import tempfile
 import tomllib
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
 from testtools import TestCase
 
 from tests.soak.__main__ import Soak, run_soak
+from tests.soak.crashing import CrashingRuns
 from tests.soak.history import BatchJob, History, OnlineRequest, Run, item_text
+from tests.stand_ins.paused_clock import PausedClockLoop, run_paused
 
 REGRESSIONS = tomllib.loads((Path(__file__).parents[1] / "soak/regressions.toml").read_text())
 
@@ -88,6 +91,25 @@
         self.page(0, ("item-1", "completed", "item-1:1"), ("item-2", "dead_lettered", ""))
         self.assertEqual(["MIXED", "MIXED"], self.rules())
 
+    def test_a_request_that_crashes_workers_and_comes_on_and_on(self) -> None:
+        self.job.item_ids.append("item-3-crash")
+        at_s = [0.0, 0.1, 0.2, 1.0, 2.0, 5.0, 6.0, 7.0, 8.0]
+
+        async def play() -> None:
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, PausedClockLoop)
+            crashing = CrashingRuns(self.history)
+            for i, gap_s in enumerate(after - before for before, after in pairwise([0.0, *at_s])):
+                loop.advance(gap_s)
+                crashing.in_touch_by_id[f"r{i}"] = lambda: True
+                crashing.note(f"r{i}", b"crash-1")
+                crashing.in_touch_by_id[f"out-{i}"] = lambda: False
+                crashing.note(f"out-{i}", b"crash-2")
+
+        run_paused(play())
+        self.assertEqual(["BUDGET"], self.rules())
+        self.assertEqual("r8", self.history.violations[0].subject)
+
     def test_items_that_are_missing_at_the_end(self) -> None:
         self.history.check_ends(60.0)
         self.assertEqual(["LOST"], self.rules())
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,6 +14,7 @@
 import cappa
 
 from tests.soak.callers import Callers
+from tests.soak.crashing import CrashingCallers
 from tests.soak.faults import FaultInjector
 from tests.soak.history import Violation
 from tests.soak.site import Site
@@ -42,8 +43,11 @@
 
 async def run_soak(options: Soak, folder: Path) -> dict[str, Any]:
     """Run a soak; returns its figures."""
-    site = Site(options.processes, options.workers, folder, random.Random(options.seed))
-    callers = Callers(site)
+    rng = random.Random(options.seed)
+    crash_rng = random.Random(f"crashing {options.seed}")
+    site = Site(options.processes, options.workers, folder, rng, crash_rng)
+    callers = Callers(site, crash_rng)
+    crashing_callers = CrashingCallers(crash_rng, callers.send_crashing)
     injector = FaultInjector(site)
     _check_routes_with(callers, injector, site)
     await site.start()
@@ -51,9 +55,12 @@
         online = [asyncio.create_task(callers.send_online()) for _ in range(options.callers)]
         jobs = asyncio.create_task(callers.send_jobs())
         faults = asyncio.create_task(injector.run(options.fault_gap_s))
+        crashing = asyncio.create_task(crashing_callers.run())
         await asyncio.sleep(options.duration_s)
         injector.stopping = True
+        crashing_callers.stopping = True
         await faults
+        await crashing
         callers.stopping = True
         await asyncio.gather(*online)
         _, late = await asyncio.wait([jobs], timeout=SETTLE_S)
@@ -109,6 +116,8 @@
         "jobs_accepted": len(accepted),
         "batch_items": sum(len(job.results) for job in history.jobs.values()),
         "answers": dict(callers.status_counts),
+        "workers_crashed": site.crashes,
+        "crashing_contents": len(site.crashing.by_body),
         "faults_injected": dict(injector.counts),
         "violations": [asdict(violation) for violation in history.violations],
     }
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,9 +5,11 @@
 import asyncio
 import itertools
 import json
+import random
 from collections import Counter
 
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken, connect
+from tests.soak.crashing import ITEM_SHARE, MARK
 from tests.soak.history import (
     REFUSALS,
     SLACK_S,
@@ -51,8 +53,9 @@
 class Callers:
     """Sends requests to the processes and checks what comes back."""
 
-    def __init__(self, site: Site) -> None:
+    def __init__(self, site: Site, crash_rng: random.Random) -> None:
         self._site = site
+        self._crash_rng = crash_rng
         self._history = site.history
         self._numbers = itertools.count()
         self.status_counts: Counter[str] = Counter()
@@ -70,21 +73,48 @@
         rng = self._site.rng
         process = self._any_process()
         kind = rng.choice(KINDS)
-        loop = asyncio.get_running_loop()
         tenant = self._site.tenants.any_tenant()
         key = self._site.tenants.any_key(tenant)
+        req = self._new_request(kind, tenant)
+        await self._ask(process, req, kind, f"/{kind}/{req.request_id}", b"x", tenant, key)
+
+    def _new_request(self, kind: str, tenant: SoakTenant) -> OnlineRequest:
         req = OnlineRequest(
             f"{kind}-{next(self._numbers)}",
             kind in REPEATABLE,
-            loop.time(),
+            asyncio.get_running_loop().time(),
             ONLINE_TIMEOUT_S,
             tenant.name,
         )
         self._history.online[req.request_id] = req
+        return req
+
+    async def send_crashing(self, kind: str, target: str, body: bytes) -> None:
+        """Send a request that crashes workers, with an id of its own, to any process."""
+        process = self._crash_rng.choice(self._site.processes)
+        tenant = self._site.tenants.free_tenant()
+        req = self._new_request(kind, tenant)
+
+        def in_touch() -> bool:
+            return process.in_touch(asyncio.get_running_loop().time())
+
+        self._site.crashing.in_touch_by_id[req.request_id] = in_touch
+        await self._ask(process, req, kind, target, body, tenant, tenant.keys[-1])
+
+    async def _ask(
+        self,
+        process: ServingProcess,
+        req: OnlineRequest,
+        kind: str,
+        target: str,
+        sent: bytes,
+        tenant: SoakTenant,
+        key: str,
+    ) -> None:
+        """Send a request, and check its answer."""
+        loop = asyncio.get_running_loop()
         try:
-            status, body = await self._call(
-                process, "POST", f"/{kind}/{req.request_id}", key, req.request_id, b"x"
-            )
+            status, body = await self._call(process, "POST", target, key, req.request_id, sent)
         except NoAnswer as exc:
             self.status_counts["none"] += 1
             self._check_broken(process, req, exc)
@@ -161,6 +191,8 @@
         if rng.random() < 0.2:
             item_ids[-1] += "-undoable"
             self._history.given_up_reasons.add(item_ids[-1])
+        if self._crash_rng.random() < ITEM_SHARE:
+            item_ids.append(f"item-{number}-{MARK}")
         tenant = self._site.tenants.free_tenant()
         job = BatchJob(f"job-{number}", item_ids, tenant.name)
         self._history.jobs[job.job_id] = job
@@ -225,7 +257,8 @@
 
     async def _read_to_end(self, job: BatchJob) -> None:
         rng = self._site.rng
-        while len(job.results) < len(job.item_ids) and not self._over(job):
+        expected = sum(not item_id.endswith(MARK) for item_id in job.item_ids)
+        while len(job.results) < expected and not self._over(job):
             after = len(job.results)
             if after and rng.random() < 0.2:
                 after = rng.randrange(after)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -216,6 +216,8 @@
 
     async def _harm_worker(self) -> None:
         rng = self._site.rng
+        if not self._site.workers:
+            return
         worker = rng.choice(self._site.workers)
         worker.faults = rng.choice(
             [
@@ -231,6 +233,8 @@
 
     async def _harm_worker_link(self) -> None:
         rng = self._site.rng
+        if not self._site.workers:
+            return
         worker = rng.choice(self._site.workers)
         link = self._site.worker_links[worker.worker_id]
         link.faults = self._link_faults()
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -17,6 +17,9 @@
 SLACK_S = 1.5
 """How much later than promised something may come: the processes share one machine."""
 
+CRASHING_ITEM = "crash"
+"""Ends the ids of batch items that crash workers; nobody misses their results."""
+
 REFUSALS = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
 
@@ -208,7 +211,11 @@
         for job in self.jobs.values():
             if job.accepted_at_s is None or job.end_asked:
                 continue
-            missing = len(job.item_ids) - len(job.results)
+            listed = {result[0] for result in job.results}
+            missing = sum(
+                not item_id.endswith(CRASHING_ITEM) and item_id not in listed
+                for item_id in job.item_ids
+            )
             if missing:
                 detail = f"{missing} of {len(job.item_ids)} items not listed"
                 self.violate("LOST", job.job_id, detail, at_s)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -15,6 +15,7 @@
 from mountstand.lab.ports import free_ports
 from mountstand.store.rows import RowKey, Transaction
 from mountstand.transport.http_client import ConnectFailed, ReplyBroken, connect
+from tests.soak.crashing import AWAY_S, CrashingRuns
 from tests.soak.history import CANCEL_S, DRAIN_S, History
 from tests.soak.proxy import FaultProxy
 from tests.soak.tenants import OVERSHOOT, SLACK, WINDOW_S, SoakTenants
@@ -28,6 +29,8 @@
 GRACE_S = 8.0
 ONLINE_TIMEOUT_S = 4.0
 READY_TIMEOUT_S = 20.0
+LAPSE_S = 3.6
+"""The platform's entry of a worker that crashed goes after three heartbeats."""
 
 
 def configuration(
@@ -176,8 +179,19 @@
 class Site:
     """Everything that one soak runs."""
 
-    def __init__(self, processes: int, workers: int, folder: Path, rng: random.Random) -> None:
+    def __init__(
+        self,
+        processes: int,
+        workers: int,
+        folder: Path,
+        rng: random.Random,
+        crash_rng: random.Random,
+    ) -> None:
         self.history = History()
+        self.crashing = CrashingRuns(self.history)
+        self._crash_rng = crash_rng
+        self._restarts: set[asyncio.Task[None]] = set()
+        self.crashes = 0
         self.history.all_in_touch = self.all_in_touch
         self.store = StandInStore()
         self.rng = rng
@@ -208,6 +222,8 @@
 
     async def stop(self) -> None:
         """End everything that this soak started."""
+        for task in list(self._restarts):
+            task.cancel()
         for process in self.processes:
             await process.stop()
         for worker in self.workers:
@@ -238,7 +254,9 @@
 
     async def add_worker(self) -> SoakWorker:
         """Start a worker and list it."""
-        worker = SoakWorker(f"w{self._next_worker}", self.history, self.rng)
+        worker = SoakWorker(
+            f"w{self._next_worker}", self.history, self.rng, self.crashing, self._note_crash
+        )
         self._next_worker += 1
         await worker.server.start()
         link = await FaultProxy(worker.server.port, self.rng).start()
@@ -247,6 +265,24 @@
         self.list_worker(worker, "ready")
         return worker
 
+    def _note_crash(self, worker: SoakWorker) -> None:
+        task = asyncio.create_task(self._replace_crashed(worker))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _replace_crashed(self, worker: SoakWorker) -> None:
+        """Let a worker end without a word; a new one starts, and the old entry lapses later."""
+        self.crashes += 1
+        if worker in self.workers:
+            self.workers.remove(worker)
+        self.worker_links[worker.worker_id].stop()
+        await worker.server.stop()
+        away_s = self._crash_rng.uniform(*AWAY_S)
+        await asyncio.sleep(away_s)
+        await self.add_worker()
+        await asyncio.sleep(max(0.0, LAPSE_S - away_s))
+        self.store.rows.apply(Transaction(removals=[RowKey("servers", "", worker.worker_id)]))
+
     def list_worker(self, worker: SoakWorker, state: str) -> None:
         """Write a worker's row as the worker does."""
         row = {
@@ -266,7 +302,8 @@
         self.store.rows.apply(Transaction(removals=[key]))
         await worker.server.stop()
         self.worker_links[worker.worker_id].stop()
-        self.workers.remove(worker)
+        if worker in self.workers:
+            self.workers.remove(worker)
 
     def _write_row(self, table: str, key: str, fields: dict[str, Any]) -> None:
         """Write past the store's faults: the platform serves its operator throughout."""
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from mountstand.transport.sockets import reset
+from tests.soak.crashing import CrashingRuns, crashes
 from tests.soak.history import (
     History,
     Run,
@@ -35,8 +37,18 @@
 class SoakWorker:
     """One incarnation of a worker."""
 
-    def __init__(self, worker_id: str, history: History, rng: random.Random) -> None:
+    def __init__(
+        self,
+        worker_id: str,
+        history: History,
+        rng: random.Random,
+        crashing: CrashingRuns,
+        on_crash: Callable[[SoakWorker], None],
+    ) -> None:
         self.worker_id = worker_id
+        self.crashed = False
+        self._crashing = crashing
+        self._on_crash = on_crash
         self.faults = WorkerFaults()
         self.draining_since_s: float | None = None
         self.running = 0
@@ -63,12 +75,25 @@
                 req.headers.get("api-key"),
             ),
         )
+        if crashes(req.body):
+            await self._crash(req, writer)
+            return
         self.running += 1
         try:
             await self._run(req, writer)
         finally:
             self.running -= 1
 
+    async def _crash(self, req: Received, writer: asyncio.StreamWriter) -> None:
+        """Begin an answer and end in the middle of it, with all that runs here."""
+        self._crashing.note(req.request_id, req.body)
+        writer.write(head(req, "200 OK", "Transfer-Encoding: chunked") + chunk(b"id"))
+        await writer.drain()
+        await asyncio.sleep(EVENT_GAP_S)
+        if not self.crashed:
+            self.crashed = True
+            self._on_crash(self)
+
     async def _run(self, req: Received, writer: asyncio.StreamWriter) -> None:
         chance = self._rng.random
         if req.request_id.endswith("-undoable"):
