--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -369,11 +369,12 @@
     ) -> DispatchOutcome:
         if not self._note_running(held, item, RunningItem(worker, request.request_id)):
             return DispatchOutcome.NEUTRAL
+        sent_at_s = elapsed_s()
         try:
             answer = self._backend.call(worker, request, ITEM_TIMEOUT_S)
         except MountstandError as error:
             if isinstance(error, BackendFailed):
-                self._quarantine.note_broken(worker, content)
+                self._quarantine.note_broken(worker, content, sent_at_s)
             return self._handle_failure(held, item, worker, error)
         self._quarantine.note_served(content)
         self._router.record_figures(worker.machine_id, answer.load)
--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -117,9 +117,11 @@
             cause = "preempted" if progress.preempted else str(problem) or "silent"
             if isinstance(problem, ReplyBroken) and progress.connection is not None:
                 self._context.connections.note_broken(progress.connection)
-            broken = isinstance(problem, ReplyBroken) and progress.sent_at_s is not None
-            if broken and not progress.preempted:
-                self._context.quarantine.note_broken(worker, self._call(progress))
+            sent_at_s = progress.sent_at_s
+            broken = isinstance(problem, ReplyBroken) and not progress.preempted
+            if broken and sent_at_s is not None:
+                call = self._call(progress)
+                self._context.quarantine.note_broken(worker, call, sent_at_s)
             if not progress.preempted and not isinstance(problem, ConnectFailed):
                 worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
             self._log_attempt(progress, worker, cause)
--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -111,12 +111,15 @@
         """Raise ``RequestQuarantined`` for a request that may not be sent to workers."""
         self._quarantine.check(request.content_key)
 
-    def note_stream_end(self, request: OnlineRequest, machine: Machine, *, whole: bool) -> None:
-        """Note that a stream ended whole, or broke at ``machine``."""
-        if whole:
-            self._quarantine.note_served(request.content_key)
-        else:
-            self._quarantine.note_broken(machine, request.content_key)
+    def note_stream_whole(self, request: OnlineRequest) -> None:
+        """Note that a stream ended whole."""
+        self._quarantine.note_served(request.content_key)
+
+    def note_stream_broken(
+        self, request: OnlineRequest, machine: Machine, sent_at_s: float
+    ) -> None:
+        """Note that a stream that was asked for at ``sent_at_s`` broke at ``machine``."""
+        self._quarantine.note_broken(machine, request.content_key, sent_at_s)
 
     def end_stream(self, machine: Machine, outcome: DispatchOutcome) -> None:
         """Report how a stream ended."""
@@ -147,13 +150,14 @@
             if machine is None:
                 break
             dispatch = to_backend_request(request)
+            sent_at_s = elapsed_s()
             try:
                 result = send(machine, dispatch, try_timeout_s(request))
                 self._router.record_figures(machine.machine_id, result.load)
                 return Dispatched(machine, dispatch.request_id, result)
             except MountstandError as error:
                 last_error = error
-                self._learn(request, machine, dispatch.request_id, error)
+                self._learn(request, machine, dispatch.request_id, sent_at_s, error)
                 excluded = excluded | {machine.machine_id}
                 maybe_executed = maybe_executed or error.executed is not Executed.NO
                 broken += isinstance(error, BackendFailed)
@@ -174,7 +178,12 @@
         return machine
 
     def _learn(
-        self, request: OnlineRequest, machine: Machine, request_id: str, error: MountstandError
+        self,
+        request: OnlineRequest,
+        machine: Machine,
+        request_id: str,
+        sent_at_s: float,
+        error: MountstandError,
     ) -> None:
         worker_id = machine.machine_id
         if isinstance(error, BackendRefused):
@@ -187,7 +196,7 @@
         else:
             self._router.end(worker_id, DispatchOutcome.FAILED)
         if isinstance(error, BackendFailed) and not isinstance(error, CallerLeft):
-            self._quarantine.note_broken(machine, request.content_key)
+            self._quarantine.note_broken(machine, request.content_key, sent_at_s)
         if isinstance(error, CrossedAnswer):
             self._metrics.crossed_answers.inc()
         if error.executed is not Executed.NO:
--- a/mountstand/online/service.py
+++ b/mountstand/online/service.py
@@ -49,6 +49,9 @@
     machine: Machine
     request_id: str
     started_s: float
+    sent_at_s: float
+    """When it was sent to the present machine; the same clock as ``started_s``."""
+
     recoveries: int = 0
 
 
@@ -111,7 +114,9 @@
             self.gate.leave(request.service, ticket, elapsed_s() - started_s)
             raise
         self._metrics.first_token.observe(elapsed_s() - request.arrival_s)
-        lease = StreamLease(request, ticket, opened.machine, opened.request_id, started_s)
+        lease = StreamLease(
+            request, ticket, opened.machine, opened.request_id, started_s, sent_at_s=started_s
+        )
         return lease, opened.result
 
     def hold_stream(
@@ -153,16 +158,15 @@
         return dispatched.result
 
     def _handle_stream_end(self, lease: StreamLease, stream: RelayedStream, end: StreamEnd) -> None:
-        if end is not StreamEnd.CALLER_LEFT:
-            whole = end is StreamEnd.COMPLETED
-            self._dispatcher.note_stream_end(lease.request, lease.machine, whole=whole)
         if end is StreamEnd.BROKEN:
+            self._dispatcher.note_stream_broken(lease.request, lease.machine, lease.sent_at_s)
             self._recovery.submit(self._recover, lease, stream)
             return
         if end is StreamEnd.CALLER_LEFT:
             self._dispatcher.cancel(lease.machine, lease.request_id)
             self._release(lease, DispatchOutcome.NEUTRAL)
         else:
+            self._dispatcher.note_stream_whole(lease.request)
             self._release(lease, DispatchOutcome.SUCCESS)
 
     def _release(self, lease: StreamLease, outcome: DispatchOutcome) -> None:
@@ -222,6 +226,7 @@
         opened = self._dispatcher.open_stream(again, frozenset({lease.machine.machine_id}))
         self._dispatcher.end_stream(lease.machine, DispatchOutcome.FAILED)
         lease.machine = opened.machine
+        lease.sent_at_s = elapsed_s()
         lease.request_id = opened.request_id
         result = opened.result
         stream.replace_upstream(
--- a/mountstand/quarantine/reports.py
+++ b/mountstand/quarantine/reports.py
@@ -7,11 +7,11 @@
 
 from collections.abc import Iterable
 
-from mountstand.quarantine.suspects import NEVER_S, CrashSuspects
+from mountstand.quarantine.suspects import NEVER_S, CrashSuspects, WorkerEnd
 from mountstand.wire.gossip import NEVER_SERVED, CrashReport, SuspectEntry
 
-ENTRIES_PER_REPORT = 12
-"""At most 93 bytes each, so that a report stays within a datagram of 1,200 bytes."""
+ENTRIES_PER_REPORT = 8
+"""At most 135 bytes each, so that a report stays within a datagram of 1,200 bytes."""
 
 
 def report_of(suspects: CrashSuspects, contents: Iterable[int], now_s: float) -> CrashReport:
@@ -42,19 +42,23 @@
     served = suspect.served_at_s != NEVER_S
     return SuspectEntry(
         content,
-        tuple(suspect.ended_at_s),
-        tuple(_age_ms(now_s, at_s) for at_s in suspect.ended_at_s.values()),
+        tuple(suspect.end_by_worker),
+        tuple(_age_ms(now_s, end.at_s) for end in suspect.end_by_worker.values()),
+        tuple(round(end.ran_s * 1000) for end in suspect.end_by_worker.values()),
         _age_ms(now_s, suspect.served_at_s) if served else NEVER_SERVED,
     )
 
 
-def _times(entry: SuspectEntry, now_s: float) -> tuple[dict[int, float], float]:
-    """Return when workers ended, by their keys, and when the content was served."""
-    pairs = zip(entry.workers, entry.ages_ms, strict=False)
-    ended_at_s = {worker: now_s - max(0, age_ms) / 1000 for worker, age_ms in pairs}
+def _times(entry: SuspectEntry, now_s: float) -> tuple[dict[int, WorkerEnd], float]:
+    """Return the ends of workers, by their keys, and when the content was served."""
+    told = zip(entry.workers, entry.ages_ms, entry.ran_ms, strict=False)
+    end_by_worker = {
+        worker: WorkerEnd(now_s - max(0, age_ms) / 1000, max(0, ran_ms) / 1000)
+        for worker, age_ms, ran_ms in told
+    }
     if entry.served_ms == NEVER_SERVED:
-        return ended_at_s, NEVER_S
-    return ended_at_s, now_s - max(0, entry.served_ms) / 1000
+        return end_by_worker, NEVER_S
+    return end_by_worker, now_s - max(0, entry.served_ms) / 1000
 
 
 def _age_ms(now_s: float, at_s: float) -> int:
--- a/mountstand/quarantine/separation.py
+++ b/mountstand/quarantine/separation.py
@@ -50,4 +50,4 @@
 
     def _is_strong(self, content: int) -> bool:
         suspect = self._suspects.by_content.get(content)
-        return suspect is not None and len(suspect.ended_at_s) >= ENDS_TO_SEPARATE
+        return suspect is not None and len(suspect.end_by_worker) >= ENDS_TO_SEPARATE
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
 
 from mountstand.quarantine.separation import SuspectSeparation
@@ -65,9 +65,9 @@
         now_s = asyncio.get_running_loop().time()
         return self.suspects.blocked_for_s(call.content_key, now_s)
 
-    def note_broken(self, worker: Worker, call: Call) -> None:
+    def note_broken(self, worker: Worker, call: Call, sent_at_s: float) -> None:
         """Note that an exchange broke at a worker after the request was sent."""
-        self._ends.note_broken(worker, call)
+        self._ends.note_broken(worker, call, sent_at_s)
 
     async def settled(self, worker: Worker) -> None:
         """Wait until it is known whether a worker at which an exchange broke has ended."""
@@ -102,10 +102,12 @@
         if self._sharing.note_served(content, asyncio.get_running_loop().time()):
             self._log.event("suspect_cleared", content=_hex(content), request=call.request_id)
 
-    def note_worker_ended(self, worker: Worker, content_keys: Sequence[int]) -> None:
+    def note_worker_ended(
+        self, worker: Worker, sent_at_s: Mapping[int, float], ended_at_s: float
+    ) -> None:
         """Suspect all contents that broke as a worker ended."""
         now_s = asyncio.get_running_loop().time()
-        self._sharing.note_ended(worker.key, content_keys, now_s)
+        self._sharing.note_ended(worker.key, ended_at_s, sent_at_s, now_s)
         self._wakened.set()
 
     # Other daemons and the store
@@ -159,13 +161,13 @@
 
     def note_blocked(self, content: int, source: str) -> None:
         """Tell of a content that is held back from now on, and of what is known of it."""
-        ended_at_s = self.suspects.by_content[content].ended_at_s
+        end_by_worker = self.suspects.by_content[content].end_by_worker
         now_s = asyncio.get_running_loop().time()
         self._log.event(
             "request_quarantined",
             content=_hex(content),
-            ends=len(ended_at_s),
-            workers=sorted(ended_at_s),
+            ends=len(end_by_worker),
+            workers=sorted(end_by_worker),
             for_s=round(self.suspects.blocked_for_s(content, now_s), 1),
             source=source,
         )
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -9,11 +9,11 @@
 
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from mountstand.hashing import rendezvous_owner
 from mountstand.quarantine.reports import ENTRIES_PER_REPORT, reports_of, take_report
-from mountstand.quarantine.suspects import CrashSuspects
+from mountstand.quarantine.suspects import CrashSuspects, WorkerEnd
 from mountstand.wire.gossip import CrashQuery, CrashReport
 
 REPEAT_AFTER_S = (0.3, 1.0)
@@ -27,11 +27,11 @@
 """How often contents of which nothing is heard are looked for."""
 
 ASK_PAUSE_S = 0.5
-MOST_ASKS = 6
+MOST_ASKS = 20
 PEERS_ASKED = 2
 """A daemon that starts asks so many others, again after the pause until one has answered."""
 
-MOST_ANSWERED = 5 * ENTRIES_PER_REPORT
+MOST_ANSWERED = 8 * ENTRIES_PER_REPORT
 """Contents told to a daemon that asks, the strongest first; blocked ones are hardly ever more."""
 
 ENDS_TO_TELL_ALL = 2
@@ -92,10 +92,18 @@
         """Whether :meth:`tick` has nothing to do until something is heard."""
         return not self.suspects and not self._asks_left
 
-    def note_ended(self, worker: int, contents: Iterable[int], now_s: float) -> None:
-        """Suspect all contents that broke as the worker with key ``worker`` ended."""
-        end = {worker: now_s}
-        news = [content for content in contents if self.suspects.take(content, end)]
+    def note_ended(
+        self, worker: int, ended_at_s: float, sent_at_s: Mapping[int, float], now_s: float
+    ) -> None:
+        """Suspect the contents that broke as the worker with key ``worker`` ended.
+
+        ``sent_at_s`` is when each of them was sent there.
+        """
+        news = []
+        for content, sent_s in sorted(sent_at_s.items()):
+            end = WorkerEnd(ended_at_s, max(0.0, ended_at_s - sent_s))
+            if self.suspects.take(content, {worker: end}):
+                news.append(content)
         self._take_own(news, now_s)
 
     def note_served(self, content: int, now_s: float) -> bool:
@@ -168,7 +176,7 @@
         for content in contents:
             suspect = self.suspects.by_content.get(content)
             if suspect is not None:
-                is_weak = 0 < len(suspect.ended_at_s) < ENDS_TO_TELL_ALL
+                is_weak = 0 < len(suspect.end_by_worker) < ENDS_TO_TELL_ALL
                 (weak if is_weak else strong).append(content)
         self._send(weak, self._link.serving(), now_s)
         self._send(strong, self._link.running(), now_s)
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from mountstand.quarantine.suspects import NEVER_S, CrashSuspects
+from mountstand.quarantine.suspects import NEVER_S, CrashSuspects, WorkerEnd
 from mountstand.store.rows import RowKey, RowStore, StoredRow, StoreError, Transaction
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
@@ -56,7 +56,7 @@
     def want(self, content: int) -> None:
         """Write what is known of a content, or remove its row if it is not suspected any more."""
         suspect = self._suspects.by_content.get(content)
-        ends = len(suspect.ended_at_s) if suspect is not None else 0
+        ends = len(suspect.end_by_worker) if suspect is not None else 0
         new_row = ends >= ENDS_TO_STORE and len(self._rows) < MOST_ROWS
         if new_row or content in self._rows:
             self._unwritten.add(content)
@@ -105,14 +105,17 @@
         now_s = asyncio.get_running_loop().time()
         for content in contents:
             suspect = self._suspects.by_content.get(content)
-            if suspect is None or not suspect.ended_at_s:
+            if suspect is None or not suspect.end_by_worker:
                 transaction.removals.append(_key(content))
                 continue
-            ended_ms = {
-                str(worker): now_ms - round((now_s - at_s) * 1000)
-                for worker, at_s in suspect.ended_at_s.items()
+            ends = {
+                str(worker): [
+                    now_ms - round((now_s - end.at_s) * 1000),
+                    round(end.ran_s * 1000),
+                ]
+                for worker, end in suspect.end_by_worker.items()
             }
-            transaction.puts.append((_key(content), orjson.dumps({"ended_ms": ended_ms})))
+            transaction.puts.append((_key(content), orjson.dumps({"ends": ends})))
         self._unwritten.difference_update(contents)
         try:
             await self._store.commit(transaction)
@@ -125,9 +128,12 @@
             self._rows.discard(content)
             return False
         self._rows.add(content)
-        ended_ms = orjson.loads(row.value)["ended_ms"]
-        ended_at_s = {int(w): now_s - self._age_s(at_ms) for w, at_ms in ended_ms.items()}
-        return self._suspects.take(content, ended_at_s, NEVER_S)
+        ends = orjson.loads(row.value)["ends"]
+        end_by_worker = {
+            int(worker): WorkerEnd(now_s - self._age_s(at_ms), ran_ms / 1000)
+            for worker, (at_ms, ran_ms) in ends.items()
+        }
+        return self._suspects.take(content, end_by_worker, NEVER_S)
 
     def _age_s(self, at_ms: int) -> float:
         """Return how long ago something was; while the store's clock is not known, no time ago."""
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -3,7 +3,10 @@
 As a worker ends, each request that broke there may have done it. One that is the cause is there
 again when the next worker ends, and the next; the others go on elsewhere and are served. So a
 content is blocked once ``CRASHES_TO_BLOCK`` workers ended under it, counted without ends that a
-content with more of them explains, and without those before it was last served whole.
+content with more of them explains, and without those before it was last served whole. An end under
+a run that began after another end is evidence of its own. Ends under runs that went on at the same
+time may have a cause in common, such as the power of a rack, as a content that is asked for often
+runs at several workers: they count as ``MOST_AT_ONCE`` at most.
 
 All statements merge: sets of ends only grow, an end keeps its earliest time and service its latest.
 Daemons that have heard the same, in whatever order, judge alike. Times are seconds on the clock of
@@ -12,7 +15,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 CRASHES_TO_BLOCK = 3
@@ -20,6 +23,10 @@
 crash, which is what a content that comes twice a second does to nine workers, one run in a thousand
 is beside three in a row."""
 
+MOST_AT_ONCE = 2
+"""Ends that count of those under runs that overlap. Two, since copies of a bad request that come at
+the same moment do end workers together, and the next run then decides."""
+
 MOST_ENDS = 8
 """Ends that are kept of one content. More change neither whether it is blocked nor for how long."""
 
@@ -39,34 +46,55 @@
 NEVER_S = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerEnd:
+    """The end of a worker while it ran a content: when, and how long the run had lasted."""
+
+    at_s: float
+    ran_s: float = 0.0
+
+    @property
+    def began_s(self) -> float:
+        """When the run began that the end broke."""
+        return self.at_s - self.ran_s
+
+
+EndByWorker = Mapping[int, WorkerEnd]
+"""Ends of workers by the workers' keys."""
+
+
 @dataclass(slots=True)
 class Suspect:
     """What is known of one content: ends of workers by the workers' keys, and its last service."""
 
-    ended_at_s: dict[int, float] = field(default_factory=dict)
+    end_by_worker: dict[int, WorkerEnd] = field(default_factory=dict)
     served_at_s: float = NEVER_S
 
     @property
     def last_end_s(self) -> float:
         """When a worker last ended under it."""
-        return max(self.ended_at_s.values(), default=NEVER_S)
+        return max((end.at_s for end in self.end_by_worker.values()), default=NEVER_S)
 
-    def take(self, ended_at_s: Mapping[int, float], served_at_s: float) -> bool:
+    def take(self, end_by_worker: EndByWorker, served_at_s: float) -> bool:
         """Merge a statement; returns whether it said anything new."""
-        before = (set(self.ended_at_s), self.served_at_s)
+        before = (set(self.end_by_worker), self.served_at_s)
         if served_at_s > self.served_at_s + CLOCK_SLACK_S:
             self.served_at_s = served_at_s
-        for worker, at_s in ended_at_s.items():
-            self.ended_at_s[worker] = min(at_s, self.ended_at_s.get(worker, at_s))
+        for worker, end in end_by_worker.items():
+            known = self.end_by_worker.get(worker, end)
+            self.end_by_worker[worker] = min(end, known, key=_end_time)
         self._drop_refuted()
-        while len(self.ended_at_s) > MOST_ENDS:
-            del self.ended_at_s[min(self.ended_at_s, key=lambda key: self.ended_at_s[key])]
-        return (set(self.ended_at_s), self.served_at_s) != before
+        while len(self.end_by_worker) > MOST_ENDS:
+            oldest = min(self.end_by_worker, key=lambda key: self.end_by_worker[key].at_s)
+            del self.end_by_worker[oldest]
+        return (set(self.end_by_worker), self.served_at_s) != before
 
     def _drop_refuted(self) -> None:
         """Drop ends before the last service: what was served whole did not cause them."""
         refuted_s = self.served_at_s + CLOCK_SLACK_S
-        self.ended_at_s = {w: at_s for w, at_s in self.ended_at_s.items() if at_s > refuted_s}
+        self.end_by_worker = {
+            worker: end for worker, end in self.end_by_worker.items() if end.at_s > refuted_s
+        }
 
 
 def block_s(ends: int) -> float:
@@ -74,6 +102,24 @@
     return FIRST_BLOCK_S * 2.0 ** (min(ends, MOST_ENDS) - CRASHES_TO_BLOCK)
 
 
+def counted_ends(ends: Iterable[WorkerEnd]) -> int:
+    """Return for how many ends some count, given which of their runs overlapped."""
+    counted = 0
+    overlapping = 0
+    first_end_s = NEVER_S
+    for end in sorted(ends, key=_end_time):
+        if end.began_s >= first_end_s:
+            first_end_s = end.at_s
+            overlapping = 0
+        overlapping += 1
+        counted += overlapping <= MOST_AT_ONCE
+    return counted
+
+
+def _end_time(end: WorkerEnd) -> float:
+    return end.at_s
+
+
 class CrashSuspects:
     """All suspected contents of one daemon."""
 
@@ -86,18 +132,16 @@
         """Return whether any content is suspected."""
         return bool(self.by_content)
 
-    def take(
-        self, content: int, ended_at_s: Mapping[int, float], served_at_s: float = NEVER_S
-    ) -> bool:
+    def take(self, content: int, end_by_worker: EndByWorker, served_at_s: float = NEVER_S) -> bool:
         """Merge what is said of a content; returns whether it was new."""
         suspect = self.by_content.get(content)
         if suspect is None:
             suspect = Suspect()
-            if not suspect.take(ended_at_s, served_at_s):
+            if not suspect.take(end_by_worker, served_at_s):
                 return False
             self.by_content[content] = suspect
             self._make_room()
-        elif not suspect.take(ended_at_s, served_at_s):
+        elif not suspect.take(end_by_worker, served_at_s):
             return False
         self._judge()
         return True
@@ -105,7 +149,7 @@
     def note_served(self, content: int, now_s: float) -> bool:
         """Note that a content was served whole; returns whether it was suspected."""
         suspect = self.by_content.get(content)
-        if suspect is None or not suspect.ended_at_s:
+        if suspect is None or not suspect.end_by_worker:
             return False
         suspect.take({}, now_s)
         self._judge()
@@ -132,7 +176,7 @@
         """Return when a content is forgotten if nothing new is heard of it."""
         suspect = self.by_content[content]
         told_s = max(suspect.last_end_s, suspect.served_at_s)
-        ends = len(suspect.ended_at_s)
+        ends = len(suspect.end_by_worker)
         if ends < CRASHES_TO_BLOCK:
             return told_s + EVIDENCE_S
         return told_s + block_s(ends) + EVIDENCE_S
@@ -147,7 +191,7 @@
 
     def _strength(self, content: int) -> tuple[int, float]:
         suspect = self.by_content[content]
-        return len(suspect.ended_at_s), suspect.last_end_s
+        return len(suspect.end_by_worker), suspect.last_end_s
 
     def _make_room(self) -> None:
         """Forget the weakest suspects once there are too many."""
@@ -159,7 +203,7 @@
         """Decide anew what is blocked; those with the most ends are judged first."""
         contents_by_ends: dict[int, list[int]] = {}
         for content, suspect in self.by_content.items():
-            ends = len(suspect.ended_at_s)
+            ends = len(suspect.end_by_worker)
             if ends >= CRASHES_TO_BLOCK:
                 contents_by_ends.setdefault(ends, []).append(content)
         self._blocked_until_s = {}
@@ -172,8 +216,9 @@
         newly: set[int] = set()
         for content in contents:
             suspect = self.by_content[content]
-            unexplained = len(suspect.ended_at_s.keys() - explained)
-            if unexplained >= CRASHES_TO_BLOCK:
-                self._blocked_until_s[content] = suspect.last_end_s + block_s(unexplained)
-                newly |= suspect.ended_at_s.keys()
+            end_by_worker = suspect.end_by_worker
+            ends = counted_ends(end_by_worker[w] for w in end_by_worker.keys() - explained)
+            if ends >= CRASHES_TO_BLOCK:
+                self._blocked_until_s[content] = suspect.last_end_s + block_s(ends)
+                newly |= suspect.end_by_worker.keys()
         return newly
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -13,7 +13,7 @@
 import time
 import uuid
 import zlib
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 
@@ -28,7 +28,7 @@
     SuspectObserver,
     SuspectSharing,
 )
-from mountstand.quarantine.suspects import NEVER_S, CrashSuspects
+from mountstand.quarantine.suspects import NEVER_S, CrashSuspects, EndByWorker, WorkerEnd
 from mountstand.store.ports import Machine, Put, TablePort, Transaction
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
@@ -82,27 +82,28 @@
     def __init__(self, table: TablePort) -> None:
         self._table = table
 
-    def read(self) -> dict[int, dict[int, float]]:
+    def read(self) -> dict[int, EndByWorker]:
         """Return ends of workers by content. Raises ``StoreUnavailable``."""
         rows = self._table.read(prefixes=(KEY_PREFIX,)).rows
         return {
             int(row.key.removeprefix(KEY_PREFIX), 16): {
-                int(worker): float(at_s) for worker, at_s in row.value["ended_at_s"].items()
+                int(worker): WorkerEnd(float(at_s), float(ran_s))
+                for worker, (at_s, ran_s) in row.value["ends"].items()
             }
             for row in rows
         }
 
-    def write(self, ended_at_s_by_content: dict[int, dict[int, float]]) -> None:
+    def write(self, ends_by_content: Mapping[int, EndByWorker]) -> None:
         """Write ends; a content without any loses its row. Raises ``StoreUnavailable``."""
         puts = []
         deletes = []
-        for content, ended_at_s in ended_at_s_by_content.items():
+        for content, end_by_worker in ends_by_content.items():
             key = f"{KEY_PREFIX}{content:016x}"
-            if not ended_at_s:
+            if not end_by_worker:
                 deletes.append(key)
                 continue
-            ends = {str(worker): at_s for worker, at_s in ended_at_s.items()}
-            puts.append(Put(key=key, value={"ended_at_s": ends}))
+            ends = {str(worker): [end.at_s, end.ran_s] for worker, end in end_by_worker.items()}
+            puts.append(Put(key=key, value={"ends": ends}))
         self._table.commit(Transaction(write_id=uuid.uuid4().hex, puts=puts, deletes=deletes))
 
 
@@ -129,7 +130,7 @@
         self._kept: set[int] = set()
         self._to_store: set[int] = set()
         self._checkers = ThreadPoolExecutor(CHECK_THREADS, thread_name_prefix="worker-end")
-        self._broken_by_machine: dict[str, set[int]] = {}
+        self._sent_at_s_by_machine: dict[str, dict[int, float]] = {}
         self._tasks = [
             PeriodicTask("quarantine", TICK_S, self._tick),
             PeriodicTask("quarantine store", STORE_INTERVAL_S, self._use_table),
@@ -163,16 +164,16 @@
             self._metrics.requests_quarantined.inc()
             raise RequestQuarantined(f"content {content:016x}", retry_after_s=blocked_for_s)
 
-    def note_broken(self, machine: Machine, content: int) -> None:
+    def note_broken(self, machine: Machine, content: int, sent_at_s: float) -> None:
         """Note that an exchange broke at a worker after the request was sent."""
         if machine.leaving:
             return
         with self._lock:
-            broken = self._broken_by_machine.get(machine.machine_id)
-            if broken is not None:
-                broken.add(content)
+            sent = self._sent_at_s_by_machine.get(machine.machine_id)
+            if sent is not None:
+                sent.setdefault(content, sent_at_s)
                 return
-            self._broken_by_machine[machine.machine_id] = {content}
+            self._sent_at_s_by_machine[machine.machine_id] = {content: sent_at_s}
         self._checkers.submit(self._check_machine, machine)
 
     @contextmanager
@@ -212,13 +213,13 @@
         by_content = self.suspects.by_content
         for content in contents:
             suspect = by_content.get(content)
-            strong = suspect is not None and len(suspect.ended_at_s) >= ENDS_TO_STORE
+            strong = suspect is not None and len(suspect.end_by_worker) >= ENDS_TO_STORE
             if strong or content in self._kept:
                 self._to_store.add(content)
 
     def note_blocked(self, content: int, source: str) -> None:
         """Tell of a content that is held back from now on."""
-        ends = len(self.suspects.by_content[content].ended_at_s)
+        ends = len(self.suspects.by_content[content].end_by_worker)
         log_state_change(
             logger, "request quarantined", content=f"{content:016x}", ends=ends, source=source
         )
@@ -226,17 +227,19 @@
     # Internals
 
     def _check_machine(self, machine: Machine) -> None:
+        broke_at_s = elapsed_s()
         ended = True
         for number in range(CHECKS):
             if number:
                 time.sleep(CHECK_PAUSE_S)
             ended = ended and self._has_ended(machine)
         with self._lock:
-            broken = self._broken_by_machine.pop(machine.machine_id)
+            sent_at_s = self._sent_at_s_by_machine.pop(machine.machine_id)
             if ended:
-                self._sharing.note_ended(end_key(machine), sorted(broken), elapsed_s())
+                self._sharing.note_ended(end_key(machine), broke_at_s, sent_at_s, elapsed_s())
         if ended:
-            log_state_change(logger, "worker ended", worker=machine.machine_id, broken=len(broken))
+            broken = len(sent_at_s)
+            log_state_change(logger, "worker ended", worker=machine.machine_id, broken=broken)
 
     def _tick(self) -> None:
         with self._lock:
@@ -251,7 +254,7 @@
             self._loaded = True
         with self._lock:
             contents = set(self._to_store)
-            ended = {content: self._ended_by_wall_clock(content) for content in contents}
+            ended = {content: self._ends_by_wall_clock(content) for content in contents}
         if not ended:
             return
         self._table.write(ended)
@@ -259,21 +262,24 @@
             self._to_store -= contents
             self._kept = (self._kept | contents) - {c for c, ends in ended.items() if not ends}
 
-    def _take_stored(self, ended_at_s_by_content: dict[int, dict[int, float]]) -> None:
+    def _take_stored(self, ends_by_content: Mapping[int, EndByWorker]) -> None:
         with self._lock:
             offset_s = elapsed_s() - time.time()
-            for content, ended in ended_at_s_by_content.items():
+            for content, ends in ends_by_content.items():
                 self._kept.add(content)
-                ended_at_s = {worker: at_s + offset_s for worker, at_s in ended.items()}
-                self.suspects.take(content, ended_at_s, NEVER_S)
+                self.suspects.take(content, moved(ends, offset_s), NEVER_S)
             self._sharing.note_stored(elapsed_s())
 
-    def _ended_by_wall_clock(self, content: int) -> dict[int, float]:
+    def _ends_by_wall_clock(self, content: int) -> EndByWorker:
         suspect = self.suspects.by_content.get(content)
         if suspect is None:
             return {}
-        offset_s = time.time() - elapsed_s()
-        return {worker: at_s + offset_s for worker, at_s in suspect.ended_at_s.items()}
+        return moved(suspect.end_by_worker, time.time() - elapsed_s())
+
+
+def moved(end_by_worker: EndByWorker, by_s: float) -> EndByWorker:
+    """Return ends on a clock that shows ``by_s`` seconds more."""
+    return {w: WorkerEnd(end.at_s + by_s, end.ran_s) for w, end in end_by_worker.items()}
 
 
 def end_key(machine: Machine) -> int:
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Mapping
 
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.worker import Worker
@@ -29,6 +29,9 @@
 """A worker that neither accepts nor refuses twice in so many checks is behind a broken link, as far
 as is known; each check in vain makes this daemon avoid it for longer."""
 
+SETTLED_S = 0.25
+"""Longest wait for a check: two refusals take 0.1 s, and one that takes longer tells no end."""
+
 KEYS_TOLD = 20
 """Contents that a line names at most; engines run about as many requests at once."""
 
@@ -39,8 +42,10 @@
     __slots__ = ()
 
     @abstractmethod
-    def note_worker_ended(self, worker: Worker, content_keys: Sequence[int]) -> None:
-        """Take the contents of the requests that broke as ``worker`` ended."""
+    def note_worker_ended(
+        self, worker: Worker, sent_at_s: Mapping[int, float], ended_at_s: float
+    ) -> None:
+        """Take when ``worker`` ended, and when each content was sent that broke there."""
 
 
 class WorkerEnds:
@@ -52,30 +57,32 @@
         self._connections = connections
         self._metrics = metrics
         self._log = log
-        self._broken_by_worker: dict[str, set[int]] = {}
+        self._sent_at_s_by_worker: dict[str, dict[int, float]] = {}
         self._check_by_worker: dict[str, asyncio.Task[None]] = {}
         self.observers: list[WorkerEndObserver] = []
 
-    def note_broken(self, worker: Worker, call: Call) -> None:
-        """Note that the exchange of ``call`` broke at ``worker`` after it was sent."""
+    def note_broken(self, worker: Worker, call: Call, sent_at_s: float) -> None:
+        """Note that the exchange of ``call`` broke at ``worker`` after it was sent there."""
         if worker.leaving_since_s is not None:
             return
         worker_id = worker.record.worker_id
-        self._broken_by_worker.setdefault(worker_id, set()).add(call.content_key)
+        sent = self._sent_at_s_by_worker.setdefault(worker_id, {})
+        sent.setdefault(call.content_key, sent_at_s)
         if worker_id not in self._check_by_worker:
             self._check_by_worker[worker_id] = asyncio.create_task(self._check(worker))
 
     async def settled(self, worker: Worker) -> None:
-        """Wait until it is known whether a worker ended, if it is being checked."""
+        """Wait until it is known whether a worker ended, if it is being checked, for a moment."""
         check = self._check_by_worker.get(worker.record.worker_id)
         if check is not None:
-            await asyncio.wait([check])
+            await asyncio.wait([check], timeout=SETTLED_S)
 
     async def _check(self, worker: Worker) -> None:
+        broke_at_s = asyncio.get_running_loop().time()
         try:
             ended = await self._has_ended(worker)
         finally:
-            broken = self._broken_by_worker.pop(worker.record.worker_id)
+            sent_at_s = self._sent_at_s_by_worker.pop(worker.record.worker_id)
             del self._check_by_worker[worker.record.worker_id]
         if not ended:
             return
@@ -84,11 +91,11 @@
             "worker_ended",
             worker=worker.record.worker_id,
             worker_version=worker.record.version,
-            contents=[f"{key:016x}" for key in sorted(broken)[:KEYS_TOLD]],
-            broken=len(broken),
+            contents=[f"{key:016x}" for key in sorted(sent_at_s)[:KEYS_TOLD]],
+            broken=len(sent_at_s),
         )
         for observer in self.observers:
-            observer.note_worker_ended(worker, sorted(broken))
+            observer.note_worker_ended(worker, sent_at_s, broke_at_s)
 
     async def _has_ended(self, worker: Worker) -> bool:
         refusals = 0
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -136,13 +136,14 @@
 class SuspectEntry(msgspec.Struct, frozen=True, array_like=True):
     """A content under which workers ended (``Call.content_key``).
 
-    ``workers`` are the keys of these workers and ``ages_ms`` how long ago each ended; ``served_ms``
-    is how long ago the content was last served whole.
+    ``workers`` are the keys of these workers, ``ages_ms`` how long ago each ended and ``ran_ms``
+    how long it had run the content then; ``served_ms`` is how long ago it was last served whole.
     """
 
     content: int
     workers: tuple[int, ...]
     ages_ms: tuple[int, ...]
+    ran_ms: tuple[int, ...]
     served_ms: int = NEVER_SERVED
 
 
