--- a/mountstand/online/service.py
+++ b/mountstand/online/service.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import orjson
 
@@ -236,10 +236,8 @@
 
 def extend_deadline(request: OnlineRequest, time_s: float) -> OnlineRequest:
     """Return ``request`` with at least ``time_s`` left; its first token was in time already."""
-    fields = dict(request.__dict__)
-    fields["deadline_s"] = max(request.deadline_s, elapsed_s() + time_s)
-    fields["caller_gone"] = None
-    return OnlineRequest(**fields)
+    deadline_s = max(request.deadline_s, elapsed_s() + time_s)
+    return replace(request, deadline_s=deadline_s, caller_gone=None)
 
 
 def error_event(error: MountstandError) -> bytes:
