--- a/tests/integration/test_crashing_request.py
+++ b/tests/integration/test_crashing_request.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from base64 import b64encode
 from typing import Any
@@ -108,7 +109,39 @@
         for target in ("/stream/x", "/plain/x", "/once/x"):
             run(scenario(target))
 
+    def test_it_stays_held_back_when_all_processes_are_lost(self) -> None:
+        async def scenario() -> None:
+            async with Site(2) as site:
+                workers = RestartingWorkers(SiteWorkers(site), is_bad, (OTHER_STREAM,))
+                await workers.start(WORKERS)
+                await asyncio.sleep(0.5)
+                for i in range(8):
+                    await ask(site.processes[i % 2], "/plain/x", f"bad-{i}", BAD)
+                    await asyncio.sleep(TRY_GAP_S)
+                await asyncio.sleep(CONTACT_S)
+                before = sum(is_bad(request) for request in workers.received())
+                for process in site.processes:
+                    process.signal(signal.SIGKILL)
+                for process in site.processes:
+                    await process.ended()
+                for process in site.processes:
+                    await process.start()
+                for process in site.processes:
+                    await site.wait_ready(process)
+                await asyncio.sleep(0.5)
+                statuses = {
+                    await ask(site.processes[i % 2], "/plain/x", f"again-{i}", BAD)
+                    for i in range(6)
+                }
+                after = sum(is_bad(request) for request in workers.received())
+                await workers.stop()
+                self.assertEqual(({503}, before), (statuses, after))
+
+        run(scenario())
+
     def test_a_batch_item_is_held_back_and_the_others_are_done(self) -> None:
+        """Also once another process has taken the job over."""
+
         async def scenario() -> None:
             async with Site(2) as site:
                 workers = RestartingWorkers(SiteWorkers(site), is_bad, (stream(4),))
@@ -122,7 +155,9 @@
                 headers = {"Request-Id": "job1"}
                 answer = await first.call("POST", "/batch/x", body=document, headers=headers)
                 self.assertEqual(202, answer.status)
-                await asyncio.sleep(8.0)
+                await asyncio.sleep(5.0)
+                first.signal(signal.SIGKILL)
+                await asyncio.sleep(5.0)
                 await workers.stop()
                 runs = sum(is_bad(request) for request in workers.received())
                 self.assertTrue(runs <= CRASHES_ALLOWED + RETRIES_ALLOWED, runs)
