--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -67,6 +67,11 @@
     reading: PromptReading | None = None
     """The reading of its prompt by the worker of the present attempt."""
 
+    @property
+    def may_run_again(self) -> bool:
+        """Whether the route allows another run of a request that may have run."""
+        return self.route.repeatable and self.runs < self.route.max_attempts
+
     def end_reading(self) -> None:
         """Note that the worker has read the prompt, or that the attempt is over."""
         if self.reading is not None:
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -14,7 +14,6 @@
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
-from mountstand.serving.events import EventSplitter, StreamEvent
 from mountstand.serving.exchange import (
     SAID_NOTHING,
     WORKER_FAILED,
@@ -25,8 +24,9 @@
 )
 from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.online_queue import OnlineQueue, start_times
+from mountstand.serving.reply_relay import ReplyRelay
 from mountstand.serving.worker import PromptReading, Worker
-from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
+from mountstand.serving.worker_protocol import Call, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
@@ -34,7 +34,6 @@
     ClientConnection,
     ConnectFailed,
     ReplyBroken,
-    ReplyHead,
 )
 from mountstand.transport.responder import Responder, refuse
 
@@ -50,21 +49,6 @@
 RETRY_UNAVAILABLE_S = 0.5
 """When a refused caller is told to come back."""
 
-WHOLE_ANSWER_BYTES = 512 * 1024
-"""Answers up to this size are held until they are whole, so that a broken one can be retried."""
-
-SUSPICION_S = 0.5
-"""Silence of a worker after which it is checked by a new connection."""
-
-STALL_GAPS = 2.0
-"""A resumable stream is resumed elsewhere after so many of the longest pauses that are in time."""
-
-HANG_S = 1.5
-"""A worker that says nothing for so long counts as failing, while it is waited for. Full workers
-refuse sooner, and what all of a service do alike ejects none."""
-
-EVENT_STREAM = "text/event-stream"
-
 
 class Forwarder:
     """Runs online requests at workers."""
@@ -88,6 +72,7 @@
         self._shares = shares
         self._room = room
         self._quarantine = quarantine
+        self._relay = ReplyRelay(directory, connections, protocol, room)
         self._log = ExchangeLog(metrics, log)
         self.idle_per_worker = 4
 
@@ -231,7 +216,7 @@
         if outcome is Outcome.NOT_SENT:
             exchange.unreachable += 1
             return exchange.unreachable < MAX_UNREACHABLE
-        return exchange.route.repeatable and exchange.runs < exchange.route.max_attempts
+        return exchange.may_run_again
 
     # One attempt
 
@@ -302,8 +287,7 @@
         exchange.runs += 1
         exchange.sent_at_s = now_s
         try:
-            head = await self._read_head(exchange, worker, connection)
-            return await self._relay(exchange, worker, connection, head)
+            return await self._relay.run(exchange, worker, connection)
         except (ReplyBroken, WorkerSilent) as problem:
             if isinstance(problem, ReplyBroken):
                 self._connections.note_broken(connection)
@@ -312,139 +296,6 @@
             midway = exchange.responder.started
             return Outcome.BROKEN_MIDWAY if midway else Outcome.MAY_HAVE_RUN
 
-    async def _read_head(
-        self, exchange: Exchange, worker: Worker, connection: ClientConnection
-    ) -> ReplyHead:
-        loop = asyncio.get_running_loop()
-        counted = False
-        while True:
-            try:
-                async with asyncio.timeout(SUSPICION_S):
-                    return await connection.read_head()
-            except TimeoutError:
-                if not counted and loop.time() - exchange.sent_at_s > HANG_S:
-                    counted = True
-                    worker.health.own.add(loop.time(), failed=True)
-                if exchange.route.repeatable:
-                    await self._check_alive(worker)
-
-    async def _check_alive(self, worker: Worker) -> None:
-        """Check a silent worker. Raises ``WorkerSilent`` if it accepts no connection either."""
-        loop = asyncio.get_running_loop()
-        if loop.time() - worker.last_heard_s < SUSPICION_S:
-            return
-        try:
-            await self._connections.check(worker)
-        except ConnectFailed:
-            raise WorkerSilent("silent and unreachable") from None
-
-    async def _relay(
-        self, exchange: Exchange, worker: Worker, connection: ClientConnection, head: ReplyHead
-    ) -> Outcome:
-        now_s = asyncio.get_running_loop().time()
-        worker.note_heard(now_s)
-        meaning = self._protocol.meaning(head)
-        if meaning.load is not None:
-            exchange.load = meaning.load
-            worker.note_load(meaning.load, now_s)
-            self._room.yield_to_online(worker, now_s)
-        if meaning.kind is not ReplyKind.ANSWERED:
-            exchange.runs -= 1
-            return self._note_refusal(exchange, worker, meaning.kind, now_s)
-        content_type = (head.headers.get("content-type") or "").lower()
-        if head.status == 200 and content_type.startswith(EVENT_STREAM):
-            return await self._relay_stream(exchange, worker, connection, head)
-        if exchange.responder.started:
-            exchange.cause = f"status {head.status} on resuming"
-            return Outcome.BROKEN_MIDWAY
-        return await self._relay_whole(exchange, connection, head)
-
-    def _note_refusal(
-        self, exchange: Exchange, worker: Worker, kind: ReplyKind, now_s: float
-    ) -> Outcome:
-        if kind is ReplyKind.OTHER_WORKER:
-            exchange.cause = "another worker at the address"
-            self._directory.forget(worker)
-            return Outcome.OTHER_WORKER
-        exchange.cause = "worker full"
-        worker.note_full(now_s)
-        return Outcome.NOT_RUN
-
-    async def _relay_whole(
-        self, exchange: Exchange, connection: ClientConnection, head: ReplyHead
-    ) -> Outcome:
-        """Pass on an answer that is no event stream; a small one only once it is whole."""
-        responder = exchange.responder
-        pieces: list[bytes] = []
-        held_bytes = 0
-        while (piece := await connection.read_piece()) is not None:
-            if responder.started:
-                responder.write(piece)
-                await responder.drain()
-                continue
-            pieces.append(piece)
-            held_bytes += len(piece)
-            if held_bytes > WHOLE_ANSWER_BYTES:
-                responder.start(head.status, head.headers.end_to_end(), head.length)
-                responder.write(b"".join(pieces))
-        if head.status >= 500 and self._may_go_on(exchange, Outcome.FAILED):
-            exchange.cause = f"status {head.status}"
-            return Outcome.FAILED
-        if responder.started:
-            responder.finish()
-        else:
-            responder.send(head.status, head.headers.end_to_end(), b"".join(pieces))
-        return Outcome.DELIVERED
-
-    async def _relay_stream(
-        self, exchange: Exchange, worker: Worker, connection: ClientConnection, head: ReplyHead
-    ) -> Outcome:
-        """Pass whole events on as they come; a stream resumed here keeps its first head."""
-        responder = exchange.responder
-        splitter = EventSplitter()
-        stall_s = self._stall_limit_s(exchange.route)
-        if not responder.started:
-            responder.start(head.status, head.headers.end_to_end(), head.length)
-        while True:
-            piece = await self._read_event_bytes(worker, connection, stall_s)
-            if piece is None:
-                break
-            events = splitter.feed(piece)
-            if events:
-                await self._pass_on(exchange, events)
-        if splitter.partial:
-            exchange.cause = "ended within an event"
-            return Outcome.BROKEN_MIDWAY
-        responder.finish()
-        return Outcome.DELIVERED
-
-    async def _read_event_bytes(
-        self, worker: Worker, connection: ClientConnection, stall_s: float | None
-    ) -> bytes | None:
-        if stall_s is None:
-            return await connection.read_piece()
-        try:
-            async with asyncio.timeout(stall_s):
-                return await connection.read_piece()
-        except TimeoutError:
-            worker.note_full(asyncio.get_running_loop().time())
-            raise WorkerSilent("stalled between events") from None
-
-    async def _pass_on(self, exchange: Exchange, events: list[StreamEvent]) -> None:
-        for event in events:
-            if event.event_id is not None:
-                exchange.last_event_id = event.event_id
-        exchange.end_reading()
-        if exchange.first_event_at_s is None:
-            exchange.first_event_at_s = asyncio.get_running_loop().time()
-        exchange.responder.write(b"".join(event.raw for event in events))
-        await exchange.responder.drain()
-
-    def _stall_limit_s(self, route: Route) -> float | None:
-        if not route.resumable or route.event_gap_s is None:
-            return None
-        return max(SUSPICION_S, route.event_gap_s * STALL_GAPS)
-
     # Ends
 
     def _end_unfinished(self, exchange: Exchange) -> None:
