A worker that ended behind a silent connection is seen too

Cause: only exchanges that broke led to a check; one whose connection went silent, or whose stream stalled, did not, though the machine refuses connections. Change: both do. Measured: test_a_worker_that_ended_behind_a_silent_connection.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -118,7 +118,7 @@
             if isinstance(problem, ReplyBroken) and progress.connection is not None:
                 self._context.connections.note_broken(progress.connection)
             sent_at_s = progress.sent_at_s
-            broken = isinstance(problem, ReplyBroken) and not progress.preempted
+            broken = not isinstance(problem, ConnectFailed) and not progress.preempted
             if broken and sent_at_s is not None:
                 call = self._call(progress)
                 self._context.quarantine.note_broken(worker, call, sent_at_s)
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -291,7 +291,7 @@
         except (ReplyBroken, WorkerSilent) as problem:
             if isinstance(problem, ReplyBroken):
                 self._connections.note_broken(connection)
-                self._quarantine.note_broken(worker, exchange.call, exchange.sent_at_s)
+            self._quarantine.note_broken(worker, exchange.call, exchange.sent_at_s)
             exchange.cause = str(problem)
             midway = exchange.responder.started
             return Outcome.BROKEN_MIDWAY if midway else Outcome.MAY_HAVE_RUN
--- a/tests/serving/test_held_back.py
+++ b/tests/serving/test_held_back.py
@@ -153,6 +153,24 @@
 
         run(scenario())
 
+    def test_a_worker_that_ended_behind_a_silent_connection_is_seen(self) -> None:
+        """Its machine refuses new connections, while the old one never says anything."""
+
+        async def scenario() -> None:
+            async with Front(REPEATABLE, (silence,), (silence,)) as front:
+                front.deadline_s = 2.5
+                asking = asyncio.create_task(front.ask("r1"))
+                await eventually(lambda: front.fleet.received(), "it runs")
+                first = next(worker for worker in front.workers if worker.received)
+                assert first._server is not None
+                first._server.close()
+                await eventually(lambda: front.fleet.quarantine.suspects, "its end is seen")
+                asking.cancel()
+                suspect = front.fleet.quarantine.suspects.by_content[ANY_TRY.content_key]
+                self.assertEqual(1, len(suspect.end_by_worker))
+
+        run(scenario())
+
     def test_breaks_of_links_are_no_ends(self) -> None:
         async def scenario() -> None:
             script = (stream(5, cut_after=1),)
