--- a/mountstand/hashing.py
+++ b/mountstand/hashing.py
@@ -20,6 +20,11 @@
     return int.from_bytes(digest.digest(), "big")
 
 
+def content_name(key: int) -> str:
+    """Return a content key as lines and rows name it, in hexadecimal digits."""
+    return f"{key:016x}"
+
+
 def rendezvous_weight(key: str, node: str) -> int:
     """Return the weight of ``node`` for ``key``; the highest weight owns the key."""
     digest = hashlib.blake2b(f"{key}\x00{node}".encode(), digest_size=8).digest()
--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from mountstand.hashing import content_name
 from mountstand.jobs.model import ItemResult, ItemState, JobItem
 from mountstand.jobs.repository import JobRepository
 from mountstand.quarantine.service import RequestQuarantine
@@ -253,7 +254,7 @@
             item=progress.item.item_id,
             worker=worker.record.worker_id,
             cause=cause,
-            content=f"{self._call(progress).content_key:016x}",
+            content=content_name(self._call(progress).content_key),
             failures=progress.failures,
             last_event=progress.last_event_id,
             in_flight=worker.in_flight,
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
 
+from mountstand.hashing import content_name
 from mountstand.quarantine.separation import SuspectSeparation
 from mountstand.quarantine.sharing import (
     QuarantineMessage,
@@ -75,7 +76,10 @@
 
     def is_suspect(self, call: Call) -> bool:
         """Return whether a worker ended under a request's content lately."""
-        return bool(self.suspects) and call.content_key in self.suspects.by_content
+        if not self.suspects:
+            return False
+        suspect = self.suspects.by_content.get(call.content_key)
+        return suspect is not None and bool(suspect.end_by_worker)
 
     def allows(self, call: Call, worker: Worker) -> bool:
         """Return whether a request may run at a worker beside what this daemon has there."""
@@ -100,7 +104,8 @@
             return
         content = call.content_key
         if self._sharing.note_served(content, asyncio.get_running_loop().time()):
-            self._log.event("suspect_cleared", content=_hex(content), request=call.request_id)
+            name = content_name(content)
+            self._log.event("suspect_cleared", content=name, request=call.request_id)
 
     def note_worker_ended(
         self, worker: Worker, sent_at_s: Mapping[int, float], ended_at_s: float
@@ -148,7 +153,7 @@
         if self._stored is None:
             return
         for content in self._stored.forgotten_rows():
-            if self._sharing.is_keeper(_hex(content)):
+            if self._sharing.is_keeper(content_name(content)):
                 self._stored.want(content)
 
     # SuspectObserver
@@ -165,14 +170,10 @@
         now_s = asyncio.get_running_loop().time()
         self._log.event(
             "request_quarantined",
-            content=_hex(content),
+            content=content_name(content),
             ends=len(end_by_worker),
             workers=sorted(end_by_worker),
             for_s=round(self.suspects.blocked_for_s(content, now_s), 1),
             source=source,
         )
         self.on_blocked(content)
-
-
-def _hex(content: int) -> str:
-    return f"{content:016x}"
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -29,7 +29,8 @@
 ASK_PAUSE_S = 0.5
 MOST_ASKS = 20
 PEERS_ASKED = 2
-"""A daemon that starts asks so many others, again after the pause until one has answered."""
+"""A daemon that starts asks so many others, again after the pause until one has answered. It may
+know none for some seconds, while it learns of them."""
 
 MOST_ANSWERED = 8 * ENTRIES_PER_REPORT
 """Contents told to a daemon that asks, the strongest first; blocked ones are hardly ever more."""
@@ -70,7 +71,7 @@
 
     @abstractmethod
     def store(self, contents: Iterable[int]) -> None:
-        """Keep contents whose suspects this daemon changed, or that no daemon knows any more."""
+        """Keep what is known of contents; this daemon saw something new of them."""
 
 
 class SuspectSharing:
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from mountstand.hashing import content_name
 from mountstand.quarantine.suspects import NEVER_S, CrashSuspects, WorkerEnd
 from mountstand.store.rows import RowKey, RowStore, StoredRow, StoreError, Transaction
 from mountstand.store.watch import TableChange
@@ -144,4 +145,4 @@
 
 
 def _key(content: int) -> RowKey:
-    return RowKey(SUSPECTS, "", f"{content:016x}")
+    return RowKey(SUSPECTS, "", content_name(content))
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -143,7 +143,8 @@
             self._make_room()
         elif not suspect.take(end_by_worker, served_at_s):
             return False
-        self._judge()
+        if len(suspect.end_by_worker) >= CRASHES_TO_BLOCK or content in self._blocked_until_s:
+            self._judge()
         return True
 
     def note_served(self, content: int, now_s: float) -> bool:
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -20,6 +20,7 @@
 from mountstand.background import PeriodicTask
 from mountstand.clock import elapsed_s
 from mountstand.errors import RequestQuarantined
+from mountstand.hashing import content_name
 from mountstand.membership.service import MembershipService
 from mountstand.quarantine.separation import SuspectSeparation
 from mountstand.quarantine.sharing import (
@@ -28,6 +29,7 @@
     SuspectObserver,
     SuspectSharing,
 )
+from mountstand.quarantine.stored import ENDS_TO_STORE
 from mountstand.quarantine.suspects import NEVER_S, CrashSuspects, EndByWorker, WorkerEnd
 from mountstand.store.ports import Machine, Put, TablePort, Transaction
 from mountstand.telemetry.logs import log_state_change
@@ -44,7 +46,6 @@
 SAME_END_S = 2.0
 """Ends of one machine within this time are one: a worker needs longer to start again."""
 
-ENDS_TO_STORE = 2
 STORE_INTERVAL_S = 1.0
 KEY_PREFIX = "quarantine/"
 
@@ -84,21 +85,24 @@
 
     def read(self) -> dict[int, EndByWorker]:
         """Return ends of workers by content. Raises ``StoreUnavailable``."""
-        rows = self._table.read(prefixes=(KEY_PREFIX,)).rows
-        return {
-            int(row.key.removeprefix(KEY_PREFIX), 16): {
-                int(worker): WorkerEnd(float(at_s), float(ran_s))
-                for worker, (at_s, ran_s) in row.value["ends"].items()
-            }
-            for row in rows
-        }
+        ends_by_content: dict[int, EndByWorker] = {}
+        for row in self._table.read(prefixes=(KEY_PREFIX,)).rows:
+            try:
+                content = int(row.key.removeprefix(KEY_PREFIX), 16)
+                ends_by_content[content] = {
+                    int(worker): WorkerEnd(float(at_s), float(ran_s))
+                    for worker, (at_s, ran_s) in row.value["ends"].items()
+                }
+            except (ValueError, KeyError, TypeError, AttributeError) as problem:
+                logger.warning("unreadable row", extra={"key": row.key, "cause": repr(problem)})
+        return ends_by_content
 
     def write(self, ends_by_content: Mapping[int, EndByWorker]) -> None:
         """Write ends; a content without any loses its row. Raises ``StoreUnavailable``."""
         puts = []
         deletes = []
         for content, end_by_worker in ends_by_content.items():
-            key = f"{KEY_PREFIX}{content:016x}"
+            key = KEY_PREFIX + content_name(content)
             if not end_by_worker:
                 deletes.append(key)
                 continue
@@ -162,7 +166,8 @@
             blocked_for_s = self.suspects.blocked_for_s(content, elapsed_s())
         if blocked_for_s:
             self._metrics.requests_quarantined.inc()
-            raise RequestQuarantined(f"content {content:016x}", retry_after_s=blocked_for_s)
+            detail = f"content {content_name(content)}"
+            raise RequestQuarantined(detail, retry_after_s=blocked_for_s)
 
     def note_broken(self, machine: Machine, content: int, sent_at_s: float) -> None:
         """Note that an exchange broke at a worker after the request was sent."""
@@ -199,7 +204,7 @@
         with self._lock:
             cleared = self._sharing.note_served(content, elapsed_s())
         if cleared:
-            log_state_change(logger, "suspect cleared", content=f"{content:016x}")
+            log_state_change(logger, "suspect cleared", content=content_name(content))
 
     def handle(self, sender: str, message: QuarantineMessage) -> None:
         """Take what another daemon tells, or answer it."""
@@ -221,7 +226,7 @@
         """Tell of a content that is held back from now on."""
         ends = len(self.suspects.by_content[content].end_by_worker)
         log_state_change(
-            logger, "request quarantined", content=f"{content:016x}", ends=ends, source=source
+            logger, "request quarantined", content=content_name(content), ends=ends, source=source
         )
 
     # Internals
@@ -245,7 +250,7 @@
         with self._lock:
             self._sharing.tick(elapsed_s())
             forgotten = self._kept - self.suspects.by_content.keys()
-            self._to_store |= {c for c in forgotten if self._sharing.is_keeper(f"{c:016x}")}
+            self._to_store |= {c for c in forgotten if self._sharing.is_keeper(content_name(c))}
 
     def _use_table(self) -> None:
         """Read the table once, then write what is wanted. Raises ``StoreUnavailable``."""
--- a/mountstand/serving/exchange_log.py
+++ b/mountstand/serving/exchange_log.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from mountstand.hashing import content_name
 from mountstand.serving.exchange import SAID_NOTHING, Exchange, Outcome
 from mountstand.serving.worker import Worker
 from mountstand.telemetry.decisions import DecisionLog, milliseconds
@@ -32,7 +33,7 @@
             worker_version=worker.record.version,
             outcome=outcome.value,
             cause=exchange.cause,
-            content=None if told_nothing else f"{exchange.call.content_key:016x}",
+            content=None if told_nothing else content_name(exchange.call.content_key),
             runs=exchange.runs,
             max_attempts=exchange.route.max_attempts,
             repeatable=exchange.route.repeatable,
@@ -48,7 +49,7 @@
         self._log.event(
             "request_held_back",
             request=exchange.call.request_id,
-            content=f"{exchange.call.content_key:016x}",
+            content=content_name(exchange.call.content_key),
             route=exchange.route.name,
             runs=exchange.runs,
             for_s=round(exchange.blocked_for_s, 1),
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -107,12 +107,11 @@
             self._log.request_ended(exchange, received_at_s, loop.time(), gone)
 
     async def _run_attempts(self, exchange: Exchange, received_at_s: float) -> None:
-        worker = None
-        if not self._is_quarantined(exchange):
-            worker = await self._wait_for_worker(exchange, received_at_s)
+        if self._refused_for_content(exchange, None):
+            return
+        worker = await self._wait_for_worker(exchange, received_at_s)
         while not exchange.responder.finished:
-            if self._is_quarantined(exchange):
-                self._refuse_quarantined(exchange, worker)
+            if self._refused_for_content(exchange, worker):
                 return
             if worker is None:
                 exchange.cause = exchange.cause or "no worker"
@@ -148,18 +147,20 @@
         exchange.waited_s = asyncio.get_running_loop().time() - received_at_s
         return worker
 
-    def _is_quarantined(self, exchange: Exchange) -> bool:
-        """Return whether the request may not be sent to workers, and note for how long."""
-        exchange.blocked_for_s = self._quarantine.blocked_for_s(exchange.call)
-        return exchange.blocked_for_s > 0
+    def _refused_for_content(self, exchange: Exchange, worker: Worker | None) -> bool:
+        """End a request whose content crashes workers; returns whether it does.
 
-    def _refuse_quarantined(self, exchange: Exchange, worker: Worker | None) -> None:
-        """End a request that crashes workers; ``worker`` counts it already and is freed."""
+        ``worker`` is the one that counts the request already, if any; its slot is freed.
+        """
+        exchange.blocked_for_s = self._quarantine.blocked_for_s(exchange.call)
+        if not exchange.blocked_for_s:
+            return False
         if worker is not None:
             self._free_slot(worker)
         exchange.cause = "quarantined"
         self._log.request_quarantined(exchange)
         self._end_unfinished(exchange)
+        return True
 
     def _separate(self, exchange: Exchange, worker: Worker) -> Worker:
         """Return the worker to use instead of one where another suspect runs, if there is any."""
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -11,6 +11,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
 
+from mountstand.hashing import content_name
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import Call
@@ -91,7 +92,7 @@
             "worker_ended",
             worker=worker.record.worker_id,
             worker_version=worker.record.version,
-            contents=[f"{key:016x}" for key in sorted(sent_at_s)[:KEYS_TOLD]],
+            contents=[content_name(key) for key in sorted(sent_at_s)[:KEYS_TOLD]],
             broken=len(sent_at_s),
         )
         for observer in self.observers:
