--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import logging
 import threading
 import time
@@ -25,6 +23,7 @@
     failed_line,
     parse_items,
 )
+from mountstand.batch.item_queue import RETRY_PAUSE_S, ItemQueue, WaitingItem
 from mountstand.batch.known_work import KnownWork
 from mountstand.batch.model import ItemStatus, only_segment
 from mountstand.batch.owner_client import OwnerClient
@@ -72,7 +71,6 @@
 PULL_INTERVAL_S = 0.1
 SCHEDULE_INTERVAL_S = 0.05
 IDLE_SCHEDULE_INTERVAL_S = 0.5
-RETRY_PAUSE_S = 0.1
 BROKEN_PAUSE_S = 0.5
 """Pause of an item whose run broke: within it, it is known whether its worker ended."""
 
@@ -111,9 +109,7 @@
         self._quarantine = quarantine
         self._changed = threading.Condition()
         self._held: dict[tuple[str, int], HeldRange] = {}
-        self._queue: list[tuple[int, float, int, HeldRange, BatchItem]] = []
-        self._paused: list[tuple[float, HeldRange, BatchItem]] = []
-        self._sequence = itertools.count()
+        self._waiting = ItemQueue(RENEW_WINDOW_S)
         self._in_flight = 0
         self._known_work = KnownWork()
         self._stopping = False
@@ -181,7 +177,7 @@
         with self._changed:
             return {
                 "ranges": len(self._held),
-                "queued_items": len(self._queue) + len(self._paused),
+                "queued_items": len(self._waiting),
                 "in_flight": self._in_flight,
                 "buffered_bytes": self._buffered_bytes(),
             }
@@ -206,7 +202,7 @@
                 return 0
             if self._buffered_bytes() >= self._settings.buffer_bytes:
                 return 0
-            waiting = len(self._queue) + len(self._paused)
+            waiting = len(self._waiting)
         slots = sum(self._router.batch_slots(worker.machine_id) for worker in workers)
         target = min(slots, self._settings.max_in_flight) * PREFETCH_FACTOR
         return target - waiting - self._in_flight
@@ -244,13 +240,9 @@
                 return
             self._held[identity] = held
             for item in items:
-                self._enqueue(held, item)
+                self._waiting.push(held, item)
             self._changed.notify_all()
 
-    def _enqueue(self, held: HeldRange, item: BatchItem) -> None:
-        due_s = held.grant.due_time_s or float("inf")
-        heapq.heappush(self._queue, (held.grant.priority, due_s, next(self._sequence), held, item))
-
     # Scheduling
 
     def _schedule(self) -> None:
@@ -258,23 +250,16 @@
             with self._changed:
                 if self._stopping:
                     return
-                if not self._queue and not self._paused:
+                if not self._waiting:
                     self._changed.wait(IDLE_SCHEDULE_INTERVAL_S)
                     continue
-                self._wake_paused()
+                self._waiting.wake(elapsed_s())
             workers = self._assignment.own_workers()
             started = self._start_items(workers) if workers else 0
             with self._changed:
                 if not started:
                     self._changed.wait(SCHEDULE_INTERVAL_S)
 
-    def _wake_paused(self) -> None:
-        now_s = elapsed_s()
-        waking = [entry for entry in self._paused if entry[0] <= now_s]
-        self._paused = [entry for entry in self._paused if entry[0] > now_s]
-        for _, held, item in waking:
-            self._enqueue(held, item)
-
     def _start_items(self, workers: list[Machine]) -> int:
         started = 0
         for worker in workers:
@@ -283,37 +268,22 @@
                 taken = self._take_item(worker)
                 if taken is None:
                     break
-                self._runners.submit(self._run_item, *taken, worker)
+                self._runners.submit(self._run_item, taken.held, taken.item, worker)
                 started += 1
         return started
 
-    def _take_item(self, worker: Machine) -> tuple[HeldRange, BatchItem] | None:
+    def _take_item(self, worker: Machine) -> WaitingItem | None:
         """Take the next item that may start, and count it as running."""
         with self._changed:
             if self._in_flight >= self._settings.max_in_flight:
                 return None
             if self._buffered_bytes() >= 2 * self._settings.buffer_bytes:
                 return None
-            skipped = []
-            found = None
-            now_s = elapsed_s()
-            while self._queue and found is None:
-                entry = heapq.heappop(self._queue)
-                held, item = entry[3], entry[4]
-                if held.dropped:
-                    continue
-                if held.grant.service != worker.service:
-                    skipped.append(entry)
-                elif now_s - held.renewed_s > RENEW_WINDOW_S:
-                    self._paused.append((now_s + RETRY_PAUSE_S, held, item))
-                else:
-                    found = (held, item)
-            for entry in skipped:
-                heapq.heappush(self._queue, entry)
-            if found is not None:
+            taken = self._waiting.take(worker.service, elapsed_s())
+            if taken is not None:
                 self._in_flight += 1
                 self._router.begin_batch(worker.machine_id)
-            return found
+            return taken
 
     # Running
 
@@ -387,7 +357,7 @@
             if held.dropped or item.index in held.results:
                 return False
             if elapsed_s() - held.renewed_s > RENEW_WINDOW_S:
-                self._paused.append((elapsed_s() + RETRY_PAUSE_S, held, item))
+                self._waiting.pause(held, item, elapsed_s() + RETRY_PAUSE_S)
                 return False
             held.running[item.index] = running
             return True
@@ -426,7 +396,7 @@
 
     def _pause(self, held: HeldRange, item: BatchItem, pause_s: float = RETRY_PAUSE_S) -> None:
         with self._changed:
-            self._paused.append((elapsed_s() + pause_s, held, item))
+            self._waiting.pause(held, item, elapsed_s() + pause_s)
 
     def _record(self, held: HeldRange, item: BatchItem, status: ItemStatus, line: bytes) -> None:
         self._metrics.batch_items.labels(status.value).inc()
