Soak: an item may be given up once workers failed it as often as its route allows

Its trace: worker w10 answered 500 to each three times (status 500, failures 0 to 2, attempts used up), since others had crashed, and the route allows three attempts. It counts the answers of 500 now; two are still too few.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -110,6 +110,12 @@
         self.assertEqual(["BUDGET"], self.rules())
         self.assertEqual("r8", self.history.violations[0].subject)
 
+    def test_an_item_may_be_given_up_once_workers_failed_it_often_enough(self) -> None:
+        self.history.failed_answers.update({"item-1": 3, "item-2": 2})
+        self.page(0, ("item-1", "dead_lettered", ""), ("item-2", "dead_lettered", ""))
+        self.assertEqual(["MIXED"], self.rules())
+        self.assertIn("item-2", self.history.violations[0].detail)
+
     def test_items_that_are_missing_at_the_end(self) -> None:
         self.history.check_ends(60.0)
         self.assertEqual(["LOST"], self.rules())
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,6 +17,9 @@
 SLACK_S = 1.5
 """How much later than promised something may come: the processes share one machine."""
 
+MAX_ATTEMPTS = 3
+"""Attempts that the routes allow; an item that workers failed so often may be given up."""
+
 CRASHING_ITEM = "crash"
 """Ends the ids of batch items that crash workers; nobody misses their results."""
 
@@ -84,6 +87,9 @@
         self.job_by_item: dict[str, BatchJob] = {}
         self.runs_by_id: dict[str, list[Run]] = defaultdict(list)
         self.given_up_reasons: set[str] = set()
+        self.failed_answers: Counter[str] = Counter()
+        """Answers of 500 that workers gave, by request or item."""
+
         self.all_in_touch: Callable[[float], bool] = lambda since_s: False
 
     def violate(self, rule: str, subject: str, detail: str, at_s: float) -> None:
@@ -203,9 +209,14 @@
             if text != expected:
                 detail = f"item {item_id}: {len(text)} of {len(expected)} characters"
                 self.violate("MIXED", job.job_id, detail, at_s)
-        elif not job.end_asked and item_id not in self.given_up_reasons:
+        elif not job.end_asked and not self._may_be_given_up(item_id):
             self.violate("MIXED", job.job_id, f"item {item_id} given up without cause", at_s)
 
+    def _may_be_given_up(self, item_id: str) -> bool:
+        """Return whether workers said that an item cannot be done, or failed it often enough."""
+        undoable = item_id in self.given_up_reasons
+        return undoable or self.failed_answers[item_id] >= MAX_ATTEMPTS
+
     def check_ends(self, at_s: float) -> None:
         """Check what must be so once all faults are over and time was left."""
         for job in self.jobs.values():
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -16,7 +16,7 @@
 from mountstand.store.rows import RowKey, Transaction
 from mountstand.transport.http_client import ConnectFailed, ReplyBroken, connect
 from tests.soak.crashing import AWAY_S, CrashingRuns
-from tests.soak.history import CANCEL_S, DRAIN_S, History
+from tests.soak.history import CANCEL_S, DRAIN_S, MAX_ATTEMPTS, History
 from tests.soak.proxy import FaultProxy
 from tests.soak.tenants import OVERSHOOT, SLACK, WINDOW_S, SoakTenants
 from tests.soak.workers import SLOTS, SoakWorker
@@ -53,7 +53,7 @@
         "service": "llm",
         "timeout_ms": ONLINE_TIMEOUT_S * 1000,
         "target_latency_ms": 500,
-        "max_attempts": 3,
+        "max_attempts": MAX_ATTEMPTS,
         "completion_target_ms": 20000,
         "gap_aim_ms": 500,
     }
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -101,6 +101,7 @@
         elif chance() < self.faults.silent:
             await req.caller_left.wait()
         elif chance() < self.faults.failing:
+            self._history.failed_answers[req.request_id] += 1
             await self._send(req, writer, "500 Internal Server Error", b"")
         elif chance() < self.faults.answers_lost:
             reset(writer.transport)
