Limits: what daemons that left let through counts for one window more

Cause: as a daemon stops, the others shared its part out at once, though what it had let through still counted in the sliding window.

Change: the part of a daemon that left the serving ones is kept back for a window and the time of a loan; a process that starts counts those that are leaving by their rows.

--- a/mountstand/membership/registry.py
+++ b/mountstand/membership/registry.py
@@ -123,6 +123,11 @@
         listed = [row for row, _ in self._rows.values() if row.name != self.own.name]
         return [row for row in [*listed, self.own] if not self._is_leaving(row)]
 
+    def leaving(self) -> list[DaemonRow]:
+        """Return the rows of other daemons that are leaving."""
+        rows = [row for row, _ in self._rows.values() if row.name != self.own.name]
+        return [row for row in rows if self._is_leaving(row)]
+
     def _is_leaving(self, row: DaemonRow) -> bool:
         """Return whether the process that is leaving by its row is still the one that runs.
 
--- a/mountstand/serving_limits.py
+++ b/mountstand/serving_limits.py
@@ -5,12 +5,12 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 import orjson
 
 from mountstand.membership.datagrams import DatagramMembership
-from mountstand.membership.registry import DaemonRegistry
+from mountstand.membership.registry import DaemonRegistry, DaemonRow
 from mountstand.serving.load_groups import Peer, serving_members
 from mountstand.serving_settings import ServingSettings
 from mountstand.store.rows import ABSENT, RowKey, RowStore, StoreError, Transaction
@@ -35,6 +35,10 @@
 """Questions are numbered from a chance number of so many bits."""
 
 
+def _peers(rows: Iterable[DaemonRow]) -> list[Peer]:
+    return [Peer(row.name, row.zone, row.capacity) for row in rows]
+
+
 class MembershipTokenLink(TokenLink):
     """Sends in the datagrams of failure detection."""
 
@@ -163,6 +167,7 @@
         self._settings = settings
         self._standing = Standing(settings.name)
         self._has_limits = asyncio.Event()
+        self._later: asyncio.TimerHandle | None = None
         marks = Marks()
         self._stored_marks = StoredMarks(
             marks, store, settings.name, store_now_ms, self._window_s, log
@@ -189,8 +194,25 @@
 
     def use_fleet(self, slots: int) -> None:
         """Take the daemons that the store lists, before workers with so many slots."""
-        listed = [Peer(row.name, row.zone, row.capacity) for row in self._registry.listed()]
-        self._standing.use(serving_members(listed, slots), self._membership.live_names())
+        loop = asyncio.get_running_loop()
+        listed = _peers(self._registry.listed())
+        leaving = _peers(self._registry.leaving())
+        served_lately = serving_members([*listed, *leaving], slots)
+        hold_s = self._window_s() + LOAN_S
+        self._standing.use(
+            serving_members(listed, slots),
+            self._membership.live_names(),
+            loop.time(),
+            served_lately & {peer.member_id for peer in leaving},
+            hold_s,
+        )
+        if self._standing.holds and self._later is None:
+            self._later = loop.call_later(hold_s, self._use_fleet_again, slots)
+
+    def _use_fleet_again(self, slots: int) -> None:
+        """Share out the parts of daemons that left a window ago."""
+        self._later = None
+        self.use_fleet(slots)
 
     def handle(self, sender: str, message: TokenAsk | TokenGrant) -> None:
         """Take what another daemon asks or lends."""
--- a/tests/model/limit_fleet.py
+++ b/tests/model/limit_fleet.py
@@ -13,7 +13,7 @@
 from mountstand.serving_limits import StoredMarks
 from mountstand.store.memory_rows import MemoryRowStore
 from mountstand.tenants.gate import LimitGate, TokenLink
-from mountstand.tenants.limits import LimitTolerance, TenantLimits
+from mountstand.tenants.limits import LOAN_S, LimitTolerance, TenantLimits
 from mountstand.tenants.marks import Marks
 from mountstand.tenants.standing import Standing
 from mountstand.tenants.tenant import Tenant, TenantIndex
@@ -60,6 +60,7 @@
         self.names = [f"d{n}" for n in range(size)]
         self.tenants = TenantIndex(tenants)
         self.paused: set[str] = set()
+        self.leaving: set[str] = set()
         self.loss = 0.0
         self.reaches: Callable[[str, str], bool] = lambda sender, receiver: True
         self.messages = 0
@@ -108,7 +109,9 @@
         for name, gate in self._gate_by_name.items():
             if name not in self.paused:
                 running = [n for n in self.names if self.reaches(name, n) and n not in self.paused]
-                gate.limits.standing.use(self.names, running)
+                serving = [n for n in self.names if n not in self.leaving]
+                hold_s = TOLERANCE.window_s + LOAN_S
+                gate.limits.standing.use(serving, running, self.loop.time(), self.leaving, hold_s)
 
     def ask(self, name: str, tenant_name: str, count: int = 1) -> None:
         """Send requests of a tenant to a daemon."""
--- a/tests/model/test_tenant_limits.py
+++ b/tests/model/test_tenant_limits.py
@@ -395,6 +395,41 @@
                 standing.use(self.FLEET, running)
                 self.assertEqual((1 / 5, peers), (standing.share, standing.peers))
 
+    def test_what_daemons_used_that_left_counts_until_their_window_is_over(self) -> None:
+        """Three of four stop one after the other; the last must not begin with the whole limit."""
+
+        async def scenario() -> int:
+            fleet = LimitFleet(4, [SMALL])
+            stops = {300: "d1", 380: "d2", 460: "d3"}
+            await fleet.advance(10.0)
+            for tick in range(1000):
+                if tick in stops:
+                    fleet.leaving.add(stops[tick])
+                    fleet.notice()
+                for name in fleet.names:
+                    if name not in fleet.leaving and tick % 5 == 0:
+                        fleet.ask(name, SMALL.name)
+                await fleet.advance(0.01)
+            await fleet.settle()
+            return fleet.most_in_window(SMALL.name)
+
+        self.assertLessEqual(run_paused(scenario()), bound(SMALL))
+
+    def test_the_part_of_a_daemon_that_left_is_shared_out_once_it_does_not_count(self) -> None:
+        standing = Standing("a")
+        standing.use("abcd", "abcd", 100.0, (), 5.5)
+        standing.use("abc", "abc", 101.0, "d", 5.5)
+        self.assertEqual((1 / 4, True), (standing.share, standing.holds))
+        standing.use("abc", "abc", 106.6, "d", 5.5)
+        self.assertEqual((1 / 3, False), (standing.share, standing.holds))
+        standing.use("abcd", "abcd", 107.0, (), 5.5)
+        self.assertEqual(1 / 4, standing.share)
+
+    def test_a_process_that_starts_counts_those_that_are_leaving(self) -> None:
+        standing = Standing("a")
+        standing.use("ab", "ab", 100.0, "cd", 5.5)
+        self.assertEqual(1 / 4, standing.share)
+
     def test_a_daemon_that_does_not_serve_has_no_part_but_may_borrow(self) -> None:
         standing = Standing("x")
         standing.use(self.FLEET, self.FLEET)
