--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -40,6 +40,7 @@
         "_server",
         "_writers",
         "faults",
+        "muted_ports",
         "port",
         "target_port",
         "unreached_ports",
@@ -51,6 +52,10 @@
         self.port = 0
         self.unreached_ports: set[int] = set()
         """Ports of clients whose connection never reached the target: it read nothing of them."""
+
+        self.muted_ports: set[int] = set()
+        """Ports of clients whose connection went silent for good."""
+
         self._rng = rng
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -59,6 +64,12 @@
     def mute_open(self) -> None:
         """Let every open connection go silent for good, without a reset; new ones work."""
         self._muted |= self._writers
+        ends = [writer.get_extra_info("peername") for writer in self._writers]
+        self.muted_ports |= {end[1] for end in ends if end is not None}
+
+    def swallows(self, client_port: int) -> bool:
+        """Return whether what a client sends or waits for on a connection does not get through."""
+        return client_port in self.unreached_ports or client_port in self.muted_ports
 
     async def start(self) -> FaultProxy:
         """Begin to listen."""
