--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -44,6 +44,15 @@
         connection = await self._open(worker)
         connection.close()
 
+    async def probe(self, worker: Worker) -> None:
+        """Connect to ``worker`` and learn nothing from it for routing. Raises ``ConnectFailed``.
+
+        A full worker may turn a connection away; it must not be avoided for that by all daemons.
+        """
+        record = worker.record
+        connection = await connect(record.host, record.port, self._timeout.value_s)
+        connection.close()
+
     async def acquire(self, worker: Worker, *, repeatable: bool) -> ClientConnection:
         """Return an open connection to ``worker``. Raises ``ConnectFailed``."""
         loop = asyncio.get_running_loop()
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -28,7 +28,7 @@
 
 MOST_CHECKS = 3
 """A worker that neither accepts nor refuses twice in so many checks is behind a broken link, as far
-as is known; each check in vain makes this daemon avoid it for longer."""
+as is known."""
 
 SETTLED_S = 0.25
 """Longest wait for a check: two refusals take 0.1 s, and one that takes longer tells no end."""
@@ -102,7 +102,7 @@
         refusals = 0
         for _ in range(MOST_CHECKS):
             try:
-                await self._connections.check(worker)
+                await self._connections.probe(worker)
             except ConnectFailed as problem:
                 refusals += problem.refused
             else:
