A batch item's call is made once, and "strong suspect" is defined once

An item built its Call anew, and so hashed its whole body anew, each time the quarantine was asked about it or told of it: up to seven times an attempt while anything was suspected. ItemProgress keeps the call. What an attempt that broke says about its worker stood under the same condition twice; it is one method.

The separation, the sharing, the store's rows and the table of the own interface each had a constant of 2 and a test of their own for the same notion. CrashSuspects.is_strong with STRONG_ENDS serves all four.

Behaviour is unchanged and no test was touched. The time saved was not measured.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -45,6 +45,9 @@
     failures: int = 0
     preempted: bool = False
     connection: ClientConnection | None = None
+    call: Call | None = None
+    """The request as workers get it, made once, since hashing its content reads the whole body."""
+
     saved_event_id: int | None = None
     ran_s: float = 0.0
     """How long attempts that this daemon made ran at workers."""
@@ -118,13 +121,8 @@
             cause = "preempted" if progress.preempted else str(problem) or "silent"
             if isinstance(problem, ReplyBroken) and progress.connection is not None:
                 self._context.connections.note_broken(progress.connection)
-            sent_at_s = progress.sent_at_s
-            broken = not isinstance(problem, ConnectFailed) and not progress.preempted
-            if broken and sent_at_s is not None:
-                call = self._call(progress)
-                self._context.quarantine.note_broken(worker, call, sent_at_s)
-            if not progress.preempted and not isinstance(problem, ConnectFailed):
-                worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
+            if not isinstance(problem, ConnectFailed) and not progress.preempted:
+                self._note_broken(progress, worker)
             self._log_attempt(progress, worker, cause)
             return None
         finally:
@@ -209,6 +207,13 @@
         if splitter.partial:
             raise ReplyBroken("ended within an event")
 
+    def _note_broken(self, progress: ItemProgress, worker: Worker) -> None:
+        """Count an attempt that broke or fell silent against its worker, and suspect the item."""
+        if progress.sent_at_s is not None:
+            call = self._call(progress)
+            self._context.quarantine.note_broken(worker, call, progress.sent_at_s)
+        worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
+
     def _note_failure(
         self, progress: ItemProgress, route: Route, worker: Worker, status: int
     ) -> ItemResult | None:
@@ -236,17 +241,19 @@
         return ItemResult(progress.index, progress.item.item_id, ItemState.FAILED, "")
 
     def _call(self, progress: ItemProgress) -> Call:
-        item = progress.item
-        return Call(
-            request_id=item.item_id,
-            host=self._host,
-            method="POST",
-            target=item.target,
-            headers=item.headers,
-            body=item.body,
-            prompt=item.prompt,
-            tenant=self._tenant,
-        )
+        if progress.call is None:
+            item = progress.item
+            progress.call = Call(
+                request_id=item.item_id,
+                host=self._host,
+                method="POST",
+                target=item.target,
+                headers=item.headers,
+                body=item.body,
+                prompt=item.prompt,
+                tenant=self._tenant,
+            )
+        return progress.call
 
     def _log_attempt(self, progress: ItemProgress, worker: Worker, cause: str) -> None:
         self._log(
--- a/mountstand/quarantine/separation.py
+++ b/mountstand/quarantine/separation.py
@@ -3,6 +3,7 @@
 Items of one job, or requests that broke at the same moment, are tried again at the same moment, and
 often at the same worker: those beside the cause would be there at every end, too. So two contents
 under which two workers or more ended do not run at one worker at a time, as far as a daemon knows.
+Contents with fewer ends run anywhere; keeping those apart would hold up batch work for nothing.
 """
 
 from __future__ import annotations
@@ -11,10 +12,6 @@
 
 from mountstand.quarantine.suspects import CrashSuspects
 
-ENDS_TO_SEPARATE = 2
-"""Contents with fewer ends run anywhere: an ordinary crash brings as many as the worker had slots,
-and keeping those apart would hold up batch work for nothing."""
-
 
 class SuspectSeparation:
     """The strong suspects that this daemon has in flight, by worker."""
@@ -28,13 +25,13 @@
     def allows(self, content: int, worker_id: str) -> bool:
         """Return whether a content may be sent to a worker beside what this daemon has there."""
         others = self._in_flight_by_worker.get(worker_id)
-        if not others or not self._is_strong(content):
+        if not others or not self._suspects.is_strong(content):
             return True
         return set(others) <= {content}
 
     def enter(self, content: int, worker_id: str) -> bool:
         """Note a content that is sent to a worker; returns whether it must be told to leave."""
-        if not self._is_strong(content):
+        if not self._suspects.is_strong(content):
             return False
         self._in_flight_by_worker.setdefault(worker_id, Counter())[content] += 1
         return True
@@ -47,7 +44,3 @@
             del contents[content]
         if not contents:
             del self._in_flight_by_worker[worker_id]
-
-    def _is_strong(self, content: int) -> bool:
-        suspect = self._suspects.by_content.get(content)
-        return suspect is not None and len(suspect.end_by_worker) >= ENDS_TO_SEPARATE
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -35,10 +35,6 @@
 MOST_ANSWERED = 8 * ENTRIES_PER_REPORT
 """Contents told to a daemon that asks, the strongest first; blocked ones are hardly ever more."""
 
-ENDS_TO_TELL_ALL = 2
-"""Contents with fewer ends are told only to daemons that callers are sent to: a crash brings one of
-them for each request there, and nearly all are never heard of again."""
-
 QuarantineMessage = CrashReport | CrashQuery
 
 
@@ -172,12 +168,13 @@
                 self.observer.note_blocked(content, source)
 
     def _tell(self, contents: Iterable[int], now_s: float) -> None:
+        """Tell weak suspects to daemons that callers are sent to, all others to every daemon."""
         weak: list[int] = []
         strong: list[int] = []
         for content in contents:
             suspect = self.suspects.by_content.get(content)
             if suspect is not None:
-                is_weak = 0 < len(suspect.end_by_worker) < ENDS_TO_TELL_ALL
+                is_weak = suspect.end_by_worker and not self.suspects.is_strong(content)
                 (weak if is_weak else strong).append(content)
         self._send(weak, self._link.serving(), now_s)
         self._send(strong, self._link.running(), now_s)
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -1,7 +1,7 @@
 """Keeps suspected contents in the store, so that they outlive the loss of all daemons.
 
-One row per content under which two workers or more ended: the many that merely ran beside a crash
-are seldom there twice. A row holds all that its writer knew, so that the last one written wins.
+One row per strong suspect, under which two workers or more ended: the many that merely ran beside a
+crash are seldom there twice. A row holds all that its writer knew, so that the last written wins.
 """
 
 from __future__ import annotations
@@ -20,7 +20,6 @@
 SUSPECTS = "crash_suspects"
 """The table; its rows are keyed by contents in hexadecimal digits."""
 
-ENDS_TO_STORE = 2
 ROWS_PER_WRITE = 20
 MOST_ROWS = 500
 """Rows that the table holds at most, some 200 bytes each; one page of a read."""
@@ -56,9 +55,7 @@
 
     def want(self, content: int) -> None:
         """Write what is known of a content, or remove its row if it is not suspected any more."""
-        suspect = self._suspects.by_content.get(content)
-        ends = len(suspect.end_by_worker) if suspect is not None else 0
-        new_row = ends >= ENDS_TO_STORE and len(self._rows) < MOST_ROWS
+        new_row = self._suspects.is_strong(content) and len(self._rows) < MOST_ROWS
         if new_row or content in self._rows:
             self._unwritten.add(content)
             self._wanted.set()
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -23,6 +23,10 @@
 crash, which is what a content that comes twice a second does to nine workers, one run in a thousand
 is beside three in a row."""
 
+STRONG_ENDS = 2
+"""Ends that make a strong suspect. One means little: an ordinary crash brings one to as many
+contents as the worker had slots, and nearly all of them are never heard of again."""
+
 MOST_AT_ONCE = 2
 """Ends that count of those under runs that overlap. Two, since copies of a bad request that come at
 the same moment do end workers together, and the next run then decides."""
@@ -132,6 +136,11 @@
         """Return whether any content is suspected."""
         return bool(self.by_content)
 
+    def is_strong(self, content: int) -> bool:
+        """Return whether so many workers ended under a content that it is hardly chance."""
+        suspect = self.by_content.get(content)
+        return suspect is not None and len(suspect.end_by_worker) >= STRONG_ENDS
+
     def take(self, content: int, end_by_worker: EndByWorker, served_at_s: float = NEVER_S) -> bool:
         """Merge what is said of a content; returns whether it was new."""
         suspect = self.by_content.get(content)
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -29,7 +29,6 @@
     SuspectObserver,
     SuspectSharing,
 )
-from mountstand.quarantine.stored import ENDS_TO_STORE
 from mountstand.quarantine.suspects import NEVER_S, CrashSuspects, EndByWorker, WorkerEnd
 from mountstand.store.ports import Machine, Put, TablePort, Transaction
 from mountstand.telemetry.logs import log_state_change
@@ -215,11 +214,8 @@
 
     def store(self, contents: Iterable[int]) -> None:
         """Have contents written to the table, by its own task."""
-        by_content = self.suspects.by_content
         for content in contents:
-            suspect = by_content.get(content)
-            strong = suspect is not None and len(suspect.end_by_worker) >= ENDS_TO_STORE
-            if strong or content in self._kept:
+            if self.suspects.is_strong(content) or content in self._kept:
                 self._to_store.add(content)
 
     def note_blocked(self, content: int, source: str) -> None:
