Zones that the operator evacuates, cold workers, and workers' words read whole

Cause: rows of the operator that evacuate a zone, the time that a worker stays cold, and what a service's cold workers bear were not read at all; a report of load with more than three figures was thrown away; a worker that starts again under its id kept the load, health and connections of the process before; a row left by another writer could name a worker to use.

Change: serving/evacuation.py keeps the zones that are out of use. Their workers get nothing new, items of batch jobs move off them at once, their daemons are named to no caller while others serve, and what returns is taken as cold. serving/cold_workers.py shares the bound of a cold worker out among the daemons that serve, in whole requests, without messages; a unit is taken when a request is sent. limits/ holds what limits of tenants and of cold workers share: the daemons' standing, the sliding window, and dealing. Workers are bound to their incarnation. Reports of load tell the slowdown of the worker's machine.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -142,6 +142,9 @@
         context = self._context
         loop = asyncio.get_running_loop()
         call = self._call(progress)
+        if not worker.note_sent(loop.time()):
+            self._log_attempt(progress, worker, "worker cold")
+            return None
         headers = context.protocol.request_headers(call, worker, None, progress.last_event_id)
         connection.send(
             call.method,
--- a/mountstand/tenants/standing.py
+++ b/mountstand/limits/standing.py
@@ -16,15 +16,19 @@
 class Standing:
     """One daemon's place among those that serve callers."""
 
-    __slots__ = ("_fleet", "_left_at_s", "_own", "holds", "peers", "share")
+    __slots__ = ("_fleet", "_left_at_s", "holds", "own", "peers", "share", "sharers")
 
     def __init__(self, own: str) -> None:
-        self._own = own
+        self.own = own
         self._fleet: frozenset[str] = frozenset()
         self._left_at_s: dict[str, float] = {}
         self.share = 0.0
         """The part of every limit that is this daemon's own, from 0 to 1."""
 
+        self.sharers: tuple[str, ...] = ()
+        """All daemons that a limit is shared out among, in order: those that serve, and those that
+        left so shortly before that their part is kept back."""
+
         self.holds = False
         """Whether parts of daemons that left are kept back; ``use`` must be called again then."""
 
@@ -53,8 +57,9 @@
         }
         for name in gone:
             self._left_at_s.setdefault(name, now_s)
-        held = sum(now_s - at_s < hold_s for at_s in self._left_at_s.values())
+        held = {name for name, at_s in self._left_at_s.items() if now_s - at_s < hold_s}
         self._fleet = fleet
-        self.holds = held > 0
-        self.share = 1 / (len(fleet) + held) if self._own in fleet else 0.0
-        self.peers = sorted(fleet & frozenset(running) - {self._own})
+        self.holds = bool(held)
+        self.sharers = tuple(sorted(fleet | held))
+        self.share = 1 / len(self.sharers) if self.own in fleet else 0.0
+        self.peers = sorted(fleet & frozenset(running) - {self.own})
--- a/mountstand/platform/__main__.py
+++ b/mountstand/platform/__main__.py
@@ -11,7 +11,11 @@
 from mountstand.jobs.model import JobItem
 from mountstand.platform import names
 from mountstand.platform.ingress import Ingress, parse_items
-from mountstand.platform.operator_rows import decode_configuration, decode_worker
+from mountstand.platform.operator_rows import (
+    decode_configuration,
+    decode_worker,
+    evacuated_zone,
+)
 from mountstand.platform.settings import load_settings
 from mountstand.platform.store_client import PlatformStore
 from mountstand.platform.worker_protocol import PlatformWorkerProtocol
@@ -40,6 +44,10 @@
         """Return the worker that a row describes."""
         return decode_worker(row)
 
+    def evacuated_zone(self, key: str) -> str | None:
+        """Return the zone that a row of the configuration's table evacuates, if any."""
+        return evacuated_zone(key)
+
 
 def parse_document(document: bytes) -> tuple[JobItem, ...]:
     """Return the items of a stored submission."""
--- a/mountstand/platform/names.py
+++ b/mountstand/platform/names.py
@@ -14,6 +14,7 @@
 # Tables and keys that the platform writes
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 WORKERS_TABLE = "servers"
 
 # Calls of callers
@@ -35,6 +36,7 @@
 WAIT_MS = "Wait-Ms"
 
 # Words
+READY = "ready"
 DRAINING = "draining"
 IDEMPOTENT = "idempotent"
 NON_IDEMPOTENT = "non_idempotent"
--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -7,6 +7,7 @@
 import orjson
 
 from mountstand.platform import names
+from mountstand.serving.cold_workers import ColdStart
 from mountstand.serving.configuration import (
     Configuration,
     RequestKind,
@@ -41,12 +42,7 @@
     return Configuration(
         version=int(fields["version"]),
         routes=tuple(_route(route) for route in fields["routes"]),
-        services={
-            service["name"]: Service(
-                service["name"], int(service.get("max_conns") or DEFAULT_CONNECTIONS)
-            )
-            for service in fields["services"]
-        },
+        services={service["name"]: _service(service) for service in fields["services"]},
         limits=ServerLimits(
             max_header_bytes=int(limits.get("max_header_bytes", 16384)),
             max_body_bytes=int(limits.get("max_body_bytes", 4194304)),
@@ -57,6 +53,22 @@
     )
 
 
+def _service(fields: dict[str, Any]) -> Service:
+    lasts_s = float(fields.get("cold_start_s") or 0)
+    requests_per_s = float(fields.get("cold_per_s") or 0)
+    return Service(
+        fields["name"],
+        int(fields.get("max_conns") or DEFAULT_CONNECTIONS),
+        ColdStart(lasts_s, requests_per_s) if requests_per_s > 0 else None,
+    )
+
+
+def evacuated_zone(key: str) -> str | None:
+    """Return the zone that a row of the operator's table takes out of use, if it is about one."""
+    zone = key.removeprefix(names.EVACUATION_PREFIX)
+    return zone if zone and zone != key else None
+
+
 def _tenant(fields: dict[str, Any]) -> Tenant:
     priority = fields.get("priority")
     return Tenant(
@@ -69,22 +81,45 @@
 
 
 def decode_worker(row: StoredRow) -> WorkerRecord:
-    """Return the worker that a row describes."""
-    assert row.value is not None
-    fields = orjson.loads(row.value)
-    host, _, port = fields["address"].rpartition(":")
+    """Return the worker that a row describes.
+
+    Raises ``ValueError`` for a row of another form: another writer may have left it, and it names
+    no worker to use.
+    """
+    fields = orjson.loads(row.value or b"")
+    if not isinstance(fields, dict):
+        raise ValueError(f"not a table: {type(fields).__name__}")
+    state = _field(fields, "state", str)
+    if state not in (names.READY, names.DRAINING):
+        raise ValueError(f"state {state!r}")
+    host, _, port = _field(fields, "address", str).rpartition(":")
+    slots = _field(fields, "slots", int)
+    if not host or slots < 0:
+        raise ValueError(f"address {fields['address']!r}, slots {slots}")
     return WorkerRecord(
         worker_id=row.key.key,
-        service=fields["service"],
+        service=_field(fields, "service", str),
         host=host,
         port=int(port),
-        zone=fields.get("zone", ""),
-        slots=int(fields.get("slots") or 1),
-        draining=fields.get("state") == names.DRAINING,
+        zone=_field(fields, "zone", str),
+        slots=max(1, slots),
+        draining=state == names.DRAINING,
         version=row.version,
+        born_ms=_field(fields, "born", int, 0),
+        cold_left_s=_field(fields, "cold_left_ms", (int, float), 0) / 1000,
     )
 
 
+def _field(
+    fields: dict[str, Any], key: str, kind: type | tuple[type, ...], default: Any = None
+) -> Any:
+    """Return a field of a certain type; without a default it must be there."""
+    value = fields.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, kind):
+        raise ValueError(f"{key}: {value!r}")
+    return value
+
+
 def _route(fields: dict[str, Any]) -> Route:
     split = fields.get("traffic_split")
     if split:
--- a/mountstand/platform/settings.py
+++ b/mountstand/platform/settings.py
@@ -10,6 +10,7 @@
 
 from mountstand.errors import InvalidSettings
 from mountstand.platform.names import SETTINGS_VARIABLE
+from mountstand.serving.cold_workers import ColdTolerance
 from mountstand.serving_settings import Listeners, ServingSettings, SocketAddress, StoreSettings
 from mountstand.tenants.limits import LimitTolerance
 
@@ -62,6 +63,14 @@
         max_descriptors=int(_number(limits, "max_fds", 1024.0)),
         seeds=_seeds(fields),
         limit_tolerance=_limit_tolerance(bounds),
+        cold_tolerance=_cold_tolerance(bounds),
+    )
+
+
+def _cold_tolerance(bounds: Fields) -> ColdTolerance:
+    usual = ColdTolerance()
+    return ColdTolerance(
+        _number(bounds, "cold_overshoot", usual.factor), _number(bounds, "cold_slack", usual.slack)
     )
 
 
--- a/mountstand/platform/worker_protocol.py
+++ b/mountstand/platform/worker_protocol.py
@@ -22,6 +22,9 @@
 )
 """Headers of a caller that the system sets itself, or that no worker may see."""
 
+COUNTS_OF_LOAD = 3
+"""Running requests, waiting requests and slots come first in a report of load."""
+
 
 class PlatformWorkerProtocol:
     """Implements the port to the workers."""
@@ -69,10 +72,18 @@
 
 
 def _load(text: str | None) -> LoadReport | None:
+    """Return what a worker tells of its load: three counts, then the pace of its machine.
+
+    The pace is in hundredths of the usual time and told by some workers alone; what a later
+    version may add after it is passed over.
+    """
     if text is None:
         return None
-    counts = [number(word.strip()) for word in text.split(",")]
-    if len(counts) != 3 or None in counts:
+    figures = [number(word.strip()) for word in text.split(",")]
+    counts = [figure for figure in figures[:COUNTS_OF_LOAD] if figure is not None and figure >= 0]
+    if len(counts) < COUNTS_OF_LOAD:
         return None
-    running, waiting, slots = (int(count or 0) for count in counts)
-    return LoadReport(running, waiting, slots)
+    running, waiting, slots = counts
+    hundredths = figures[COUNTS_OF_LOAD] if len(figures) > COUNTS_OF_LOAD else None
+    slowdown = hundredths / 100 if hundredths is not None and hundredths > 0 else None
+    return LoadReport(running, waiting, slots, slowdown)
--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -175,6 +175,13 @@
             ]
         )
 
+    def vacate(self, worker: Worker) -> int:
+        """Take all of this daemon's items off a worker; returns how many there were."""
+        placements = list(self._placements_at(worker))
+        for _ in placements:
+            self._preempt_least_urgent(self._placements_at(worker))
+        return len(placements)
+
     def _grant(self, service: str, allowance: int, now_s: float) -> None:
         waiting = self._waiting.get(service, [])
         while waiting and allowance > 0:
--- a/mountstand/serving/configuration.py
+++ b/mountstand/serving/configuration.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from mountstand.serving.cold_workers import ColdStart
 from mountstand.tenants.tenant import TenantIndex
 from mountstand.transport.http_server import ServerLimits
 
@@ -71,10 +72,12 @@
 
 @dataclass(frozen=True)
 class Service:
-    """A service and how many connections one of its workers takes from everybody."""
+    """A service, and what one of its workers bears from everybody."""
 
     name: str
     max_connections: int
+    cold: ColdStart | None = None
+    """What a worker bears after a start, if that is less than usual."""
 
 
 @dataclass(frozen=True)
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -81,25 +81,29 @@
         worker.last_heard_s = max(worker.last_heard_s, connection.last_received_at_s)
         if not connection.end_exchange():
             return
-        idle = self._idle.setdefault(worker.record.worker_id, [])
+        idle = self._idle.setdefault(worker.incarnation, [])
         if len(idle) >= limit:
             connection.close()
         else:
             idle.append(connection)
 
     def sweep(self, listed: set[str], now_s: float) -> None:
-        """Close connections that rested too long or whose worker is gone."""
-        for worker_id, idle in list(self._idle.items()):
+        """Close connections that rested too long or whose worker's process is gone.
+
+        ``listed`` are the incarnations of the workers that are listed.
+        """
+        for incarnation, idle in list(self._idle.items()):
             kept = []
             for connection in idle:
-                if worker_id in listed and connection.open and self._rested_well(connection, now_s):
+                usable = connection.open and self._rested_well(connection, now_s)
+                if usable and incarnation in listed:
                     kept.append(connection)
                 else:
                     connection.close()
             if kept:
-                self._idle[worker_id] = kept
+                self._idle[incarnation] = kept
             else:
-                del self._idle[worker_id]
+                del self._idle[incarnation]
 
     def note_broken(self, connection: ClientConnection) -> None:
         """Learn from an exchange that broke: the worker may have forgotten the connection."""
@@ -118,7 +122,7 @@
     def _take_pooled(
         self, worker: Worker, now_s: float, repeatable: bool
     ) -> ClientConnection | None:
-        idle = self._idle.get(worker.record.worker_id, [])
+        idle = self._idle.get(worker.incarnation, [])
         heard_s = worker.last_heard_s
         while idle:
             connection = idle.pop()
--- /dev/null
+++ b/mountstand/serving/evacuation.py
@@ -0,0 +1,58 @@
+"""Which zones the operator has taken out of use, as the rows of the operator's table say.
+
+A row stands for a zone while it is there. All daemons read it from the store's feed, or from each
+other while the store does not serve them, as they do the configuration.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mountstand.store.rows import ABSENT
+from mountstand.store.watch import TableChange
+from mountstand.telemetry.decisions import DecisionLog
+
+
+class ZoneEvacuations:
+    """The zones that are evacuated.
+
+    ``zone_of`` returns the zone that a row's key names, or ``None`` for a row about something
+    else. ``on_change`` is called with all zones that are evacuated, whenever these change.
+    """
+
+    def __init__(
+        self,
+        zone_of: Callable[[str], str | None],
+        log: DecisionLog,
+        on_change: Callable[[frozenset[str]], None],
+    ) -> None:
+        self._zone_of = zone_of
+        self._log = log
+        self._on_change = on_change
+        self._version_by_zone: dict[str, int] = {}
+        self.zones: frozenset[str] = frozenset()
+
+    def apply(self, change: TableChange) -> None:
+        """Take changed rows of the operator's table, or all of them."""
+        zones = set() if change.complete else set(self.zones)
+        for row in change.rows:
+            zone = self._zone_of(row.key.key)
+            if zone is None:
+                continue
+            if not change.complete and row.version < self._version_by_zone.get(zone, ABSENT):
+                continue
+            self._version_by_zone[zone] = row.version
+            if row.value is None:
+                zones.discard(zone)
+            else:
+                zones.add(zone)
+        if zones == self.zones:
+            return
+        for zone in sorted(zones ^ self.zones):
+            self._log.event(
+                "zone_evacuated" if zone in zones else "zone_returned",
+                zone=zone,
+                row_version=self._version_by_zone.get(zone),
+            )
+        self.zones = frozenset(zones)
+        self._on_change(self.zones)
--- a/mountstand/serving/feeds.py
+++ b/mountstand/serving/feeds.py
@@ -1,7 +1,7 @@
 """Puts what the feeds tell of the configuration and of workers into force.
 
 A row that cannot be read is told and passed over: the last good configuration stays in force, and
-one strange worker does not hide the others.
+one strange row names no worker to use and does not hide the others.
 """
 
 from __future__ import annotations
@@ -31,7 +31,10 @@
         """Return the configuration that a row holds."""
 
     def decode_worker(self, row: StoredRow) -> WorkerRecord:
-        """Return the worker that a row describes."""
+        """Return the worker that a row describes. Raises what ``UNREADABLE`` lists."""
+
+    def evacuated_zone(self, key: str) -> str | None:
+        """Return the zone that a row of the configuration's table evacuates, if any."""
 
 
 class ConfigurationState:
@@ -98,12 +101,11 @@
             self._apply_row(row, now_s)
 
     def _apply_row(self, row: StoredRow, now_s: float) -> None:
-        if row.value is None:
+        record = self._decode(row) if row.value is not None else None
+        if record is None:
             if self._directory.remove(row.key.key, row.version, now_s):
                 self._log.event("worker_removed", worker=row.key.key, version=row.version)
-            return
-        record = self._decode(row)
-        if record is not None and self._directory.put(record, now_s):
+        elif self._directory.put(record, now_s):
             self._log.event(
                 "worker_changed",
                 worker=record.worker_id,
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -271,6 +271,9 @@
         self, exchange: Exchange, worker: Worker, connection: ClientConnection
     ) -> Outcome:
         now_s = asyncio.get_running_loop().time()
+        if not worker.note_sent(now_s):
+            exchange.cause = "worker cold"
+            return Outcome.NOT_SENT
         left_ms = max(1, int((exchange.deadline_s - now_s) * 1000))
         call = exchange.call
         headers = self._protocol.request_headers(call, worker, left_ms, exchange.last_event_id)
--- a/mountstand/serving/load_groups.py
+++ b/mountstand/serving/load_groups.py
@@ -17,7 +17,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -91,6 +91,12 @@
     )
 
 
+def outside(peers: Iterable[Peer], zones: Collection[str]) -> list[Peer]:
+    """Return the daemons outside some zones, or all daemons if there are none outside."""
+    listed = list(peers)
+    return [peer for peer in listed if peer.zone not in zones] or listed
+
+
 def serving_members(peers: Iterable[Peer], slots: int) -> frozenset[str]:
     """Return the daemons that callers are told of, for workers with so many slots in all.
 
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -23,7 +23,7 @@
     quarters,
     total_of,
 )
-from mountstand.serving.load_groups import LoadGroup, Peer, group_of, serving_members
+from mountstand.serving.load_groups import LoadGroup, Peer, group_of, outside, serving_members
 from mountstand.serving.slot_demand import SlotDemand, Waiting, Work, service_key
 from mountstand.serving.slot_shares import deal_slots
 from mountstand.serving.worker import Worker
@@ -106,6 +106,7 @@
         self._serving: frozenset[str] = frozenset()
         self._slots = 0
         self._ticks = 0
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._heard_by_sender: dict[str, _Heard] = {}
         self._unreachable_heard: dict[int, float] = {}
         self._told_keys: set[int] = set()
@@ -182,6 +183,11 @@
         elif self._is_head and former is not None and former.scope is digest.scope:
             self._take_over_change(former.counts_by_key, by_key)
 
+    def use_evacuations(self, zones: frozenset[str]) -> None:
+        """Let no daemon of these zones serve callers, as long as others can."""
+        self._evacuated_zones = zones
+        self._dealt_for = None
+
     # Sending
 
     def _tick_as_head(self, own: CountsByKey, unreachable: tuple[int, ...]) -> None:
@@ -270,12 +276,13 @@
     def _regroup(self) -> None:
         peers = frozenset(self._link.peers())
         slots = self._directory.slots()
-        if peers == self._peers and slots == self._slots:
+        if peers == self._peers and slots == self._slots and self._dealt_for is not None:
             return
         self._peers = peers
         self._slots = slots
         self._group = group_of(self._own_peer, peers)
-        self._serving = serving_members(peers | {self._own_peer}, slots)
+        daemons = outside(peers | {self._own_peer}, self._evacuated_zones)
+        self._serving = serving_members(daemons, slots)
         self._dealt_for = None
 
     def _deal_slots(self) -> None:
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from mountstand.serving.cold_workers import ColdBudget
 from mountstand.serving.prompt import Prompt
 from mountstand.serving.worker_health import WorkerHealth, new_health
 
@@ -36,6 +37,12 @@
     slots: int
     draining: bool
     version: int
+    born_ms: int = 0
+    """When its process started, in Unix milliseconds; 0 where that is not told. A worker may start
+    again under its former id and remembers nothing then."""
+
+    cold_left_s: float = 0.0
+    """How much longer it bears little work, as of the time of the record."""
 
 
 @dataclass(frozen=True)
@@ -45,6 +52,8 @@
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
+    """How long work takes on the worker's machine right now, as a multiple of the usual time."""
 
     @property
     def total(self) -> int:
@@ -74,13 +83,29 @@
     last_heard_s: float = float("-inf")
     unreachable_at_s: float = float("-inf")
     leaving_since_s: float | None = None
+    evacuated_since_s: float | None = None
+    cold: ColdBudget | None = None
+    """What may be sent here while the worker is cold; ``None`` where its service has no bound."""
+
     lent_until_s: list[float] = field(default_factory=list)
     health: WorkerHealth = field(default_factory=new_health)
 
+    @cached_property
+    def incarnation(self) -> str:
+        """The name of the worker's process: its id, and when it was born where that is told."""
+        record = self.record
+        return f"{record.worker_id}@{record.born_ms}" if record.born_ms else record.worker_id
+
     @cached_property
     def key(self) -> int:
-        """The number that stands for this worker among daemons."""
-        return zlib.crc32(self.record.worker_id.encode())
+        """The number that stands for this worker's process among daemons."""
+        return zlib.crc32(self.incarnation.encode())
+
+    @property
+    def withdrawn_since_s(self) -> float | None:
+        """Since when the worker gets no new work, as it leaves or its zone is evacuated."""
+        since_s = (self.leaving_since_s, self.evacuated_since_s)
+        return min((each for each in since_s if each is not None), default=None)
 
     @property
     def known(self) -> int:
@@ -118,12 +143,22 @@
         pause_s = min(LONGEST_UNREACHABLE_S, UNREACHABLE_S * 2**self.connect_failures)
         self.connect_failures += 1
         self.unreachable_at_s = now_s
-        self.avoid_until_s = now_s + pause_s
+        self._avoid_as_unreachable(now_s + pause_s)
 
     def note_unreachable_for_peer(self, now_s: float) -> None:
         """Avoid the worker for a while on a peer's word, unless it was just heard from."""
         if now_s - self.last_heard_s > PEER_DOUBT_S:
-            self.avoid_until_s = max(self.avoid_until_s, now_s + UNREACHABLE_S)
+            self._avoid_as_unreachable(max(self.avoid_until_s, now_s + UNREACHABLE_S))
+
+    def _avoid_as_unreachable(self, until_s: float) -> None:
+        """Avoid the worker for a while; it may have started again when it is back."""
+        self.avoid_until_s = until_s
+        self.assume_restarted(until_s)
+
+    def assume_restarted(self, at_s: float) -> None:
+        """Treat the worker as cold from ``at_s`` on: it may have started then without a word."""
+        if self.cold is not None:
+            self.cold.note_cold(at_s + self.cold.cold.lasts_s)
 
     def note_full(self, now_s: float) -> None:
         """Avoid the worker for a moment."""
@@ -153,9 +188,20 @@
         return max(1, self.record.slots)
 
     def takes_work(self, now_s: float) -> bool:
-        """Return whether the worker stays, is reachable as far as is known, and not ejected."""
+        """Return whether one more request may go to the worker as things usually are.
+
+        It stays, is reachable as far as is known, is not ejected, and bears it if it is cold.
+        """
         avoided = self.avoid_until_s > now_s or self.health.is_ejected(now_s)
-        return self.leaving_since_s is None and not avoided
+        return self.withdrawn_since_s is None and not avoided and self.bears_one(now_s)
+
+    def bears_one(self, now_s: float) -> bool:
+        """Return whether one more request may be sent, unless the worker is cold and had enough."""
+        return self.cold is None or self.cold.allows(now_s)
+
+    def note_sent(self, now_s: float) -> bool:
+        """Count a request that is sent now; returns whether it may be."""
+        return self.cold is None or self.cold.take(now_s)
 
     def estimated_load(self, now_s: float) -> float:
         """Estimate how many requests run or wait there.
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -4,8 +4,9 @@
 
 import random
 import sys
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
+from mountstand.serving.cold_workers import ColdBudget, ColdSends, ColdStart
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
 from mountstand.serving.worker import Worker, WorkerRecord
 from mountstand.serving.worker_choice import WorkerChooser
@@ -33,20 +34,25 @@
         self._source = source
         self.leaving_use_s = leaving_use_s
         self.chooser = WorkerChooser(zone, source)
+        self._evacuated_since_s: dict[str, float] = {}
+        self._cold_by_service: Mapping[str, ColdStart] = {}
+        self._cold_sends: ColdSends | None = None
 
     def put(self, record: WorkerRecord, now_s: float) -> bool:
         """Take a worker's newest record; returns whether it says something new."""
         known = self.workers.get(record.worker_id)
-        if known is None:
-            known = Worker(record)
-            self.workers[record.worker_id] = known
-            changed = True
-        elif known.record.version > record.version:
+        if known is not None and known.record.version > record.version:
             return False
+        if known is None or known.record.born_ms != record.born_ms:
+            known = self._add(record, known, now_s)
+            changed = True
         else:
             changed = known.record.draining != record.draining
             changed = changed or (known.leaving_since_s is not None and not record.draining)
             known.record = record
+            known.evacuated_since_s = self._evacuated_since_s.get(record.zone)
+        if known.cold is not None:
+            known.cold.note_cold(now_s + record.cold_left_s)
         if not record.draining:
             known.leaving_since_s = None
         elif known.leaving_since_s is None:
@@ -54,6 +60,19 @@
         self._index = None
         return changed
 
+    def _add(self, record: WorkerRecord, former: Worker | None, now_s: float) -> Worker:
+        """Know a worker of which nothing is known but its record.
+
+        ``former`` is the process that had its id before; one that has just started is cold.
+        """
+        worker = Worker(record)
+        worker.evacuated_since_s = self._evacuated_since_s.get(record.zone)
+        self.workers[record.worker_id] = worker
+        self._budget(worker, now_s)
+        if former is not None:
+            worker.assume_restarted(now_s)
+        return worker
+
     def remove(self, worker_id: str, version: int, now_s: float) -> bool:
         """Note that the platform lists a worker no longer; returns whether that is new.
 
@@ -78,6 +97,45 @@
         for record in listed.values():
             self.put(record, now_s)
 
+    def evacuate(self, zones: Collection[str], now_s: float) -> list[Worker]:
+        """Use the workers of these zones no more, and those of all others; return the new ones.
+
+        Workers of a zone that is used again may have started anew meanwhile.
+        """
+        since_s = self._evacuated_since_s
+        self._evacuated_since_s = {zone: since_s.get(zone, now_s) for zone in zones}
+        newly: list[Worker] = []
+        for worker in self.workers.values():
+            before_s = worker.evacuated_since_s
+            worker.evacuated_since_s = self._evacuated_since_s.get(worker.record.zone)
+            if before_s is None and worker.evacuated_since_s is not None:
+                newly.append(worker)
+            elif before_s is not None and worker.evacuated_since_s is None:
+                worker.assume_restarted(now_s)
+        self._index = None
+        return newly
+
+    def use_cold_starts(
+        self, cold_by_service: Mapping[str, ColdStart], sends: ColdSends, now_s: float
+    ) -> None:
+        """Send workers of these services no more than they bear while they are cold."""
+        self._cold_by_service = cold_by_service
+        self._cold_sends = sends
+        for worker in self.workers.values():
+            self._budget(worker, now_s)
+
+    def _budget(self, worker: Worker, now_s: float) -> None:
+        """Give a worker a budget for its cold starts, or take it away."""
+        record = worker.record
+        cold = self._cold_by_service.get(record.service)
+        if cold is None or self._cold_sends is None:
+            worker.cold = None
+        elif worker.cold is None:
+            worker.cold = ColdBudget(record.worker_id, cold, self._cold_sends)
+            worker.cold.note_cold(now_s + record.cold_left_s)
+        else:
+            worker.cold.cold = cold
+
     def judge_health(self, now_s: float) -> list[Worker]:
         """Eject workers that fail far more often than others; returns the new ones."""
         newly: list[Worker] = []
@@ -107,12 +165,12 @@
         return self._indexed().staying_by_service.get(service, [])
 
     def just_left(self, service: str, now_s: float) -> list[Worker]:
-        """Return workers that began to leave a moment ago and still serve."""
+        """Return workers that were withdrawn a moment ago and still serve."""
         return [
             worker
             for worker in self._indexed().leaving_by_service.get(service, [])
-            if worker.leaving_since_s is not None
-            and now_s - worker.leaving_since_s <= self.leaving_use_s
+            if worker.withdrawn_since_s is not None
+            and now_s - worker.withdrawn_since_s <= self.leaving_use_s
         ]
 
     def choose(
@@ -183,7 +241,11 @@
         return self._indexed().by_key
 
     def _candidates(self, service: str, tried: set[str], now_s: float) -> list[Worker]:
-        untried = [w for w in self.of_service(service) if w.record.worker_id not in tried]
+        untried = [
+            worker
+            for worker in self.of_service(service)
+            if worker.record.worker_id not in tried and worker.bears_one(now_s)
+        ]
         reachable = [worker for worker in untried if worker.avoid_until_s <= now_s]
         sound = [worker for worker in reachable if not worker.health.is_ejected(now_s)]
         if sound or reachable:
@@ -191,7 +253,9 @@
         leaving = [
             worker
             for worker in self.just_left(service, now_s)
-            if worker.record.worker_id not in tried and worker.avoid_until_s <= now_s
+            if worker.record.worker_id not in tried
+            and worker.avoid_until_s <= now_s
+            and worker.bears_one(now_s)
         ]
         return leaving or untried
 
@@ -213,7 +277,7 @@
         self.slots = 0
         for worker in workers:
             self.by_key[worker.key] = worker
-            staying = worker.leaving_since_s is None
+            staying = worker.withdrawn_since_s is None
             by_service = self.staying_by_service if staying else self.leaving_by_service
             by_service.setdefault(worker.record.service, []).append(worker)
             self.slots += worker.slots() if staying else 0
--- a/mountstand/serving_limits.py
+++ b/mountstand/serving_limits.py
@@ -9,6 +9,7 @@
 
 import orjson
 
+from mountstand.limits.standing import Standing
 from mountstand.membership.datagrams import DatagramMembership
 from mountstand.membership.registry import DaemonRegistry, DaemonRow
 from mountstand.serving.load_groups import Peer, serving_members
@@ -18,7 +19,6 @@
 from mountstand.tenants.gate import LimitGate, TokenLink
 from mountstand.tenants.limits import LOAN_S, TenantLimits
 from mountstand.tenants.marks import FRESH_S, NO_FORMER, FormerMarks, Marks
-from mountstand.tenants.standing import Standing
 from mountstand.tenants.tenant import TenantIndex
 from mountstand.wire.gossip import TokenAsk, TokenGrant
 
@@ -165,7 +165,7 @@
         self._membership = membership
         self._registry = registry
         self._settings = settings
-        self._standing = Standing(settings.name)
+        self.standing = Standing(settings.name)
         self._has_limits = asyncio.Event()
         self._later: asyncio.TimerHandle | None = None
         marks = Marks()
@@ -173,7 +173,7 @@
             marks, store, settings.name, store_now_ms, self._window_s, log
         )
         self._limits = TenantLimits(
-            self._standing,
+            self.standing,
             marks,
             settings.limit_tolerance,
             secrets.randbits(NUMBER_BITS),
@@ -199,14 +199,14 @@
         leaving = _peers(self._registry.leaving())
         served_lately = serving_members([*listed, *leaving], slots)
         hold_s = self._window_s() + LOAN_S
-        self._standing.use(
+        self.standing.use(
             serving_members(listed, slots),
             self._membership.live_names(),
             loop.time(),
             served_lately & {peer.member_id for peer in leaving},
             hold_s,
         )
-        if self._standing.holds and self._later is None:
+        if self.standing.holds and self._later is None:
             self._later = loop.call_later(hold_s, self._use_fleet_again, slots)
 
     def _use_fleet_again(self, slots: int) -> None:
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -27,11 +27,13 @@
 from mountstand.quarantine.service import RequestQuarantine
 from mountstand.quarantine.stored import StoredSuspects
 from mountstand.serving.batch_room import BatchRoom
+from mountstand.serving.cold_workers import ColdSends
 from mountstand.serving.configuration import Configuration, ShareChooser
 from mountstand.serving.connections import WorkerConnections
+from mountstand.serving.evacuation import ZoneEvacuations
 from mountstand.serving.feeds import ConfigurationSource, ConfigurationState, WorkersState
 from mountstand.serving.forwarder import Forwarder
-from mountstand.serving.load_groups import Peer, serving_members
+from mountstand.serving.load_groups import Peer, outside, serving_members
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.slot_demand import Work
@@ -45,6 +47,7 @@
 from mountstand.serving_periodic import PeriodicWork
 from mountstand.serving_settings import ServingSettings, SocketAddress
 from mountstand.store.rows import ObjectStore, RowStore
+from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.tenants.access import CallerAccess
@@ -169,10 +172,17 @@
             source_of_chance,
             log,
         )
+        self._cold_sends = ColdSends(
+            self._limits.standing,
+            settings.cold_tolerance,
+            asyncio.get_running_loop().time(),
+            lambda: not self._fleet_may_be_stale(),
+        )
         self.access = CallerAccess(
             self._limits.gate, self._configuration_may_be_stale, metrics, log
         )
         self._configuration_state = ConfigurationState(source, log, self._use_configuration)
+        self._evacuations = ZoneEvacuations(source.evacuated_zone, log, self._use_evacuations)
         self._stored_suspects = StoredSuspects(
             self.quarantine.suspects, store, self._store_now_ms, log
         )
@@ -182,7 +192,7 @@
             store,
             source,
             FeedTargets(
-                self._configuration_state.apply,
+                self._apply_operators_rows,
                 workers_state.apply,
                 self.registry,
                 lambda change: self.jobs.apply(change),
@@ -281,7 +291,8 @@
         """Return as few of the sound daemons as carry the load."""
         sound = self.registry.sound()
         peers = [Peer(row.name, row.zone, row.capacity) for row in sound]
-        serving = serving_members(peers, self.directory.slots())
+        usable = outside(peers, self._evacuations.zones)
+        serving = serving_members(usable, self.directory.slots())
         return [row for row in sound if row.name in serving]
 
     def configuration_age_s(self) -> float:
@@ -294,6 +305,11 @@
             self.feeds.configuration.failing or self.configuration_age_s() > self.settings.contact_s
         )
 
+    def _fleet_may_be_stale(self) -> bool:
+        """Return whether daemons may have come or gone without being seen here."""
+        age_s = self.feeds.daemons.age_s(asyncio.get_running_loop().time())
+        return age_s > self.settings.contact_s
+
     def store_age_s(self) -> float:
         """Return how old this daemon's picture of the jobs may be."""
         return self.feeds.jobs.age_s(asyncio.get_running_loop().time())
@@ -309,9 +325,29 @@
 
     # Feeds
 
+    def _apply_operators_rows(self, change: TableChange) -> None:
+        self._configuration_state.apply(change)
+        self._evacuations.apply(change)
+
     def _use_configuration(self, configuration: Configuration) -> None:
         self._listeners.use_limits(configuration.limits)
         self._limits.use_tenants(configuration.tenants)
+        cold = {each.name: each.cold for each in configuration.services.values() if each.cold}
+        now_s = asyncio.get_running_loop().time()
+        self.directory.use_cold_starts(cold, self._cold_sends, now_s)
+
+    def _use_evacuations(self, zones: frozenset[str]) -> None:
+        """Send nothing more to workers of evacuated zones, and name their daemons to nobody."""
+        left = self.directory.evacuate(zones, asyncio.get_running_loop().time())
+        self.load_sharing.use_evacuations(zones)
+        self.metrics.zones_evacuated(len(zones))
+        if left:
+            self.log.event(
+                "workers_evacuated",
+                workers=len(left),
+                requests_left=sum(worker.online for worker in left),
+                items_moved=sum(self.room.vacate(worker) for worker in left),
+            )
 
     def _handle_members(self) -> None:
         """Note that the fleet changed; changes that come together are taken over at once."""
@@ -406,6 +442,7 @@
         self._store.use_address(settings.store.address)
         self.feeds.use_settings(settings)
         self._limits.use_settings(settings)
+        self._cold_sends.tolerance = settings.cold_tolerance
         self.directory.leaving_use_s = settings.drain_s * LEAVING_USE_SHARE
         self.log.event("reload", changed=changed)
 
--- a/mountstand/serving_periodic.py
+++ b/mountstand/serving_periodic.py
@@ -51,7 +51,8 @@
             self._note_pause(loop.time() - began_s - SWEEP_S)
             self._directory.sweep(loop.time())
             self._room.forget(set(self._directory.workers))
-            self._connections.sweep(set(self._directory.workers), loop.time())
+            listed = {worker.incarnation for worker in self._directory.workers.values()}
+            self._connections.sweep(listed, loop.time())
 
     async def share_load(self) -> None:
         """Tell the load, judge workers, and give slots to what waits, until cancelled."""
--- a/mountstand/serving_settings.py
+++ b/mountstand/serving_settings.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from mountstand.serving.cold_workers import ColdTolerance
 from mountstand.tenants.limits import LimitTolerance
 
 
@@ -54,7 +55,8 @@
     after which a process no longer counts as in touch; ``cancel_s`` the time within which the end
     of a job must be obeyed; ``status_s`` how long results of a job can be asked for; ``capacity``
     the processor that the machine has, in cores. ``seeds`` are control addresses of some daemons,
-    which may be out of date. ``limit_tolerance`` is how exactly the limits of tenants must be kept.
+    which may be out of date. ``limit_tolerance`` is how exactly the limits of tenants must be kept,
+    ``cold_tolerance`` how exactly the bound of cold workers.
     """
 
     name: str
@@ -75,3 +77,4 @@
     max_descriptors: int = 1024
     seeds: tuple[SocketAddress, ...] = ()
     limit_tolerance: LimitTolerance = field(default_factory=LimitTolerance)
+    cold_tolerance: ColdTolerance = field(default_factory=ColdTolerance)
--- a/mountstand/telemetry/serving_metrics.py
+++ b/mountstand/telemetry/serving_metrics.py
@@ -71,6 +71,11 @@
             "Contents that are held back since they crashed workers",
             registry=self._registry,
         )
+        self._zones_evacuated = Gauge(
+            "mountstand_zones_evacuated",
+            "Zones that the operator has taken out of use",
+            registry=self._registry,
+        )
         self._jobs_owned = Gauge(
             "mountstand_jobs_owned", "Batch jobs run by this daemon", registry=self._registry
         )
@@ -109,6 +114,10 @@
         """Set how many contents are held back."""
         self._contents_blocked.set(count)
 
+    def zones_evacuated(self, count: int) -> None:
+        """Set how many zones are out of use."""
+        self._zones_evacuated.set(count)
+
     def jobs_owned(self, count: int) -> None:
         """Set how many batch jobs this daemon runs."""
         self._jobs_owned.set(count)
--- a/mountstand/tenants/limits.py
+++ b/mountstand/tenants/limits.py
@@ -18,10 +18,10 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from mountstand.limits.standing import Standing
+from mountstand.limits.window import SlidingSum
 from mountstand.tenants.marks import Marks
-from mountstand.tenants.standing import Standing
 from mountstand.tenants.tenant import Tenant, TenantIndex
-from mountstand.tenants.window import SlidingSum
 from mountstand.wire.gossip import TokenAsk, TokenGrant
 
 SPARE_SHARE = 0.5
--- a/tests/model/limit_fleet.py
+++ b/tests/model/limit_fleet.py
@@ -10,12 +10,12 @@
 import random
 from collections.abc import Callable, Collection
 
+from mountstand.limits.standing import Standing
 from mountstand.serving_limits import StoredMarks
 from mountstand.store.memory_rows import MemoryRowStore
 from mountstand.tenants.gate import LimitGate, TokenLink
 from mountstand.tenants.limits import LOAN_S, LimitTolerance, TenantLimits
 from mountstand.tenants.marks import Marks
-from mountstand.tenants.standing import Standing
 from mountstand.tenants.tenant import Tenant, TenantIndex
 from mountstand.wire.gossip import TokenAsk, TokenGrant
 from tests.stand_ins.harness import LineLog
--- a/tests/model/test_tenant_limits.py
+++ b/tests/model/test_tenant_limits.py
@@ -10,9 +10,9 @@
 from hypothesis import given, settings
 from testtools import TestCase
 
+from mountstand.limits.standing import Standing
 from mountstand.tenants.limits import LOAN_S, MARK_SHARE, TenantLimits
 from mountstand.tenants.marks import NO_FORMER, UNKNOWN_FORMER, FormerMarks, Marks
-from mountstand.tenants.standing import Standing
 from mountstand.tenants.tenant import Tenant, TenantIndex
 from mountstand.wire.gossip import GossipBodies, TokenAsk, TokenGrant
 from tests.model.limit_fleet import NOTICED_S, TOLERANCE, LimitFleet, bound
--- a/tests/serving/test_batch_room.py
+++ b/tests/serving/test_batch_room.py
@@ -53,6 +53,19 @@
         await settle()
         return [task.done() for task in tasks]
 
+    def test_all_items_are_taken_off_a_worker_that_gets_no_more_work(self) -> None:
+        async def work() -> None:
+            moved: list[int] = []
+            tasks = await self.wait(SOON, LATER)
+            await self.granted(tasks)
+            for number, task in enumerate(tasks):
+                task.result().preempt = lambda number=number: moved.append(number)
+            self.assertEqual(2, self.room.vacate(self.worker))
+            self.assertEqual({0, 1}, set(moved))
+            self.assertEqual(0, self.room.vacate(self.worker), "each is told once")
+
+        self.scenario(work)
+
     def test_late_items_go_last_and_the_earliest_due_first(self) -> None:
         async def work() -> None:
             tasks = await self.wait(LATE, LATER, SOON)
--- a/tests/serving/test_caller_access.py
+++ b/tests/serving/test_caller_access.py
@@ -8,13 +8,13 @@
 from testtools import ExpectedException, TestCase
 
 from mountstand.errors import MountstandError
+from mountstand.limits.standing import Standing
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.tenants.access import CallerAccess
 from mountstand.tenants.errors import KeyNotVerifiable, TenantOverLimit, UnknownKey
 from mountstand.tenants.gate import LimitGate, TokenLink
 from mountstand.tenants.limits import LimitTolerance, TenantLimits
 from mountstand.tenants.marks import NO_FORMER, Marks
-from mountstand.tenants.standing import Standing
 from mountstand.tenants.tenant import Tenant, TenantIndex
 from mountstand.wire.gossip import TokenAsk, TokenGrant
 from tests.stand_ins.harness import LineLog
--- a/tests/serving/test_feeds.py
+++ b/tests/serving/test_feeds.py
@@ -18,8 +18,8 @@
 
 
 def worker_row(worker_id: str, version: int, **changes: object) -> StoredRow:
-    fields = {"service": "llm", "address": "127.0.0.1:9", "zone": "a", "slots": 2, **changes}
-    return row("servers", worker_id, version, fields)
+    fields = {"service": "llm", "address": "127.0.0.1:9", "zone": "a", "slots": 2, "state": "ready"}
+    return row("servers", worker_id, version, {**fields, **changes})
 
 
 class Configurations(TestCase):
@@ -56,5 +56,9 @@
             state.apply(TableChange([row("servers", "w3", 4, b"?"), worker_row("w4", 5)], False))
             self.assertIn("w4", fleet.directory.workers)
             self.assertEqual(2, len(fleet.log.lines("worker_unreadable")))
+            state.apply(TableChange([row("servers", "w0", 6, {"state": "ready"})], False))
+            staying = [w.record.worker_id for w in fleet.directory.of_service("llm")]
+            self.assertNotIn("w0", staying, "its row names no worker any more")
+            self.assertIn("w2", staying)
 
         run(scenario())
--- a/tests/serving/test_routing.py
+++ b/tests/serving/test_routing.py
@@ -171,6 +171,23 @@
         self.directory.put(worker_record(0, version=3), 11.2)
         self.assertEqual("w0", self.choose(now_s=11.3))
 
+    def test_a_worker_that_starts_again_under_its_id_begins_anew(self) -> None:
+        """What was known of the process before says nothing of the new one."""
+        self.directory.put(worker_record(0, born_ms=100, version=2), 5.0)
+        before = self.directory.workers["w0"]
+        before.note_load(LoadReport(4, 9, 4), 5.0)
+        before.note_connect_failed(5.0)
+        before.health.eject(5.0)
+        self.directory.put(worker_record(0, born_ms=100, version=3), 5.1)
+        self.assertIs(before, self.directory.workers["w0"], "the same process")
+        self.assertTrue(self.directory.put(worker_record(0, born_ms=200, version=4), 5.2))
+        after = self.directory.workers["w0"]
+        self.assertTrue(after.takes_work(5.2))
+        self.assertEqual(0.0, after.estimated_load(5.2))
+        self.assertNotEqual(before.key, after.key, "peers' counts of the former do not apply")
+        self.assertFalse(self.directory.put(worker_record(0, born_ms=100, version=3), 5.3))
+        self.assertIs(after, self.directory.workers["w0"], "an older row brings nothing back")
+
     def test_complete_list_drops_what_it_lacks(self) -> None:
         self.directory.replace_all([worker_record(2, version=9)], 10.0)
         self.assertEqual({"w2"}, {self.choose(now_s=10.1) for _ in range(10)})
