Routes and tenants bound to regions

Cause: the regions that a route or tenant allows were not read; bodies went to workers and job owners anywhere.

The workers of a service in some regions are a pool with a name of its own, which stands for a service in choice, waiting, batch slots and digests, so that every place that sends asks the same look-up. A freed or lent slot goes to the first request that may use it. Jobs are adopted in their regions alone, and are refused rather than kept as objects, which any daemon may read. Look-ups name daemons of the caller's own region, else of the regions that all routes of the host allow. A deployment without such bounds has no pools.

--- a/mountstand/jobs/acceptance.py
+++ b/mountstand/jobs/acceptance.py
@@ -47,12 +47,22 @@
 
 
 class JobAcceptance:
-    """One submission's tries."""
-
-    def __init__(self, repository: JobRepository, submission: JobSubmission, head: JobHead) -> None:
+    """One submission's tries.
+
+    ``copies`` is under how many names the job may be kept as an object.
+    """
+
+    def __init__(
+        self,
+        repository: JobRepository,
+        submission: JobSubmission,
+        head: JobHead,
+        copies: int = ACCEPTED_COPIES,
+    ) -> None:
         self._repository = repository
         self._submission = submission
         self._head = head
+        self._copies = copies
         self._pending: set[asyncio.Task[Stored]] = set()
         self._unclear = False
 
@@ -76,7 +86,7 @@
                 return SubmitOutcome.UNCLEAR
             if with_objects:
                 self._start(self._write_rows())
-            for number in range(ACCEPTED_COPIES):
+            for number in range(self._copies):
                 self._start(self._write_object(number))
             with_objects = True
             wait_s = AGAIN_AFTER_S
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -19,6 +19,7 @@
 from mountstand.jobs.repository import new_write_id
 from mountstand.serving.batch_room import Placement, Urgency
 from mountstand.serving.configuration import Route
+from mountstand.serving.residency import Regions
 from mountstand.store.rows import ABSENT, Conflict, OutcomeUnknown, StoreError
 
 SAVE_S = 1.5
@@ -296,10 +297,18 @@
         try:
             service = self._context.shares.choose(route)
             urgency = self._urgency(route, service, progress)
-            return await self._context.room.acquire(service, urgency)
+            pool = self._context.directory.pool(service, self._regions(route))
+            return await self._context.room.acquire(pool, urgency)
         finally:
             self._waiting_tasks.discard(task)
 
+    def _regions(self, route: Route) -> Regions | None:
+        """Return where items on a route may run."""
+        configuration = self._context.configuration()
+        if configuration is None:
+            return route.regions
+        return configuration.regions_for(route, self.head.tenant)
+
     def _surely_open(self) -> bool:
         """Return whether an end of the job would have been seen."""
         return self._context.store_age_s() <= self._context.contact_limit_s()
--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -16,7 +16,7 @@
 from mountstand.jobs.owners import Owners
 from mountstand.jobs.quota import TokenQuota
 from mountstand.jobs.reading import ANY_TENANT, JobPage, JobReads, may_see
-from mountstand.jobs.repository import JobRepository, new_write_id
+from mountstand.jobs.repository import ACCEPTED_COPIES, JobRepository, new_write_id
 from mountstand.jobs.runner import JobRunner
 from mountstand.serving.configuration import Route
 from mountstand.store.rows import Conflict, StoreError, StoreRefused
@@ -83,7 +83,7 @@
                 fits = await self._quota.reserve(route, submission, head.accepted_ms)
                 if not fits:
                     return await self._refuse_unless_known(submission)
-            return await self._accept(submission, head, route.target_latency_s, deadline_s)
+            return await self._accept(submission, head, route, deadline_s)
         except (StoreError, TimeoutError) as problem:
             self._context.log.event(
                 "quota_unsure", job=submission.job_id, cause=type(problem).__name__
@@ -100,7 +100,7 @@
         )
 
     async def _accept(
-        self, submission: JobSubmission, head: JobHead, target_latency_s: float, deadline_s: float
+        self, submission: JobSubmission, head: JobHead, route: Route, deadline_s: float
     ) -> SubmitOutcome:
         was_there = False
 
@@ -110,8 +110,9 @@
             if stored.begin is not None:
                 self._begin(*stored.begin, submission.items)
 
-        acceptance = JobAcceptance(self._repository, submission, head)
-        outcome = await acceptance.run(target_latency_s, deadline_s, begin)
+        copies = 0 if self._is_bound(route, submission.tenant) else ACCEPTED_COPIES
+        acceptance = JobAcceptance(self._repository, submission, head, copies)
+        outcome = await acceptance.run(route.target_latency_s, deadline_s, begin)
         if was_there and submission.tenant:
             found = await self._reads.load_any(submission.job_id)
             return outcome if found is None else _outcome_of_known(submission, found[0])
@@ -236,9 +237,15 @@
         if head.owner and head.owner != self._owners.own_token and self._owners.is_live(head.owner):
             self._orphan_since_s.pop(job_id, None)
             return
+        configuration = self._context.configuration()
+        if configuration is None:
+            return
+        regions = configuration.regions_of_job(head.host, head.path, head.tenant)
+        if not self._owners.may_own(regions):
+            return
         now_s = asyncio.get_running_loop().time()
         since_s = self._orphan_since_s.setdefault(job_id, now_s)
-        if now_s - since_s < self._owners.rank(job_id) * RANK_DELAY_S:
+        if now_s - since_s < self._owners.rank(job_id, regions) * RANK_DELAY_S:
             return
         self._adopting.add(job_id)
         self._spawn(self._adopt(head, version))
@@ -309,6 +316,14 @@
 
     # Small parts
 
+    def _is_bound(self, route: Route, tenant: str) -> bool:
+        """Return whether a job may be served in some regions alone.
+
+        It is not kept as an object: whoever looks for such objects reads all of them.
+        """
+        configuration = self._context.configuration()
+        return configuration is None or configuration.regions_for(route, tenant) is not None
+
     def _new_head(self, submission: JobSubmission) -> JobHead:
         return JobHead(
             job_id=submission.job_id,
--- a/mountstand/membership/caller_addresses.py
+++ b/mountstand/membership/caller_addresses.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 
 from mountstand.membership.registry import DaemonRow
+from mountstand.serving.residency import Geography, Regions
 
 MOST_ADDRESSES = 64
 """Addresses of one answer at most; callers use no more (the platform's protocol)."""
@@ -30,3 +31,25 @@
     others = [row for row in daemons if row.zone != zone]
     drawn += source.sample(others, min(len(others), MOST_ADDRESSES - len(drawn)))
     return [row.callers_address for row in drawn]
+
+
+def in_regions(
+    regions: Regions,
+    zone: str,
+    serving: list[DaemonRow],
+    sound: list[DaemonRow],
+    geography: Geography,
+) -> list[DaemonRow]:
+    """Return the daemons that callers in ``zone`` may send requests to that ``regions`` may serve.
+
+    A body may go to daemons of the caller's own region and of ``regions``. The first are nearer;
+    there and elsewhere any sound daemon will do where none of those that serve is. If there is
+    none at all, all that serve are named: they can tell the caller that it is refused.
+    """
+    own = frozenset({geography.region_of(zone)})
+    for allowed in (own, regions):
+        for daemons in (serving, sound):
+            found = [row for row in daemons if geography.allows(allowed, row.zone)]
+            if found:
+                return found
+    return serving
--- a/mountstand/membership/registry.py
+++ b/mountstand/membership/registry.py
@@ -142,6 +142,13 @@
         known = self._rows.get(name)
         return known[0].capacity if known is not None else DaemonRow.capacity
 
+    def zone_of(self, name: str) -> str:
+        """Return the zone of a daemon, empty where its row is not known."""
+        if name == self.own.name:
+            return self.own.zone
+        known = self._rows.get(name)
+        return known[0].zone if known is not None else ""
+
     def control_addresses(self) -> list[SocketAddress]:
         """Return the control addresses of the other daemons that run."""
         running = self.membership.running_names() if self.membership is not None else set()
--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -18,6 +18,7 @@
 from mountstand.platform.worker_protocol import parse_prompt
 from mountstand.serving.configuration import Configuration, RequestKind, Route
 from mountstand.serving.forwarder import RETRY_UNAVAILABLE_S
+from mountstand.serving.residency import ANYWHERE, in_both
 from mountstand.serving.worker_protocol import Call
 from mountstand.serving_node import ServingNode
 from mountstand.store.rows import StoreError
@@ -65,8 +66,10 @@
         if request.path != names.RESOLVE_PATH:
             responder.send(404)
             return
-        zone = parse_qs(request.query).get(names.CALLER_ZONE, [""])[0]
-        addresses = self._node.callers_addresses(zone)
+        query = parse_qs(request.query)
+        zone = query.get(names.CALLER_ZONE, [""])[0]
+        host = query.get(names.CALLER_HOST, [""])[0]
+        addresses = self._node.callers_addresses(host, zone)
         if not addresses:
             refuse(responder, RETRY_UNAVAILABLE_S)
             return
@@ -150,6 +153,7 @@
             last_event_id=number(request.headers.get(names.LAST_EVENT_ID.lower())),
             tenant=tenant.name if tenant is not None else "",
             priority=tenant.priority_before(route.priority) if tenant else route.priority,
+            regions=in_both(route.regions, tenant.regions if tenant else ANYWHERE),
         )
         await self._node.forwarder.forward(
             route,
--- a/mountstand/platform/names.py
+++ b/mountstand/platform/names.py
@@ -20,6 +20,7 @@
 # Calls of callers
 RESOLVE_PATH = "/resolve"
 CALLER_ZONE = "zone"
+CALLER_HOST = "name"
 JOB_PREFIX = "/lots/"
 ITEM_PREFIX = "/items/"
 
--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -15,6 +15,7 @@
     Service,
     ServiceShare,
 )
+from mountstand.serving.residency import ANYWHERE, Regions
 from mountstand.serving.worker import WorkerRecord
 from mountstand.store.rows import StoredRow
 from mountstand.tenants.tenant import Tenant, TenantIndex
@@ -77,9 +78,16 @@
         priority=None if priority is None else int(priority),
         requests_per_s=float(fields.get("rate_per_s") or 0),
         burst=float(fields.get("burst") or 0),
+        regions=_regions(fields),
     )
 
 
+def _regions(fields: dict[str, Any]) -> Regions | None:
+    """Return where a route's or tenant's requests may be served; an empty list is no bound."""
+    listed = fields.get("allowed_regions")
+    return frozenset(str(region) for region in listed) if listed else ANYWHERE
+
+
 def decode_worker(row: StoredRow) -> WorkerRecord:
     """Return the worker that a row describes.
 
@@ -143,6 +151,7 @@
         max_waiting_tokens=int(fields.get("max_queued_tokens") or 0),
         priority=int(fields.get("priority") or 0),
         public=bool(fields.get("public")),
+        regions=_regions(fields),
         first_event_patience_s=_patience_s(fields),
     )
 
--- a/mountstand/platform/settings.py
+++ b/mountstand/platform/settings.py
@@ -11,6 +11,7 @@
 from mountstand.errors import InvalidSettings
 from mountstand.platform.names import SETTINGS_VARIABLE
 from mountstand.serving.cold_workers import ColdTolerance
+from mountstand.serving.residency import Geography
 from mountstand.serving_settings import Listeners, ServingSettings, SocketAddress, StoreSettings
 from mountstand.tenants.limits import LimitTolerance
 
@@ -62,11 +63,19 @@
         memory_mb=_number(limits, "memory_mb", 256.0),
         max_descriptors=int(_number(limits, "max_fds", 1024.0)),
         seeds=_seeds(fields),
+        geography=_geography(fields),
         limit_tolerance=_limit_tolerance(bounds),
         cold_tolerance=_cold_tolerance(bounds),
     )
 
 
+def _geography(fields: Fields) -> Geography:
+    zones = fields.get("zones") or {}
+    if not isinstance(zones, dict):
+        raise InvalidSettings(f"zones: must be a table of regions by zone (got {zones!r})")
+    return Geography({str(zone): str(region) for zone, region in zones.items()})
+
+
 def _cold_tolerance(bounds: Fields) -> ColdTolerance:
     usual = ColdTolerance()
     return ColdTolerance(
--- a/mountstand/serving/batch_room.py
+++ b/mountstand/serving/batch_room.py
@@ -131,25 +131,29 @@
         """
         part = 1 / (1 + hops / 2)
         self._order_waiting(now_s)
-        for service in self._services_concerned():
-            workers = self._directory.of_service(service)
-            for worker in workers:
+        running = self._services_running()
+        for service in running:
+            for worker in self._directory.of_service(service):
                 self._preempt_excess(worker, now_s, part)
+        waiting = {service for service, waiters in self._waiting.items() if waiters}
+        pools = running | waiting
+        if running:
+            pools |= self._online.pools_waiting
+        for service in pools:
             if self._online.waiting(service):
                 self._preempt_for_waiting(service, now_s, part)
             else:
+                workers = self._directory.of_service(service)
                 allowed = self.demand.share_of(service, _free_slots(workers, now_s)) * part
                 self._grant(service, round_by_chance(allowed, self._source), now_s)
 
-    def _services_concerned(self) -> set[str]:
-        """Return the services of this daemon's items that run or wait."""
-        waiting = {service for service, waiters in self._waiting.items() if waiters}
-        running = {
+    def _services_running(self) -> set[str]:
+        """Return the services of this daemon's items that run."""
+        return {
             placements[0].worker.record.service
             for placements in self._placements.values()
             if placements
         }
-        return waiting | running
 
     def _order_waiting(self, now_s: float) -> None:
         """Put the waiting items in order, since some became late meanwhile, and count them."""
@@ -171,7 +175,7 @@
                 placement
                 for placements in self._placements.values()
                 for placement in placements
-                if placement.worker.record.service == service
+                if self._directory.holds(service, placement.worker)
             ]
         )
 
--- a/mountstand/serving/configuration.py
+++ b/mountstand/serving/configuration.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from mountstand.serving.cold_workers import ColdStart
+from mountstand.serving.residency import ANYWHERE, Regions, in_both
 from mountstand.tenants.tenant import TenantIndex
 from mountstand.transport.http_server import ServerLimits
 
@@ -54,6 +55,9 @@
     public: bool = False
     """Whether callers need no key."""
 
+    regions: Regions | None = ANYWHERE
+    """Where its requests may be served."""
+
     first_event_patience_s: float | None = None
     """How long callers wait for the first event of a stream before they leave, if that is known."""
 
@@ -105,6 +109,30 @@
         routes = self._routes_of(host)
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
 
+    def regions_for(self, route: Route, tenant: str) -> Regions | None:
+        """Return where requests of a tenant on a route may be served."""
+        known = self.tenants.by_name.get(tenant)
+        return in_both(route.regions, known.regions if known is not None else ANYWHERE)
+
+    def regions_of_job(self, host: str, path: str, tenant: str) -> Regions | None:
+        """Return where a job may be served that a tenant handed in; everywhere without a route.
+
+        Its items are given up then, without a worker.
+        """
+        route = self.match(host, path)
+        return self.regions_for(route, tenant) if route is not None else ANYWHERE
+
+    def regions_of_host(self, host: str) -> Regions | None:
+        """Return where callers of a host may be sent whose own region has no daemon.
+
+        These are the regions that all routes of the host allow. Who calls is not known there; if
+        some tenants are bound to regions, none is allowed.
+        """
+        regions = ANYWHERE if not self.tenants.any_bound else frozenset()
+        for route in self._routes_of(host):
+            regions = in_both(regions, route.regions)
+        return regions
+
     def has_public_jobs(self, host: str) -> bool:
         """Return whether some batch jobs of ``host`` need no key."""
         return any(r.public and r.kind is RequestKind.BATCH for r in self._routes_of(host))
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -42,6 +42,8 @@
     call: Call
     responder: Responder
     service: str
+    """The service whose workers may be asked, or its pool in the regions of the request."""
+
     deadline_s: float
     runs: int = 0
     refusals: int = 0
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -90,7 +90,8 @@
         ``on_not_run`` is called at the end if no worker was given the request.
         """
         loop = asyncio.get_running_loop()
-        exchange = Exchange(route, call, responder, self._shares.choose(route), deadline_s)
+        pool = self._directory.pool(self._shares.choose(route), call.regions)
+        exchange = Exchange(route, call, responder, pool, deadline_s)
         exchange.last_event_id = call.last_event_id
         gone = True
         try:
@@ -114,7 +115,7 @@
             if self._refused_for_content(exchange, worker):
                 return
             if worker is None:
-                exchange.cause = exchange.cause or "no worker"
+                exchange.cause = exchange.cause or _no_worker(exchange)
                 self._end_unfinished(exchange)
                 return
             worker = self._separate(exchange, worker)
@@ -123,7 +124,7 @@
             self._note_outcome(exchange, worker, outcome)
             if outcome is Outcome.DELIVERED:
                 exchange.delivered = True
-                self._note_duration(exchange)
+                self._note_duration(exchange, worker)
                 if not worker_failed(exchange, outcome):
                     self._quarantine.note_served(exchange.call)
                 return
@@ -181,11 +182,11 @@
         self._free_slot(worker)
         return other
 
-    def _note_duration(self, exchange: Exchange) -> None:
+    def _note_duration(self, exchange: Exchange, worker: Worker) -> None:
         """Learn how long requests usually take from one that was served."""
         if exchange.responder.status < WORKER_FAILED:
             duration_s = asyncio.get_running_loop().time() - exchange.sent_at_s
-            self._directory.chooser.durations.note(exchange.service, duration_s)
+            self._directory.chooser.durations.note(worker.record.service, duration_s)
 
     def _note_outcome(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
         """Count what the attempt says about the worker."""
@@ -256,7 +257,7 @@
         loop = asyncio.get_running_loop()
         left_s = 0.0
         if outcome is not None and worker_failed(exchange, outcome):
-            usual_s = self._directory.chooser.durations.usual_s(exchange.service)
+            usual_s = self._directory.chooser.durations.usual_s(worker.record.service)
             left_s = exchange.sent_at_s + usual_s - loop.time()
         if left_s > 0:
             loop.call_later(left_s, self._free_slot, worker)
@@ -316,3 +317,10 @@
             refuse(responder, exchange.blocked_for_s or usual_s)
             return
         responder.send(504 if exchange.cause == "deadline" else 502)
+
+
+def _no_worker(exchange: Exchange) -> str:
+    """Return why a request found no worker to be sent to."""
+    if exchange.call.regions is None:
+        return "no worker"
+    return f"no worker in its regions {sorted(exchange.call.regions)}"
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -338,7 +338,7 @@
             worker.health.peers_failed = max(0, counts.failed) / QUARTERS
         self._told_keys = set(peers)
         for work, demand in self._demand_by_work.items():
-            for service in self._directory.services:
+            for service in self._directory.pools:
                 counts = peers.get(service_key(service, work), none)
                 waiting = Waiting(max(0, counts.waiting), max(0, counts.late))
                 demand.peers_by_service[service] = waiting
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -164,6 +164,11 @@
         """Return how many requests wait, here and at peers as far as is known."""
         return len(self._waiting.get(service, ())) + self.demand.peers(service).total
 
+    @property
+    def pools_waiting(self) -> set[str]:
+        """The services and pools that requests wait for at this daemon."""
+        return {pool for pool, waiting in self._waiting.items() if waiting}
+
     def waits_here(self, service: str) -> bool:
         """Return whether requests wait at this daemon."""
         return bool(self._waiting.get(service))
@@ -231,17 +236,22 @@
 
     def hand_over(self, worker: Worker, now_s: float) -> None:
         """Give a slot that this daemon just freed at ``worker`` to a request that waits here."""
-        service = worker.record.service
-        waiting = self._waiting.get(service)
         if not worker.takes_work(now_s):
             return
-        if waiting:
-            self._order(service, now_s)
+        waiting = self._waiting_for(worker, now_s)
         if not waiting:
             self._offer(worker, now_s)
         elif self._starts_soon(worker, waiting[0].times.queue_s, now_s):
             _grant(waiting.pop(0), worker)
 
+    def _waiting_for(self, worker: Worker, now_s: float) -> list[_Waiter]:
+        """Return, in order, what waits where a worker may be used and its first goes first."""
+        pools = [pool for pool in self._directory.pools_of(worker) if self._waiting.get(pool)]
+        for pool in pools:
+            self._order(pool, now_s)
+        ordered = [self._waiting[pool] for pool in pools if self._waiting[pool]]
+        return min(ordered, key=lambda waiting: waiting[0].times.rank(now_s), default=[])
+
     def _offer(self, worker: Worker, now_s: float) -> None:
         """Lend a slot that nobody here needs to a daemon that asked in vain."""
         own = worker.record.worker_id in self._directory.chooser.own_slots
@@ -250,10 +260,7 @@
 
     def use(self, worker: Worker) -> bool:
         """Give a lent slot to the request that goes first; returns whether one waits."""
-        service = worker.record.service
-        waiting = self._waiting.get(service)
-        if waiting:
-            self._order(service, asyncio.get_running_loop().time())
+        waiting = self._waiting_for(worker, asyncio.get_running_loop().time())
         if not waiting:
             return False
         _grant(waiting.pop(0), worker)
--- a/mountstand/serving/worker_protocol.py
+++ b/mountstand/serving/worker_protocol.py
@@ -9,6 +9,7 @@
 
 from mountstand.hashing import content_key
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
+from mountstand.serving.residency import ANYWHERE, Regions
 from mountstand.serving.worker import LoadReport, Worker
 from mountstand.transport.headers import Header, Headers
 from mountstand.transport.http_client import ReplyHead
@@ -35,6 +36,9 @@
     priority: int = 0
     """The rank of an online request among those that wait, 0 being the most urgent."""
 
+    regions: Regions | None = ANYWHERE
+    """Where the request may be served."""
+
     @cached_property
     def content_key(self) -> int:
         """The number that stands for what is asked and by whom, whatever the id of the request.
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -5,9 +5,11 @@
 import random
 import sys
 from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass
 
 from mountstand.serving.cold_workers import ColdBudget, ColdSends, ColdStart
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
+from mountstand.serving.residency import Geography, Regions
 from mountstand.serving.worker import Worker, WorkerRecord
 from mountstand.serving.worker_choice import WorkerChooser
 from mountstand.serving.worker_health import judge
@@ -25,15 +27,24 @@
 
     ``leaving_use_s`` is how long a worker that is leaving may still be used where no other is left.
     Indexes are made anew by the first look-up after a change: a start brings thousands of changes
-    at once.
+    at once. Where requests may be served in some regions alone, the workers of a service there are
+    a pool with a name of its own, which stands for a service in all look-ups.
     """
 
-    def __init__(self, zone: str, source: random.Random, leaving_use_s: float = 1.0) -> None:
+    def __init__(
+        self,
+        zone: str,
+        source: random.Random,
+        leaving_use_s: float = 1.0,
+        geography: Geography | None = None,
+    ) -> None:
         self.workers: dict[str, Worker] = {}
         self._index: _WorkerIndex | None = None
         self._source = source
         self.leaving_use_s = leaving_use_s
         self.chooser = WorkerChooser(zone, source)
+        self._geography = geography or Geography()
+        self._pool_by_name: dict[str, _Pool] = {}
         self._evacuated_since_s: dict[str, float] = {}
         self._cold_by_service: Mapping[str, ColdStart] = {}
         self._cold_sends: ColdSends | None = None
@@ -97,6 +108,34 @@
         for record in listed.values():
             self.put(record, now_s)
 
+    def pool(self, service: str, regions: Regions | None) -> str:
+        """Return the name of the workers of a service in ``regions``: the service's own for all."""
+        if regions is None:
+            return service
+        name = f"{service} in {', '.join(sorted(regions))}"
+        if name not in self._pool_by_name:
+            self._pool_by_name[name] = _Pool(service, regions)
+            self._index = None
+        return name
+
+    def holds(self, pool: str, worker: Worker) -> bool:
+        """Return whether a pool or service has a worker."""
+        found = self._pool_by_name.get(pool)
+        if found is None:
+            return pool == worker.record.service
+        allowed = self._geography.allows(found.regions, worker.record.zone)
+        return allowed and found.service == worker.record.service
+
+    def pools_of(self, worker: Worker) -> list[str]:
+        """Return the names of all pools that a worker is in, its service's first."""
+        pools = [name for name in self._pool_by_name if self.holds(name, worker)]
+        return [worker.record.service, *pools]
+
+    @property
+    def pools(self) -> list[str]:
+        """The services that have workers, and the pools that requests asked for."""
+        return [*self.services, *self._pool_by_name]
+
     def evacuate(self, zones: Collection[str], now_s: float) -> list[Worker]:
         """Use the workers of these zones no more, and those of all others; return the new ones.
 
@@ -262,9 +301,20 @@
     def _indexed(self) -> _WorkerIndex:
         if self._index is None:
             self._index = _WorkerIndex(self.workers.values())
+            for name in self._pool_by_name:
+                held = [worker for worker in self.workers.values() if self.holds(name, worker)]
+                self._index.add_pool(name, held)
         return self._index
 
 
+@dataclass(frozen=True, slots=True)
+class _Pool:
+    """The workers of a service in some regions."""
+
+    service: str
+    regions: Regions
+
+
 class _WorkerIndex:
     """Look-ups over workers as they are at one moment."""
 
@@ -277,8 +327,16 @@
         self.slots = 0
         for worker in workers:
             self.by_key[worker.key] = worker
-            staying = worker.withdrawn_since_s is None
-            by_service = self.staying_by_service if staying else self.leaving_by_service
-            by_service.setdefault(worker.record.service, []).append(worker)
-            self.slots += worker.slots() if staying else 0
+            self._add(worker.record.service, worker)
+            self.slots += worker.slots() if worker.withdrawn_since_s is None else 0
         self.services = sorted(self.staying_by_service.keys() | self.leaving_by_service.keys())
+
+    def add_pool(self, name: str, workers: Iterable[Worker]) -> None:
+        """Add the workers of a pool under its name."""
+        for worker in workers:
+            self._add(name, worker)
+
+    def _add(self, name: str, worker: Worker) -> None:
+        staying = worker.withdrawn_since_s is None
+        by_name = self.staying_by_service if staying else self.leaving_by_service
+        by_name.setdefault(name, []).append(worker)
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -15,7 +15,7 @@
 from mountstand.jobs.owners import Owners
 from mountstand.jobs.repository import JobRepository
 from mountstand.jobs.service import JobService
-from mountstand.membership.caller_addresses import addresses_for
+from mountstand.membership.caller_addresses import addresses_for, in_regions
 from mountstand.membership.datagrams import FAILURE_DETECTION, DatagramMembership
 from mountstand.membership.digest_link import (
     MembershipLink,
@@ -36,6 +36,7 @@
 from mountstand.serving.load_groups import Peer, outside, serving_members
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.online_queue import OnlineQueue
+from mountstand.serving.residency import Regions
 from mountstand.serving.slot_demand import Work
 from mountstand.serving.slot_lending import SlotLending
 from mountstand.serving.worker_ends import WorkerEnds
@@ -121,7 +122,10 @@
         self._listeners = ServingListeners(self._note_rejected)
         self._source_of_chance = source_of_chance = random.Random()
         self.directory = WorkerDirectory(
-            settings.zone, source_of_chance, settings.drain_s * LEAVING_USE_SHARE
+            settings.zone,
+            source_of_chance,
+            settings.drain_s * LEAVING_USE_SHARE,
+            settings.geography,
         )
         self.connections = WorkerConnections()
         self.queue = OnlineQueue(self.directory, source_of_chance)
@@ -265,6 +269,7 @@
             self.registry.live_tokens,
             self.settings.name,
             lambda: self.load_sharing.serving,
+            self._is_in,
         )
         self.jobs = JobService(context, owners, parse_document, self._keep_s)
 
@@ -281,11 +286,21 @@
         informed = self.configuration is not None and self.feeds.workers.loaded.is_set()
         return informed and not self._stopping
 
-    def callers_addresses(self, zone: str) -> list[str]:
-        """Return the addresses that a caller in ``zone`` may use."""
-        if self.configuration is None:
+    def _is_in(self, name: str, regions: Regions) -> bool:
+        """Return whether a daemon is in one of some regions."""
+        return self.settings.geography.allows(regions, self.registry.zone_of(name))
+
+    def callers_addresses(self, host: str, zone: str) -> list[str]:
+        """Return the addresses that a caller of ``host`` in ``zone`` may use."""
+        configuration = self.configuration
+        if configuration is None:
             return []
-        return addresses_for(zone, self._serving_daemons(), self._source_of_chance)
+        serving = self._serving_daemons()
+        regions = configuration.regions_of_host(host)
+        if regions is not None:
+            sound = self.registry.sound()
+            serving = in_regions(regions, zone, serving, sound, self.settings.geography)
+        return addresses_for(zone, serving, self._source_of_chance)
 
     def _serving_daemons(self) -> list[DaemonRow]:
         """Return as few of the sound daemons as carry the load."""
--- a/mountstand/serving_settings.py
+++ b/mountstand/serving_settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from mountstand.serving.cold_workers import ColdTolerance
+from mountstand.serving.residency import Geography
 from mountstand.tenants.limits import LimitTolerance
 
 
@@ -55,8 +56,9 @@
     after which a process no longer counts as in touch; ``cancel_s`` the time within which the end
     of a job must be obeyed; ``status_s`` how long results of a job can be asked for; ``capacity``
     the processor that the machine has, in cores. ``seeds`` are control addresses of some daemons,
-    which may be out of date. ``limit_tolerance`` is how exactly the limits of tenants must be kept,
-    ``cold_tolerance`` how exactly the bound of cold workers.
+    which may be out of date. ``geography`` tells the zones' regions. ``limit_tolerance`` is how
+    exactly the limits of tenants must be kept, ``cold_tolerance`` how exactly the bound of cold
+    workers.
     """
 
     name: str
@@ -76,5 +78,6 @@
     memory_mb: float = 256.0
     max_descriptors: int = 1024
     seeds: tuple[SocketAddress, ...] = ()
+    geography: Geography = field(default_factory=Geography)
     limit_tolerance: LimitTolerance = field(default_factory=LimitTolerance)
     cold_tolerance: ColdTolerance = field(default_factory=ColdTolerance)
--- a/mountstand/tenants/tenant.py
+++ b/mountstand/tenants/tenant.py
@@ -25,6 +25,8 @@
     priority: int | None = None
     requests_per_s: float = 0.0
     burst: float = 0.0
+    regions: frozenset[str] | None = None
+    """Where its requests may be served; ``None`` is everywhere."""
 
     @property
     def number(self) -> int:
@@ -39,10 +41,13 @@
 class TenantIndex:
     """The tenants of one version of the configuration, by name and by key."""
 
-    __slots__ = ("_by_key", "by_name")
+    __slots__ = ("_by_key", "any_bound", "by_name")
 
     def __init__(self, tenants: Iterable[Tenant] = ()) -> None:
         self.by_name = {tenant.name: tenant for tenant in tenants}
+        self.any_bound = any(tenant.regions is not None for tenant in self.by_name.values())
+        """Whether requests of some tenants may be served in some regions alone."""
+
         self._by_key = {key: tenant for tenant in self.by_name.values() for key in tenant.keys}
 
     def __bool__(self) -> bool:
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -369,6 +369,34 @@
 
         self.play(work, (stream(4),))
 
+    def test_job_bound_to_regions_is_refused_rather_than_kept_where_all_read_it(self) -> None:
+        async def work() -> None:
+            daemon = self.daemon()
+            bound = replace(BATCH, regions=frozenset({"north"}))
+            daemon.route, daemon.configuration = bound, configuration(bound)
+            self.faulty(lambda call: "refuse" if call == "commit" else "")
+            self.assertEqual(SubmitOutcome.REFUSED, await daemon.submit(submission()))
+            self.assertEqual([], await self.store.list_objects("accepted/"))
+
+        self.play(work, (stream(4),))
+
+    def test_job_bound_to_regions_is_not_adopted_elsewhere(self) -> None:
+        async def work() -> None:
+            bound = replace(BATCH, regions=frozenset({"north"}))
+            daemon, other = self.daemon("d1"), self.daemon("d2")
+            for each in (daemon, other):
+                each.configuration = configuration(bound)
+            other.jobs._owners._is_in = lambda name, regions: name == "d1"
+            await daemon.submit(submission())
+            await other.watcher.loaded.wait()
+            daemon.kill()
+            await asyncio.sleep(2.0)
+            self.assertEqual({}, other.jobs._runners)
+            other.configuration = configuration(BATCH)
+            await eventually(lambda: other.jobs._runners, "adopted once it may be")
+
+        self.play(work, (silence,))
+
     def test_job_kept_as_an_object_outlives_its_daemon(self) -> None:
         async def work() -> None:
             daemon = self.daemon()
