Soak: two zones that are evacuated, and workers that are cold

Checked: nothing reaches an evacuated zone after its bound from processes in touch, and no second holds more requests to a cold worker than it bears, from any process. Seeds without the option draw the same faults as before.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -26,6 +26,7 @@
         duration_s=float(str(case["duration_s"])),
         keep_open=bool(case.get("keep_open", False)),
         series=bool(case.get("series", False)),
+        zones=bool(case.get("zones", False)),
     )
     with tempfile.TemporaryDirectory() as folder:
         figures = asyncio.run(run_soak(options, Path(folder)))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,6 +40,7 @@
     fault_gap_s: Annotated[float, cappa.Arg(long=True, help="Mean time between faults")] = 1.0
     keep_open: Annotated[bool, cappa.Arg(long=True, help="Callers use connections again")] = False
     series: Annotated[bool, cappa.Arg(long=True, help="Faults come in series as well")] = False
+    zones: Annotated[bool, cappa.Arg(long=True, help="Two zones; cold workers")] = False
     logs: Annotated[str, cappa.Arg(long=True, help="Folder that keeps the logs")] = ""
 
 
@@ -47,7 +48,7 @@
     """Run a soak; returns its figures."""
     rng = random.Random(options.seed)
     crash_rng = random.Random(f"crashing {options.seed}")
-    site = Site(options.processes, options.workers, folder, rng, crash_rng)
+    site = Site(options.processes, options.workers, folder, rng, crash_rng, zones=options.zones)
     callers = Callers(site, crash_rng, keeps_open=options.keep_open)
     crashing_callers = CrashingCallers(crash_rng, callers.send_crashing)
     injector = FaultInjector(site, in_series=options.series)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,7 @@
     Site,
 )
 from tests.soak.workers import WorkerFaults
+from tests.soak.zones import ZONES
 
 FaultAction = Callable[[], Awaitable[None]]
 STORE_FAULTS = ("refuse", "lose", "drop", "hang", "late")
@@ -63,6 +64,8 @@
             self._rotate_keys,
             self._mute_connections,
         ]
+        if self._site.zones.played:
+            actions += [self._evacuate_zone, self._replace_worker]
         rng = self._site.rng
         while not self.stopping:
             await asyncio.sleep(rng.expovariate(1 / mean_gap_s))
@@ -271,6 +274,16 @@
         await asyncio.sleep(DRAIN_S + 2.0)
         await site.retire_worker(old)
 
+    async def _evacuate_zone(self) -> None:
+        """Take a zone out of use for a while, one at a time."""
+        site = self._site
+        if site.zones.evacuated_since_s:
+            return
+        zone = site.rng.choice(ZONES)
+        site.evacuate(zone)
+        await asyncio.sleep(site.rng.uniform(1.0, 12.0))
+        site.take_back(zone)
+
     # Configuration
 
     async def _change_configuration(self) -> None:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -20,6 +20,7 @@
 from tests.soak.proxy import FaultProxy
 from tests.soak.tenants import OVERSHOOT, SLACK, WINDOW_S, SoakTenants
 from tests.soak.workers import SLOTS, SoakWorker
+from tests.soak.zones import REGION, ZONES, SoakZones
 from tests.stand_ins.store import StandInStore
 
 ROOT = Path(__file__).parents[2]
@@ -34,7 +35,10 @@
 
 
 def configuration(
-    version: int, extra_prefixes: list[str], tenants: list[dict[str, Any]]
+    version: int,
+    extra_prefixes: list[str],
+    tenants: list[dict[str, Any]],
+    service: dict[str, Any],
 ) -> dict[str, Any]:
     """Return a configuration as the operator writes it."""
     routes = [
@@ -60,7 +64,7 @@
     return {
         "version": version,
         "routes": [{**common, **route} for route in routes],
-        "services": [{"name": "llm", "max_conns": 200}],
+        "services": [{"name": "llm", "max_conns": 200, **service}],
         "limits": {"header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": tenants,
     }
@@ -69,8 +73,18 @@
 class ServingProcess:
     """One serving process; every way to it and from it passes a proxy."""
 
-    def __init__(self, name: str, store_port: int, folder: Path, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        store_port: int,
+        folder: Path,
+        rng: random.Random,
+        bounds: dict[str, Any],
+    ) -> None:
         self.name = name
+        self.zone = zone
+        self._bounds = bounds
         self.front, self.ready, self.directory, self.gossip = free_ports(4)
         self.caller_link = FaultProxy(self.front, rng)
         self.store_link = FaultProxy(store_port, rng)
@@ -153,7 +167,8 @@
     def _fields(self) -> dict[str, Any]:
         return {
             "node": self.name,
-            "zone": "zone-a",
+            "zone": self.zone,
+            "zones": dict.fromkeys(ZONES, REGION),
             "ip": "127.0.0.1",
             "internal_ports": [self.gossip, self.gossip],
             "listen": {
@@ -170,6 +185,7 @@
                 "quota_window_s": WINDOW_S,
                 "quota_overshoot": OVERSHOOT,
                 "quota_slack": SLACK,
+                **self._bounds,
             },
             "limits": {"max_fds": 512, "memory_mb": 256},
             "platform": {"address": f"127.0.0.1:{self.store_link.port}", "row_bytes": 65536},
@@ -186,8 +202,11 @@
         folder: Path,
         rng: random.Random,
         crash_rng: random.Random,
+        *,
+        zones: bool = False,
     ) -> None:
         self.history = History()
+        self.zones = SoakZones(self.history, played=zones)
         self.crashing = CrashingRuns(self.history)
         self._crash_rng = crash_rng
         self._restarts: set[asyncio.Task[None]] = set()
@@ -214,7 +233,11 @@
         for _ in range(workers):
             await self.add_worker()
         for i in range(processes):
-            process = ServingProcess(f"front-{i}", self.store.port, self._folder, self.rng)
+            zone = self.zones.zone_of(i)
+            bounds = self.zones.settings()
+            process = ServingProcess(
+                f"front-{i}", zone, self.store.port, self._folder, self.rng, bounds
+            )
             self.processes.append(process)
             await process.start()
         for process in self.processes:
@@ -248,15 +271,23 @@
     def write_configuration(self) -> int:
         """Write the next version; returns it."""
         self.config_version += self.rng.randint(1, 5)
-        fields = configuration(self.config_version, self.extra_prefixes, self.tenants.entries())
+        entries = self.tenants.entries()
+        service = self.zones.service()
+        fields = configuration(self.config_version, self.extra_prefixes, entries, service)
         self._write_row("op", "config", fields)
         return self.config_version
 
     async def add_worker(self) -> SoakWorker:
         """Start a worker and list it."""
         worker = SoakWorker(
-            f"w{self._next_worker}", self.history, self.rng, self.crashing, self._note_crash
+            f"w{self._next_worker}",
+            self.history,
+            self.rng,
+            self.crashing,
+            self._note_crash,
+            self.zones,
         )
+        self.zones.add_worker(worker.worker_id, self._next_worker)
         self._next_worker += 1
         await worker.server.start()
         link = await FaultProxy(worker.server.port, self.rng).start()
@@ -288,14 +319,29 @@
         row = {
             "service": "llm",
             "address": f"127.0.0.1:{self.worker_links[worker.worker_id].port}",
-            "zone": "zone-a",
             "slots": SLOTS,
             "state": state,
+            **self.zones.row_of(worker.worker_id),
         }
         self._write_row("servers", worker.worker_id, row)
-        if state == "draining":
+        if state == "draining" and worker.draining_since_s is None:
             worker.draining_since_s = asyncio.get_running_loop().time()
 
+    def evacuate(self, zone: str) -> None:
+        """Take a zone out of use."""
+        self._write_row("op", f"evacuate/{zone}", {})
+        self.zones.evacuated_since_s[zone] = asyncio.get_running_loop().time()
+
+    def take_back(self, zone: str) -> None:
+        """Take the evacuation of a zone back; its workers have started anew meanwhile."""
+        del self.zones.evacuated_since_s[zone]
+        back = self.zones.return_workers(zone)
+        for worker in self.workers:
+            if worker.worker_id in back:
+                state = "ready" if worker.draining_since_s is None else "draining"
+                self.list_worker(worker, state)
+        self.store.rows.apply(Transaction(removals=[RowKey("op", "", f"evacuate/{zone}")]))
+
     async def retire_worker(self, worker: SoakWorker) -> None:
         """Take a drained worker away."""
         key = RowKey("servers", "", worker.worker_id)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -16,6 +16,7 @@
     piece_text,
     whole_body,
 )
+from tests.soak.zones import SoakZones
 from tests.stand_ins.worker import Received, StandInWorker, chunk, head
 
 SLOTS = 8
@@ -44,11 +45,13 @@
         rng: random.Random,
         crashing: CrashingRuns,
         on_crash: Callable[[SoakWorker], None],
+        zones: SoakZones,
     ) -> None:
         self.worker_id = worker_id
         self.crashed = False
         self._crashing = crashing
         self._on_crash = on_crash
+        self._zones = zones
         self.faults = WorkerFaults()
         self.draining_since_s: float | None = None
         self.running = 0
@@ -75,6 +78,7 @@
                 req.headers.get("api-key"),
             ),
         )
+        self._zones.note_run(self.worker_id, req.request_id)
         if crashes(req.body):
             await self._crash(req, writer)
             return
