--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -31,6 +31,15 @@
 """Idle time assumed where a worker tells none: it is then less than a second."""
 
 
+TURNED_AWAY_S = 0.05
+"""A forwarder that finds nobody behind it closes a connection within some milliseconds; a worker
+keeps one that says nothing for hundreds."""
+
+
+class TurnedAway(ConnectFailed):
+    """A connection was accepted and closed before anything was said."""
+
+
 class WorkerConnections:
     """Opens and keeps connections to workers."""
 
@@ -48,10 +57,17 @@
         """Connect to ``worker`` and learn nothing from it for routing. Raises ``ConnectFailed``.
 
         A full worker may turn a connection away; it must not be avoided for that by all daemons.
+        ``TurnedAway`` tells of a connection that was accepted and closed at once: what listens
+        there may be a port forwarder whose worker is gone.
         """
         record = worker.record
         connection = await connect(record.host, record.port, self._timeout.value_s)
-        connection.close()
+        try:
+            await asyncio.sleep(TURNED_AWAY_S)
+            if not connection.open:
+                raise TurnedAway("accepted and closed at once")
+        finally:
+            connection.close()
 
     async def acquire(self, worker: Worker, *, repeatable: bool) -> ClientConnection:
         """Return an open connection to ``worker``. Raises ``ConnectFailed``."""
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -159,14 +159,15 @@
     async def _read_event_bytes(
         self, worker: Worker, connection: ClientConnection, stall_s: float | None
     ) -> bytes | None:
-        if stall_s is None:
-            return await connection.read_piece()
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(stall_s):
-                return await connection.read_piece()
+                piece = await connection.read_piece()
         except TimeoutError:
-            worker.note_full(asyncio.get_running_loop().time())
+            worker.note_full(loop.time())
             raise WorkerSilent("stalled between events") from None
+        worker.last_heard_s = loop.time()
+        return piece
 
     async def _pass_on(self, exchange: Exchange, events: list[StreamEvent]) -> None:
         for event in events:
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 
 from mountstand.hashing import content_name
-from mountstand.serving.connections import WorkerConnections
+from mountstand.serving.connections import TurnedAway, WorkerConnections
 from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import Call
 from mountstand.telemetry.decisions import DecisionLog
@@ -26,6 +26,10 @@
 """Time between checks. Workers need seconds to start again, so that none is taken for its
 successor."""
 
+TURNED_AWAY_PAUSE_S = 0.25
+"""Time between checks where connections are accepted and closed at once. A worker that is full does
+so too, for some tenths of a second, and is heard meanwhile on the connections that it has."""
+
 MOST_CHECKS = 3
 """A worker that neither accepts nor refuses twice in so many checks is behind a broken link, as far
 as is known."""
@@ -99,15 +103,24 @@
             observer.note_worker_ended(worker, sent_at_s, broke_at_s)
 
     async def _has_ended(self, worker: Worker) -> bool:
-        refusals = 0
+        """Return whether nothing listens at a worker's address, or nobody answers behind it.
+
+        A full worker turns connections away too, but is heard on those that it has.
+        """
+        began_s = asyncio.get_running_loop().time()
+        refusals = turned_away = 0
         for _ in range(MOST_CHECKS):
+            pause_s = PAUSE_S
             try:
                 await self._connections.probe(worker)
+            except TurnedAway:
+                turned_away += 1
+                pause_s = TURNED_AWAY_PAUSE_S
             except ConnectFailed as problem:
                 refusals += problem.refused
             else:
                 return False
             if refusals >= REFUSALS_NEEDED:
                 return True
-            await asyncio.sleep(PAUSE_S)
-        return False
+            await asyncio.sleep(pause_s)
+        return turned_away == MOST_CHECKS and worker.last_heard_s <= began_s
--- a/tests/serving/test_worker_ends.py
+++ b/tests/serving/test_worker_ends.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from mountstand.serving.worker_protocol import Call
+from mountstand.transport.sockets import reset
 from tests.stand_ins.harness import HOST, Fleet, eventually, run
 from tests.stand_ins.worker import StandInWorker
 
@@ -41,6 +42,40 @@
 
         run(body())
 
+    async def forwarder(self, fleet: Fleet, heard: bool = False) -> None:
+        """Put a listener at a dead worker's address that accepts connections and resets them."""
+        worker = fleet.directory.workers["w0"]
+        await fleet.workers[0].stop()
+
+        async def turn_away(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            reset(writer.transport)
+            if heard:
+                worker.note_heard(asyncio.get_running_loop().time())
+
+        server = await asyncio.start_server(turn_away, "127.0.0.1", worker.record.port)
+        self.addCleanup(server.close)
+
+    def test_a_dead_worker_behind_a_port_forwarder_has_ended(self) -> None:
+        """Its address accepts connections and resets them; one crashing request reached 117."""
+
+        async def body() -> None:
+            async with Fleet(StandInWorker("w0")) as fleet:
+                await self.forwarder(fleet)
+                fleet.ends.note_broken(fleet.directory.workers["w0"], call(), 0.0)
+                await eventually(lambda: fleet.log.lines("worker_ended"), "end told")
+
+        run(body())
+
+    def test_a_full_worker_that_turns_connections_away_is_heard_on_others(self) -> None:
+        async def body() -> None:
+            async with Fleet(StandInWorker("w0")) as fleet:
+                await self.forwarder(fleet, heard=True)
+                fleet.ends.note_broken(fleet.directory.workers["w0"], call(), 0.0)
+                await asyncio.sleep(1.5)
+                self.assertEqual([], fleet.log.lines("worker_ended"))
+
+        run(body())
+
     def test_the_end_of_a_worker_that_was_leaving_is_planned(self) -> None:
         async def body() -> None:
             async with Fleet(StandInWorker("w0")) as fleet:
