Operators read how far an evacuation is

One daemon writes a row for an evacuated zone: its workers, and the requests and items in flight there by what daemons tell each other. It is written when the counts changed, at most once a second, and removed once the zone is back.

--- a/mountstand/platform/__main__.py
+++ b/mountstand/platform/__main__.py
@@ -23,7 +23,7 @@
 from mountstand.serving.worker import WorkerRecord
 from mountstand.serving_node import ServingNode
 from mountstand.serving_settings import ServingSettings
-from mountstand.store.rows import StoredRow
+from mountstand.store.rows import RowKey, StoredRow
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_server import HttpServer, Responder, ServerLimits, ServerRequest
@@ -48,6 +48,10 @@
         """Return the zone that a row of the configuration's table evacuates, if any."""
         return evacuated_zone(key)
 
+    def evacuation_status_key(self, zone: str) -> RowKey:
+        """Return where the operator reads how far the evacuation of a zone is."""
+        return RowKey(names.STATUS_TABLE, "", names.EVACUATION_PREFIX + zone)
+
 
 def parse_document(document: bytes) -> tuple[JobItem, ...]:
     """Return the items of a stored submission."""
--- a/mountstand/platform/names.py
+++ b/mountstand/platform/names.py
@@ -17,6 +17,9 @@
 EVACUATION_PREFIX = "evacuate/"
 WORKERS_TABLE = "servers"
 
+# The table that the operator reads
+STATUS_TABLE = "status"
+
 # Calls of callers
 RESOLVE_PATH = "/resolve"
 CALLER_ZONE = "zone"
--- a/mountstand/serving/feeds.py
+++ b/mountstand/serving/feeds.py
@@ -13,7 +13,7 @@
 from mountstand.serving.configuration import Configuration
 from mountstand.serving.worker import WorkerRecord
 from mountstand.serving.workers import WorkerDirectory
-from mountstand.store.rows import StoredRow
+from mountstand.store.rows import RowKey, StoredRow
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
 
@@ -36,6 +36,9 @@
     def evacuated_zone(self, key: str) -> str | None:
         """Return the zone that a row of the configuration's table evacuates, if any."""
 
+    def evacuation_status_key(self, zone: str) -> RowKey:
+        """Return where the operator reads how far the evacuation of a zone is."""
+
 
 class ConfigurationState:
     """The newest configuration; it never goes back to an older one."""
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -31,6 +31,7 @@
 from mountstand.serving.configuration import Configuration, ShareChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.evacuation import ZoneEvacuations
+from mountstand.serving.evacuation_status import EvacuationStatus
 from mountstand.serving.feeds import ConfigurationSource, ConfigurationState, WorkersState
 from mountstand.serving.forwarder import Forwarder
 from mountstand.serving.load_groups import Peer, outside, serving_members
@@ -206,6 +207,14 @@
             log,
         )
         self._build_jobs(store, protocol, shares, parse_document)
+        self._evacuation_status = EvacuationStatus(
+            store,
+            self.directory,
+            self._evacuations,
+            source.evacuation_status_key,
+            lambda zone: self.owners.rank(zone) == 0,
+            log,
+        )
 
     # Construction
 
@@ -264,7 +273,7 @@
             store_now_ms=self._store_now_ms,
             contact_limit_s=lambda: min(self.settings.contact_s, self.settings.cancel_s),
         )
-        owners = Owners(
+        self.owners = owners = Owners(
             self.registry.own.token,
             self.registry.live_tokens,
             self.settings.name,
@@ -408,6 +417,7 @@
             self._limits.run(),
             self.quarantine.run(),
             self._stored_suspects.run(),
+            self._evacuation_status.run(),
         ):
             self._spawn(work)
         self.log.event("daemon_started", zone=self.settings.zone, token=self.registry.own.token)
--- a/tests/serving/test_evacuation.py
+++ b/tests/serving/test_evacuation.py
@@ -8,22 +8,27 @@
 
 import random
 from dataclasses import replace
+from typing import Any
 
+import orjson
 from testtools import TestCase
 
 from mountstand.limits.standing import Standing
 from mountstand.platform.operator_rows import evacuated_zone
 from mountstand.serving.cold_workers import ColdSends, ColdStart, ColdTolerance
 from mountstand.serving.evacuation import ZoneEvacuations
+from mountstand.serving.evacuation_status import EvacuationStatus
 from mountstand.serving.load_groups import Peer, outside
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.prompt import EMPTY_PROMPT
 from mountstand.serving.worker import WorkerRecord
 from mountstand.serving.workers import WorkerDirectory
+from mountstand.store.memory_rows import MemoryRowStore
+from mountstand.store.rows import RowKey
 from mountstand.store.watch import TableChange
 from tests.serving.test_feeds import row
 from tests.stand_ins.digest_link import RecordingLink
-from tests.stand_ins.harness import LineLog
+from tests.stand_ins.harness import LineLog, run
 
 
 def record(number: int, zone: str, **changes: object) -> WorkerRecord:
@@ -135,3 +140,55 @@
         peers = [Peer("d0", "a"), Peer("d1", "a")]
         self.assertEqual(peers, outside(peers, {"a", "b"}))
         self.assertEqual(peers, outside(peers, {"b"}))
+
+
+class Status(TestCase):
+    """The operator reads how far an evacuation is."""
+
+    def test_counts_are_told_when_they_change_and_taken_back_in_the_end(self) -> None:
+        async def scenario() -> None:
+            store, log = MemoryRowStore(), LineLog()
+            directory = WorkerDirectory("c", random.Random(3))
+            for number in range(4):
+                directory.put(record(number, "ab"[number % 2]), 0.0)
+            evacuations = ZoneEvacuations(evacuated_zone, log, lambda zones: None)
+            writes = True
+            status = EvacuationStatus(
+                store,
+                directory,
+                evacuations,
+                lambda zone: RowKey("status", "", f"evacuate/{zone}"),
+                lambda zone: writes,
+                log,
+            )
+
+            async def row() -> dict[str, Any] | None:
+                page = await store.read("status", "", "", "", 5)
+                return orjson.loads(page.rows[0].value) if page.rows else None
+
+            worker = directory.workers["w1"]
+            worker.in_flight, worker.batch_in_flight, worker.peer_online = 3, 1, 4
+            await status.tell({"b"})
+            found = await row()
+            assert found is not None
+            counts = (found["state"], found["requests"], found["items"])
+            self.assertEqual(("emptying", 6, 1), counts)
+            version = (await store.read("status", "", "", "", 5)).version
+            await status.tell({"b"})
+            self.assertEqual(version, (await store.read("status", "", "", "", 5)).version)
+            store.fault = lambda call: "refuse"
+            worker.in_flight = worker.batch_in_flight = worker.peer_online = 0
+            await status.tell({"b"})
+            self.assertTrue(log.lines("evacuation_untold"))
+            store.fault = lambda call: ""
+            await status.tell({"b"})
+            found = await row()
+            assert found is not None
+            self.assertEqual("empty", found["state"])
+            await status.tell(set())
+            self.assertIsNone(await row())
+            writes = False
+            await status.tell({"b"})
+            self.assertIsNone(await row(), "another daemon writes")
+
+        run(scenario())
