One link for messages between daemons; look-ups and zones out of the serving node

MembershipTokenLink, MembershipSlotLink and their ports were one send with three types. Behaviour is unchanged.

--- a/mountstand/membership/digest_link.py
+++ b/mountstand/membership/digest_link.py
@@ -1,4 +1,4 @@
-"""Sends digests, slots and reports of crashes in the datagrams of failure detection."""
+"""Sends digests and reports of crashes in the datagrams of failure detection."""
 
 from __future__ import annotations
 
@@ -9,7 +9,6 @@
 from mountstand.quarantine.sharing import QuarantineMessage, ReportLink
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import DigestLink
-from mountstand.serving.slot_lending import SlotLink, SlotMessage
 from mountstand.wire.gossip import LoadDigest
 
 
@@ -34,19 +33,6 @@
         self._membership.send(digest, receivers)
 
 
-class MembershipSlotLink(SlotLink):
-    """Sends questions for slots, and grants."""
-
-    __slots__ = ("_membership",)
-
-    def __init__(self, membership: DatagramMembership) -> None:
-        self._membership = membership
-
-    def send(self, message: SlotMessage, receivers: Collection[str]) -> None:
-        """Send a message to daemons."""
-        self._membership.send(message, receivers)
-
-
 class MembershipReportLink(ReportLink):
     """Sends reports of crashes; ``serving`` returns the daemons that callers are sent to."""
 
--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -69,7 +69,8 @@
         query = parse_qs(request.query)
         zone = query.get(names.CALLER_ZONE, [""])[0]
         host = query.get(names.CALLER_HOST, [""])[0]
-        addresses = self._node.callers_addresses(host, zone)
+        configuration = self._node.configuration
+        addresses = self._node.callers.addresses(configuration, host, zone) if configuration else []
         if not addresses:
             refuse(responder, RETRY_UNAVAILABLE_S)
             return
--- a/mountstand/serving/slot_lending.py
+++ b/mountstand/serving/slot_lending.py
@@ -10,11 +10,11 @@
 import asyncio
 import itertools
 import random
-from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from mountstand.membership.message_link import MessageLink
 from mountstand.serving.slot_demand import Work, service_key
 from mountstand.serving.worker import Worker
 from mountstand.serving.workers import WorkerDirectory
@@ -43,16 +43,6 @@
 SlotMessage = SlotAsk | SlotGrant | SlotReturn
 
 
-class SlotLink(ABC):
-    """How questions and grants reach other daemons."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    def send(self, message: SlotMessage, receivers: Collection[str]) -> None:
-        """Send a message to daemons; it may get lost."""
-
-
 @dataclass(frozen=True, slots=True)
 class _Offer:
     """A daemon that may have slots to lend, by the picture."""
@@ -82,7 +72,7 @@
     """
 
     def __init__(
-        self, directory: WorkerDirectory, own: str, link: SlotLink, rng: random.Random
+        self, directory: WorkerDirectory, own: str, link: MessageLink, rng: random.Random
     ) -> None:
         self._directory = directory
         self._own = own
--- a/mountstand/serving_limits.py
+++ b/mountstand/serving_limits.py
@@ -5,16 +5,17 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 
 from mountstand.limits.standing import Standing
 from mountstand.membership.datagrams import DatagramMembership
+from mountstand.membership.message_link import MembershipMessageLink
 from mountstand.membership.registry import DaemonRegistry, DaemonRow
 from mountstand.serving.load_groups import Peer, serving_members
 from mountstand.serving_settings import ServingSettings
 from mountstand.store.rows import RowStore
 from mountstand.telemetry.decisions import DecisionLog
-from mountstand.tenants.gate import LimitGate, TokenLink
+from mountstand.tenants.gate import LimitGate
 from mountstand.tenants.limits import LOAN_S, TenantLimits
 from mountstand.tenants.marks import Marks
 from mountstand.tenants.stored_marks import StoredMarks
@@ -29,19 +30,6 @@
     return [Peer(row.name, row.zone, row.capacity) for row in rows]
 
 
-class MembershipTokenLink(TokenLink):
-    """Sends in the datagrams of failure detection."""
-
-    __slots__ = ("_membership",)
-
-    def __init__(self, membership: DatagramMembership) -> None:
-        self._membership = membership
-
-    def send(self, message: TokenAsk | TokenGrant, receivers: Collection[str]) -> None:
-        """Send a message to daemons."""
-        self._membership.send(message, receivers)
-
-
 class ServingLimits:
     """The limits of one serving process."""
 
@@ -73,7 +61,7 @@
             log,
             asyncio.get_running_loop().time(),
         )
-        self.gate = LimitGate(self._limits, MembershipTokenLink(membership), rng)
+        self.gate = LimitGate(self._limits, MembershipMessageLink(membership), rng)
 
     def use_settings(self, settings: ServingSettings) -> None:
         """Keep limits as exactly as the settings say."""
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -15,26 +15,19 @@
 from mountstand.jobs.owners import Owners
 from mountstand.jobs.repository import JobRepository
 from mountstand.jobs.service import JobService
-from mountstand.membership.caller_addresses import addresses_for, in_regions
 from mountstand.membership.datagrams import FAILURE_DETECTION, DatagramMembership
-from mountstand.membership.digest_link import (
-    MembershipLink,
-    MembershipReportLink,
-    MembershipSlotLink,
-)
+from mountstand.membership.digest_link import MembershipLink, MembershipReportLink
 from mountstand.membership.member import Member
+from mountstand.membership.message_link import MembershipMessageLink
 from mountstand.membership.registry import DaemonRegistry, DaemonRow, new_token
 from mountstand.quarantine.service import RequestQuarantine
 from mountstand.quarantine.stored import StoredSuspects
 from mountstand.serving.batch_room import BatchRoom
-from mountstand.serving.cold_workers import ColdSends
 from mountstand.serving.configuration import Configuration, ShareChooser
 from mountstand.serving.connections import WorkerConnections
-from mountstand.serving.evacuation import ZoneEvacuations
-from mountstand.serving.evacuation_status import EvacuationStatus
 from mountstand.serving.feeds import ConfigurationSource, ConfigurationState, WorkersState
 from mountstand.serving.forwarder import Forwarder
-from mountstand.serving.load_groups import Peer, outside, serving_members
+from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.online_queue import OnlineQueue
 from mountstand.serving.residency import Regions
@@ -43,11 +36,13 @@
 from mountstand.serving.worker_ends import WorkerEnds
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
+from mountstand.serving_callers import CallerDirectory
 from mountstand.serving_feeds import FeedTargets, ServingFeeds
 from mountstand.serving_limits import ServingLimits
 from mountstand.serving_listeners import CallerInterface, ServingListeners
 from mountstand.serving_periodic import PeriodicWork
 from mountstand.serving_settings import ServingSettings, SocketAddress
+from mountstand.serving_zones import ServingZones
 from mountstand.store.rows import ObjectStore, RowStore
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
@@ -163,7 +158,7 @@
             self.quarantine.ask,
         )
         self.queue.lending = self._lending = SlotLending(
-            self.directory, settings.name, MembershipSlotLink(self.membership), source_of_chance
+            self.directory, settings.name, MembershipMessageLink(self.membership), source_of_chance
         )
         self._lending.may_lend = lambda service: not self.queue.waits_here(service)
         self._lending.preempt_own = self.room.preempt_one
@@ -177,17 +172,30 @@
             source_of_chance,
             log,
         )
-        self._cold_sends = ColdSends(
+        self.access = CallerAccess(
+            self._limits.gate, self._configuration_may_be_stale, metrics, log
+        )
+        self._configuration_state = ConfigurationState(source, log, self._use_configuration)
+        self._zones = ServingZones(
+            self.directory,
+            self.room,
+            self.load_sharing,
+            store,
+            source,
             self._limits.standing,
             settings.cold_tolerance,
-            asyncio.get_running_loop().time(),
             lambda: not self._fleet_may_be_stale(),
+            lambda zone: self.owners.rank(zone) == 0,
+            metrics,
+            log,
         )
-        self.access = CallerAccess(
-            self._limits.gate, self._configuration_may_be_stale, metrics, log
+        self.callers = CallerDirectory(
+            self.registry,
+            self.directory.slots,
+            lambda: self._zones.evacuated,
+            lambda: self.settings.geography,
+            source_of_chance,
         )
-        self._configuration_state = ConfigurationState(source, log, self._use_configuration)
-        self._evacuations = ZoneEvacuations(source.evacuated_zone, log, self._use_evacuations)
         self._stored_suspects = StoredSuspects(
             self.quarantine.suspects, store, self._store_now_ms, log
         )
@@ -207,14 +215,6 @@
             log,
         )
         self._build_jobs(store, protocol, shares, parse_document)
-        self._evacuation_status = EvacuationStatus(
-            store,
-            self.directory,
-            self._evacuations,
-            source.evacuation_status_key,
-            lambda zone: self.owners.rank(zone) == 0,
-            log,
-        )
 
     # Construction
 
@@ -299,26 +299,6 @@
         """Return whether a daemon is in one of some regions."""
         return self.settings.geography.allows(regions, self.registry.zone_of(name))
 
-    def callers_addresses(self, host: str, zone: str) -> list[str]:
-        """Return the addresses that a caller of ``host`` in ``zone`` may use."""
-        configuration = self.configuration
-        if configuration is None:
-            return []
-        serving = self._serving_daemons()
-        regions = configuration.regions_of_host(host)
-        if regions is not None:
-            sound = self.registry.sound()
-            serving = in_regions(regions, zone, serving, sound, self.settings.geography)
-        return addresses_for(zone, serving, self._source_of_chance)
-
-    def _serving_daemons(self) -> list[DaemonRow]:
-        """Return as few of the sound daemons as carry the load."""
-        sound = self.registry.sound()
-        peers = [Peer(row.name, row.zone, row.capacity) for row in sound]
-        usable = outside(peers, self._evacuations.zones)
-        serving = serving_members(usable, self.directory.slots())
-        return [row for row in sound if row.name in serving]
-
     def configuration_age_s(self) -> float:
         """Return how old this daemon's picture of the configuration may be."""
         return self.feeds.configuration.age_s(asyncio.get_running_loop().time())
@@ -351,27 +331,12 @@
 
     def _apply_operators_rows(self, change: TableChange) -> None:
         self._configuration_state.apply(change)
-        self._evacuations.apply(change)
+        self._zones.apply(change)
 
     def _use_configuration(self, configuration: Configuration) -> None:
         self._listeners.use_limits(configuration.limits)
         self._limits.use_tenants(configuration.tenants)
-        cold = {each.name: each.cold for each in configuration.services.values() if each.cold}
-        now_s = asyncio.get_running_loop().time()
-        self.directory.use_cold_starts(cold, self._cold_sends, now_s)
-
-    def _use_evacuations(self, zones: frozenset[str]) -> None:
-        """Send nothing more to workers of evacuated zones, and name their daemons to nobody."""
-        left = self.directory.evacuate(zones, asyncio.get_running_loop().time())
-        self.load_sharing.use_evacuations(zones)
-        self.metrics.zones_evacuated(len(zones))
-        if left:
-            self.log.event(
-                "workers_evacuated",
-                workers=len(left),
-                requests_left=sum(worker.online for worker in left),
-                items_moved=sum(self.room.vacate(worker) for worker in left),
-            )
+        self._zones.use_configuration(configuration)
 
     def _handle_members(self) -> None:
         """Note that the fleet changed; changes that come together are taken over at once."""
@@ -386,7 +351,7 @@
         self.feeds.share_out(daemons, self.settings.cancel_s)
         services = self.configuration.services.values() if self.configuration else []
         allowed = min((service.max_connections for service in services), default=DEFAULT_ALLOWED)
-        share = int(allowed * IDLE_SHARE / max(1, len(self._serving_daemons())))
+        share = int(allowed * IDLE_SHARE / max(1, len(self.callers.serving())))
         self.forwarder.idle_per_worker = max(1, min(MOST_IDLE, share))
         self._limits.use_fleet(self.directory.slots())
 
@@ -417,7 +382,7 @@
             self._limits.run(),
             self.quarantine.run(),
             self._stored_suspects.run(),
-            self._evacuation_status.run(),
+            self._zones.run(),
         ):
             self._spawn(work)
         self.log.event("daemon_started", zone=self.settings.zone, token=self.registry.own.token)
@@ -467,7 +432,7 @@
         self._store.use_address(settings.store.address)
         self.feeds.use_settings(settings)
         self._limits.use_settings(settings)
-        self._cold_sends.tolerance = settings.cold_tolerance
+        self._zones.use_tolerance(settings.cold_tolerance)
         self.directory.leaving_use_s = settings.drain_s * LEAVING_USE_SHARE
         self.log.event("reload", changed=changed)
 
--- /dev/null
+++ b/mountstand/serving_zones.py
@@ -0,0 +1,90 @@
+"""Zones out of use, and cold workers: the part of one serving process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from mountstand.limits.standing import Standing
+from mountstand.serving.batch_room import BatchRoom
+from mountstand.serving.cold_workers import ColdSends, ColdTolerance
+from mountstand.serving.configuration import Configuration
+from mountstand.serving.evacuation import ZoneEvacuations
+from mountstand.serving.evacuation_status import EvacuationStatus
+from mountstand.serving.feeds import ConfigurationSource
+from mountstand.serving.load_sharing import LoadSharing
+from mountstand.serving.workers import WorkerDirectory
+from mountstand.store.rows import RowStore
+from mountstand.store.watch import TableChange
+from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.serving_metrics import ServingMetrics
+
+
+class ServingZones:
+    """Puts evacuations and cold starts into force.
+
+    ``knows_fleet`` returns whether the picture of the daemons is fresh, ``writes_for`` whether this
+    daemon tells the operator of a zone.
+    """
+
+    def __init__(
+        self,
+        directory: WorkerDirectory,
+        room: BatchRoom,
+        load_sharing: LoadSharing,
+        store: RowStore,
+        source: ConfigurationSource,
+        standing: Standing,
+        tolerance: ColdTolerance,
+        knows_fleet: Callable[[], bool],
+        writes_for: Callable[[str], bool],
+        metrics: ServingMetrics,
+        log: DecisionLog,
+    ) -> None:
+        self._directory = directory
+        self._room = room
+        self._load_sharing = load_sharing
+        self._metrics = metrics
+        self._log = log
+        began_s = asyncio.get_running_loop().time()
+        self._cold_sends = ColdSends(standing, tolerance, began_s, knows_fleet)
+        self._evacuations = ZoneEvacuations(source.evacuated_zone, log, self._use_evacuations)
+        self._status = EvacuationStatus(
+            store, directory, self._evacuations, source.evacuation_status_key, writes_for, log
+        )
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The zones that are out of use."""
+        return self._evacuations.zones
+
+    def apply(self, change: TableChange) -> None:
+        """Take changed rows of the operator's table."""
+        self._evacuations.apply(change)
+
+    def use_configuration(self, configuration: Configuration) -> None:
+        """Take what the workers of each service bear after a start."""
+        cold = {each.name: each.cold for each in configuration.services.values() if each.cold}
+        now_s = asyncio.get_running_loop().time()
+        self._directory.use_cold_starts(cold, self._cold_sends, now_s)
+
+    def use_tolerance(self, tolerance: ColdTolerance) -> None:
+        """Keep the bound of cold workers as exactly as this from now on."""
+        self._cold_sends.tolerance = tolerance
+
+    async def run(self) -> None:
+        """Tell the operator how far evacuations are, until cancelled."""
+        await self._status.run()
+
+    def _use_evacuations(self, zones: frozenset[str]) -> None:
+        """Send nothing more to workers of evacuated zones, and name their daemons to nobody."""
+        left = self._directory.evacuate(zones, asyncio.get_running_loop().time())
+        self._load_sharing.use_evacuations(zones)
+        self._metrics.zones_evacuated(len(zones))
+        if left:
+            self._log.event(
+                "workers_evacuated",
+                workers=len(left),
+                requests_left=sum(worker.online for worker in left),
+                items_moved=sum(self._room.vacate(worker) for worker in left),
+            )
--- a/mountstand/tenants/gate.py
+++ b/mountstand/tenants/gate.py
@@ -10,10 +10,9 @@
 
 import asyncio
 import random
-from abc import ABC, abstractmethod
-from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from mountstand.membership.message_link import MessageLink
 from mountstand.tenants.limits import TenantLimits
 from mountstand.tenants.tenant import Tenant
 from mountstand.wire.gossip import TokenAsk, TokenGrant
@@ -38,16 +37,6 @@
 """Requests that were refused within this time are counted as coming back before a further one."""
 
 
-class TokenLink(ABC):
-    """How questions and grants reach other daemons."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    def send(self, message: TokenAsk | TokenGrant, receivers: Collection[str]) -> None:
-        """Send a message to daemons; it may get lost."""
-
-
 @dataclass(slots=True)
 class _Shortage:
     """A tenant of which some requests wait for tokens, or were refused a moment ago."""
@@ -62,7 +51,7 @@
 class LimitGate:
     """Counts requests against this daemon's parts of the limits, and borrows from others."""
 
-    def __init__(self, limits: TenantLimits, link: TokenLink, rng: random.Random) -> None:
+    def __init__(self, limits: TenantLimits, link: MessageLink, rng: random.Random) -> None:
         self.limits = limits
         self._link = link
         self._rng = rng
--- a/tests/model/limit_fleet.py
+++ b/tests/model/limit_fleet.py
@@ -11,8 +11,9 @@
 from collections.abc import Callable, Collection
 
 from mountstand.limits.standing import Standing
+from mountstand.membership.message_link import MessageLink
 from mountstand.store.memory_rows import MemoryRowStore
-from mountstand.tenants.gate import LimitGate, TokenLink
+from mountstand.tenants.gate import LimitGate
 from mountstand.tenants.limits import LOAN_S, LimitTolerance, TenantLimits
 from mountstand.tenants.marks import Marks
 from mountstand.tenants.stored_marks import StoredMarks
@@ -36,7 +37,7 @@
     return limit + TOLERANCE.beyond(tenant)
 
 
-class SimulatedLink(TokenLink):
+class SimulatedLink(MessageLink):
     """Carries messages of one daemon."""
 
     __slots__ = ("_fleet", "_own")
--- a/tests/serving/test_caller_access.py
+++ b/tests/serving/test_caller_access.py
@@ -9,10 +9,11 @@
 
 from mountstand.errors import MountstandError
 from mountstand.limits.standing import Standing
+from mountstand.membership.message_link import MessageLink
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.tenants.access import CallerAccess
 from mountstand.tenants.errors import KeyNotVerifiable, TenantOverLimit, UnknownKey
-from mountstand.tenants.gate import LimitGate, TokenLink
+from mountstand.tenants.gate import LimitGate
 from mountstand.tenants.limits import LimitTolerance, TenantLimits
 from mountstand.tenants.marks import FormerUse, Marks, UseSnapshot
 from mountstand.tenants.tenant import Tenant, TenantIndex
@@ -25,7 +26,7 @@
 NO_TENANTS = TenantIndex()
 
 
-class NoLink(TokenLink):
+class NoLink(MessageLink):
     __slots__ = ()
 
     def send(self, message: TokenAsk | TokenGrant, receivers: Collection[str]) -> None:
--- a/tests/serving/test_slot_lending.py
+++ b/tests/serving/test_slot_lending.py
@@ -8,6 +8,7 @@
 
 from testtools import TestCase
 
+from mountstand.membership.message_link import MessageLink
 from mountstand.serving.batch_room import Placement, Urgency
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.online_queue import start_times
@@ -17,7 +18,6 @@
     NO_WORKER,
     OFFER_S,
     SlotLending,
-    SlotLink,
     SlotMessage,
 )
 from mountstand.serving.slot_shares import deal_slots
@@ -33,7 +33,7 @@
 PATIENCE_S = 2.0
 
 
-class Net(SlotLink):
+class Net(MessageLink):
     """Carries messages between the daemons of a test; those in ``silent`` say nothing."""
 
     __slots__ = ("_by_name", "_own", "sent")
