The choice of a worker weighs how long work takes there right now

Cause: workers that share their machines with others tell their slowdown, which nothing used; all workers of a service counted alike.

Change: the last word of a worker, fading to its usual one within half a second and bounded to 0.5 to 4, weighs its fill in the three places that compare workers. Where workers say nothing it is 1, and choices are as before.

--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from dataclasses import dataclass, field
 from functools import cached_property
@@ -13,6 +14,18 @@
 LOAD_TRUST_S = 2.0
 """A load report older than this says nothing: requests last about as long."""
 
+LEAST_SLOWDOWN = 0.5
+MOST_SLOWDOWN = 4.0
+"""Bounds of what a worker may say of its pace, so that a wrong word neither draws nor shuns more
+than a part of the work: machines that are shared were seen to take up to 2.5 times as long."""
+
+SLOWDOWN_LASTS_S = 0.5
+"""After this time a worker's word of its pace has faded to 1/e of what it says beyond the usual:
+neighbours on its machine come and go many times a second."""
+
+SLOWDOWN_WEIGHT = 0.05
+"""Weight of a new word in the usual slowdown of a worker."""
+
 UNREACHABLE_S = 1.0
 """First pause after a connection that failed; doubled on each further failure."""
 
@@ -78,6 +91,7 @@
     load: LoadReport | None = None
     load_at_s: float = float("-inf")
     known_at_load: int = 0
+    usual_slowdown: float = 1.0
     avoid_until_s: float = 0.0
     connect_failures: int = 0
     last_heard_s: float = float("-inf")
@@ -132,6 +146,25 @@
         self.load = load
         self.load_at_s = now_s
         self.known_at_load = self.known
+        if load.slowdown is not None:
+            self.usual_slowdown += SLOWDOWN_WEIGHT * (_bounded(load.slowdown) - self.usual_slowdown)
+
+    def slowdown(self, now_s: float) -> float:
+        """Return how long work takes here now, as a multiple of the usual time.
+
+        The last word fades to what this worker usually says.
+        """
+        if self.load is None or self.load.slowdown is None:
+            return self.usual_slowdown
+        fresh = math.exp((self.load_at_s - now_s) / SLOWDOWN_LASTS_S)
+        return self.usual_slowdown + (_bounded(self.load.slowdown) - self.usual_slowdown) * fresh
+
+    def fill(self, now_s: float, more: int = 0) -> float:
+        """Return how much of the worker's slots is taken, with ``more`` requests besides.
+
+        It is weighed by how long work takes there.
+        """
+        return (self.estimated_load(now_s) + more) / self.slots() * self.slowdown(now_s)
 
     def note_heard(self, now_s: float) -> None:
         """Note that the worker said something."""
@@ -214,6 +247,10 @@
         return float(self.known)
 
 
+def _bounded(slowdown: float) -> float:
+    return min(MOST_SLOWDOWN, max(LEAST_SLOWDOWN, slowdown))
+
+
 class PromptReading:
     """Counts a prompt's tokens at its worker as unread until the first event comes."""
 
--- a/mountstand/serving/worker_choice.py
+++ b/mountstand/serving/worker_choice.py
@@ -100,7 +100,7 @@
         sample = self._sample(candidates, SAMPLE_SIZE)
 
         def cost(worker: Worker) -> tuple[int, float, bool, float]:
-            fill = worker.estimated_load(now_s) / worker.slots()
+            fill = worker.fill(now_s, more=1)
             elsewhere = worker.record.zone != self._zone
             return (worker.unread // tolerated, round(fill, 2), elsewhere, self._source.random())
 
@@ -121,7 +121,11 @@
             and worker.unread < tolerated
             and free(worker) >= 1
         ]
-        return max(own, key=lambda worker: (free(worker), self._source.random()), default=None)
+        return max(
+            own,
+            key=lambda worker: (free(worker) / worker.slowdown(now_s), self._source.random()),
+            default=None,
+        )
 
     def _choose_by_weight(
         self, candidates: list[Worker], unseen: float, tolerated: int, now_s: float
@@ -143,4 +147,4 @@
 
 def _fills(workers: list[Worker], now_s: float) -> list[tuple[float, int]]:
     """Return each worker's fill, as a share of its slots, and its slots."""
-    return [(worker.estimated_load(now_s) / worker.slots(), worker.slots()) for worker in workers]
+    return [(worker.fill(now_s), worker.slots()) for worker in workers]
--- a/tests/serving/test_routing.py
+++ b/tests/serving/test_routing.py
@@ -84,6 +84,35 @@
         self.assertEqual(5.0, worker.estimated_load(10.5))
         self.assertEqual(3.0, worker.estimated_load(20.0), "an old report says nothing")
 
+    def test_of_equal_loads_the_worker_that_is_not_slowed_down_is_chosen(self) -> None:
+        """Workers share their machines with others: some take 2.5 times as long for a moment."""
+        for number in range(3):
+            worker = self.directory.workers[f"w{number}"]
+            worker.in_flight = 2
+            worker.note_load(LoadReport(2, 0, 4, 1.0 if number == 1 else 2.5), 10.0)
+        self.assertEqual({"w1"}, {self.choose(now_s=10.1) for _ in range(20)})
+        self.assertTrue(self.directory.workers["w0"].slowdown(30.0) < 1.1, "one word fades")
+
+    def test_of_idle_workers_the_one_that_is_not_slowed_down_is_chosen(self) -> None:
+        for number in (0, 2):
+            self.directory.workers[f"w{number}"].note_load(LoadReport(0, 0, 4, 2.0), 10.0)
+        self.assertEqual({"w1"}, {self.choose(now_s=10.1) for _ in range(20)})
+
+    def test_a_slowdown_fades_to_what_the_worker_usually_says(self) -> None:
+        worker = self.directory.workers["w0"]
+        for tenth in range(200):
+            worker.note_load(LoadReport(1, 0, 4, 2.0), tenth / 10)
+        worker.note_load(LoadReport(1, 0, 4, 1.0), 20.0)
+        self.assertAlmostEqual(1.0, worker.slowdown(20.0))
+        self.assertAlmostEqual(1.95, worker.slowdown(25.0), delta=0.01)
+
+    def test_a_lying_worker_draws_and_shuns_a_bounded_part(self) -> None:
+        for told, bound in ((0.0001, 0.5), (10**6, 4.0)):
+            worker = self.directory.workers["w0"]
+            worker.note_load(LoadReport(1, 0, 4, told), 10.0)
+            self.assertAlmostEqual(bound, worker.slowdown(10.0))
+        self.assertEqual(1.0, self.directory.workers["w1"].slowdown(10.0), "says nothing")
+
     def test_what_peers_have_in_flight_counts(self) -> None:
         sharing = LoadSharing(self.directory, Peer("own", "zone-a"), RecordingLink())
         keys = tuple(self.directory.workers[name].key for name in ("w0", "w1"))
