Strong suspects are kept apart over all daemons

Contents with two ends were kept apart by what each daemon had in flight itself.

Change: for ten seconds after its last end, each worker is for one strong suspect by rendezvous hashing. All daemons that have heard of the same ends, which are told to all at once, come to the same.

Tests: two that fail without it (suspects at different daemons do not meet; workers are kept for some seconds only). Two tests expected that a worker is free for a suspect as soon as another one has left it; they now check that it is for one of them whether or not the other runs, and that each has workers.

--- a/mountstand/quarantine/separation.py
+++ b/mountstand/quarantine/separation.py
@@ -2,16 +2,23 @@
 
 Items of one job, or requests that broke at the same moment, are tried again at the same moment, and
 often at the same worker: those beside the cause would be there at every end, too. So two contents
-under which two workers or more ended do not run at one worker at a time, as far as a daemon knows.
-Contents with fewer ends run anywhere; keeping those apart would hold up batch work for nothing.
+under which two workers or more ended do not run at one worker at a time. What other daemons have in
+flight is not known in time, so each worker is for one of these contents by rendezvous hashing, and
+all daemons that have heard of the same ends come to the same. Contents with fewer ends run
+anywhere; keeping those apart would hold up batch work for nothing.
 """
 
 from __future__ import annotations
 
 from collections import Counter
 
+from mountstand.hashing import content_name, rendezvous_weight
 from mountstand.quarantine.suspects import CrashSuspects
 
+LATELY_S = 10.0
+"""For so long after its last end a content has workers kept for it: what is tried again comes
+within seconds, and one that never comes again must not take workers from the others."""
+
 
 class SuspectSeparation:
     """The strong suspects that this daemon has in flight, by worker."""
@@ -22,12 +29,17 @@
         self._suspects = suspects
         self._in_flight_by_worker: dict[str, Counter[int]] = {}
 
-    def allows(self, content: int, worker_id: str) -> bool:
-        """Return whether a content may be sent to a worker beside what this daemon has there."""
-        others = self._in_flight_by_worker.get(worker_id)
-        if not others or not self._suspects.is_strong(content):
+    def allows(self, content: int, worker_id: str, now_s: float) -> bool:
+        """Return whether a content may be sent to a worker beside other strong suspects."""
+        if not self._suspects.is_strong(content):
             return True
-        return set(others) <= {content}
+        others = self._in_flight_by_worker.get(worker_id)
+        if others and not set(others) <= {content}:
+            return False
+        strong = self._suspects.strong_lately(now_s - LATELY_S)
+        return content not in strong or content == max(
+            strong, key=lambda each: rendezvous_weight(worker_id, content_name(each))
+        )
 
     def enter(self, content: int, worker_id: str) -> bool:
         """Note a content that is sent to a worker; returns whether it must be told to leave."""
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -85,7 +85,8 @@
         """Return whether a request may run at a worker beside what this daemon has there."""
         if not self.suspects:
             return True
-        return self._separation.allows(call.content_key, worker.record.worker_id)
+        now_s = asyncio.get_running_loop().time()
+        return self._separation.allows(call.content_key, worker.record.worker_id, now_s)
 
     @contextmanager
     def running(self, call: Call, worker: Worker) -> Iterator[None]:
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -141,6 +141,16 @@
         suspect = self.by_content.get(content)
         return suspect is not None and len(suspect.end_by_worker) >= STRONG_ENDS
 
+    def strong_lately(self, since_s: float) -> set[int]:
+        """Return the strong suspects that are not blocked and had their last end since a time."""
+        return {
+            content
+            for content, suspect in self.by_content.items()
+            if len(suspect.end_by_worker) >= STRONG_ENDS
+            and suspect.last_end_s >= since_s
+            and content not in self._blocked_until_s
+        }
+
     def take(self, content: int, end_by_worker: EndByWorker, served_at_s: float = NEVER_S) -> bool:
         """Merge what is said of a content; returns whether it was new."""
         suspect = self.by_content.get(content)
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -187,7 +187,7 @@
         The value is whether the content may run there, beside what this daemon has there already.
         """
         with self._lock:
-            allowed = self._separation.allows(content, machine.machine_id)
+            allowed = self._separation.allows(content, machine.machine_id, elapsed_s())
             entered = allowed and self._separation.enter(content, machine.machine_id)
         try:
             yield allowed
