Tenants that took more than their share go behind others while requests wait

Cause: below its limit a tenant that sends many times its usual took the room of all others, since waiting requests were ranked by lateness, priority and due time alone.

Change: serving/fair_shares.py counts the slot time that tenants took lately at a service, by weights from their limits; one that is clearly over its share goes behind those that are not. A line and a gauge tell whose requests do. Sends that are withheld from cold workers are counted too.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -144,6 +144,7 @@
         call = self._call(progress)
         if not worker.note_sent(loop.time()):
             self._log_attempt(progress, worker, "worker cold")
+            context.metrics.send_withheld()
             return None
         headers = context.protocol.request_headers(call, worker, None, progress.last_event_id)
         connection.send(
--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -153,6 +153,7 @@
             prompt=parse_prompt(request.headers.get(names.PREFIX.lower())),
             last_event_id=number(request.headers.get(names.LAST_EVENT_ID.lower())),
             tenant=tenant.name if tenant is not None else "",
+            tenant_weight=tenant.weight if tenant is not None else None,
             priority=tenant.priority_before(route.priority) if tenant else route.priority,
             regions=in_both(route.regions, tenant.regions if tenant else ANYWHERE),
         )
--- a/mountstand/serving/cold_workers.py
+++ b/mountstand/serving/cold_workers.py
@@ -110,10 +110,6 @@
         """Note that the worker is cold until a certain time; word of an earlier end is older."""
         self.until_s = max(self.until_s, until_s)
 
-    def is_cold(self, now_s: float) -> bool:
-        """Return whether the worker is cold."""
-        return now_s < self.until_s
-
     def allows(self, now_s: float) -> bool:
         """Return whether a request may be sent to the worker now."""
         if now_s >= self.until_s:
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -73,6 +73,7 @@
         self._room = room
         self._quarantine = quarantine
         self._relay = ReplyRelay(directory, connections, protocol, room)
+        self._metrics = metrics
         self._log = ExchangeLog(metrics, log)
         self.idle_per_worker = 4
 
@@ -274,6 +275,7 @@
         now_s = asyncio.get_running_loop().time()
         if not worker.note_sent(now_s):
             exchange.cause = "worker cold"
+            self._metrics.send_withheld()
             return Outcome.NOT_SENT
         left_ms = max(1, int((exchange.deadline_s - now_s) * 1000))
         call = exchange.call
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from mountstand.serving.fair_shares import FairShares
 from mountstand.serving.prompt import Prompt
 from mountstand.serving.slot_demand import SlotDemand, Waiting
 from mountstand.serving.slot_lending import SlotLending
@@ -44,6 +45,10 @@
 MOST_BORROWING = 8
 """Requests of a service that look for slots of other daemons at a time."""
 
+UNKNOWN_SLOT_S = 1.0
+"""Slot time counted for a request of a service of which no request has ended yet; only how tenants
+compare matters."""
+
 MOST_WAITING = 1000
 """Requests that wait here at most; further ones go to a worker at once, which may refuse them."""
 
@@ -92,10 +97,19 @@
     chosen: asyncio.Future[Worker | None]
     call: Call | None = None
 
+    def rank(self, now_s: float, over: frozenset[str]) -> tuple[bool, int, bool, float]:
+        """Return the place in the order of those that start now; the least goes first.
+
+        ``over`` are the tenants that have taken more than their share.
+        """
+        late, priority, in_time_s = self.times.rank(now_s)
+        return (late, priority, self.call is not None and self.call.tenant in over, in_time_s)
+
 
 class OnlineQueue:
     """The online requests of this daemon that wait, by service.
 
+    ``on_over`` is told which tenants go behind others, when that changes while requests wait.
     ``preempt_own`` is called for a service whose requests begin to wait here: it takes a batch item
     of this daemon off its worker, if there is one, whose slot then comes by ``hand_over``.
     """
@@ -110,6 +124,9 @@
         self._borrowing: dict[str, set[asyncio.Task[None]]] = {}
         self._waiting: dict[str, list[_Waiter]] = {}
         self._queue_s_by_service: dict[str, float] = {}
+        self._shares_by_service: dict[str, FairShares] = {}
+        self._told_over_by_service: dict[str, frozenset[str]] = {}
+        self.on_over: Callable[[str, frozenset[str]], object] = lambda service, tenants: None
 
     async def acquire(
         self, service: str, prompt: Prompt, times: StartTimes, call: Call | None = None
@@ -118,6 +135,17 @@
 
         Returns ``None`` where the service has no worker to wait for, or once ``call`` was rejected.
         """
+        worker = await self._acquire(service, prompt, times, call)
+        if worker is not None and call is not None and call.tenant:
+            usual_s = self._directory.chooser.durations.usual_s(worker.record.service)
+            now_s = asyncio.get_running_loop().time()
+            slot_s = usual_s or UNKNOWN_SLOT_S
+            self._shares(service).note_begun(call.tenant, call.tenant_weight, slot_s, now_s)
+        return worker
+
+    async def _acquire(
+        self, service: str, prompt: Prompt, times: StartTimes, call: Call | None
+    ) -> Worker | None:
         now_s = asyncio.get_running_loop().time()
         self._queue_s_by_service[service] = times.queue_s
         waiting = self._waiting.setdefault(service, [])
@@ -252,6 +280,17 @@
         ordered = [self._waiting[pool] for pool in pools if self._waiting[pool]]
         return min(ordered, key=lambda waiting: waiting[0].times.rank(now_s), default=[])
 
+    def _over(self, service: str, now_s: float) -> frozenset[str]:
+        """Return the tenants that go behind others while requests wait, and tell of changes."""
+        over = self._shares(service).over(now_s)
+        if over != self._told_over_by_service.get(service, frozenset()):
+            self._told_over_by_service[service] = over
+            self.on_over(service, over)
+        return over
+
+    def _shares(self, service: str) -> FairShares:
+        return self._shares_by_service.setdefault(service, FairShares())
+
     def _offer(self, worker: Worker, now_s: float) -> None:
         """Lend a slot that nobody here needs to a daemon that asked in vain."""
         own = worker.record.worker_id in self._directory.chooser.own_slots
@@ -323,7 +362,8 @@
         """Put the waiting requests in order, since some became late meanwhile, and count them."""
         waiting = self._waiting[service]
         waiting[:] = [waiter for waiter in waiting if not waiter.chosen.done()]
-        waiting.sort(key=lambda waiter: waiter.times.rank(now_s))
+        over = self._over(service, now_s) if waiting else frozenset()
+        waiting.sort(key=lambda waiter: waiter.rank(now_s, over))
         late = sum(waiter.times.is_late(now_s) for waiter in waiting)
         self.demand.own_by_service[service] = Waiting(len(waiting) - late, late)
 
--- a/mountstand/serving/worker_protocol.py
+++ b/mountstand/serving/worker_protocol.py
@@ -33,6 +33,9 @@
     tenant: str = ""
     """The name of the caller's tenant, empty where callers need no key."""
 
+    tenant_weight: float | None = None
+    """The weight of the tenant's share where a service is short of room, if it has one."""
+
     priority: int = 0
     """The rank of an online request among those that wait, 0 being the most urgent."""
 
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -84,6 +84,9 @@
 """A stopping daemon takes new connections until lists of addresses kept thrice their time ran
 out."""
 
+TENANTS_TOLD = 20
+"""Tenants that a line names at most."""
+
 STOP_MARGIN_S = 0.6
 """What still runs so long before the process is killed is broken off."""
 
@@ -137,6 +140,7 @@
             log,
         )
         self.quarantine.on_blocked = self.queue.reject
+        self.queue.on_over = self._note_over_share
         self.forwarder = Forwarder(
             self.directory,
             self.connections,
@@ -442,6 +446,16 @@
             await asyncio.sleep(0.02)
         await self.registry.run()
 
+    def _note_over_share(self, service: str, tenants: frozenset[str]) -> None:
+        """Tell whose requests go behind others while some wait for a service."""
+        self.metrics.tenants_over_share(service, len(tenants))
+        self.log.event(
+            "tenants_over_share",
+            service=service,
+            count=len(tenants),
+            tenants=sorted(tenants)[:TENANTS_TOLD],
+        )
+
     def _note_rejected(self, status: int) -> None:
         self.log.event("request_malformed", status=status)
 
--- a/mountstand/telemetry/serving_metrics.py
+++ b/mountstand/telemetry/serving_metrics.py
@@ -71,11 +71,22 @@
             "Contents that are held back since they crashed workers",
             registry=self._registry,
         )
+        self._sends_withheld = Counter(
+            "mountstand_sends_withheld_total",
+            "Requests and batch items that were not sent to a chosen worker since it was cold",
+            registry=self._registry,
+        )
         self._zones_evacuated = Gauge(
             "mountstand_zones_evacuated",
             "Zones that the operator has taken out of use",
             registry=self._registry,
         )
+        self._tenants_over_share = Gauge(
+            "mountstand_tenants_over_share",
+            "Tenants whose requests go behind others since they took more than their share",
+            ["service"],
+            registry=self._registry,
+        )
         self._jobs_owned = Gauge(
             "mountstand_jobs_owned", "Batch jobs run by this daemon", registry=self._registry
         )
@@ -114,10 +125,18 @@
         """Set how many contents are held back."""
         self._contents_blocked.set(count)
 
+    def send_withheld(self) -> None:
+        """Count a request or item that was not sent to a worker since it was cold."""
+        self._sends_withheld.inc()
+
     def zones_evacuated(self, count: int) -> None:
         """Set how many zones are out of use."""
         self._zones_evacuated.set(count)
 
+    def tenants_over_share(self, service: str, count: int) -> None:
+        """Set how many tenants go behind others where requests wait for a service."""
+        self._tenants_over_share.labels(service).set(count)
+
     def jobs_owned(self, count: int) -> None:
         """Set how many batch jobs this daemon runs."""
         self._jobs_owned.set(count)
--- a/mountstand/tenants/tenant.py
+++ b/mountstand/tenants/tenant.py
@@ -33,6 +33,14 @@
         """The number that stands for the tenant among daemons."""
         return zlib.crc32(self.name.encode())
 
+    @property
+    def weight(self) -> float | None:
+        """The weight of its share where a service is short of room: what it may send a second.
+
+        ``None`` where it has no limit; it counts as the others do on average.
+        """
+        return self.requests_per_s or None
+
     def priority_before(self, route_priority: int) -> int:
         """Return the priority of this tenant's requests on a route."""
         return route_priority if self.priority is None else self.priority
--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -7,6 +7,8 @@
 
 from testtools import TestCase
 
+from mountstand.limits.standing import Standing
+from mountstand.serving.cold_workers import ColdSends, ColdStart, ColdTolerance
 from mountstand.serving.configuration import RequestKind, Route
 from mountstand.serving.forwarder import Forwarder
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt, PromptPart
@@ -394,3 +396,26 @@
                 return front.fleet.received().count("w0")
 
         self.assertLessEqual(run(scenario()), 9)
+
+
+class ColdWorkers(TestCase):
+    """A worker that has just started gets what it bears, the rest goes elsewhere or nowhere."""
+
+    def test_what_a_cold_worker_does_not_bear_goes_to_another_or_is_refused(self) -> None:
+        async def body() -> None:
+            async with Front(REPEATABLE, (whole(),)) as front:
+                fleet = front.fleet
+                standing = Standing("test")
+                standing.use(["test"], ["test"])
+                sends = ColdSends(standing, ColdTolerance(), float("-inf"), lambda: True)
+                now_s = asyncio.get_running_loop().time()
+                fleet.directory.use_cold_starts({"llm": ColdStart(5.0, 2.0)}, sends, now_s)
+                fleet.directory.workers["w0"].assume_restarted(now_s)
+                statuses = [(await front.ask(f"r{n}"))[0] for n in range(2)]
+                front.deadline_s = 0.6
+                statuses.append((await front.ask("r2"))[0])
+                self.assertEqual([200, 200, 503], statuses)
+                self.assertIn("retry-after", front.last_head.lower())
+                self.assertEqual(2, len(fleet.received()), "refused: not run")
+
+        run(body())
