--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -225,8 +225,11 @@
 
         It stays, is reachable as far as is known, is not ejected, and bears it if it is cold.
         """
-        avoided = self.avoid_until_s > now_s or self.health.is_ejected(now_s)
-        return self.withdrawn_since_s is None and not avoided and self.bears_one(now_s)
+        if self.leaving_since_s is not None or self.evacuated_since_s is not None:
+            return False
+        if self.avoid_until_s > now_s or self.health.is_ejected(now_s):
+            return False
+        return self.cold is None or self.cold.allows(now_s)
 
     def bears_one(self, now_s: float) -> bool:
         """Return whether one more request may be sent, unless the worker is cold and had enough."""
