--- a/tests/model/test_membership.py
+++ b/tests/model/test_membership.py
@@ -101,6 +101,25 @@
         network.run(10)
         self.assert_agreed(network, set(network.nodes))
 
+    def test_a_restart_at_an_earlier_time_of_day_is_taken_as_alive(self) -> None:
+        """Incarnations begin at the time of day, which steps back on some machines."""
+        for state in (MemberState.LEAVING, None):
+            with self.subTest(state):
+                network = Network(10, seed=9)
+                network.run(8)
+                del network.nodes["d3"]
+                network.start("d3", incarnation=5000)
+                network.run(8)
+                if state is not None:
+                    node = network.nodes["d3"]
+                    network.carry_out("d3", node.leave(state, network.now_s))
+                    network.run(4)
+                del network.nodes["d3"]
+                network.run(10)
+                network.start("d3", incarnation=3000)
+                network.run(20)
+                self.assert_agreed(network, set(network.nodes))
+
     def test_loss_alone_kills_nobody_for_long(self) -> None:
         network = Network(12, seed=3, loss=0.2)
         network.run(60)
