Many suspects at once keep no workers from each other; a row without a birth says nothing of one

A row of a worker that does not tell its birth was taken for another process, and everything known of the worker forgotten. Tests for both.

--- a/mountstand/quarantine/separation.py
+++ b/mountstand/quarantine/separation.py
@@ -19,6 +19,11 @@
 """For so long after its last end a content has workers kept for it: what is tried again comes
 within seconds, and one that never comes again must not take workers from the others."""
 
+MOST_KEPT_APART = 4
+"""So many contents at most have workers kept for them. A crashing request makes strong suspects of
+the two or three that were beside it twice; dozens come of a rack or zone that failed twice, and
+would leave most of them without a worker."""
+
 
 class SuspectSeparation:
     """The strong suspects that this daemon has in flight, by worker."""
@@ -37,7 +42,9 @@
         if others and not set(others) <= {content}:
             return False
         strong = self._suspects.strong_lately(now_s - LATELY_S)
-        return content not in strong or content == max(
+        if content not in strong or len(strong) > MOST_KEPT_APART:
+            return True
+        return content == max(
             strong, key=lambda each: rendezvous_weight(worker_id, content_name(each))
         )
 
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -5,7 +5,7 @@
 import random
 import sys
 from collections.abc import Callable, Collection, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mountstand.serving.cold_workers import ColdBudget, ColdSends, ColdStart
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
@@ -54,13 +54,14 @@
         known = self.workers.get(record.worker_id)
         if known is not None and known.record.version > record.version:
             return False
-        if known is None or known.record.born_ms != record.born_ms:
+        if known is None or _has_restarted(known.record, record):
             known = self._add(record, known, now_s)
             changed = True
         else:
             changed = known.record.draining != record.draining
             changed = changed or (known.leaving_since_s is not None and not record.draining)
-            known.record = record
+            born_ms = record.born_ms or known.record.born_ms
+            known.record = replace(record, born_ms=born_ms)
             known.evacuated_since_s = self._evacuated_since_s.get(record.zone)
         if known.cold is not None:
             known.cold.note_cold(now_s + record.cold_left_s)
@@ -307,6 +308,14 @@
         return self._index
 
 
+def _has_restarted(known: WorkerRecord, record: WorkerRecord) -> bool:
+    """Return whether a record is that of a later process than the known one, under the same id.
+
+    A record that does not tell when its process started says nothing of that.
+    """
+    return known.born_ms > 0 and record.born_ms > 0 and known.born_ms != record.born_ms
+
+
 @dataclass(frozen=True, slots=True)
 class _Pool:
     """The workers of a service in some regions."""
--- a/tests/serving/test_held_back.py
+++ b/tests/serving/test_held_back.py
@@ -230,6 +230,15 @@
             self.assertTrue(len(allowed) <= 1, (worker, allowed))
         self.assertTrue(any(separations[0].allows(7, worker, 100.3) for worker in workers))
 
+    def test_many_suspects_at_once_are_not_kept_from_the_workers(self) -> None:
+        """Workers that fail together, twice, make suspects of all that ran there."""
+        suspects = CrashSuspects()
+        for content in range(30):
+            for worker_key in (1, 2):
+                suspects.take(content, {worker_key: WorkerEnd(100.0, 0.1)})
+        separation = SuspectSeparation(suspects)
+        self.assertTrue(all(separation.allows(content, "w1", 100.3) for content in range(30)))
+
     def test_workers_are_kept_for_a_suspect_for_some_seconds_only(self) -> None:
         suspects = CrashSuspects()
         for content in (7, 8):
--- a/tests/serving/test_routing.py
+++ b/tests/serving/test_routing.py
@@ -214,6 +214,9 @@
         self.assertTrue(after.takes_work(5.2))
         self.assertEqual(0.0, after.estimated_load(5.2))
         self.assertNotEqual(before.key, after.key, "peers' counts of the former do not apply")
+        self.directory.put(worker_record(0, born_ms=0, version=5), 5.3)
+        self.assertIs(after, self.directory.workers["w0"], "a row that does not tell says nothing")
+        self.assertEqual(200, after.record.born_ms)
         self.assertFalse(self.directory.put(worker_record(0, born_ms=100, version=3), 5.3))
         self.assertIs(after, self.directory.workers["w0"], "an older row brings nothing back")
 
