Idle connections are trusted as before: events of streams tell only that a worker runs

The change that lets events count as word from a worker also let requests that may run once take more of the idle connections to it. Events now count for ends of workers alone.

--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -95,6 +95,10 @@
     avoid_until_s: float = 0.0
     connect_failures: int = 0
     last_heard_s: float = float("-inf")
+    last_event_s: float = float("-inf")
+    """When it last sent an event of an online stream. That tells that it runs, but not that idle
+    connections to it still work, so these are trusted by ``last_heard_s`` alone."""
+
     unreachable_at_s: float = float("-inf")
     leaving_since_s: float | None = None
     evacuated_since_s: float | None = None
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -123,4 +123,5 @@
             if refusals >= REFUSALS_NEEDED:
                 return True
             await asyncio.sleep(pause_s)
-        return turned_away == MOST_CHECKS and worker.last_heard_s <= began_s
+        heard_s = max(worker.last_heard_s, worker.last_event_s)
+        return turned_away == MOST_CHECKS and heard_s <= began_s
