A shard whose holder started again does not stay without an owner

Its logs: the next owner was killed and back within a second and a half, before anybody took its shards over; of these, its new process claimed those that were its own to have, and the daemon that should have had the other one saw the holder alive and waited for it for good. A lease named the process, but only the daemon's id was compared.

Change: a live holder that is known by the incarnation of another process counts as dead, so that its lease is claimed after the usual wait.

Test: model/test_job_ownership Restarts, which fails without the change. The own interface alone; the serving process of the platform does not use these leases.

--- a/mountstand/batch/owner.py
+++ b/mountstand/batch/owner.py
@@ -148,10 +148,10 @@
             return
         started_s = elapsed_s()
         reading = self._store.read_shards(shards)
-        live_ids = {member.member_id for member in self._membership.live_members()}
+        live = {m.member_id: m.incarnation for m in self._membership.live_members()}
         with self._lock:
             held_before = set(self._leases.held)
-            instructions = self._leases.handle_read(reading.leases, live_ids, started_s)
+            instructions = self._leases.handle_read(reading.leases, live, started_s)
             self._drop_shards(held_before - set(self._leases.held))
         claimed = False
         for instruction in instructions:
--- a/mountstand/batch/shard_leases.py
+++ b/mountstand/batch/shard_leases.py
@@ -5,15 +5,19 @@
 shard's lease. A claim against a holder that this daemon believes to be dead waits until the lease
 has stood for ``lease_s`` without this daemon seeing it change, so that two daemons that cannot hear
 each other do not take a shard from one another without pause.
+
+A lease belongs to a process. One that started again does not go on with the leases of the process
+before it; those that are another daemon's to own now are claimed as from a dead holder.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from mountstand.batch.model import LeaseRecord
 from mountstand.hashing import rendezvous_owner
+from mountstand.membership.member import RESTART_MS
 from mountstand.store.ports import ABSENT
 
 
@@ -86,10 +90,14 @@
     def handle_read(
         self,
         leases: dict[int, ObservedLease],
-        live_ids: set[str],
+        incarnation_by_live_id: Mapping[str, int],
         read_started_s: float,
     ) -> list[LeaseInstruction]:
-        """Handle lease rows read from the table; a read verifies as of its start."""
+        """Handle lease rows read from the table; a read verifies as of its start.
+
+        ``incarnation_by_live_id`` are the members that are believed to run, with the incarnations
+        that they are known by, 0 where that is not known.
+        """
         instructions: list[LeaseInstruction] = []
         for shard, lease in leases.items():
             self._note_seen(shard, lease, read_started_s)
@@ -98,7 +106,7 @@
             else:
                 self.held.pop(shard, None)
                 if shard in self._wanted and self._may_claim(
-                    shard, lease, live_ids, read_started_s
+                    shard, lease, incarnation_by_live_id, read_started_s
                 ):
                     instructions.append(self._claim(shard, lease))
         return instructions
@@ -157,12 +165,17 @@
             instructions.append(ReleaseLease(shard, lease.version, released))
 
     def _may_claim(
-        self, shard: int, lease: ObservedLease, live_ids: set[str], now_s: float
+        self,
+        shard: int,
+        lease: ObservedLease,
+        incarnation_by_live_id: Mapping[str, int],
+        now_s: float,
     ) -> bool:
         record = lease.record
         if record is None or record.released or record.owner_id == self.self_id:
             return True
-        if record.owner_id in live_ids:
+        incarnation = incarnation_by_live_id.get(record.owner_id)
+        if incarnation is not None and not is_other_process(record.incarnation, incarnation):
             return False
         return now_s - self._first_seen_s[shard][1] >= self.lease_s
 
@@ -177,6 +190,15 @@
             self._first_seen_s[shard] = (lease.version, now_s)
 
 
+def is_other_process(held_by: int, known_as: int) -> bool:
+    """Return whether a member is another process than the one with the incarnation ``held_by``.
+
+    Within one life incarnations rise by one at a time; a member that is known by 0 was not heard
+    of yet.
+    """
+    return known_as > 0 and abs(known_as - held_by) >= RESTART_MS
+
+
 def preferred_owner(shard: int, possible_owners: Iterable[str]) -> str | None:
     """Return the member that should own ``shard``."""
     return rendezvous_owner(f"shard-{shard}", possible_owners)
--- a/mountstand/membership/member.py
+++ b/mountstand/membership/member.py
@@ -7,6 +7,10 @@
 
 from mountstand.wire.gossip import MemberUpdate
 
+RESTART_MS = 100
+"""A process that starts again has an incarnation this much higher, since incarnations begin at the
+time of the start in milliseconds; within one life they rise by one at a time."""
+
 
 class MemberState(IntEnum):
     """State of a member; at one incarnation the higher number wins."""
--- a/mountstand/membership/registry.py
+++ b/mountstand/membership/registry.py
@@ -14,7 +14,7 @@
 import orjson
 
 from mountstand.membership.datagrams import DatagramMembership
-from mountstand.membership.member import Member
+from mountstand.membership.member import RESTART_MS, Member
 from mountstand.serving_settings import SocketAddress
 from mountstand.store.rows import Conflict, RowKey, RowStore, StoredRow, StoreError, Transaction
 from mountstand.store.watch import TableChange
@@ -22,10 +22,6 @@
 
 DAEMONS = "daemons"
 RETRY_S = 0.25
-RESTART_MS = 100
-"""A process that starts again has an incarnation this much higher, since incarnations begin at the
-time of the start in milliseconds; within one life they rise by one at a time."""
-
 RECHECK_S = 2.0
 """How often a daemon checks that its row is there, and rows of daemons long gone are dropped."""
 
--- a/tests/model/test_job_ownership.py
+++ b/tests/model/test_job_ownership.py
@@ -13,6 +13,7 @@
 import hypothesis.strategies as st
 from hypothesis import settings
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, initialize, invariant, rule
+from testtools import TestCase
 
 from mountstand.batch.job_ledger import JobLedger
 from mountstand.batch.job_store import FencedPlan, JobStore, manifest_entries
@@ -20,13 +21,19 @@
     InputIndex,
     JobRecord,
     JobState,
+    LeaseRecord,
     RangeInfo,
     index_object,
     job_row,
     manifest_prefix,
     open_row,
 )
-from mountstand.batch.shard_leases import ClaimLease, ShardLeases
+from mountstand.batch.shard_leases import (
+    ClaimLease,
+    ObservedLease,
+    ShardLeases,
+    preferred_owner,
+)
 from mountstand.errors import WriteConflict, WriteOutcomeUnknown
 from mountstand.store.memory_table import MemoryObjects, MemoryTable
 from mountstand.store.ports import Condition, Outcome, Put, Transaction
@@ -138,7 +145,7 @@
         ids = {owner.leases.self_id} | ({other_id} if sees_other else set())
         owner.leases.update_members(ids)
         reading = self.store.read_shards([SHARD])
-        instructions = owner.leases.handle_read(reading.leases, ids, self.now_s)
+        instructions = owner.leases.handle_read(reading.leases, dict.fromkeys(ids, 1), self.now_s)
         if SHARD not in owner.leases.held:
             owner.ledger = None
         for instruction in instructions:
@@ -343,3 +350,25 @@
     max_examples=300, stateful_step_count=40, deadline=None, derandomize=True, database=None
 )
 TestJobOwnership = JobOwnership.TestCase
+
+
+class Restarts(TestCase):
+    """Leases whose holder is another process now."""
+
+    def owner(self, name: str, incarnation: int) -> ShardLeases:
+        return ShardLeases(name, incarnation, 8, LEASE_S)
+
+    def test_a_shard_of_a_process_that_started_again_does_not_stay_without_an_owner(self) -> None:
+        """Its new process should not own it any more, and the one that should saw it alive."""
+        shard = next(n for n in range(8) if preferred_owner(n, ["a", "b"]) == "a")
+        record = LeaseRecord(owner_id="b", incarnation=5000, epoch=3)
+        leases = {shard: ObservedLease(record, 7)}
+        cases = (("the process that holds it", 5003, False), ("a later process", 9000, True))
+        for name, incarnation, claims in (*cases, ("a seed that said nothing yet", 0, False)):
+            with self.subTest(name):
+                first = self.owner("a", 8000)
+                first.update_members(["a", "b"])
+                live = {"a": 8000, "b": incarnation}
+                self.assertEqual([], first.handle_read(leases, live, 100.0), "not at once")
+                found = first.handle_read(leases, live, 100.0 + LEASE_S)
+                self.assertEqual(claims, bool(found))
