Do not block a content that two others with as many ends explain

Cause: contents with equally many ends did not explain one another.

Change: among equals, one whose ends are all covered by others that each have an end of their own is not blocked; its next end tells if it is a cause.

Measured: the new test of the decision; tests of quarantine and of crashing requests pass.

--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -233,12 +233,35 @@
 
     def _judge_equals(self, contents: list[int], explained: set[int]) -> set[int]:
         """Judge contents with equally many ends; returns the ends that the blocked ones explain."""
-        newly: set[int] = set()
+        blocked: dict[int, int] = {}
         for content in contents:
-            suspect = self.by_content[content]
-            end_by_worker = suspect.end_by_worker
+            end_by_worker = self.by_content[content].end_by_worker
             ends = counted_ends(end_by_worker[w] for w in end_by_worker.keys() - explained)
             if ends >= CRASHES_TO_BLOCK:
-                self._blocked_until_s[content] = suspect.last_end_s + block_s(ends)
-                newly |= suspect.end_by_worker.keys()
+                blocked[content] = ends
+        for content in self._explained_together(blocked):
+            del blocked[content]
+        newly: set[int] = set()
+        for content, ends in blocked.items():
+            suspect = self.by_content[content]
+            self._blocked_until_s[content] = suspect.last_end_s + block_s(ends)
+            newly |= suspect.end_by_worker.keys()
         return newly
+
+    def _explained_together(self, contents: Iterable[int]) -> set[int]:
+        """Return contents whose ends are all explained by several others, which have more besides.
+
+        One that was beside two crashing requests, at two ends and at one, has as many ends as
+        these, but each of them has an end of its own. If it is a cause all the same, its next end
+        tells: then it has more than they do.
+        """
+        left = sorted(contents)
+        explained: set[int] = set()
+        for content in list(left):
+            ends = self.by_content[content].end_by_worker.keys()
+            others = [self.by_content[c].end_by_worker.keys() for c in left if c != content]
+            besides = [other for other in others if other - ends]
+            if besides and ends <= set().union(*besides):
+                left.remove(content)
+                explained.add(content)
+        return explained
--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -66,6 +66,19 @@
         suspects = after_ends(*ends, [CULPRIT])
         self.assertEqual({CULPRIT, OTHER}, suspects.blocked_contents(START_S + 7))
 
+    def test_one_beside_two_that_crash_workers_is_not_blocked(self) -> None:
+        """It was at two ends of the first and at one of the second: at three, as each of them."""
+        ends = ([CULPRIT, OTHER], [CULPRIT, OTHER], [THIRD, OTHER], [CULPRIT], [THIRD], [THIRD])
+        suspects = after_ends(*ends)
+        self.assertEqual({CULPRIT, THIRD}, suspects.blocked_contents(START_S + 6))
+        suspects.take(OTHER, {9: WorkerEnd(START_S + 9, RAN_S)})
+        self.assertIn(OTHER, suspects.blocked_contents(START_S + 9))
+
+    def test_contents_that_were_always_together_are_all_blocked(self) -> None:
+        """None has an end of its own, so none is shown to be innocent."""
+        suspects = after_ends(*[[CULPRIT, OTHER, THIRD]] * 3)
+        self.assertEqual({CULPRIT, OTHER, THIRD}, suspects.blocked_contents(START_S + 3))
+
     def test_what_was_served_since_is_not_suspected(self) -> None:
         suspects = after_ends([OTHER], [OTHER], [OTHER])
         self.assertEqual({OTHER}, suspects.blocked_contents(START_S + 2))
