--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -14,6 +14,7 @@
 from tests.soak.__main__ import Soak, run_soak
 from tests.soak.crashing import CrashingRuns
 from tests.soak.history import BatchJob, History, OnlineRequest, Run, item_text
+from tests.soak.zones import HELD_S, MOST_COLD, SoakZones
 from tests.stand_ins.paused_clock import PausedClockLoop, run_paused
 
 REGRESSIONS = tomllib.loads((Path(__file__).parents[1] / "soak/regressions.toml").read_text())
@@ -55,6 +56,25 @@
         results = [dict(zip(("id", "state", "text"), item, strict=True)) for item in items]
         self.history.note_page(self.job, after, results, 1.0)
 
+    def test_a_cold_worker_gets_more_than_it_bears(self) -> None:
+        """What its link held back and lets through at once was sent within the bound."""
+
+        async def play() -> None:
+            zones = SoakZones(self.history, played=True)
+            zones.add_worker("w0", 0)
+            zones.note_link_harmed("w0")
+            zones.note_link_mended("w0")
+            for _ in range(int(MOST_COLD)):
+                zones.note_run("w0", "once-1")
+            await asyncio.sleep(HELD_S)
+            for _ in range(int(MOST_COLD)):
+                zones.note_run("w0", "once-1")
+            self.assertEqual([], self.rules())
+            zones.note_run("w0", "once-1")
+            self.assertEqual(["FAILBACK"], self.rules())
+
+        run_paused(play())
+
     def test_second_run_of_what_may_run_once(self) -> None:
         self.history.note_run("once-1", Run("w0", 1.0))
         self.history.note_run("once-1", Run("w1", 1.1))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -259,8 +259,10 @@
         worker = rng.choice(self._site.workers)
         link = self._site.worker_links[worker.worker_id]
         link.faults = self._link_faults()
+        self._site.zones.note_link_harmed(worker.worker_id)
         await asyncio.sleep(rng.uniform(0.5, 4.0))
         link.faults = LinkFaults()
+        self._site.zones.note_link_mended(worker.worker_id)
 
     async def _replace_worker(self) -> None:
         """Start a new worker; let an old one drain and leave."""
--- a/tests/soak/zones.py
+++ b/tests/soak/zones.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import defaultdict
 from typing import Any
 
@@ -21,6 +22,9 @@
 
 MOST_COLD = COLD_PER_S * COLD_FACTOR + COLD_SLACK
 
+HELD_S = 0.25
+"""What a harmed link held back reaches its worker within this time of its mend."""
+
 
 class SoakZones:
     """Where workers are, which zones are evacuated, and what cold workers got.
@@ -34,6 +38,7 @@
         self._zone_by_worker: dict[str, str] = {}
         self._cold_until_s: dict[str, float] = {}
         self._sent_s_by_worker: dict[str, list[float]] = defaultdict(list)
+        self._link_mended_s: dict[str, float] = {}
         self.evacuated_since_s: dict[str, float] = {}
 
     def zone_of(self, number: int) -> str:
@@ -78,6 +83,14 @@
             self._turn_cold(worker_id)
         return back
 
+    def note_link_harmed(self, worker_id: str) -> None:
+        """Note that a worker's link holds back, from now on, what is sent to it."""
+        self._link_mended_s[worker_id] = math.inf
+
+    def note_link_mended(self, worker_id: str) -> None:
+        """Note that a worker's link lets through what it held back."""
+        self._link_mended_s[worker_id] = asyncio.get_running_loop().time()
+
     def note_run(self, worker_id: str, request_id: str) -> None:
         """Check a request that reached a worker."""
         now_s = asyncio.get_running_loop().time()
@@ -91,6 +104,8 @@
     def _check_cold(self, worker_id: str, now_s: float) -> None:
         if now_s >= self._cold_until_s.get(worker_id, 0.0):
             return
+        if now_s < self._link_mended_s.get(worker_id, -math.inf) + HELD_S:
+            return  # sent at various times before, and held back: arrives at once
         sent_s = [at_s for at_s in self._sent_s_by_worker[worker_id] if now_s - at_s < 1.0]
         self._sent_s_by_worker[worker_id] = [*sent_s, now_s]
         if len(sent_s) + 1 > MOST_COLD:
