Judge contents with equally many ends in one pass

Cause: which of them others explain was found by comparing each with each, at every report of an end; with 900 contents of three ends one report took up to 320 ms (3.5 ms before that rule), in which the daemon did nothing else.

Change: sets of ends are counted by end; since all have equally many, another set at an end has an end of its own. Strong suspects are looked up only as far as their number decides.

--- a/mountstand/quarantine/separation.py
+++ b/mountstand/quarantine/separation.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from itertools import islice
 
 from mountstand.hashing import content_name, rendezvous_weight
 from mountstand.quarantine.suspects import CrashSuspects
@@ -41,7 +42,8 @@
         others = self._in_flight_by_worker.get(worker_id)
         if others and not set(others) <= {content}:
             return False
-        strong = self._suspects.strong_lately(now_s - LATELY_S)
+        lately = self._suspects.strong_lately(now_s - LATELY_S)
+        strong = list(islice(lately, MOST_KEPT_APART + 1))
         if content not in strong or len(strong) > MOST_KEPT_APART:
             return True
         return content == max(
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -15,7 +15,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 CRASHES_TO_BLOCK = 3
@@ -74,6 +75,11 @@
     end_by_worker: dict[int, WorkerEnd] = field(default_factory=dict)
     served_at_s: float = NEVER_S
 
+    @property
+    def is_strong(self) -> bool:
+        """Whether so many workers ended under it that it is hardly chance."""
+        return len(self.end_by_worker) >= STRONG_ENDS
+
     @property
     def last_end_s(self) -> float:
         """When a worker last ended under it."""
@@ -139,17 +145,15 @@
     def is_strong(self, content: int) -> bool:
         """Return whether so many workers ended under a content that it is hardly chance."""
         suspect = self.by_content.get(content)
-        return suspect is not None and len(suspect.end_by_worker) >= STRONG_ENDS
-
-    def strong_lately(self, since_s: float) -> set[int]:
-        """Return the strong suspects that are not blocked and had their last end since a time."""
-        return {
-            content
-            for content, suspect in self.by_content.items()
-            if len(suspect.end_by_worker) >= STRONG_ENDS
-            and suspect.last_end_s >= since_s
-            and content not in self._blocked_until_s
-        }
+        return suspect is not None and suspect.is_strong
+
+    def strong_lately(self, since_s: float) -> Iterator[int]:
+        """Yield the strong suspects that are not blocked and had their last end since a time."""
+        for content, suspect in self.by_content.items():
+            if content in self._blocked_until_s:
+                continue
+            if suspect.is_strong and suspect.last_end_s >= since_s:
+                yield content
 
     def take(self, content: int, end_by_worker: EndByWorker, served_at_s: float = NEVER_S) -> bool:
         """Merge what is said of a content; returns whether it was new."""
@@ -254,14 +258,24 @@
         One that was beside two crashing requests, at two ends and at one, has as many ends as
         these, but each of them has an end of its own. If it is a cause all the same, its next end
         tells: then it has more than they do.
+
+        All have equally many ends, so one with other ends has an end of its own.
         """
-        left = sorted(contents)
+        ends_by_content = {key: frozenset(self.by_content[key].end_by_worker) for key in contents}
+        counts_by_end: defaultdict[int, Counter[frozenset[int]]] = defaultdict(Counter)
+        for ends in ends_by_content.values():
+            for end in ends:
+                counts_by_end[end][ends] += 1
         explained: set[int] = set()
-        for content in list(left):
-            ends = self.by_content[content].end_by_worker.keys()
-            others = [self.by_content[c].end_by_worker.keys() for c in left if c != content]
-            besides = [other for other in others if other - ends]
-            if besides and ends <= set().union(*besides):
-                left.remove(content)
+        for content, ends in sorted(ends_by_content.items()):
+            if all(len(counts_by_end[end]) > 1 for end in ends):
                 explained.add(content)
+                for end in ends:
+                    _take_one(counts_by_end[end], ends)
         return explained
+
+
+def _take_one(counts: Counter[frozenset[int]], ends: frozenset[int]) -> None:
+    counts[ends] -= 1
+    if not counts[ends]:
+        del counts[ends]
