Call what is there already: regions, peers, cold budgets, progress

The regions of a request come from the configuration, as those of a job do. A daemon's row tells the peer that it is, in place of two copies. A worker asks one function whether it bears a request. Load groups are made anew for what they were made from, not by a reset of the dealt slots.

--- a/mountstand/membership/registry.py
+++ b/mountstand/membership/registry.py
@@ -15,6 +15,7 @@
 
 from mountstand.membership.datagrams import DatagramMembership
 from mountstand.membership.member import RESTART_MS, Member
+from mountstand.serving.load_groups import Peer
 from mountstand.serving_settings import SocketAddress
 from mountstand.store.rows import Conflict, RowKey, RowStore, StoredRow, StoreError, Transaction
 from mountstand.store.watch import TableChange
@@ -44,6 +45,10 @@
     leaving: bool = False
     capacity: float = 1.0
 
+    def as_peer(self) -> Peer:
+        """Return the daemon as groups of daemons know it."""
+        return Peer(self.name, self.zone, self.capacity)
+
     def encode(self) -> bytes:
         """Return the row's value."""
         return orjson.dumps(
--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -18,7 +18,6 @@
 from mountstand.platform.worker_protocol import parse_prompt
 from mountstand.serving.configuration import Configuration, RequestKind, Route
 from mountstand.serving.forwarder import RETRY_UNAVAILABLE_S
-from mountstand.serving.residency import ANYWHERE, in_both
 from mountstand.serving.worker_protocol import Call
 from mountstand.serving_node import ServingNode
 from mountstand.store.rows import StoreError
@@ -123,7 +122,7 @@
         if route.kind is RequestKind.BATCH:
             await self._submit(route, request, responder, tenant)
         else:
-            await self._forward(route, request, responder, tenant)
+            await self._forward(configuration, route, request, responder, tenant)
 
     def _caller(
         self, configuration: Configuration, request: ServerRequest, public: bool
@@ -139,9 +138,15 @@
         return tenant.name if tenant is not None else ""
 
     async def _forward(
-        self, route: Route, request: ServerRequest, responder: Responder, tenant: Tenant | None
+        self,
+        configuration: Configuration,
+        route: Route,
+        request: ServerRequest,
+        responder: Responder,
+        tenant: Tenant | None,
     ) -> None:
         request_id = request.headers.get(names.REQUEST_ID.lower()) or ""
+        tenant_name = tenant.name if tenant is not None else ""
         await self._node.access.admit(tenant, request_id)
         call = Call(
             request_id=request_id,
@@ -152,10 +157,10 @@
             body=request.body,
             prompt=parse_prompt(request.headers.get(names.PREFIX.lower())),
             last_event_id=number(request.headers.get(names.LAST_EVENT_ID.lower())),
-            tenant=tenant.name if tenant is not None else "",
+            tenant=tenant_name,
             tenant_weight=tenant.weight if tenant is not None else None,
             priority=tenant.priority_before(route.priority) if tenant else route.priority,
-            regions=in_both(route.regions, tenant.regions if tenant else ANYWHERE),
+            regions=configuration.regions_for(route, tenant_name),
         )
         await self._node.forwarder.forward(
             route,
--- a/mountstand/serving/evacuation_status.py
+++ b/mountstand/serving/evacuation_status.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 import orjson
 
@@ -38,8 +38,7 @@
     def encode(self, zone: str) -> bytes:
         """Return the row's value."""
         state = "empty" if self.done else "emptying"
-        counts = {"workers": self.workers, "requests": self.requests, "items": self.items}
-        return orjson.dumps({"zone": zone, "state": state, **counts})
+        return orjson.dumps({"zone": zone, "state": state, **asdict(self)})
 
 
 def progress_of(directory: WorkerDirectory, zone: str) -> EvacuationProgress:
@@ -94,13 +93,7 @@
             row = (self._key_of(zone), progress.encode(zone))
             if await self._commit(Transaction(puts=[row]), zone):
                 self._told[zone] = progress
-                self._log.event(
-                    "evacuation_progress",
-                    zone=zone,
-                    workers=progress.workers,
-                    requests=progress.requests,
-                    items=progress.items,
-                )
+                self._log.event("evacuation_progress", zone=zone, **asdict(progress))
 
     async def _commit(self, transaction: Transaction, zone: str) -> bool:
         try:
--- a/mountstand/serving/load_sharing.py
+++ b/mountstand/serving/load_sharing.py
@@ -104,7 +104,7 @@
         self._peers: frozenset[Peer] = frozenset()
         self._group = group_of(own, ())
         self._serving: frozenset[str] = frozenset()
-        self._slots = 0
+        self._grouped_for: tuple[frozenset[Peer], int, frozenset[str]] | None = None
         self._ticks = 0
         self._evacuated_zones: frozenset[str] = frozenset()
         self._heard_by_sender: dict[str, _Heard] = {}
@@ -186,7 +186,6 @@
     def use_evacuations(self, zones: frozenset[str]) -> None:
         """Let no daemon of these zones serve callers, as long as others can."""
         self._evacuated_zones = zones
-        self._dealt_for = None
 
     # Sending
 
@@ -276,10 +275,11 @@
     def _regroup(self) -> None:
         peers = frozenset(self._link.peers())
         slots = self._directory.slots()
-        if peers == self._peers and slots == self._slots and self._dealt_for is not None:
+        grouped_for = (peers, slots, self._evacuated_zones)
+        if grouped_for == self._grouped_for:
             return
+        self._grouped_for = grouped_for
         self._peers = peers
-        self._slots = slots
         self._group = group_of(self._own_peer, peers)
         daemons = outside(peers | {self._own_peer}, self._evacuated_zones)
         self._serving = serving_members(daemons, slots)
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -233,7 +233,7 @@
             return False
         if self.avoid_until_s > now_s or self.health.is_ejected(now_s):
             return False
-        return self.cold is None or self.cold.allows(now_s)
+        return self.bears_one(now_s)
 
     def bears_one(self, now_s: float) -> bool:
         """Return whether one more request may be sent, unless the worker is cold and had enough."""
--- a/mountstand/serving_limits.py
+++ b/mountstand/serving_limits.py
@@ -5,13 +5,13 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from mountstand.limits.standing import Standing
 from mountstand.membership.datagrams import DatagramMembership
 from mountstand.membership.message_link import MembershipMessageLink
-from mountstand.membership.registry import DaemonRegistry, DaemonRow
-from mountstand.serving.load_groups import Peer, serving_members
+from mountstand.membership.registry import DaemonRegistry
+from mountstand.serving.load_groups import serving_members
 from mountstand.serving_settings import ServingSettings
 from mountstand.store.rows import RowStore
 from mountstand.telemetry.decisions import DecisionLog
@@ -26,10 +26,6 @@
 """Questions are numbered from a chance number of so many bits."""
 
 
-def _peers(rows: Iterable[DaemonRow]) -> list[Peer]:
-    return [Peer(row.name, row.zone, row.capacity) for row in rows]
-
-
 class ServingLimits:
     """The limits of one serving process."""
 
@@ -77,8 +73,8 @@
     def use_fleet(self, slots: int) -> None:
         """Take the daemons that the store lists, before workers with so many slots."""
         loop = asyncio.get_running_loop()
-        listed = _peers(self._registry.listed())
-        leaving = _peers(self._registry.leaving())
+        listed = [row.as_peer() for row in self._registry.listed()]
+        leaving = [row.as_peer() for row in self._registry.leaving()]
         served_lately = serving_members([*listed, *leaving], slots)
         hold_s = self._window_s() + LOAN_S
         self.standing.use(
--- a/mountstand/tenants/limits.py
+++ b/mountstand/tenants/limits.py
@@ -211,7 +211,7 @@
             if number not in numbers:
                 part.marked = self._new_sum()
         by_tenant = {number: self._part_by_number[number].amounts() for number in numbers}
-        return UseSnapshot(now_s, self.standing.share, by_tenant)
+        return UseSnapshot(self.standing.share, by_tenant)
 
     def note_marked(self, snapshot: UseSnapshot, now_s: float) -> None:
         """Note that the store has a row with ``snapshot``."""
--- a/mountstand/tenants/marks.py
+++ b/mountstand/tenants/marks.py
@@ -39,7 +39,6 @@
 class UseSnapshot:
     """What this process let through within the window, by tenant, and its part of every limit."""
 
-    taken_s: float
     share: float
     by_tenant: Mapping[int, Amounts]
 
--- a/mountstand/tenants/stored_marks.py
+++ b/mountstand/tenants/stored_marks.py
@@ -83,7 +83,7 @@
                 former = await self._read()
                 self._starts_s = former.starts_s or (self._began_s,)
                 share = max(former.share, self._limits.standing.share)
-                snapshot = UseSnapshot(_now_s(), share, former.by_tenant)
+                snapshot = UseSnapshot(share, former.by_tenant)
                 await self._write(snapshot)
             except StoreError:
                 await asyncio.sleep(RETRY_S)
--- a/tests/model/test_tenant_limits.py
+++ b/tests/model/test_tenant_limits.py
@@ -53,7 +53,7 @@
     limits = TenantLimits(standing, Marks(), TOLERANCE, 7)
     limits.use_tenants(TenantIndex(TENANTS))
     limits.use_former(former, 10.0)
-    limits.note_marked(UseSnapshot(10.0, standing.share, former.by_tenant), 10.0)
+    limits.note_marked(UseSnapshot(standing.share, former.by_tenant), 10.0)
     return limits
 
 
--- a/tests/serving/test_caller_access.py
+++ b/tests/serving/test_caller_access.py
@@ -44,7 +44,7 @@
         limits = TenantLimits(standing, Marks(), LimitTolerance(), 1)
         limits.use_tenants(TENANTS)
         limits.use_former(FormerUse(), began_s)
-        limits.note_marked(UseSnapshot(began_s, standing.share, {}), began_s)
+        limits.note_marked(UseSnapshot(standing.share, {}), began_s)
         gate = LimitGate(limits, NoLink(), random.Random(1))
         self.access = CallerAccess(gate, lambda: stale, self.metrics, self.log)
 
