Test: a daemon is ready only once callers can connect, and ends if they never can

Both fail: ready before the callers' port is bound, and a process that stays and says it is ready where another holds its port.

--- /dev/null
+++ b/tests/integration/test_start.py
@@ -0,0 +1,117 @@
+"""A daemon says that it is ready only once callers can connect, and ends if they never can.
+
+A fleet reported itself started, and the first callers got "Connection refused" from a daemon's
+port. The daemon's control interface starts first and answered ``GET /readyz`` with 200 as soon as
+workers and settings were known; the callers' port was bound last, after all other parts had
+started, which takes a second and more on a busy machine. Two of six starts beside ten busy
+processes showed it: ready, then refused. A daemon whose port another process holds stayed so for
+good: its start failed, the threads of the control interface kept the process alive, and it went on
+saying that it was ready.
+"""
+
+from __future__ import annotations
+
+import socket
+import sys
+import threading
+import time
+
+import urllib3
+from testtools import TestCase
+
+from mountstand.daemon import Daemon
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import DaemonAddress, FleetPlan
+from mountstand.lab.ports import LOOPBACK, accepts_connections, free_ports
+from mountstand.process_settings import DaemonSettings
+from tests.integration.helpers import wait_until
+
+END_S = 20.0
+"""A start that cannot succeed takes a few seconds; this leaves room on a busy machine."""
+
+
+class Start(TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        cls.fleet = Fleet(FleetPlan(daemons=0, engines=1, applications=0))
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start()
+
+    def address(self) -> DaemonAddress:
+        return DaemonAddress("starting", "zone-a", *free_ports(2))
+
+    def daemon(self, address: DaemonAddress) -> Daemon:
+        """Return a daemon of this process, not started."""
+        interval_s = sys.getswitchinterval()
+        self.addCleanup(sys.setswitchinterval, interval_s)
+        return Daemon(
+            DaemonSettings(
+                daemon_id=address.daemon_id,
+                zone=address.zone,
+                address=LOOPBACK,
+                port=address.port,
+                control_port=address.control_port,
+                platform={
+                    "table_url": self.fleet.table_url,
+                    "objects_url": self.fleet.objects_url,
+                    "machines_url": self.fleet.machines_url,
+                    "machines_poll_s": 0.3,
+                },
+                online={"threads": 8},
+                stop_timeout_s=5.0,
+            )
+        )
+
+    def test_not_ready_while_its_parts_still_start(self) -> None:
+        address = self.address()
+        daemon = self.daemon(address)
+        go_on = threading.Event()
+        start_executor = daemon.executor.start
+
+        def start_late() -> None:
+            go_on.wait(END_S)
+            start_executor()
+
+        daemon.executor.start = start_late
+        starting = threading.Thread(target=daemon.start)
+        starting.start()
+        try:
+            wait_until(daemon.observer.ready.is_set, "workers are known")
+            wait_until(daemon.settings_service.caught_up.is_set, "settings are known")
+            ready_early = daemon.is_ready()
+            go_on.set()
+            starting.join()
+            wait_until(daemon.is_ready, "it is ready")
+            accepts = accepts_connections(address.port)
+        finally:
+            go_on.set()
+            starting.join()
+            daemon.stop()
+        self.assertEqual((False, True), (ready_early, accepts))
+
+    def test_ends_where_another_process_holds_its_port(self) -> None:
+        address = self.address()
+        with socket.socket() as held:
+            held.bind((LOOPBACK, address.port))
+            held.listen()
+            process = self.fleet.start_daemon(address)
+            deadline_s = time.monotonic() + END_S
+            ready = False
+            while process.is_running and time.monotonic() < deadline_s:
+                ready = ready or self.says_ready(address)
+                time.sleep(0.05)
+            ended = not process.is_running
+            self.fleet.kill(address.daemon_id)
+        log = process.log.read_text()
+        self.assertEqual((True, False), (ended, ready), log)
+        self.assertEqual(1, process.process.returncode, log)
+        self.assertIn("port_unavailable", log)
+        self.assertIn(str(address.port), log)
+
+    def says_ready(self, address: DaemonAddress) -> bool:
+        try:
+            answer = self.fleet.http.request("GET", f"{address.control_url}/readyz", timeout=1.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == 200
