A daemon is ready once callers can connect; one that cannot take its ports ends

Where another process held the port, for good: the failed start left the control interface's threads, which kept the process alive, ready, and with a lease on the jobs' shards.

Cause: readiness asked whether workers and settings were known, which they are before the callers' port is bound, last of all parts.

Change: both ports are taken before any part starts, readiness asks the callers' server as well, and a failed start stops the servers and is told as port_unavailable, for datagrams too. The platform's daemon binds all its ports before it reads the configuration, which its readiness needs; it ends by itself.

--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -126,7 +126,20 @@
         )
 
     def start(self) -> None:
-        """Start every part; the callers' interface comes last."""
+        """Start every part; the callers' interface comes last. Raises ``PortUnavailable``."""
+        try:
+            self._start()
+        except BaseException:
+            # The servers' threads would keep alive a process that can serve nobody.
+            self._callers_server.stop()
+            self._control_server.stop()
+            raise
+
+    def _start(self) -> None:
+        # Both ports first: a daemon that cannot be reached must own no jobs and tell nobody that
+        # it runs.
+        self._control_server.listen()
+        self._callers_server.listen()
         self._control_server.start()
         self.membership.start()
         self.quarantine.start()
@@ -163,9 +176,13 @@
         return finished
 
     def is_ready(self) -> bool:
-        """Return whether the daemon takes callers' requests."""
+        """Return whether the daemon takes callers' requests.
+
+        Its workers and settings are known before all parts have started, so that the callers'
+        interface is asked as well.
+        """
         informed = self.observer.ready.is_set() and self.settings_service.caught_up.is_set()
-        return informed and not self._stopping.is_set()
+        return informed and self._callers_server.serving and not self._stopping.is_set()
 
     def _build_platform(self) -> None:
         platform = self.settings.platform
--- a/mountstand/errors.py
+++ b/mountstand/errors.py
@@ -156,6 +156,16 @@
     http_status = 422
 
 
+class PortUnavailable(MountstandError):
+    """A port that a process must serve cannot be taken; it ends instead of starting."""
+
+    code = "port_unavailable"
+    title = "A port cannot be taken"
+    remedy = "End the process that holds the port, or set another one."
+    http_status = 503
+    default_executed = Executed.NO
+
+
 class Overloaded(MountstandError):
     """No capacity to serve the request in time."""
 
--- a/mountstand/http/server.py
+++ b/mountstand/http/server.py
@@ -13,6 +13,7 @@
 import cherrypy
 from cheroot import wsgi
 
+from mountstand.errors import PortUnavailable
 from mountstand.http.problem import answer_exception, answer_http_error
 
 TAKE_OVER_KEY = "mountstand.take_over_slot"
@@ -121,11 +122,23 @@
         )
         self._server.gateway = TakeOverGateway
         self._server.error_log = log_server_error  # type: ignore[method-assign]
+        self._address = f"{address}:{port}"
         self._thread: threading.Thread | None = None
 
+    @property
+    def serving(self) -> bool:
+        """Whether requests are answered."""
+        return self._thread is not None
+
+    def listen(self) -> None:
+        """Take the address; connections wait until :meth:`start`. Raises ``PortUnavailable``."""
+        try:
+            self._server.prepare()
+        except OSError as problem:
+            raise PortUnavailable(f"TCP {self._address}: {problem}") from None
+
     def start(self) -> None:
-        """Listen and serve; return when connections are accepted."""
-        self._server.prepare()
+        """Serve those that connect; :meth:`listen` comes first."""
         self._thread = threading.Thread(target=self._server.serve, daemon=True, name="http")
         self._thread.start()
 
--- a/mountstand/membership/service.py
+++ b/mountstand/membership/service.py
@@ -10,7 +10,7 @@
 
 from mountstand.background import PeriodicTask
 from mountstand.clock import elapsed_s
-from mountstand.errors import MessageRejected, MountstandError
+from mountstand.errors import MessageRejected, MountstandError, PortUnavailable
 from mountstand.membership.member import Member, MemberState
 from mountstand.membership.state import (
     Instruction,
@@ -57,8 +57,7 @@
         self._peers = peers
         self._metrics = metrics
         self._own_revision = own_revision
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind((self_member.address, self_member.port))
+        self._socket = bound_socket(self_member.address, self_member.port)
         self._closing = False
         self._first_sync_done = False
         self.on_revision: RevisionObserver = lambda sender_id, revision: None
@@ -222,3 +221,14 @@
         self._carry_out(instructions)
         self.on_revision(frame.sender_id, frame.revision)
         self.on_hint(frame.sender_id, frame.message)
+
+
+def bound_socket(address: str, port: int) -> socket.socket:
+    """Return a datagram socket at an address. Raises ``PortUnavailable``."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        bound.bind((address, port))
+    except OSError as problem:
+        bound.close()
+        raise PortUnavailable(f"UDP {address}:{port}: {problem}") from None
+    return bound
