--- /dev/null
+++ b/tests/integration/test_signals.py
@@ -0,0 +1,142 @@
+"""A daemon stops as planned, whichever of its threads the signal reaches and whenever it comes.
+
+A daemon once did not end within 90 s of SIGTERM. The handler of the signal set an event on which
+the main thread waited. Python runs handlers in the main thread alone, between two of its steps. So
+nothing happened where the kernel gave the signal to another thread while the main one slept; and
+where the main thread was just entering its wait, the handler waited for the lock of the event that
+its own thread held. Both left a daemon that went on serving and never stopped.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import ctypes
+import os
+import signal
+import socket
+import subprocess
+import threading
+from pathlib import Path
+
+import orjson
+import urllib3
+from testtools import TestCase
+
+from mountstand.lab.fleet import Fleet, FleetProcess
+from mountstand.lab.fleet_plan import DaemonAddress, FleetPlan
+from mountstand.lab.ports import LOOPBACK
+from tests.integration.helpers import wait_until
+
+STOP_S = 20.0
+"""An idle daemon stops within some 3 s; this leaves room on a busy machine."""
+
+
+def signal_thread(process_id: int, thread_id: int, number: signal.Signals) -> None:
+    """Send a signal to one thread of a process."""
+    if ctypes.CDLL(None).tgkill(process_id, thread_id, int(number)):
+        raise OSError("tgkill failed")
+
+
+def other_threads(process_id: int) -> list[int]:
+    """Return the ids of a process's threads but for the main one."""
+    threads = sorted(int(path.name) for path in Path(f"/proc/{process_id}/task").iterdir())
+    return [thread_id for thread_id in threads if thread_id != process_id]
+
+
+class PlannedStopBySignal(TestCase):
+    def stop_by(self, number: signal.Signals) -> tuple[int | None, str]:
+        """Signal a thread that isn't the main one; return the exit code and the log."""
+        with Fleet(FleetPlan(daemons=1, engines=1, applications=0)) as fleet:
+            daemon: FleetProcess = fleet.processes[fleet.daemons[0].daemon_id]
+            process_id = daemon.process.pid
+            signal_thread(process_id, other_threads(process_id)[-1], number)
+            try:
+                return daemon.process.wait(STOP_S), daemon.log.read_text()
+            except subprocess.TimeoutExpired:
+                return None, daemon.dump()
+
+    def test_a_signal_that_reaches_another_thread(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            code, log = self.stop_by(number)
+            self.assertEqual(0, code, f"{number.name}, {os.linesep}{log}")
+
+
+class StalledWorker:
+    """A worker that begins the answer to each request and then says no more."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
+
+    def __init__(self) -> None:
+        self.began = threading.Event()
+        self._listener = socket.create_server((LOOPBACK, 0))
+        self.port = self._listener.getsockname()[1]
+        self._conns: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Close all that is open."""
+        for conn in (self._listener, *self._conns):
+            conn.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = self._listener.accept()
+                self._conns.append(conn)
+                threading.Thread(target=self._answer, args=(conn,), daemon=True).start()
+
+    def _answer(self, conn: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            if conn.recv(65536).startswith(b"POST /v1/completions"):
+                conn.sendall(self.HEAD)
+                self.began.set()
+
+
+class LongestStop(TestCase):
+    """A stop ends at its time-out, also beside a request whose own deadline is much later.
+
+    The server of callers waits without limit for each thread that answers a request. One that reads
+    the answer of a worker which began it and then says nothing kept a stopping daemon for as long
+    as the caller allowed, up to ten minutes, whatever the settings gave the stop.
+    """
+
+    STOP_TIMEOUT_S = 2.0
+    DEADLINE_MS = 120_000
+
+    def test_an_answer_that_does_not_go_on(self) -> None:
+        worker = StalledWorker()
+        self.addCleanup(worker.close)
+        settings = {"stop_timeout_s": self.STOP_TIMEOUT_S}
+        with Fleet(FleetPlan(daemons=1, engines=1, applications=0, daemon=settings)) as fleet:
+            daemon = fleet.daemons[0]
+            machine = {**fleet.engines[0].machine(), "machine_id": "stalled", "port": worker.port}
+            url = f"{fleet.machines_url}/control/machines"
+            fleet.http.request("POST", url, body=orjson.dumps([machine]))
+            fleet.http.request("DELETE", f"{url}/{fleet.engines[0].worker_id}")
+            wait_until(lambda: self.workers(fleet, daemon) == ["stalled"], "it is listed")
+            caller = threading.Thread(target=self.ask, args=(fleet, daemon), daemon=True)
+            caller.start()
+            self.assertTrue(worker.began.wait(STOP_S))
+            process = fleet.processes[daemon.daemon_id]
+            process.send(signal.SIGTERM)
+            try:
+                code = process.process.wait(STOP_S)
+            except subprocess.TimeoutExpired:
+                code = None
+            log = process.log.read_text()
+        self.assertEqual(1, code, log)
+        self.assertIn("read_body", log)
+
+    def workers(self, fleet: Fleet, daemon: DaemonAddress) -> list[str]:
+        """Return the workers that a daemon knows."""
+        return [worker["worker"] for worker in fleet.status(daemon, "workers")]
+
+    def ask(self, fleet: Fleet, daemon: DaemonAddress) -> None:
+        body = {"model": "caption", "prompt": "p", "max_tokens": 2}
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            fleet.http.request(
+                "POST",
+                f"{daemon.callers_url}/v1/completions",
+                body=orjson.dumps(body),
+                headers={"X-Request-Id": "stuck", "X-Deadline-Ms": str(self.DEADLINE_MS)},
+            )
