A daemon hears the signal to stop in whatever thread it comes

What callers saw: a daemon that goes on after SIGTERM until it is killed, which cuts off what is in progress. A test saw one that did not end within 90 s, once; whether this was its cause is not shown.

Cause: the handler set an event on which the main thread waited. Handlers run in the main thread only, between two of its steps: never while it sleeps and another thread got the signal; and within the few steps that hold the event's lock, the handler waits for its own thread.

Change: the signals' numbers are written to a socket by the interpreter's part in C, and the main thread reads there, as event loops do; the platform's daemon has such a loop. SIGUSR1 logs the stacks of all threads, threads at the same place as one: the interpreter's dump ends after a hundred threads, before the main one, and showed nothing of it. The lab asks for them before it ends a process that hangs.

--- a/mountstand/cli/serve.py
+++ b/mountstand/cli/serve.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import signal
-import threading
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 
+from mountstand.cli.stopping import StopSignals
 from mountstand.daemon import Daemon
 from mountstand.process_settings import load_daemon_settings
 from mountstand.telemetry.logs import configure_logging
@@ -54,11 +53,9 @@
             },
         )
         configure_logging(settings.daemon_id)
-        told_to_stop = threading.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: told_to_stop.set())
+        signals = StopSignals()
         daemon = Daemon(settings)
         daemon.start()
-        told_to_stop.wait()
+        signals.wait()
         if not daemon.stop():
             raise cappa.Exit("some work was cut off at the stop time-out", code=1)
--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -28,7 +28,10 @@
 POLL_S = 0.05
 STOP_TIMEOUT_S = 30.0
 DUMPED_CHARACTERS = 20_000
-"""A daemon has some sixty threads, each with a stack of ten lines or so."""
+"""A daemon has some two hundred threads, which stand at thirty places or so."""
+
+STACKS_WAIT_S = 2.0
+"""Time to log the stacks when asked, for a process that still hears signals."""
 
 
 @dataclass
@@ -50,7 +53,12 @@
             self.process.send_signal(number)
 
     def dump(self) -> str:
-        """End a process that hangs; return the end of its log with the stacks of its threads."""
+        """End a process that hangs; return the end of its log with the stacks of its threads.
+
+        A daemon is asked for them first: what the interpreter prints at its end is cut short.
+        """
+        self.send(signal.SIGUSR1)
+        time.sleep(STACKS_WAIT_S)
         self.send(signal.SIGABRT)
         self.process.wait(STOP_TIMEOUT_S)
         return self.log.read_text(errors="replace")[-DUMPED_CHARACTERS:]
