A planned stop ends soon after its time-out, whatever a thread waits for

What callers saw: a daemon that still runs, and takes nobody's requests, for as long as one caller allows its answer to take, up to ten minutes; a supervisor kills it.

Cause: the servers of callers and operators join the threads that answer requests without limit, and the interpreter joins all pools. A thread that reads the body of an answer its worker does not go on with wakes at the request's deadline only.

Change: ten seconds after stop_timeout_s the process logs where its threads stand and ends with 1, the code for work that was cut off.

--- a/mountstand/cli/serve.py
+++ b/mountstand/cli/serve.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from mountstand.cli.stopping import StopSignals
+from mountstand.cli.stopping import CLOSE_S, CUT_OFF, StopSignals, end_after
 from mountstand.daemon import Daemon
 from mountstand.process_settings import load_daemon_settings
 from mountstand.telemetry.logs import configure_logging
@@ -57,5 +57,6 @@
         daemon = Daemon(settings)
         daemon.start()
         signals.wait()
+        end_after(settings.stop_timeout_s + CLOSE_S)
         if not daemon.stop():
-            raise cappa.Exit("some work was cut off at the stop time-out", code=1)
+            raise cappa.Exit("some work was cut off at the stop time-out", code=CUT_OFF)
--- a/mountstand/cli/stopping.py
+++ b/mountstand/cli/stopping.py
@@ -1,10 +1,12 @@
-"""How a daemon's process learns that it must stop."""
+"""How a daemon's process learns that it must stop, and that it ends once it has been told."""
 
 from __future__ import annotations
 
 import logging
+import os
 import signal
 import socket
+import threading
 
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.stacks import stacks
@@ -15,6 +17,13 @@
 STACKS_SIGNAL = signal.SIGUSR1
 RECEIVED_BYTES = 64
 
+CLOSE_S = 10.0
+"""Time to close all parts after the stop's time-out has cut off what was in progress. Idle ones
+take 3 s; each of the dozen tasks may be within a call to the store, which takes 1 s at most."""
+
+CUT_OFF = 1
+"""Exit code of a stop that cut work off."""
+
 
 class StopSignals:
     """Hears the signals of a process; make it in the main thread, before other threads start.
@@ -43,6 +52,23 @@
                 log_stacks("stacks")
 
 
+def end_after(limit_s: float) -> None:
+    """End the process if it still runs after a time, whatever its threads wait for.
+
+    The servers of callers and operators wait without limit for threads that answer requests, and
+    the interpreter for all pools.
+    """
+    threading.Thread(target=_end_after, args=(limit_s,), daemon=True, name="stop limit").start()
+
+
 def log_stacks(event: str) -> None:
     """Log where all threads stand."""
     log_state_change(logger, event, stacks=stacks())
+
+
+def _end_after(limit_s: float) -> None:
+    # The clock doesn't count a time in which the machine was suspended, in which nothing ended.
+    threading.Event().wait(limit_s)
+    log_stacks("stop takes too long")
+    logging.shutdown()
+    os._exit(CUT_OFF)
