--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -272,7 +272,12 @@
                 pass
             self._check_processes()
             time.sleep(POLL_S)
-        raise TimeoutError(f"not so after {READY_TIMEOUT_S} s: {what}")
+        raise TimeoutError(f"not so after {READY_TIMEOUT_S} s: {what}\n{self._dump_daemons()}")
+
+    def _dump_daemons(self) -> str:
+        """End the daemons; return what their logs say, and where their threads stood."""
+        names = [daemon.daemon_id for daemon in self.daemons if daemon.daemon_id in self.processes]
+        return "\n".join(self.processes[name].dump() for name in names)
 
     def _check_processes(self) -> None:
         for process in self.processes.values():
