Contents whose ends others may have caused are tried apart before they are blocked

Cause: three ends decided at once, by counting sets of ends. One content beside two others has as many ends as either; which of two that were always together crashes workers no set tells. Each case more of "explained by" left the next.

Change: a content with three ends is blocked at once only if no other strong suspect was at any of them. Else it is held back for two seconds, until the ends of all that ran then are known, and tried once, at one daemon at a time, where no other suspect runs. A served one is cleared; an end of its own blocks it. One that is explained runs once at a time. On the own interface an item that waits for its trial is not failed.

--- a/mountstand/hashing.py
+++ b/mountstand/hashing.py
@@ -25,12 +25,20 @@
     return f"{key:016x}"
 
 
+WEIGHT_BYTES = 8
+
+
 def rendezvous_weight(key: str, node: str) -> int:
     """Return the weight of ``node`` for ``key``; the highest weight owns the key."""
-    digest = hashlib.blake2b(f"{key}\x00{node}".encode(), digest_size=8).digest()
+    digest = hashlib.blake2b(f"{key}\x00{node}".encode(), digest_size=WEIGHT_BYTES).digest()
     return int.from_bytes(digest, "big")
 
 
+def rendezvous_share(key: str, node: str) -> float:
+    """Return the weight of ``node`` for ``key`` as a share of the highest there is."""
+    return rendezvous_weight(key, node) / 256**WEIGHT_BYTES
+
+
 def rendezvous_owner(key: str, nodes: Iterable[str]) -> str | None:
     """Return the node that owns ``key``, or ``None`` when there are no nodes."""
     return max(nodes, key=lambda node: rendezvous_weight(key, node), default=None)
--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -31,7 +31,7 @@
 )
 from mountstand.online.request import OnlineRequest
 from mountstand.online.retry_budget import RetryBudget
-from mountstand.quarantine.suspects import CRASHES_TO_BLOCK
+from mountstand.quarantine.suspects import CRASHES_TO_BLOCK, RETRY_TRIAL_S
 from mountstand.quarantine.threads import ContentQuarantine
 from mountstand.routing.chooser import RouteRequest
 from mountstand.routing.fleet_view import DispatchOutcome
@@ -152,9 +152,16 @@
             dispatch = to_backend_request(request)
             sent_at_s = elapsed_s()
             try:
-                result = send(machine, dispatch, try_timeout_s(request))
+                with self._quarantine.running(request.content_key, machine) as allowed:
+                    if not allowed and self._quarantine.waits_for_trial(request.content_key):
+                        raise self._quarantine.held_back(request.content_key, RETRY_TRIAL_S)
+                    result = send(machine, dispatch, try_timeout_s(request))
                 self._router.record_figures(machine.machine_id, result.load)
                 return Dispatched(machine, dispatch.request_id, result)
+            except RequestQuarantined as error:
+                last_error = error
+                self._router.end(machine.machine_id, DispatchOutcome.NEUTRAL)
+                break
             except MountstandError as error:
                 last_error = error
                 self._learn(request, machine, dispatch.request_id, sent_at_s, error)
--- a/mountstand/quarantine/reports.py
+++ b/mountstand/quarantine/reports.py
@@ -7,7 +7,13 @@
 
 from collections.abc import Iterable
 
-from mountstand.quarantine.suspects import NEVER_S, CrashSuspects, WorkerEnd
+from mountstand.quarantine.suspects import (
+    NEVER_S,
+    NO_TRIALS,
+    CrashSuspects,
+    Trials,
+    WorkerEnd,
+)
 from mountstand.wire.gossip import NEVER_SERVED, CrashReport, SuspectEntry
 
 ENTRIES_PER_REPORT = 8
@@ -46,19 +52,25 @@
         tuple(_age_ms(now_s, end.at_s) for end in suspect.end_by_worker.values()),
         tuple(round(end.ran_s * 1000) for end in suspect.end_by_worker.values()),
         _age_ms(now_s, suspect.served_at_s) if served else NEVER_SERVED,
+        suspect.trials.count,
+        _age_ms(now_s, suspect.trials.last_at_s) if suspect.trials.count else 0,
     )
 
 
-def _times(entry: SuspectEntry, now_s: float) -> tuple[dict[int, WorkerEnd], float]:
-    """Return the ends of workers, by their keys, and when the content was served."""
+def _times(entry: SuspectEntry, now_s: float) -> tuple[dict[int, WorkerEnd], float, Trials]:
+    """Return the ends of workers, by their keys, when the content was served, and its trials."""
     told = zip(entry.workers, entry.ages_ms, entry.ran_ms, strict=False)
     end_by_worker = {
         worker: WorkerEnd(now_s - max(0, age_ms) / 1000, max(0, ran_ms) / 1000)
         for worker, age_ms, ran_ms in told
     }
-    if entry.served_ms == NEVER_SERVED:
-        return end_by_worker, NEVER_S
-    return end_by_worker, now_s - max(0, entry.served_ms) / 1000
+    served_at_s = NEVER_S
+    if entry.served_ms != NEVER_SERVED:
+        served_at_s = now_s - max(0, entry.served_ms) / 1000
+    trials = NO_TRIALS
+    if entry.trials > 0:
+        trials = Trials(entry.trials, now_s - max(0, entry.tried_ms) / 1000)
+    return end_by_worker, served_at_s, trials
 
 
 def _age_ms(now_s: float, at_s: float) -> int:
--- a/mountstand/quarantine/separation.py
+++ b/mountstand/quarantine/separation.py
@@ -25,6 +25,10 @@
 the two or three that were beside it twice; dozens come of a rack or zone that failed twice, and
 would leave most of them without a worker."""
 
+MOST_TRIALS = 16
+"""So many contents that were held back at most have workers kept for their trials. Each runs there
+for a moment and is cleared or blocked; with more, most of them were merely there."""
+
 
 class SuspectSeparation:
     """The strong suspects that this daemon has in flight, by worker."""
@@ -42,13 +46,25 @@
         others = self._in_flight_by_worker.get(worker_id)
         if others and not set(others) <= {content}:
             return False
-        lately = self._suspects.strong_lately(now_s - LATELY_S)
-        strong = list(islice(lately, MOST_KEPT_APART + 1))
-        if content not in strong or len(strong) > MOST_KEPT_APART:
+        kept = self._kept_apart(content, now_s)
+        if content not in kept:
             return True
-        return content == max(
-            strong, key=lambda each: rendezvous_weight(worker_id, content_name(each))
-        )
+        name = content_name
+        return content == max(kept, key=lambda each: rendezvous_weight(worker_id, name(each)))
+
+    def _kept_apart(self, content: int, now_s: float) -> list[int]:
+        """Return the contents that have workers kept for them, none if there are too many.
+
+        A trial tells nothing beside another suspect, so trials go before those that merely are
+        strong.
+        """
+        suspects = self._suspects
+        trials = list(islice(suspects.trials_lately(now_s, LATELY_S), MOST_TRIALS + 1))
+        lately = suspects.strong_lately(now_s, LATELY_S)
+        strong = list(islice(lately, MOST_KEPT_APART + 1))
+        if len(trials) + len(strong) <= MOST_KEPT_APART:
+            return trials + strong
+        return trials if content in trials and len(trials) <= MOST_TRIALS else []
 
     def enter(self, content: int, worker_id: str) -> bool:
         """Note a content that is sent to a worker; returns whether it must be told to leave."""
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -88,10 +88,20 @@
         now_s = asyncio.get_running_loop().time()
         return self._separation.allows(call.content_key, worker.record.worker_id, now_s)
 
+    def waits_for_trial(self, call: Call) -> bool:
+        """Return whether a request may run only where no other suspect does."""
+        return self.suspects.any_on_trial and self.suspects.is_on_trial(call.content_key)
+
     @contextmanager
     def running(self, call: Call, worker: Worker) -> Iterator[None]:
-        """Keep other suspects away from a worker while a suspect runs there."""
+        """Keep other suspects away from a worker while a suspect runs there.
+
+        Call it at the moment that :meth:`blocked_for_s` and :meth:`allows` were asked: the trial
+        of a content that was held back begins here, and holds it back everywhere else.
+        """
         worker_id = worker.record.worker_id
+        if self.waits_for_trial(call):
+            self._begin_trial(call, worker_id)
         entered = bool(self.suspects) and self._separation.enter(call.content_key, worker_id)
         try:
             yield
@@ -99,6 +109,16 @@
             if entered:
                 self._separation.leave(call.content_key, worker_id)
 
+    def _begin_trial(self, call: Call, worker_id: str) -> None:
+        self._sharing.begin(call.content_key, asyncio.get_running_loop().time())
+        self._log.event(
+            "suspect_tried",
+            content=content_name(call.content_key),
+            request=call.request_id,
+            worker=worker_id,
+            trials=self.suspects.by_content[call.content_key].trials.count,
+        )
+
     def note_served(self, call: Call) -> None:
         """Note that a worker answered a request whole: what is served does not crash workers."""
         if not self.suspects:
@@ -175,6 +195,7 @@
             ends=len(end_by_worker),
             workers=sorted(end_by_worker),
             for_s=round(self.suspects.blocked_for_s(content, now_s), 1),
+            trial=self.suspects.is_on_trial(content),
             source=source,
         )
         self.on_blocked(content)
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -77,7 +77,7 @@
         self._own = own
         self._link = link
         self._rng = rng
-        self.suspects = CrashSuspects()
+        self.suspects = CrashSuspects(own)
         self.observer: SuspectObserver | None = None
         self.blocked: set[int] = set()
         self._to_repeat: list[tuple[float, int]] = []
@@ -103,6 +103,19 @@
                 news.append(content)
         self._take_own(news, now_s)
 
+    def begin(self, content: int, now_s: float) -> bool:
+        """Note that a content is sent to a worker now; returns whether it may be.
+
+        One that waits for its trial is tried by one daemon at a time: the first tells the others,
+        and all hold it back until its end is known.
+        """
+        if self.suspects.blocked_for_s(content, now_s):
+            return False
+        if self.suspects.is_on_trial(content):
+            self.suspects.begin_trial(content, now_s)
+            self._take_own([content], now_s)
+        return True
+
     def note_served(self, content: int, now_s: float) -> bool:
         """Clear a content that a worker answered whole; returns whether it was suspected."""
         if not self.suspects.note_served(content, now_s):
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -8,6 +8,12 @@
 time may have a cause in common, such as the power of a rack, as a content that is asked for often
 runs at several workers: they count as ``MOST_AT_ONCE`` at most.
 
+Three ends don't tell the cause where another content that is suspected of more than chance was at
+one of them: an innocent one that was beside two crashing contents has as many ends as either. Such
+a content is held back for a moment only and then tried once, where no other such content runs: one
+that is served is cleared, and an end of the trial is its own. Ways that were weighed, with figures:
+``docs/design/crashing-requests.md``.
+
 All statements merge: sets of ends only grow, an end keeps its earliest time and service its latest.
 Daemons that have heard the same, in whatever order, judge alike. Times are seconds on the clock of
 the daemon that holds the state.
@@ -19,11 +25,30 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
+from mountstand.hashing import content_name, rendezvous_share
+
 CRASHES_TO_BLOCK = 3
 """Ends of workers under one content that are no chance any more. With a tenth of all runs beside a
 crash, which is what a content that comes twice a second does to nine workers, one run in a thousand
 is beside three in a row."""
 
+TRIAL_AFTER_S = 2.0
+"""Time from the third end to the trial. Within it the ends of all that ran at the same time are
+known everywhere: a check takes 0.75 s at most, word of it some milliseconds, and its repetitions a
+second. Callers and items of the contents that were merely there wait so long."""
+
+TRIAL_FACTOR = 4.0
+"""Growth of that time with each trial, so that one whose end is not seen, such as of a worker
+behind a broken link, costs a worker after 2, 8, 32 seconds and so on, up to ``FIRST_BLOCK_S``."""
+
+TRIAL_SPREAD_S = 0.3
+"""Daemons begin to try a content at different moments within this time, so that the first has told
+the others when they are due."""
+
+RETRY_TRIAL_S = 0.5
+"""When the caller of a content may come back that found no worker for its trial: what runs at those
+that are kept for other suspects ends meanwhile, or its own."""
+
 STRONG_ENDS = 2
 """Ends that make a strong suspect. One means little: an ordinary crash brings one to as many
 contents as the worker had slots, and nearly all of them are never heard of again."""
@@ -68,12 +93,24 @@
 """Ends of workers by the workers' keys."""
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Trials:
+    """How often a content that was held back was tried, and when last."""
+
+    count: int = 0
+    last_at_s: float = NEVER_S
+
+
+NO_TRIALS = Trials()
+
+
 @dataclass(slots=True)
 class Suspect:
-    """What is known of one content: ends of workers by the workers' keys, and its last service."""
+    """What is known of one content: ends of workers by the workers' keys, service, and trials."""
 
     end_by_worker: dict[int, WorkerEnd] = field(default_factory=dict)
     served_at_s: float = NEVER_S
+    trials: Trials = NO_TRIALS
 
     @property
     def is_strong(self) -> bool:
@@ -85,26 +122,47 @@
         """When a worker last ended under it."""
         return max((end.at_s for end in self.end_by_worker.values()), default=NEVER_S)
 
-    def take(self, end_by_worker: EndByWorker, served_at_s: float) -> bool:
+    def is_cause(self, suspects_by_end: Mapping[int, int]) -> bool:
+        """Return whether its ends tell a cause, given how many strong suspects were at each.
+
+        They do if it was alone at all of them, or at one since it was tried.
+        """
+        own = [end for key, end in self.end_by_worker.items() if suspects_by_end[key] == 1]
+        if len(own) == len(self.end_by_worker):
+            return True
+        return self.trials.count > 0 and any(end.at_s >= self.trials.last_at_s for end in own)
+
+    @property
+    def trial_at_s(self) -> float:
+        """When it may be tried, held back for the time from its last end or trial on."""
+        held_s = min(FIRST_BLOCK_S, TRIAL_AFTER_S * TRIAL_FACTOR**self.trials.count)
+        return max(self.last_end_s, self.trials.last_at_s) + held_s
+
+    def take(
+        self, end_by_worker: EndByWorker, served_at_s: float, trials: Trials = NO_TRIALS
+    ) -> bool:
         """Merge a statement; returns whether it said anything new."""
-        before = (set(self.end_by_worker), self.served_at_s)
+        before = (set(self.end_by_worker), self.served_at_s, self.trials.count)
         if served_at_s > self.served_at_s + CLOCK_SLACK_S:
             self.served_at_s = served_at_s
         for worker, end in end_by_worker.items():
             known = self.end_by_worker.get(worker, end)
             self.end_by_worker[worker] = min(end, known, key=_end_time)
+        self.trials = max(self.trials, trials)
         self._drop_refuted()
         while len(self.end_by_worker) > MOST_ENDS:
             oldest = min(self.end_by_worker, key=lambda key: self.end_by_worker[key].at_s)
             del self.end_by_worker[oldest]
-        return (set(self.end_by_worker), self.served_at_s) != before
+        return (set(self.end_by_worker), self.served_at_s, self.trials.count) != before
 
     def _drop_refuted(self) -> None:
-        """Drop ends before the last service: what was served whole did not cause them."""
+        """Drop ends and trials before the last service: what was served caused no end."""
         refuted_s = self.served_at_s + CLOCK_SLACK_S
         self.end_by_worker = {
             worker: end for worker, end in self.end_by_worker.items() if end.at_s > refuted_s
         }
+        if self.trials.last_at_s <= refuted_s:
+            self.trials = NO_TRIALS
 
 
 def block_s(ends: int) -> float:
@@ -131,12 +189,14 @@
 
 
 class CrashSuspects:
-    """All suspected contents of one daemon."""
+    """All suspected contents of one daemon; ``own`` is its name."""
 
-    def __init__(self, most: int = MOST_SUSPECTS) -> None:
+    def __init__(self, own: str = "", most: int = MOST_SUSPECTS) -> None:
+        self._own = own
         self._most = most
         self.by_content: dict[int, Suspect] = {}
         self._blocked_until_s: dict[int, float] = {}
+        self._on_trial: set[int] = set()
 
     def __bool__(self) -> bool:
         """Return whether any content is suspected."""
@@ -147,26 +207,57 @@
         suspect = self.by_content.get(content)
         return suspect is not None and suspect.is_strong
 
-    def strong_lately(self, since_s: float) -> Iterator[int]:
-        """Yield the strong suspects that are not blocked and had their last end since a time."""
+    def strong_lately(self, now_s: float, within_s: float) -> Iterator[int]:
+        """Yield the strong suspects that are not blocked and had their last end a moment ago."""
         for content, suspect in self.by_content.items():
-            if content in self._blocked_until_s:
+            if content in self._on_trial or content in self._blocked_until_s:
                 continue
-            if suspect.is_strong and suspect.last_end_s >= since_s:
+            if suspect.is_strong and suspect.last_end_s >= now_s - within_s:
+                yield content
+
+    def trials_lately(self, now_s: float, within_s: float) -> Iterator[int]:
+        """Yield the contents whose trial is due or was a moment ago, here or at another daemon."""
+        for content in self._on_trial:
+            suspect = self.by_content[content]
+            due_s = suspect.trial_at_s - TRIAL_SPREAD_S
+            if suspect.trials.last_at_s >= now_s - within_s or 0 <= now_s - due_s <= within_s:
                 yield content
 
-    def take(self, content: int, end_by_worker: EndByWorker, served_at_s: float = NEVER_S) -> bool:
+    @property
+    def any_on_trial(self) -> bool:
+        """Whether any content is to be tried."""
+        return bool(self._on_trial)
+
+    def is_on_trial(self, content: int) -> bool:
+        """Return whether a content runs once at a time, after a moment in which it is held back."""
+        return content in self._on_trial
+
+    def begin_trial(self, content: int, now_s: float) -> None:
+        """Note that a content that was held back is tried now; it is held back again meanwhile."""
+        suspect = self.by_content[content]
+        suspect.take({}, NEVER_S, Trials(suspect.trials.count + 1, now_s))
+        self._judge()
+
+    def take(
+        self,
+        content: int,
+        end_by_worker: EndByWorker,
+        served_at_s: float = NEVER_S,
+        trials: Trials = NO_TRIALS,
+    ) -> bool:
         """Merge what is said of a content; returns whether it was new."""
         suspect = self.by_content.get(content)
         if suspect is None:
             suspect = Suspect()
-            if not suspect.take(end_by_worker, served_at_s):
+            if not suspect.take(end_by_worker, served_at_s, trials):
                 return False
             self.by_content[content] = suspect
             self._make_room()
-        elif not suspect.take(end_by_worker, served_at_s):
+        elif not suspect.take(end_by_worker, served_at_s, trials):
             return False
-        if len(suspect.end_by_worker) >= CRASHES_TO_BLOCK or content in self._blocked_until_s:
+        may_be_blocked = len(suspect.end_by_worker) >= CRASHES_TO_BLOCK
+        concerns_others = suspect.is_strong and bool(self._blocked_until_s)
+        if may_be_blocked or concerns_others or content in self._blocked_until_s:
             self._judge()
         return True
 
@@ -231,9 +322,43 @@
             if ends >= CRASHES_TO_BLOCK:
                 contents_by_ends.setdefault(ends, []).append(content)
         self._blocked_until_s = {}
+        self._on_trial = set()
         explained: set[int] = set()
         for ends in sorted(contents_by_ends, reverse=True):
             explained |= self._judge_equals(contents_by_ends[ends], explained)
+        self._hold_for_trial()
+        for contents in contents_by_ends.values():
+            self._try_explained(contents)
+
+    def _hold_for_trial(self) -> None:
+        """Hold blocked contents whose ends don't tell a cause until their trial only."""
+        if not self._blocked_until_s:
+            return
+        strong = (each for each in self.by_content.values() if each.is_strong)
+        suspects_by_end = Counter(end for each in strong for end in each.end_by_worker)
+        for content in self._blocked_until_s:
+            suspect = self.by_content[content]
+            if not suspect.is_cause(suspects_by_end):
+                self._blocked_until_s[content] = suspect.trial_at_s + self._spread_s(content)
+                self._on_trial.add(content)
+
+    def _try_explained(self, contents: list[int]) -> None:
+        """Let those that are not blocked, since others explain their ends, run once at a time.
+
+        One of them may be a cause as well, and would end a worker with each copy that is asked for
+        until its next end is known.
+        """
+        for content in contents:
+            if content in self._blocked_until_s:
+                continue
+            self._on_trial.add(content)
+            suspect = self.by_content[content]
+            if suspect.trials.count:
+                self._blocked_until_s[content] = suspect.trial_at_s + self._spread_s(content)
+
+    def _spread_s(self, content: int) -> float:
+        """Return how much later than the first daemon this one tries a content."""
+        return TRIAL_SPREAD_S * rendezvous_share(content_name(content), self._own)
 
     def _judge_equals(self, contents: list[int], explained: set[int]) -> set[int]:
         """Judge contents with equally many ends; returns the ends that the blocked ones explain."""
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -164,9 +164,16 @@
         with self._lock:
             blocked_for_s = self.suspects.blocked_for_s(content, elapsed_s())
         if blocked_for_s:
-            self._metrics.requests_quarantined.inc()
-            detail = f"content {content_name(content)}"
-            raise RequestQuarantined(detail, retry_after_s=blocked_for_s)
+            raise self.held_back(content, blocked_for_s)
+
+    def held_back(self, content: int, retry_after_s: float) -> RequestQuarantined:
+        """Count a content that is not sent to a worker; return the error that says so."""
+        self._metrics.requests_quarantined.inc()
+        return RequestQuarantined(f"content {content_name(content)}", retry_after_s=retry_after_s)
+
+    def waits_for_trial(self, content: int) -> bool:
+        """Return whether a content may run only where no other suspect does."""
+        return self.suspects.is_on_trial(content)
 
     def note_broken(self, machine: Machine, content: int, sent_at_s: float) -> None:
         """Note that an exchange broke at a worker after the request was sent."""
@@ -185,9 +192,12 @@
         """Keep other suspects away from a worker while a suspect runs there.
 
         The value is whether the content may run there, beside what this daemon has there already.
+        The trial of one that was held back begins here, and holds it back everywhere else.
         """
         with self._lock:
-            allowed = self._separation.allows(content, machine.machine_id, elapsed_s())
+            now_s = elapsed_s()
+            allowed = self._separation.allows(content, machine.machine_id, now_s)
+            allowed = allowed and self._begin(content, machine, now_s)
             entered = allowed and self._separation.enter(content, machine.machine_id)
         try:
             yield allowed
@@ -227,6 +237,16 @@
 
     # Internals
 
+    def _begin(self, content: int, machine: Machine, now_s: float) -> bool:
+        """Return whether a content may be sent; note its trial if this is one."""
+        on_trial = self.suspects.is_on_trial(content)
+        if not self._sharing.begin(content, now_s):
+            return False
+        if on_trial:
+            name = content_name(content)
+            log_state_change(logger, "suspect tried", content=name, worker=machine.machine_id)
+        return True
+
     def _check_machine(self, machine: Machine) -> None:
         broke_at_s = elapsed_s()
         ended = True
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from mountstand.quarantine.service import RequestQuarantine
+from mountstand.quarantine.suspects import RETRY_TRIAL_S
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
@@ -119,7 +120,11 @@
                 exchange.cause = exchange.cause or _no_worker(exchange)
                 self._end_unfinished(exchange)
                 return
-            worker = self._separate(exchange, worker)
+            separate = self._separate(exchange, worker)
+            if separate is None:
+                self._refuse_trial(exchange, worker)
+                return
+            worker = separate
             with self._quarantine.running(exchange.call, worker):
                 outcome = await self._attempt(exchange, worker)
             self._note_outcome(exchange, worker, outcome)
@@ -164,8 +169,19 @@
         self._end_unfinished(exchange)
         return True
 
-    def _separate(self, exchange: Exchange, worker: Worker) -> Worker:
-        """Return the worker to use instead of one where another suspect runs, if there is any."""
+    def _refuse_trial(self, exchange: Exchange, worker: Worker) -> None:
+        """End a request that may run alone only, while there is no worker for that."""
+        self._free_slot(worker)
+        exchange.blocked_for_s = RETRY_TRIAL_S
+        exchange.cause = "quarantined"
+        self._log.request_quarantined(exchange)
+        self._end_unfinished(exchange)
+
+    def _separate(self, exchange: Exchange, worker: Worker) -> Worker | None:
+        """Return the worker to use instead of one where another suspect runs, if there is any.
+
+        ``None`` is for a request that must not run beside other suspects.
+        """
         if self._quarantine.allows(exchange.call, worker):
             return worker
         now_s = asyncio.get_running_loop().time()
@@ -178,7 +194,7 @@
             lambda each: self._quarantine.allows(call, each),
         )
         if other is None:
-            return worker
+            return None if self._quarantine.waits_for_trial(call) else worker
         other.in_flight += 1
         self._free_slot(worker)
         return other
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -138,6 +138,8 @@
 
     ``workers`` are the keys of these workers, ``ages_ms`` how long ago each ended and ``ran_ms``
     how long it had run the content then; ``served_ms`` is how long ago it was last served whole.
+    ``trials`` is how often it was tried after it had been held back, and ``tried_ms`` how long ago
+    last; a daemon that knows no trials reads an entry without them, and sends none.
     """
 
     content: int
@@ -145,6 +147,8 @@
     ages_ms: tuple[int, ...]
     ran_ms: tuple[int, ...]
     served_ms: int = NEVER_SERVED
+    trials: int = 0
+    tried_ms: int = 0
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
