A dead worker behind a port forwarder has said nothing since it died

What callers saw: a batch item that crashes workers ended 22 of them in 24 s behind port forwarders, and was held back ten seconds late; innocent requests were broken by dead workers, which looked idle (9 and 11 of 300).

Cause: such a worker is taken as ended once it turned three connects away and said nothing since. What counted as said was the forwarder's accepting a connection, and the moment at which a connection object was made; and a connect that was reset before it was up counted as no answer. Lines on each verdict showed it (worker_not_ended: said_after_ms, turned_away), which were missing before.

Change: only bytes that a worker sent are its word, but for those read within 0.1 s of the break; a connect reset while it comes up was turned away. A worker that turns a check away gets no new work until the next one, and one that ended is avoided as unreachable.

--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -61,7 +61,12 @@
         there may be a port forwarder whose worker is gone.
         """
         record = worker.record
-        connection = await connect(record.host, record.port, self._timeout.value_s)
+        try:
+            connection = await connect(record.host, record.port, self._timeout.value_s)
+        except ConnectFailed as problem:
+            if problem.reset:
+                raise TurnedAway("reset while it was opened") from None
+            raise
         try:
             await asyncio.sleep(TURNED_AWAY_S)
             if not connection.open:
@@ -89,12 +94,13 @@
         except ConnectFailed:
             worker.note_connect_failed(loop.time())
             raise
-        worker.note_heard(loop.time())
+        worker.note_reached(loop.time())
         return connection
 
     def release(self, worker: Worker, connection: ClientConnection, limit: int) -> None:
         """Take a connection back; at most ``limit`` idle ones per worker are kept."""
         worker.last_heard_s = max(worker.last_heard_s, connection.last_received_at_s)
+        worker.last_said_s = max(worker.last_said_s, connection.last_bytes_at_s)
         if not connection.end_exchange():
             return
         idle = self._idle.setdefault(worker.incarnation, [])
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -99,6 +99,10 @@
     """When it last sent an event of an online stream. That tells that it runs, but not that idle
     connections to it still work, so these are trusted by ``last_heard_s`` alone."""
 
+    last_said_s: float = float("-inf")
+    """When something that it sent itself last came, an event or any other part of an answer. It is
+    heard of besides when a connection is accepted, which a port forwarder does for a dead one."""
+
     unreachable_at_s: float = float("-inf")
     leaving_since_s: float | None = None
     evacuated_since_s: float | None = None
@@ -170,11 +174,16 @@
         """
         return (self.estimated_load(now_s) + more) / self.slots() * self.slowdown(now_s)
 
-    def note_heard(self, now_s: float) -> None:
-        """Note that the worker said something."""
+    def note_reached(self, now_s: float) -> None:
+        """Note that a connection was accepted at the worker's address."""
         self.last_heard_s = now_s
         self.connect_failures = 0
 
+    def note_heard(self, now_s: float) -> None:
+        """Note that the worker said something."""
+        self.note_reached(now_s)
+        self.last_said_s = now_s
+
     def note_connect_failed(self, now_s: float) -> None:
         """Avoid the worker for a while, longer each time."""
         pause_s = min(LONGEST_UNREACHABLE_S, UNREACHABLE_S * 2**self.connect_failures)
@@ -199,7 +208,11 @@
 
     def note_full(self, now_s: float) -> None:
         """Avoid the worker for a moment."""
-        self.avoid_until_s = max(self.avoid_until_s, now_s + FULL_S)
+        self.avoid_until(now_s + FULL_S)
+
+    def avoid_until(self, until_s: float) -> None:
+        """Send no new work to the worker until a time, at least."""
+        self.avoid_until_s = max(self.avoid_until_s, until_s)
 
     def note_lent(self, until_s: float) -> None:
         """Count a slot as taken that another daemon is about to use."""
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -15,7 +15,7 @@
 from mountstand.serving.connections import TurnedAway, WorkerConnections
 from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import Call
-from mountstand.telemetry.decisions import DecisionLog
+from mountstand.telemetry.decisions import DecisionLog, milliseconds
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_client import ConnectFailed
 
@@ -30,10 +30,16 @@
 """Time between checks where connections are accepted and closed at once. A worker that is full does
 so too, for some tenths of a second, and is heard meanwhile on the connections that it has."""
 
+AVOIDED_S = 2 * TURNED_AWAY_PAUSE_S
+"""For so long a worker that turned a check away gets no new work, if the next one doesn't too."""
+
 MOST_CHECKS = 3
 """A worker that neither accepts nor refuses twice in so many checks is behind a broken link, as far
 as is known."""
 
+LAST_WORDS_S = 0.1
+"""What a worker sent before it ended is read so much later at most, beside other requests."""
+
 SETTLED_S = 0.25
 """Longest wait for a check: two refusals take 0.1 s, and one that takes longer tells no end."""
 
@@ -91,6 +97,7 @@
             del self._check_by_worker[worker.record.worker_id]
         if not ended:
             return
+        worker.note_connect_failed(asyncio.get_running_loop().time())
         self._metrics.worker_ended()
         self._log.event(
             "worker_ended",
@@ -109,19 +116,46 @@
         """
         began_s = asyncio.get_running_loop().time()
         refusals = turned_away = 0
-        for _ in range(MOST_CHECKS):
+        for number in range(1, MOST_CHECKS + 1):
             pause_s = PAUSE_S
             try:
                 await self._connections.probe(worker)
             except TurnedAway:
                 turned_away += 1
                 pause_s = TURNED_AWAY_PAUSE_S
+                # Full or dead, it would break off at once whatever is sent to it meanwhile.
+                worker.avoid_until(asyncio.get_running_loop().time() + AVOIDED_S)
             except ConnectFailed as problem:
                 refusals += problem.refused
             else:
+                self._note_alive(worker, "accepts", number, turned_away, began_s)
                 return False
             if refusals >= REFUSALS_NEEDED:
                 return True
             await asyncio.sleep(pause_s)
-        heard_s = max(worker.last_heard_s, worker.last_event_s)
-        return turned_away == MOST_CHECKS and heard_s <= began_s
+        said_s = last_said_s(worker)
+        ended = turned_away == MOST_CHECKS and said_s <= began_s + LAST_WORDS_S
+        if not ended:
+            self._note_alive(worker, "said something or unclear", MOST_CHECKS, turned_away, began_s)
+        return ended
+
+    def _note_alive(
+        self, worker: Worker, cause: str, checks: int, turned_away: int, began_s: float
+    ) -> None:
+        """Tell why a worker at which an exchange broke is not taken as ended."""
+        now_s = asyncio.get_running_loop().time()
+        said_s = last_said_s(worker)
+        self._log.event(
+            "worker_not_ended",
+            worker=worker.record.worker_id,
+            cause=cause,
+            checks=checks,
+            turned_away=turned_away,
+            after_ms=milliseconds(now_s - began_s),
+            said_after_ms=milliseconds(said_s - began_s) if said_s > began_s else None,
+        )
+
+
+def last_said_s(worker: Worker) -> float:
+    """Return when something that a worker sent itself last came."""
+    return max(worker.last_said_s, worker.last_event_s)
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -26,11 +26,13 @@
     """No connection came up, so nothing was sent.
 
     ``refused`` tells that the machine answered and nothing listens there; silence has other causes.
+    ``reset`` tells that something accepted the connection and closed it before this end knew.
     """
 
-    def __init__(self, reason: str, *, refused: bool = False) -> None:
+    def __init__(self, reason: str, *, refused: bool = False, reset: bool = False) -> None:
         super().__init__(reason)
         self.refused = refused
+        self.reset = reset
 
 
 class ReplyBroken(Exception):
@@ -76,6 +78,11 @@
         self._paused = False
         self.reusable = True
         self.last_received_at_s = self._loop.time()
+        """When bytes came last, or the connection was made."""
+
+        self.last_bytes_at_s = float("-inf")
+        """When bytes came last."""
+
         self.idle_since_s: float | None = None
         self.sent_at_s = 0.0
         self.keep_alive_s: float | None = None
@@ -91,7 +98,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the server; bytes outside an exchange belong to no request."""
-        self.last_received_at_s = self._loop.time()
+        self.last_received_at_s = self.last_bytes_at_s = self._loop.time()
         if not self._in_exchange or self._parser is None:
             self.close()
             return
@@ -329,6 +336,9 @@
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(ClientConnection, host, port)
     except (OSError, TimeoutError) as problem:
-        refused = isinstance(problem, ConnectionRefusedError)
-        raise ConnectFailed(str(problem) or type(problem).__name__, refused=refused) from None
+        raise ConnectFailed(
+            str(problem) or type(problem).__name__,
+            refused=isinstance(problem, ConnectionRefusedError),
+            reset=isinstance(problem, ConnectionResetError | BrokenPipeError),
+        ) from None
     return protocol
