The own interface sees the end of an engine behind a port forwarder

What callers saw: a request that crashes engines was never held back: 24 of 24 tries ended an engine.

Cause: an engine had ended if its machine refuses connects; a forwarder accepts them and closes them at once.

Change: an engine that turns two connects away, a quarter of a second apart, and answered nothing meanwhile has ended. The daemon checks twice.

Shown by integration/test_forwarded_workers OwnInterface, which failed before. The proxy of the emulator can stand for a forwarder.

--- a/mountstand/emulator/tcp_proxy.py
+++ b/mountstand/emulator/tcp_proxy.py
@@ -34,6 +34,9 @@
     cut_after_bytes: int = Field(0, ge=0, description="Close after so many bytes of an answer")
     crash_on: str = Field("", description="Text of a request that crashes the worker behind")
     crash_s: float = Field(0.5, ge=0.0, description="How long a worker that crashed is away")
+    forwarded: bool = Field(
+        False, description="Accept connections and close them while a crashed worker is away"
+    )
 
 
 class ProxyApp:
@@ -46,6 +49,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._crash: asyncio.Task[None] | None = None
+        self._away = False
 
     def build(self) -> web.Application:
         """Return the control application; the proxied port opens and closes with it."""
@@ -67,11 +71,14 @@
     async def _crash_and_return(self) -> None:
         """Refuse connections and close all that there are, as the machine of a crashed worker."""
         await asyncio.sleep(CRASH_AFTER_S)
-        if self._server is not None:
+        self._away = True
+        if self._server is not None and not self.plan.forwarded:
             self._server.close()
         self._close_all()
         await asyncio.sleep(self.plan.crash_s)
-        await self._open()
+        self._away = False
+        if self._server is None or not self._server.is_serving():
+            await self._open()
 
     async def _handle_put(self, request: web.Request) -> web.Response:
         self.plan = ProxyPlan.model_validate_json(await request.read())
@@ -84,7 +91,7 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            if self.plan.refuse or self.plan.cut:
+            if self.plan.refuse or self.plan.cut or self._away:
                 return
             while self.plan.half_open:
                 await asyncio.sleep(FROZEN_CHECK_S)
--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -11,7 +11,9 @@
 import select
 import socket
 import threading
+import time
 from collections import defaultdict
+from enum import Enum
 
 import orjson
 import urllib3
@@ -50,11 +52,28 @@
 IDLE_CONNECTION_S = 20.0
 """Idle connections older than this are closed; back ends commonly close theirs later."""
 
+TURNED_AWAY_S = 0.05
+"""A port forwarder that finds nobody behind it closes a connection within some milliseconds; an
+engine keeps one that says nothing for seconds."""
+
+TURNED_AWAY_CHECKS = 2
+TURNED_AWAY_PAUSE_S = 0.25
+"""Connects that must be turned away, and the time between: a link that resets some connections
+lets the second one through, or an answer on another."""
+
 READ_CHUNK_BYTES = 65536
 GONE_STATUS = 499
 LOAD_FIGURES = 5
 
 
+class Contact(Enum):
+    """What became of a connect to a machine."""
+
+    REFUSED = "refused"
+    TURNED_AWAY = "turned away"
+    OTHER = "other"
+
+
 class CallerLeft(BackendFailed):
     """The caller closed its connection while the back end was working."""
 
@@ -98,6 +117,9 @@
     def __init__(self, metrics: DaemonMetrics | None = None) -> None:
         self._metrics = metrics
         self._pool = ConnectionPool()
+        self._answered_at_s: dict[tuple[str, int], float] = {}
+        """When a machine last answered anything, by its address."""
+
         self._control = urllib3.PoolManager(
             num_pools=512, maxsize=2, retries=False, timeout=urllib3.Timeout(CONTROL_TIMEOUT_S)
         )
@@ -115,6 +137,7 @@
         clean = False
         try:
             response = exchange_head(connection, request, deadline_s, caller_gone)
+            self._note_answered(machine)
             body = read_body(connection, response, deadline_s)
             clean = not response.will_close
             check_answer(machine, request, response, body)
@@ -142,6 +165,7 @@
         connection = connect(machine, timeout_s)
         try:
             response = exchange_head(connection, request, deadline_s, caller_gone)
+            self._note_answered(machine)
             if response.status != http.client.OK:
                 body = read_body(connection, response, deadline_s)
                 check_answer(machine, request, response, body)
@@ -184,14 +208,18 @@
             return
 
     def has_ended(self, machine: Machine) -> bool:
-        """Return whether the machine refuses connections; see :meth:`BackendPort.has_ended`."""
-        try:
-            socket.create_connection((machine.address, machine.port), CONNECT_TIMEOUT_S).close()
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
-        return False
+        """Return whether nothing listens there, or behind it; see :meth:`BackendPort.has_ended`."""
+        began_s = elapsed_s()
+        for number in range(TURNED_AWAY_CHECKS):
+            if number:
+                time.sleep(TURNED_AWAY_PAUSE_S)
+            contact = probe(machine)
+            if contact is not Contact.TURNED_AWAY:
+                return contact is Contact.REFUSED
+        return self._answered_at_s.get((machine.address, machine.port), 0.0) <= began_s
+
+    def _note_answered(self, machine: Machine) -> None:
+        self._answered_at_s[machine.address, machine.port] = elapsed_s()
 
     def load(self, machine: Machine) -> LoadReport:
         """Return the back end's load report."""
@@ -226,6 +254,7 @@
         url = f"http://{machine.address}:{machine.port}{path}"
         try:
             response = self._control.request(method, url, body=body)
+            self._note_answered(machine)
             if self._metrics is not None:
                 moved = 2 * HEADER_BYTES + len(body or b"") + len(response.data)
                 self._metrics.control_bytes.labels("worker").inc(moved)
@@ -236,6 +265,21 @@
             raise BackendFailed(f"{machine.machine_id}: {type(problem).__name__}") from None
 
 
+def probe(machine: Machine) -> Contact:
+    """Connect to a machine, and see whether the connection is kept."""
+    address = (machine.address, machine.port)
+    try:
+        with socket.create_connection(address, CONNECT_TIMEOUT_S) as conn:
+            conn.settimeout(TURNED_AWAY_S)
+            return Contact.OTHER if conn.recv(1) else Contact.TURNED_AWAY
+    except ConnectionRefusedError:
+        return Contact.REFUSED
+    except (ConnectionResetError, BrokenPipeError):
+        return Contact.TURNED_AWAY
+    except OSError:
+        return Contact.OTHER
+
+
 def connect(machine: Machine, timeout_s: float) -> HTTPConnection:
     """Open a connection; raise ``BackendUnreachable`` when nothing could be sent."""
     connection = HTTPConnection(
--- a/mountstand/engines/port.py
+++ b/mountstand/engines/port.py
@@ -136,7 +136,10 @@
 
     @abstractmethod
     def has_ended(self, machine: Machine) -> bool:
-        """Return whether the machine answers and nothing listens there; never raises."""
+        """Return whether nothing listens there, or a forwarder with nobody behind it; never raises.
+
+        It may take half a second.
+        """
 
     @abstractmethod
     def load(self, machine: Machine) -> LoadReport:
--- a/tests/integration/test_forwarded_workers.py
+++ b/tests/integration/test_forwarded_workers.py
@@ -13,12 +13,16 @@
 
 import asyncio
 import random
+import time
 from base64 import b64encode
 from collections import Counter
 
 import orjson
+import urllib3
 from testtools import TestCase
 
+from mountstand.lab.fleet import Fleet
+from mountstand.lab.fleet_plan import FleetPlan
 from tests.integration.test_crashing_request import (
     BAD,
     CONTACT_S,
@@ -162,3 +166,36 @@
 
     def test_an_item_of_a_job(self) -> None:
         run(self.scenario(NO_ROUTE, with_job=True))
+
+
+class OwnInterface(TestCase):
+    """The same before the product's own interface, whose engines are known by their machines."""
+
+    TRIES = 24
+
+    def test_a_repeated_request(self) -> None:
+        plan = FleetPlan(daemons=2, engines=6, applications=0, proxied=True)
+        with Fleet(plan) as fleet:
+            for engine in fleet.engines:
+                fleet.set_proxy(engine, crash_on="crash-it", crash_s=AWAY_S, forwarded=True)
+            statuses = [self.complete(fleet, i) for i in range(self.TRIES)]
+            runs = [run for run in fleet.executions() if run["label"].startswith("bad-")]
+        self.assertEqual(503, statuses[-1], statuses)
+        bad_at_s = sorted(run["started_s"] for run in runs)
+        late = sum(at_s > bad_at_s[2] + CONTACT_S for at_s in bad_at_s[3:])
+        self.assertTrue(late <= RETRIES_ALLOWED, (late, len(runs), statuses))
+
+    def complete(self, fleet: Fleet, number: int) -> int:
+        """Send the bad request; returns the status, or 0 where the answer broke off."""
+        time.sleep(TRY_GAP_S)
+        body = {"model": "caption", "prompt": "crash-it", "max_tokens": 40}
+        daemon = fleet.daemons[number % len(fleet.daemons)]
+        try:
+            return fleet.http.request(
+                "POST",
+                f"{daemon.callers_url}/v1/completions",
+                body=orjson.dumps(body),
+                headers={"X-Request-Id": f"bad-{number}", "X-Deadline-Ms": "4000"},
+            ).status
+        except urllib3.exceptions.ProtocolError:
+            return 0
