--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -3,7 +3,10 @@
 They travel in datagrams many times a second. construct took 0.5 to 2.5 ms to open one of them,
 msgspec takes a hundredth of that (docs/design/departures.md).
 
-Adding a field changes the form, so :data:`mountstand.wire.frames.VERSION` must rise with it.
+While machines are replaced, daemons of the version before send and read these messages as well.
+So fields are only added at the end, with defaults, and never change in type or meaning; a reader
+passes over fields that it doesn't know. :data:`mountstand.wire.frames.VERSION` rises only with a
+change after which the versions may not talk to each other at all.
 """
 
 from __future__ import annotations
--- a/mountstand/wire/messages.py
+++ b/mountstand/wire/messages.py
@@ -1,6 +1,8 @@
 """The messages between daemons: typed values and their binary form by construct.
 
-Adding a field changes the form, so :data:`mountstand.wire.frames.VERSION` must rise with it.
+These forms have no room for further fields, and daemons of the version before read them while
+machines are replaced. What more is to be said goes into a message of a new kind, which they pass
+over, or into one of :mod:`mountstand.wire.gossip`.
 """
 
 from __future__ import annotations
