Soak: replaces the processes of a former version one after the other (--production)

The former code is taken from the repository's history. With odd seeds it comes back once more before the last replacement.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import subprocess
 import sys
 import tempfile
 from dataclasses import asdict, dataclass
@@ -17,12 +18,15 @@
 from tests.soak.crashing import CrashingCallers
 from tests.soak.faults import FaultInjector
 from tests.soak.history import Violation
-from tests.soak.site import Site
+from tests.soak.site import ROOT, Site
 from tests.soak.tenants import WINDOW_S
 
 SETTLE_S = 30.0
 """After the last fault, all accepted work must end within this time."""
 
+BEFORE_UPGRADE_SHARE = 0.2
+"""Part of the soak in which the former version runs alone."""
+
 TRACE_LINES = 40
 TRACEBACK = "Traceback (most recent call last)"
 
@@ -41,6 +45,7 @@
     keep_open: Annotated[bool, cappa.Arg(long=True, help="Callers use connections again")] = False
     series: Annotated[bool, cappa.Arg(long=True, help="Faults come in series as well")] = False
     zones: Annotated[bool, cappa.Arg(long=True, help="Two zones; cold workers")] = False
+    production: Annotated[str, cappa.Arg(long=True, help="Commit that runs at first")] = ""
     logs: Annotated[str, cappa.Arg(long=True, help="Folder that keeps the logs")] = ""
 
 
@@ -48,7 +53,16 @@
     """Run a soak; returns its figures."""
     rng = random.Random(options.seed)
     crash_rng = random.Random(f"crashing {options.seed}")
-    site = Site(options.processes, options.workers, folder, rng, crash_rng, zones=options.zones)
+    code = former_code(options.production, folder) if options.production else ROOT
+    site = Site(
+        options.processes,
+        options.workers,
+        folder,
+        rng,
+        crash_rng,
+        zones=options.zones,
+        code=code,
+    )
     callers = Callers(site, crash_rng, keeps_open=options.keep_open)
     crashing_callers = CrashingCallers(crash_rng, callers.send_crashing)
     injector = FaultInjector(site, in_series=options.series)
@@ -59,7 +73,10 @@
         jobs = asyncio.create_task(callers.send_jobs())
         faults = asyncio.create_task(injector.run(options.fault_gap_s))
         crashing = asyncio.create_task(crashing_callers.run())
-        await asyncio.sleep(options.duration_s)
+        if options.production:
+            await _upgrade(options, injector, code)
+        else:
+            await asyncio.sleep(options.duration_s)
         injector.stopping = True
         crashing_callers.stopping = True
         await faults
@@ -80,6 +97,29 @@
     return _figures(options, site, callers, injector)
 
 
+async def _upgrade(options: Soak, injector: FaultInjector, former: Path) -> None:
+    """Replace the processes, with odd seeds back again, and a last time, in the soak's duration."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + options.duration_s
+    await asyncio.sleep(options.duration_s * BEFORE_UPGRADE_SHARE)
+    await injector.replace_code(ROOT)
+    if options.seed % 2:
+        await injector.replace_code(former)
+        await injector.replace_code(ROOT)
+    await asyncio.sleep(max(0.0, end_s - loop.time()))
+
+
+def former_code(commit: str, folder: Path) -> Path:
+    """Return a folder with the product's code as it was at a commit of this repository."""
+    code = folder / f"code-{commit}"
+    code.mkdir()
+    archive = folder / f"code-{commit}.tar"
+    git = ["git", "-C", str(ROOT), "archive", "-o", str(archive), commit, "mountstand"]
+    subprocess.run(git, check=True)
+    subprocess.run(["tar", "-xf", str(archive), "-C", str(code)], check=True)
+    return code
+
+
 def _check_routes_with(callers: Callers, injector: FaultInjector, site: Site) -> None:
     """Let the injector probe routes that it added, at every process in touch."""
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 from tests.soak.history import DRAIN_S
 from tests.soak.proxy import LinkFaults
@@ -33,6 +34,7 @@
 """How often a fault begins a series, and the longest pause within one."""
 
 STOP_SLACK_S = 3.0
+BUSY_POLL_S = 0.05
 
 
 class FaultInjector:
@@ -147,8 +149,10 @@
 
     async def _stop_process(self) -> None:
         process = self._idle_process()
-        if process is None:
-            return
+        if process is not None:
+            await self._stop_and_restart(process)
+
+    async def _stop_and_restart(self, process: ServingProcess) -> None:
         process.stopping = True
         process.signal(signal.SIGTERM)
         if not await process.wait_ended(GRACE_S + STOP_SLACK_S):
@@ -160,6 +164,16 @@
         process.note_disturbed(float("inf"))
         await self._restart(process)
 
+    async def replace_code(self, code: Path) -> None:
+        """Stop the processes one after the other as planned, and start each with other code."""
+        for process in self._site.processes:
+            while process.name in self._busy_processes:
+                await asyncio.sleep(BUSY_POLL_S)
+            self._busy_processes.add(process.name)
+            process.code = code
+            await self._stop_and_restart(process)
+            self.counts["replace_code"] += 1
+
     # Links
 
     def _link_faults(self) -> LinkFaults:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -91,6 +91,9 @@
         self.disturbed_until_s = 0.0
         self.stopping = False
         self.frozen = False
+        self.code = ROOT
+        """Folder of the code that the next start takes."""
+
         self.unplanned_ends = 0
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
@@ -114,7 +117,7 @@
                 sys.executable,
                 "-m",
                 "mountstand.platform",
-                cwd=ROOT,
+                cwd=self.code,
                 env={**os.environ, "MOUNTSTAND_SETTINGS": str(self._settings)},
                 stdout=log,
                 stderr=log,
@@ -204,7 +207,9 @@
         crash_rng: random.Random,
         *,
         zones: bool = False,
+        code: Path = ROOT,
     ) -> None:
+        self._code = code
         self.history = History()
         self.zones = SoakZones(self.history, played=zones)
         self.crashing = CrashingRuns(self.history)
@@ -238,6 +243,7 @@
             process = ServingProcess(
                 f"front-{i}", zone, self.store.port, self._folder, self.rng, bounds
             )
+            process.code = self._code
             self.processes.append(process)
             await process.start()
         for process in self.processes:
