Verdicts on suspected contents are found once after a report, in a module of their own

A content that made room for others could be asked for while its verdict still stood.

Change: statements are merged, and verdicts found when somebody asks next. The state of one content, the verdicts and the contents of a daemon are three modules.

Verdicts are the same (tests unchanged but for their imports).

--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -31,7 +31,7 @@
 )
 from mountstand.online.request import OnlineRequest
 from mountstand.online.retry_budget import RetryBudget
-from mountstand.quarantine.suspects import CRASHES_TO_BLOCK, RETRY_TRIAL_S
+from mountstand.quarantine.suspect import CRASHES_TO_BLOCK, RETRY_TRIAL_S
 from mountstand.quarantine.threads import ContentQuarantine
 from mountstand.routing.chooser import RouteRequest
 from mountstand.routing.fleet_view import DispatchOutcome
--- a/mountstand/quarantine/reports.py
+++ b/mountstand/quarantine/reports.py
@@ -7,13 +7,8 @@
 
 from collections.abc import Iterable
 
-from mountstand.quarantine.suspects import (
-    NEVER_S,
-    NO_TRIALS,
-    CrashSuspects,
-    Trials,
-    WorkerEnd,
-)
+from mountstand.quarantine.suspect import NEVER_S, NO_TRIALS, Trials, WorkerEnd
+from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.wire.gossip import NEVER_SERVED, CrashReport, SuspectEntry
 
 ENTRIES_PER_REPORT = 8
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -13,7 +13,8 @@
 
 from mountstand.hashing import rendezvous_owner
 from mountstand.quarantine.reports import ENTRIES_PER_REPORT, reports_of, take_report
-from mountstand.quarantine.suspects import CrashSuspects, WorkerEnd
+from mountstand.quarantine.suspect import WorkerEnd
+from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.wire.gossip import CrashQuery, CrashReport
 
 REPEAT_AFTER_S = (0.3, 1.0)
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -12,7 +12,8 @@
 import orjson
 
 from mountstand.hashing import content_name
-from mountstand.quarantine.suspects import NEVER_S, CrashSuspects, WorkerEnd
+from mountstand.quarantine.suspect import NEVER_S, WorkerEnd
+from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.store.rows import RowKey, RowStore, StoredRow, StoreError, Transaction
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -29,7 +29,8 @@
     SuspectObserver,
     SuspectSharing,
 )
-from mountstand.quarantine.suspects import NEVER_S, CrashSuspects, EndByWorker, WorkerEnd
+from mountstand.quarantine.suspect import NEVER_S, EndByWorker, WorkerEnd
+from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.store.ports import Machine, Put, TablePort, Transaction
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
@@ -159,7 +160,7 @@
 
     def check(self, content: int) -> None:
         """Raise ``RequestQuarantined`` for a content that may not be sent to workers."""
-        if not self.suspects.any_blocked:
+        if not self.suspects:
             return
         with self._lock:
             blocked_for_s = self.suspects.blocked_for_s(content, elapsed_s())
@@ -173,7 +174,10 @@
 
     def waits_for_trial(self, content: int) -> bool:
         """Return whether a content may run only where no other suspect does."""
-        return self.suspects.is_on_trial(content)
+        if not self.suspects:
+            return False
+        with self._lock:
+            return self.suspects.is_on_trial(content)
 
     def note_broken(self, machine: Machine, content: int, sent_at_s: float) -> None:
         """Note that an exchange broke at a worker after the request was sent."""
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from mountstand.quarantine.service import RequestQuarantine
-from mountstand.quarantine.suspects import RETRY_TRIAL_S
+from mountstand.quarantine.suspect import RETRY_TRIAL_S
 from mountstand.serving.batch_room import BatchRoom
 from mountstand.serving.configuration import Route, ShareChooser
 from mountstand.serving.connections import WorkerConnections
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -10,7 +10,7 @@
 
 from mountstand.quarantine.service import RequestQuarantine
 from mountstand.quarantine.stored import MOST_ROWS, SUSPECTS, StoredSuspects
-from mountstand.quarantine.suspects import EVIDENCE_S, FIRST_BLOCK_S
+from mountstand.quarantine.suspect import EVIDENCE_S, FIRST_BLOCK_S
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.worker import Worker, WorkerRecord
 from mountstand.serving.worker_ends import WorkerEnds
--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -10,7 +10,7 @@
 from testtools import TestCase
 
 from mountstand.quarantine.reports import report_of, reports_of, take_report
-from mountstand.quarantine.suspects import (
+from mountstand.quarantine.suspect import (
     CRASHES_TO_BLOCK,
     EVIDENCE_S,
     FIRST_BLOCK_S,
@@ -18,11 +18,11 @@
     TRIAL_AFTER_S,
     TRIAL_FACTOR,
     TRIAL_SPREAD_S,
-    CrashSuspects,
     WorkerEnd,
     block_s,
     counted_ends,
 )
+from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.wire.gossip import CrashReport, GossipBodies, SuspectEntry
 
 START_S = 1e7
--- a/tests/serving/test_held_back.py
+++ b/tests/serving/test_held_back.py
@@ -8,7 +8,8 @@
 from testtools import TestCase
 
 from mountstand.quarantine.separation import SuspectSeparation
-from mountstand.quarantine.suspects import CrashSuspects, WorkerEnd
+from mountstand.quarantine.suspect import WorkerEnd
+from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.serving.configuration import RequestKind, Route
 from mountstand.serving.worker_protocol import Call
 from tests.serving.test_forwarder import ONCE, PLAIN_STREAM, REPEATABLE, RESUMABLE, Front
--- a/tests/serving/test_suspended.py
+++ b/tests/serving/test_suspended.py
@@ -17,7 +17,7 @@
 from mountstand.errors import Overloaded
 from mountstand.online.admission import MIN_LIMIT
 from mountstand.online.admission_gate import AdmissionGate
-from mountstand.quarantine.suspects import FIRST_BLOCK_S
+from mountstand.quarantine.suspect import FIRST_BLOCK_S
 from mountstand.serving.configuration import RequestKind
 from mountstand.store.memory_rows import MemoryRowStore
 from mountstand.store.rows import RowKey, Transaction
