--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -31,7 +31,7 @@
 so too, for some tenths of a second, and is heard meanwhile on the connections that it has."""
 
 AVOIDED_S = 2 * TURNED_AWAY_PAUSE_S
-"""For so long a worker that turned a check away gets no new work; each further check prolongs it."""
+"""For so long a worker that turned a check away gets no new work; further checks prolong it."""
 
 MOST_CHECKS = 3
 """A worker that neither accepts nor refuses twice in so many checks is behind a broken link, as far
