One time of a worker's last word, one copy of a forwarder's figures, one way to hold or refuse

The time of a worker's last event told nothing any more that its last word doesn't, since only the verdict on its end asks for either. Both interfaces had the two figures by which a port forwarder is known. Contents on trial were held, and requests refused for their content, in two places each.

No behaviour is meant to change.

--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -42,6 +42,7 @@
 from mountstand.store.http_adapters import HEADER_BYTES
 from mountstand.store.ports import Machine
 from mountstand.telemetry.metrics import DaemonMetrics
+from mountstand.transport.forwarders import TURNED_AWAY_PAUSE_S, TURNED_AWAY_S
 
 CONNECT_TIMEOUT_S = 1.0
 CALLER_CHECK_INTERVAL_S = 0.25
@@ -52,14 +53,8 @@
 IDLE_CONNECTION_S = 20.0
 """Idle connections older than this are closed; back ends commonly close theirs later."""
 
-TURNED_AWAY_S = 0.05
-"""A port forwarder that finds nobody behind it closes a connection within some milliseconds; an
-engine keeps one that says nothing for seconds."""
-
 TURNED_AWAY_CHECKS = 2
-TURNED_AWAY_PAUSE_S = 0.25
-"""Connects that must be turned away, and the time between: a link that resets some connections
-lets the second one through, or an answer on another."""
+"""Connects that must be turned away one after the other, each time that it is asked."""
 
 READ_CHUNK_BYTES = 65536
 GONE_STATUS = 499
--- a/mountstand/quarantine/verdicts.py
+++ b/mountstand/quarantine/verdicts.py
@@ -55,9 +55,8 @@
         strong = (each for each in self._by_content.values() if each.is_strong)
         suspects_by_end = Counter(end for each in strong for end in each.end_by_worker)
         for content in self.blocked_until_s:
-            suspect = self._by_content[content]
-            if not suspect.is_cause(suspects_by_end):
-                self.blocked_until_s[content] = suspect.trial_at_s + self._spread_s(content)
+            if not self._by_content[content].is_cause(suspects_by_end):
+                self._hold(content)
                 self.on_trial.add(content)
 
     def _try_explained(self, contents: list[int]) -> None:
@@ -70,13 +69,13 @@
             if content in self.blocked_until_s:
                 continue
             self.on_trial.add(content)
-            suspect = self._by_content[content]
-            if suspect.trials.count:
-                self.blocked_until_s[content] = suspect.trial_at_s + self._spread_s(content)
+            if self._by_content[content].trials.count:
+                self._hold(content)
 
-    def _spread_s(self, content: int) -> float:
-        """Return how much later than the first daemon this one tries a content."""
-        return TRIAL_SPREAD_S * rendezvous_share(content_name(content), self._own)
+    def _hold(self, content: int) -> None:
+        """Hold a content back until its trial, at each daemon for a little longer or shorter."""
+        spread_s = TRIAL_SPREAD_S * rendezvous_share(content_name(content), self._own)
+        self.blocked_until_s[content] = self._by_content[content].trial_at_s + spread_s
 
     def _judge_equals(self, contents: list[int], explained: set[int]) -> set[int]:
         """Judge contents with equally many ends; returns the ends that the blocked ones explain."""
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -13,6 +13,7 @@
 from mountstand.serving.rest_limit import RestLimit
 from mountstand.serving.worker import Worker
 from mountstand.transport.adaptive_timeout import AdaptiveTimeout
+from mountstand.transport.forwarders import TURNED_AWAY_S
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, connect
 
 SHORTEST_CONNECT_S = 0.1
@@ -31,11 +32,6 @@
 """Idle time assumed where a worker tells none: it is then less than a second."""
 
 
-TURNED_AWAY_S = 0.05
-"""A forwarder that finds nobody behind it closes a connection within some milliseconds; a worker
-keeps one that says nothing for hundreds."""
-
-
 class TurnedAway(ConnectFailed):
     """A connection was accepted and closed before anything was said."""
 
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -122,7 +122,8 @@
                 return
             separate = self._separate(exchange, worker)
             if separate is None:
-                self._refuse_trial(exchange, worker)
+                # It may run alone only, and there is no worker for that.
+                self._refuse_for_content(exchange, worker, RETRY_TRIAL_S)
                 return
             worker = separate
             with self._quarantine.running(exchange.call, worker):
@@ -159,20 +160,17 @@
 
         ``worker`` is the one that counts the request already, if any; its slot is freed.
         """
-        exchange.blocked_for_s = self._quarantine.blocked_for_s(exchange.call)
-        if not exchange.blocked_for_s:
-            return False
+        blocked_for_s = self._quarantine.blocked_for_s(exchange.call)
+        if blocked_for_s:
+            self._refuse_for_content(exchange, worker, blocked_for_s)
+        return blocked_for_s > 0
+
+    def _refuse_for_content(
+        self, exchange: Exchange, worker: Worker | None, blocked_for_s: float
+    ) -> None:
         if worker is not None:
             self._free_slot(worker)
-        exchange.cause = "quarantined"
-        self._log.request_quarantined(exchange)
-        self._end_unfinished(exchange)
-        return True
-
-    def _refuse_trial(self, exchange: Exchange, worker: Worker) -> None:
-        """End a request that may run alone only, while there is no worker for that."""
-        self._free_slot(worker)
-        exchange.blocked_for_s = RETRY_TRIAL_S
+        exchange.blocked_for_s = blocked_for_s
         exchange.cause = "quarantined"
         self._log.request_quarantined(exchange)
         self._end_unfinished(exchange)
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -166,7 +166,7 @@
         except TimeoutError:
             worker.note_full(loop.time())
             raise WorkerSilent("stalled between events") from None
-        worker.last_event_s = loop.time()
+        worker.last_said_s = loop.time()
         return piece
 
     async def _pass_on(self, exchange: Exchange, events: list[StreamEvent]) -> None:
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -95,13 +95,11 @@
     avoid_until_s: float = 0.0
     connect_failures: int = 0
     last_heard_s: float = float("-inf")
-    last_event_s: float = float("-inf")
-    """When it last sent an event of an online stream. That tells that it runs, but not that idle
-    connections to it still work, so these are trusted by ``last_heard_s`` alone."""
-
     last_said_s: float = float("-inf")
     """When something that it sent itself last came, an event or any other part of an answer. It is
-    heard of besides when a connection is accepted, which a port forwarder does for a dead one."""
+    heard of besides when a connection is accepted, which a port forwarder does for a dead one.
+    An event of an online stream tells that it runs, but not that idle connections to it still work,
+    so these are trusted by ``last_heard_s`` alone."""
 
     unreachable_at_s: float = float("-inf")
     leaving_since_s: float | None = None
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -17,6 +17,7 @@
 from mountstand.serving.worker_protocol import Call
 from mountstand.telemetry.decisions import DecisionLog, milliseconds
 from mountstand.telemetry.serving_metrics import ServingMetrics
+from mountstand.transport.forwarders import TURNED_AWAY_PAUSE_S
 from mountstand.transport.http_client import ConnectFailed
 
 REFUSALS_NEEDED = 2
@@ -26,10 +27,6 @@
 """Time between checks. Workers need seconds to start again, so that none is taken for its
 successor."""
 
-TURNED_AWAY_PAUSE_S = 0.25
-"""Time between checks where connections are accepted and closed at once. A worker that is full does
-so too, for some tenths of a second, and is heard meanwhile on the connections that it has."""
-
 AVOIDED_S = 2 * TURNED_AWAY_PAUSE_S
 """For so long a worker that turned a check away gets no new work; further checks prolong it."""
 
@@ -133,7 +130,7 @@
             if refusals >= REFUSALS_NEEDED:
                 return True
             await asyncio.sleep(pause_s)
-        said_s = last_said_s(worker)
+        said_s = worker.last_said_s
         ended = turned_away == MOST_CHECKS and said_s <= began_s + LAST_WORDS_S
         if not ended:
             self._note_alive(worker, "said something or unclear", MOST_CHECKS, turned_away, began_s)
@@ -144,7 +141,7 @@
     ) -> None:
         """Tell why a worker at which an exchange broke is not taken as ended."""
         now_s = asyncio.get_running_loop().time()
-        said_s = last_said_s(worker)
+        said_s = worker.last_said_s
         self._log.event(
             "worker_not_ended",
             worker=worker.record.worker_id,
@@ -154,8 +151,3 @@
             after_ms=milliseconds(now_s - began_s),
             said_after_ms=milliseconds(said_s - began_s) if said_s > began_s else None,
         )
-
-
-def last_said_s(worker: Worker) -> float:
-    """Return when something that a worker sent itself last came."""
-    return max(worker.last_said_s, worker.last_event_s)
