Lab: the log of a daemon is shown if its stop ended with another code than 0

A stop that hangs is ended by the daemon's own limit since a while, with its stacks in its log; the log goes with the lab's folder, so that a test that failed with '0 != 1: 70.06' told nothing of the place. Fleet.terminate logs the end of it; a whole stop logs nothing (test_fleet_logs).

--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 import signal
 import subprocess
@@ -24,6 +25,8 @@
 from mountstand.lab.ports import LOOPBACK, accepts_connections, free_ports
 from mountstand.lab.toml_writer import to_toml
 
+logger = logging.getLogger(__name__)
+
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
 STOP_TIMEOUT_S = 30.0
@@ -61,6 +64,10 @@
         time.sleep(STACKS_WAIT_S)
         self.send(signal.SIGABRT)
         self.process.wait(STOP_TIMEOUT_S)
+        return self.log_end()
+
+    def log_end(self) -> str:
+        """Return the end of the log, long enough for the stacks of all threads."""
         return self.log.read_text(errors="replace")[-DUMPED_CHARACTERS:]
 
 
@@ -185,13 +192,19 @@
         process.process.wait(STOP_TIMEOUT_S)
 
     def terminate(self, name: str) -> int:
-        """Ask a daemon for a planned stop; return its exit code."""
+        """Ask a daemon for a planned stop; return its exit code.
+
+        The end of its log is logged if that is not 0, since the log goes with the fleet's folder.
+        """
         process = self.processes[name]
         process.send(signal.SIGTERM)
         try:
-            return process.process.wait(STOP_TIMEOUT_S + 60.0)
+            code = process.process.wait(STOP_TIMEOUT_S + 60.0)
         except subprocess.TimeoutExpired:
             raise TimeoutError(f"{name} does not end:\n{process.dump()}") from None
+        if code:
+            logger.warning("%s ended with %d:\n%s", name, code, process.log_end())
+        return code
 
     def freeze(self, name: str) -> None:
         """Stop a process where it is."""
