--- a/tests/integration/test_signals.py
+++ b/tests/integration/test_signals.py
@@ -12,10 +12,14 @@
 import contextlib
 import ctypes
 import os
+import random
+import select
 import signal
 import socket
 import subprocess
+import sys
 import threading
+import time
 from pathlib import Path
 
 import orjson
@@ -61,6 +65,62 @@
             self.assertEqual(0, code, f"{number.name}, {os.linesep}{log}")
 
 
+class SignalAsTheWaitBegins(TestCase):
+    """Guards against a signal that is lost as the main thread begins to wait for it.
+
+    Other threads take turns with the main one meanwhile, as a daemon's do.
+    """
+
+    SEED = 50
+    SIGNALS = 500
+    BUSY_THREADS = 4
+    LATEST_S = 0.001
+    PROCESS = f"""
+import os, sys, threading
+from mountstand.cli.stopping import StopSignals
+from mountstand.daemon import THREAD_SWITCH_S
+
+def work():
+    while True:
+        sum(range(200))
+
+sys.setswitchinterval(THREAD_SWITCH_S)
+signals = StopSignals()
+for _ in range({BUSY_THREADS}):
+    threading.Thread(target=work, daemon=True).start()
+for _ in range({SIGNALS}):
+    os.write(1, b"w")
+    signals.wait()
+    os.write(1, b"s")
+os._exit(0)
+"""
+
+    def test_each_of_many_signals_is_heard(self) -> None:
+        rng = random.Random(self.SEED)
+        with subprocess.Popen(
+            [sys.executable, "-c", self.PROCESS], stdout=subprocess.PIPE
+        ) as child:
+            self.addCleanup(child.kill)
+            for number in range(self.SIGNALS):
+                self.assertEqual(b"w", self.read_byte(child), f"before signal {number}")
+                sent_s = time.perf_counter() + rng.uniform(0, self.LATEST_S)
+                # A sleep is not exact enough for a moment of some microseconds.
+                while time.perf_counter() < sent_s:
+                    pass
+                child.send_signal(signal.SIGTERM)
+                self.assertEqual(b"s", self.read_byte(child), f"signal {number} is lost")
+            self.assertEqual(0, child.wait(STOP_S))
+
+    def read_byte(self, child: subprocess.Popen[bytes]) -> bytes | None:
+        """Return what a process says next, ``None`` if it says nothing; end it then."""
+        output = child.stdout
+        assert output is not None
+        if not select.select([output], [], [], STOP_S)[0]:
+            child.kill()
+            return None
+        return os.read(output.fileno(), 1)
+
+
 class StalledWorker:
     """A worker that begins the answer to each request and then says no more."""
 
