Daemon: each step of start and stop is logged with its duration; tasks of a part stop together

A stop that took 65 s logged nothing between the ends of its requests and its last line. 'start step ended' and 'stop step ended' tell the step, the time and whether it failed; a task that still runs when its part gives up waiting is named ('background task still runs'), which was silent before.

Tasks of a part are all told to stop before the first is waited for, and share 5 s. Before, each had its interval and 5 s more, one after the other: 125 s for the exchange of member lists alone. Parts start in the reverse of the order in which they stop.

--- a/mountstand/background.py
+++ b/mountstand/background.py
@@ -4,13 +4,35 @@
 
 import logging
 import threading
-from collections.abc import Callable
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable
+from typing import ClassVar
 
+from mountstand.clock import elapsed_s
 from mountstand.errors import MountstandError
 from mountstand.telemetry.logs import log_state_change
 
 logger = logging.getLogger(__name__)
 
+JOIN_TIMEOUT_S = 5.0
+"""Longest wait of a stop for tasks that are within a call: two tries of the store's at its default
+time-out."""
+
+
+class BackgroundPart(ABC):
+    """A part of a daemon with tasks of its own, which starts and stops with the daemon."""
+
+    name: ClassVar[str]
+    """What log lines call it."""
+
+    @abstractmethod
+    def start(self) -> None:
+        """Start the tasks."""
+
+    @abstractmethod
+    def stop(self) -> None:
+        """Stop the tasks, and release what the part holds."""
+
 
 class PeriodicTask:
     """Calls ``work`` every ``interval_s`` until stopped.
@@ -35,12 +57,18 @@
         """Call ``work`` now instead of after the rest of the interval."""
         self._wake.set()
 
-    def stop(self) -> None:
-        """Stop after the present call of ``work``."""
+    def request_stop(self) -> None:
+        """Let the present call of ``work`` be the last."""
         self._stopping = True
         self._wake.set()
-        if self._thread.is_alive() and threading.current_thread() is not self._thread:
-            self._thread.join(self._interval_s + 5.0)
+
+    def join(self, timeout_s: float) -> None:
+        """Wait until the last call of ``work`` has ended, ``timeout_s`` at most."""
+        if not self._thread.is_alive() or threading.current_thread() is self._thread:
+            return
+        self._thread.join(max(0.0, timeout_s))
+        if self._thread.is_alive():
+            log_state_change(logger, "background task still runs", task=self._name)
 
     def run_once(self) -> None:
         """Call ``work`` and note whether it failed."""
@@ -69,3 +97,13 @@
             self.run_once()
             self._wake.wait(self._interval_s)
             self._wake.clear()
+
+
+def stop_tasks(tasks: Iterable[PeriodicTask]) -> None:
+    """Stop tasks and wait for their present calls, which all end within one common time-out."""
+    stopping = list(tasks)
+    for task in stopping:
+        task.request_stop()
+    deadline_s = elapsed_s() + JOIN_TIMEOUT_S
+    for task in stopping:
+        task.join(deadline_s - elapsed_s())
--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -13,7 +13,7 @@
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 
-from mountstand.background import PeriodicTask
+from mountstand.background import BackgroundPart, PeriodicTask, stop_tasks
 from mountstand.batch.held_range import (
     BatchItem,
     HeldRange,
@@ -83,9 +83,11 @@
 """Memory counted for an item without a result yet."""
 
 
-class BatchExecutor:
+class BatchExecutor(BackgroundPart):
     """Runs batch items on one daemon; thread-safe."""
 
+    name = "batch executor"
+
     def __init__(
         self,
         settings: BatchSettings,
@@ -148,8 +150,7 @@
             held = list(self._held)
         for job_key, range_index in held:
             self._drop(job_key, range_index)
-        for task in self._tasks:
-            task.stop()
+        stop_tasks(self._tasks)
         with self._changed:
             self._changed.notify_all()
         self._runners.shutdown(wait=False, cancel_futures=True)
--- a/mountstand/batch/owner.py
+++ b/mountstand/batch/owner.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from mountstand.background import PeriodicTask
+from mountstand.background import BackgroundPart, PeriodicTask, stop_tasks
 from mountstand.batch.commit_pipeline import CommitPipeline
 from mountstand.batch.grants import build_grant, in_order
 from mountstand.batch.holders import CancelLocally, RangeHolders
@@ -58,9 +58,11 @@
 LOADER_THREADS = 4
 
 
-class JobOwner:
+class JobOwner(BackgroundPart):
     """Owns the jobs of this daemon's shards; thread-safe."""
 
+    name = "job owner"
+
     def __init__(
         self,
         settings: BatchSettings,
@@ -114,8 +116,7 @@
 
     def stop(self) -> None:
         """Commit what is reported, hand the shards over and stop."""
-        for task in self._tasks:
-            task.stop()
+        stop_tasks(self._tasks)
         try:
             self.commit()
         except MountstandError as error:
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from mountstand.background import BackgroundPart
 from mountstand.batch.executor import BatchExecutor
 from mountstand.batch.files import FileStore
 from mountstand.batch.job_store import JobStore
@@ -50,6 +51,7 @@
 from mountstand.settings.service import SettingsService
 from mountstand.settings.store import SettingsStore
 from mountstand.settings.tree import SettingsTree
+from mountstand.steps import logged_step
 from mountstand.store.http_adapters import HttpMachineList, HttpObjects, HttpTable
 from mountstand.store.pacing import PacedObjects, PacedTable
 from mountstand.telemetry.logs import log_state_change
@@ -138,17 +140,16 @@
     def _start(self) -> None:
         # Both ports first: a daemon that cannot be reached must own no jobs and tell nobody that
         # it runs.
-        self._control_server.listen()
-        self._callers_server.listen()
-        self._control_server.start()
-        self.membership.start()
-        self.quarantine.start()
-        self.observer.start()
-        self.settings_service.start()
-        self.owner.start()
-        self.placement.start()
-        self.executor.start()
-        self._callers_server.start()
+        with logged_step("start", "ports"):
+            self._control_server.listen()
+            self._callers_server.listen()
+        with logged_step("start", "control interface"):
+            self._control_server.start()
+        for part in self._background_parts():
+            with logged_step("start", part.name):
+                part.start()
+        with logged_step("start", "callers' interface"):
+            self._callers_server.start()
         log_state_change(logger, "daemon started", zone=self.settings.zone)
 
     def stop(self) -> bool:
@@ -160,21 +161,36 @@
         log_state_change(logger, "planned stop begins", in_progress=self.online.in_progress)
         deadline_s = elapsed_s() + self.settings.stop_timeout_s
         self.membership.announce_leaving()
-        drained = self.executor.drain(self.settings.stop_timeout_s * BATCH_DRAIN_SHARE)
-        finished = self.online.wait_until_idle(deadline_s - elapsed_s())
-        self._callers_server.stop()
-        finished = self.online.wait_until_idle(deadline_s - elapsed_s()) and finished
-        self.placement.stop()
-        self.owner.stop()
-        self.executor.stop()
-        self.observer.stop()
-        self.settings_service.stop()
-        self.quarantine.stop()
-        self.membership.stop()
-        self._control_server.stop()
+        with logged_step("stop", "batch ranges"):
+            drained = self.executor.drain(self.settings.stop_timeout_s * BATCH_DRAIN_SHARE)
+        with logged_step("stop", "requests in progress"):
+            finished = self.online.wait_until_idle(deadline_s - elapsed_s())
+        with logged_step("stop", "callers' interface"):
+            self._callers_server.stop()
+            finished = self.online.wait_until_idle(deadline_s - elapsed_s()) and finished
+        for part in reversed(self._background_parts()):
+            with logged_step("stop", part.name):
+                part.stop()
+        with logged_step("stop", "control interface"):
+            self._control_server.stop()
         log_state_change(logger, "daemon stopped", streams_ended=finished, batch_drained=drained)
         return finished
 
+    def _background_parts(self) -> list[BackgroundPart]:
+        """Return the parts with tasks of their own in the order of their start.
+
+        They stop in reverse: each may use those before it.
+        """
+        return [
+            self.membership,
+            self.quarantine,
+            self.settings_service,
+            self.observer,
+            self.executor,
+            self.owner,
+            self.placement,
+        ]
+
     def is_ready(self) -> bool:
         """Return whether the daemon takes callers' requests.
 
--- a/mountstand/membership/service.py
+++ b/mountstand/membership/service.py
@@ -8,7 +8,7 @@
 import threading
 from collections.abc import Callable
 
-from mountstand.background import PeriodicTask
+from mountstand.background import BackgroundPart, PeriodicTask, stop_tasks
 from mountstand.clock import elapsed_s
 from mountstand.errors import MessageRejected, MountstandError, PortUnavailable
 from mountstand.membership.member import Member, MemberState
@@ -38,9 +38,11 @@
 HintObserver = Callable[[str, Message], None]
 
 
-class MembershipService:
+class MembershipService(BackgroundPart):
     """Runs :class:`MembershipState` for one daemon; thread-safe."""
 
+    name = "membership"
+
     def __init__(
         self,
         self_member: Member,
@@ -84,8 +86,7 @@
         """Tell others that this daemon has left, and stop."""
         self._announce(MemberState.LEFT)
         self._closing = True
-        for task in self._tasks:
-            task.stop()
+        stop_tasks(self._tasks)
         self._socket.close()
 
     def announce_leaving(self) -> None:
--- a/mountstand/placement/service.py
+++ b/mountstand/placement/service.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from mountstand.background import PeriodicTask
+from mountstand.background import BackgroundPart, PeriodicTask, stop_tasks
 from mountstand.batch.model import shard_of
 from mountstand.clock import elapsed_s
 from mountstand.engines.port import BackendPort, LoadModelOrder
@@ -43,9 +43,11 @@
     given_s: float
 
 
-class PlacementService:
+class PlacementService(BackgroundPart):
     """Reconciles the services of one daemon's shards."""
 
+    name = "placement"
+
     def __init__(
         self,
         router: Router,
@@ -68,7 +70,7 @@
 
     def stop(self) -> None:
         """Stop."""
-        self._task.stop()
+        stop_tasks([self._task])
 
     def reconcile(self) -> None:
         """Take one step for every service that settings name and this daemon owns."""
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -16,7 +16,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 
-from mountstand.background import PeriodicTask
+from mountstand.background import BackgroundPart, PeriodicTask, stop_tasks
 from mountstand.clock import elapsed_s
 from mountstand.errors import RequestQuarantined
 from mountstand.hashing import content_name
@@ -127,7 +127,7 @@
         self._table.commit(Transaction(write_id=uuid.uuid4().hex, puts=puts, deletes=deletes))
 
 
-class ContentQuarantine(SuspectObserver):
+class ContentQuarantine(SuspectObserver, BackgroundPart):
     """Decides which contents may be sent to workers. Thread-safe.
 
     The counterpart for the event loop is :class:`mountstand.quarantine.service.RequestQuarantine`.
@@ -135,6 +135,8 @@
     refuses connections, or accepts them in a forwarder without a worker behind it.
     """
 
+    name = "quarantine"
+
     def __init__(
         self,
         daemon_name: str,
@@ -177,8 +179,7 @@
 
     def stop(self) -> None:
         """Stop the periodic tasks and cancel crash checks that have not started."""
-        for task in self._tasks:
-            task.stop()
+        stop_tasks(self._tasks)
         self._crash_check_pool.shutdown(wait=False, cancel_futures=True)
 
     def check(self, content: int) -> None:
--- a/mountstand/routing/observer.py
+++ b/mountstand/routing/observer.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from mountstand.background import PeriodicTask
+from mountstand.background import BackgroundPart, PeriodicTask, stop_tasks
 from mountstand.engines.port import BackendPort
 from mountstand.errors import MountstandError
 from mountstand.routing.router import Router
@@ -17,7 +17,7 @@
 MachineListCallback = Callable[[list[Machine]], None]
 
 
-class FleetObserver:
+class FleetObserver(BackgroundPart):
     """Polls the platform's machine list and the workers on behalf of one daemon.
 
     ``on_machines`` is called with each new machine list, after the router has applied it. ``ready``
@@ -28,6 +28,8 @@
     at least one poll.
     """
 
+    name = "fleet observer"
+
     def __init__(
         self,
         router: Router,
@@ -69,8 +71,7 @@
 
     def stop(self) -> None:
         """Stop the polling tasks and cancel queued polls without waiting for running ones."""
-        for task in self._tasks:
-            task.stop()
+        stop_tasks(self._tasks)
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def poll_machines(self) -> None:
--- a/mountstand/settings/service.py
+++ b/mountstand/settings/service.py
@@ -16,7 +16,7 @@
 
 from pydantic import BaseModel, ValidationError
 
-from mountstand.background import PeriodicTask
+from mountstand.background import BackgroundPart, PeriodicTask, stop_tasks
 from mountstand.clock import elapsed_s
 from mountstand.errors import MountstandError, PeerUnavailable
 from mountstand.membership.member import Member
@@ -53,9 +53,11 @@
     tree: SettingsTree | None = None
 
 
-class SettingsService:
+class SettingsService(BackgroundPart):
     """The settings in force on this daemon; thread-safe."""
 
+    name = "settings"
+
     def __init__(
         self, store: SettingsStore, membership: MembershipService, peers: PeerClient
     ) -> None:
@@ -92,8 +94,7 @@
 
     def stop(self) -> None:
         """Stop."""
-        for task in self._tasks:
-            task.stop()
+        stop_tasks(self._tasks)
         self._fetchers.shutdown(wait=False, cancel_futures=True)
 
     def apply(self, requested: list[RequestedChange], operator: str) -> Revision:
--- /dev/null
+++ b/mountstand/steps.py
@@ -0,0 +1,27 @@
+"""The steps of a daemon's start and stop: each is logged with the time that it took."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from mountstand.clock import elapsed_s
+from mountstand.telemetry.logs import log_state_change
+
+logger = logging.getLogger(__name__)
+
+TIME_DECIMALS = 3
+
+
+@contextmanager
+def logged_step(phase: str, name: str) -> Iterator[None]:
+    """Log the end of one step of ``phase`` ("start", "stop") with its duration in seconds."""
+    started_s = elapsed_s()
+    failed = True
+    try:
+        yield
+        failed = False
+    finally:
+        took_s = round(elapsed_s() - started_s, TIME_DECIMALS)
+        log_state_change(logger, f"{phase} step ended", step=name, took_s=took_s, failed=failed)
