Limits: shares are computed anew only when the daemons that share them change

The model test of a stable fleet of any size went over its limit of 120 s in three of six runs at load 5 to 15; alone at load 25 it was ended too. Cause, by a profile of 0.3 s of its 370 daemons: 16.0 of 20.3 s went into 11,100 computations of one and the same allocation, each 370 hashes, and 4.0 s into building the same sets of members. LimitSharing replaced its tuple of sharers at each update, and ColdStartShares takes a new tuple for a change. A daemon paid the same at each word on the liveness of any peer: 370 hashes for each cold worker.

The tuple stays while the sharers do, and an update that changes nothing returns at once. Both new tests fail on the code before.

--- a/mountstand/limits/sharing.py
+++ b/mountstand/limits/sharing.py
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "_departed_at_s",
+        "_members",
         "_serving",
         "has_reserved_shares",
         "own_name",
@@ -32,6 +33,7 @@
         self.own_name = own_name
         self._serving: frozenset[str] = frozenset()
         self._departed_at_s: dict[str, float] = {}
+        self._members: tuple[frozenset[str], ...] = ()
         self.share = 0.0
         """The fraction of every limit that this daemon owns, from 0 to 1."""
 
@@ -39,6 +41,8 @@
         """All daemons that limits are divided among, in order.
 
         They are those that serve, and those that left recently, whose shares are still reserved.
+        The tuple is replaced only when they change, so that its identity tells whether shares
+        computed from it still hold.
         """
 
         self.has_reserved_shares = False
@@ -64,6 +68,11 @@
         of a daemon stays reserved for ``reserve_s`` after it stopped serving.
         """
         serving = frozenset(serving)
+        members = (serving, frozenset(running), frozenset(leaving))
+        if members == self._members and not self._departed_at_s:
+            # Only reservations change with time.
+            return
+        self._members = members
         departed = (self._serving | frozenset(leaving)) - serving
         self._departed_at_s = {
             name: at_s
@@ -75,6 +84,8 @@
         reserved = {name for name, at_s in self._departed_at_s.items() if now_s - at_s < reserve_s}
         self._serving = serving
         self.has_reserved_shares = bool(reserved)
-        self.sharers = tuple(sorted(serving | reserved))
+        sharers = tuple(sorted(serving | reserved))
+        if sharers != self.sharers:
+            self.sharers = sharers
         self.share = 1 / len(self.sharers) if self.own_name in serving else 0.0
         self.peers = sorted(serving & frozenset(running) - {self.own_name})
--- a/tests/model/test_cold_workers.py
+++ b/tests/model/test_cold_workers.py
@@ -9,11 +9,13 @@
 import itertools
 import random
 from collections.abc import Callable
+from unittest import mock
 
 from testtools import TestCase
 
 from mountstand.limits.dealt import allocated_units
 from mountstand.limits.sharing import LimitSharing
+from mountstand.serving import cold_workers
 from mountstand.serving.cold_workers import (
     ColdStartBudget,
     ColdStartLimit,
@@ -120,6 +122,39 @@
         self.assertTrue(len(owners) > 40, len(owners))
 
 
+class ShareComputation(TestCase):
+    """Shares are computed anew only when the daemons that share a limit change."""
+
+    RESERVE_S = 2.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.daemon = Daemon("a", ["a", "b"], 0.0)
+        self.daemon.now_s = MAX_VIEW_AGE_S
+
+    def computations(self, serving: str, running: str, now_s: float) -> int:
+        """Update the members twice; return how often a share was computed."""
+        with mock.patch.object(cold_workers, "allocated_units", wraps=allocated_units) as computed:
+            for _ in range(2):
+                sharing = self.daemon.limit_sharing
+                sharing.update_members(list(serving), list(running), now_s, (), self.RESERVE_S)
+                self.daemon.shares.share("w1", LIMIT, self.daemon.now_s)
+        return computed.call_count
+
+    def test_unchanged_sharers_cost_nothing(self) -> None:
+        self.assertEqual(1, self.computations("ab", "ab", 10.0))
+        self.assertEqual(0, self.computations("ba", "ba", 10.1))
+        self.assertEqual(0, self.computations("ab", "a", 10.2), "b is not believed to run")
+        self.assertEqual([], self.daemon.limit_sharing.peers)
+
+    def test_a_change_and_the_end_of_a_reservation_count(self) -> None:
+        self.assertEqual(1, self.computations("ab", "ab", 10.0))
+        self.assertEqual(1, self.computations("abc", "abc", 10.1), "c serves")
+        self.assertEqual(0, self.computations("ab", "ab", 10.2), "the share of c is reserved")
+        self.assertEqual(1, self.computations("ab", "ab", 10.2 + self.RESERVE_S), "no more")
+        self.assertEqual(("a", "b"), self.daemon.limit_sharing.sharers)
+
+
 class FleetLimit(TestCase):
     def test_stable_fleet_of_any_size_uses_the_whole_limit(self) -> None:
         for size in (1, 12, 40, 370):
