Planned stop: a step that fails keeps no other step from running

Operators would have seen a daemon that refuses work, holds its port and never ends by itself: an exception in one part ended Daemon.stop where it was, and the interpreter waits for the threads of the control interface, which comes last.

--- a/mountstand/cli/serve.py
+++ b/mountstand/cli/serve.py
@@ -59,4 +59,4 @@
         signals.wait()
         end_after(settings.stop_timeout_s + CLOSE_S)
         if not daemon.stop():
-            raise cappa.Exit("some work was cut off at the stop time-out", code=CUT_OFF)
+            raise cappa.Exit("some work was cut off, or a step of the stop failed", code=CUT_OFF)
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -51,7 +51,7 @@
 from mountstand.settings.service import SettingsService
 from mountstand.settings.store import SettingsStore
 from mountstand.settings.tree import SettingsTree
-from mountstand.steps import logged_step
+from mountstand.steps import StopSteps, logged_step
 from mountstand.store.http_adapters import HttpMachineList, HttpObjects, HttpTable
 from mountstand.store.pacing import PacedObjects, PacedTable
 from mountstand.telemetry.logs import log_state_change
@@ -155,26 +155,35 @@
     def stop(self) -> bool:
         """Stop as planned: refuse new work, finish what is in progress, then close.
 
-        Returns whether everything in progress ended in time.
+        Returns whether everything in progress ended in time and no step failed.
         """
+        steps = StopSteps()
+        drained = finished = False
         self._stopping.set()
         log_state_change(logger, "planned stop begins", in_progress=self.online.in_progress)
         deadline_s = elapsed_s() + self.settings.stop_timeout_s
-        self.membership.announce_leaving()
-        with logged_step("stop", "batch ranges"):
+        with steps.step("announcement"):
+            self.membership.announce_leaving()
+        with steps.step("batch ranges"):
             drained = self.executor.drain(self.settings.stop_timeout_s * BATCH_DRAIN_SHARE)
-        with logged_step("stop", "requests in progress"):
+        with steps.step("requests in progress"):
             finished = self.online.wait_until_idle(deadline_s - elapsed_s())
-        with logged_step("stop", "callers' interface"):
+        with steps.step("callers' interface"):
             self._callers_server.stop()
             finished = self.online.wait_until_idle(deadline_s - elapsed_s()) and finished
         for part in reversed(self._background_parts()):
-            with logged_step("stop", part.name):
+            with steps.step(part.name):
                 part.stop()
-        with logged_step("stop", "control interface"):
+        with steps.step("control interface"):
             self._control_server.stop()
-        log_state_change(logger, "daemon stopped", streams_ended=finished, batch_drained=drained)
-        return finished
+        log_state_change(
+            logger,
+            "daemon stopped",
+            streams_ended=finished,
+            batch_drained=drained,
+            failed_steps=steps.failed,
+        )
+        return finished and not steps.failed
 
     def _background_parts(self) -> list[BackgroundPart]:
         """Return the parts with tasks of their own in the order of their start.
--- a/tests/integration/helpers.py
+++ b/tests/integration/helpers.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import sys
 import time
 from collections.abc import Callable
 from typing import Any
 
 import orjson
+from testtools import TestCase
 
+from mountstand.daemon import Daemon
 from mountstand.emulator.engine_core import expected_completion
 from mountstand.lab.fleet import Fleet
 from mountstand.lab.fleet_plan import DaemonAddress
+from mountstand.lab.ports import LOOPBACK
+from mountstand.process_settings import DaemonSettings
 
 WAIT_S = 60.0
 
@@ -82,3 +87,25 @@
             choice = orjson.loads(frame[6:])["choices"][0]
             text += choice.get("text") or choice["delta"]["content"]
     return text, data.endswith(b"data: [DONE]\n\n")
+
+
+def daemon_in_process(case: TestCase, fleet: Fleet, address: DaemonAddress) -> Daemon:
+    """Return a daemon of this process on a fleet's stand-ins, not started."""
+    case.addCleanup(sys.setswitchinterval, sys.getswitchinterval())
+    return Daemon(
+        DaemonSettings(
+            daemon_id=address.daemon_id,
+            zone=address.zone,
+            address=LOOPBACK,
+            port=address.port,
+            control_port=address.control_port,
+            platform={
+                "table_url": fleet.table_url,
+                "objects_url": fleet.objects_url,
+                "machines_url": fleet.machines_url,
+                "machines_poll_s": 0.3,
+            },
+            online={"threads": 8},
+            stop_timeout_s=5.0,
+        )
+    )
--- a/tests/integration/test_start.py
+++ b/tests/integration/test_start.py
@@ -12,19 +12,16 @@
 from __future__ import annotations
 
 import socket
-import sys
 import threading
 import time
 
 import urllib3
 from testtools import TestCase
 
-from mountstand.daemon import Daemon
 from mountstand.lab.fleet import Fleet
 from mountstand.lab.fleet_plan import DaemonAddress, FleetPlan
 from mountstand.lab.ports import LOOPBACK, accepts_connections, free_ports
-from mountstand.process_settings import DaemonSettings
-from tests.integration.helpers import wait_until
+from tests.integration.helpers import daemon_in_process, wait_until
 
 END_S = 20.0
 """A start that cannot succeed takes a few seconds; this leaves room on a busy machine."""
@@ -41,31 +38,9 @@
     def address(self) -> DaemonAddress:
         return DaemonAddress("starting", "zone-a", *free_ports(2))
 
-    def daemon(self, address: DaemonAddress) -> Daemon:
-        """Return a daemon of this process, not started."""
-        interval_s = sys.getswitchinterval()
-        self.addCleanup(sys.setswitchinterval, interval_s)
-        return Daemon(
-            DaemonSettings(
-                daemon_id=address.daemon_id,
-                zone=address.zone,
-                address=LOOPBACK,
-                port=address.port,
-                control_port=address.control_port,
-                platform={
-                    "table_url": self.fleet.table_url,
-                    "objects_url": self.fleet.objects_url,
-                    "machines_url": self.fleet.machines_url,
-                    "machines_poll_s": 0.3,
-                },
-                online={"threads": 8},
-                stop_timeout_s=5.0,
-            )
-        )
-
     def test_not_ready_while_its_parts_still_start(self) -> None:
         address = self.address()
-        daemon = self.daemon(address)
+        daemon = daemon_in_process(self, self.fleet, address)
         go_on = threading.Event()
         start_executor = daemon.executor.start
 
