Readiness: what is missing is told, and a machine list that failed to apply is applied again

GET /readyz names with 503 what is missing, and the lab tells with its failure which condition it saw unmet last.

Read while looking for the cause: FleetObserver noted a new machine list before it was applied. One failure of the application, and the list counted as applied for good: the daemon never became ready, or kept an old list until the next change.

--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -201,13 +201,22 @@
         ]
 
     def is_ready(self) -> bool:
-        """Return whether the daemon takes callers' requests.
+        """Return whether the daemon takes callers' requests."""
+        return not self.missing_for_ready()
+
+    def missing_for_ready(self) -> list[str]:
+        """Return what keeps the daemon from taking callers' requests, for operators.
 
         Its workers and settings are known before all parts have started, so that the callers'
         interface is asked as well.
         """
-        informed = self.observer.ready.is_set() and self.settings_service.caught_up.is_set()
-        return informed and self._callers_server.serving and not self._stopping.is_set()
+        met_by_name = {
+            "machine list": self.observer.ready.is_set(),
+            "settings": self.settings_service.caught_up.is_set(),
+            "callers' interface": self._callers_server.serving,
+            "end of the planned stop": not self._stopping.is_set(),
+        }
+        return [name for name, met in met_by_name.items() if not met]
 
     def _build_platform(self) -> None:
         platform = self.settings.platform
@@ -384,7 +393,7 @@
         )
         return Namespace(
             healthz=HealthResource(),
-            readyz=ReadyResource(self.is_ready),
+            readyz=ReadyResource(self.missing_for_ready),
             metrics=MetricsResource(self.metrics),
             status=status,
             settings=SettingsResource(self.settings_service, tokens),
--- a/mountstand/http/control.py
+++ b/mountstand/http/control.py
@@ -34,14 +34,14 @@
 
     exposed = True
 
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self._is_ready = is_ready
+    def __init__(self, missing_for_ready: Callable[[], list[str]]) -> None:
+        self._missing_for_ready = missing_for_ready
 
     def GET(self) -> bytes:  # noqa: N802
-        """Answer 200 when ready and 503 when not."""
-        ready = self._is_ready()
-        cherrypy.response.status = 200 if ready else 503
-        return send_json({"ready": ready})
+        """Answer 200 when ready, and 503 with what is missing when not."""
+        missing = self._missing_for_ready()
+        cherrypy.response.status = 503 if missing else 200
+        return send_json({"ready": not missing, "missing": missing})
 
 
 class MetricsResource:
--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -13,8 +13,9 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -252,20 +253,18 @@
     def wait_for_workers(self) -> None:
         """Wait until every worker listens; a daemon may be ready before a stand-in is."""
         for worker in self.workers:
-            self._wait_for(
-                lambda port=worker.listed_port: accepts_connections(port),
-                f"{worker.worker_id} listens",
-            )
+            self._wait_for(partial(unconnected, worker.listed_port), f"{worker.worker_id} listens")
 
     def wait_ready(self, daemons: Iterable[DaemonAddress]) -> None:
         """Wait until the daemons are ready and list every worker and running daemon."""
         for daemon in daemons:
-            self._wait_for(lambda d=daemon: self._is_ready(d), f"{daemon.daemon_id} is ready")
+            self._wait_for(partial(self._unready, daemon), f"{daemon.daemon_id} is ready")
 
-    def _is_ready(self, daemon: DaemonAddress) -> bool:
+    def _unready(self, daemon: DaemonAddress) -> str | None:
+        """Return why a daemon is not ready, ``None`` if it is."""
         answer = self.http.request("GET", f"{daemon.control_url}/readyz", timeout=2.0)
         if answer.status != 200:
-            return False
+            return f"readyz: {answer.status} {answer.data.decode(errors='replace')}"
         live = [m for m in self.status(daemon, "members") if m["state"] == "alive"]
         workers = len(self.status(daemon, "workers"))
         running = sum(
@@ -273,19 +272,28 @@
             for d in self.daemons
             if d.daemon_id in self.processes
         )
-        return len(live) >= running and workers == len(self.workers)
-
-    def _wait_for(self, condition: Any, what: str) -> None:
+        if len(live) < running:
+            return f"sees {len(live)} of {running} daemons"
+        if workers != len(self.workers):
+            return f"lists {workers} of {len(self.workers)} workers"
+        return None
+
+    def _wait_for(self, unmet: Callable[[], str | None], what: str) -> None:
+        """Wait until ``unmet`` returns ``None``; a failure tells what it returned last."""
         deadline_s = time.monotonic() + READY_TIMEOUT_S
+        reason: str | None = None
         while time.monotonic() < deadline_s:
             try:
-                if condition():
+                reason = unmet()
+                if reason is None:
                     return
-            except (urllib3.exceptions.HTTPError, OSError):
-                pass
+            except (urllib3.exceptions.HTTPError, OSError) as problem:
+                reason = repr(problem)
             self._check_processes()
             time.sleep(POLL_S)
-        raise TimeoutError(f"not so after {READY_TIMEOUT_S} s: {what}\n{self._dump_daemons()}")
+        raise TimeoutError(
+            f"not so after {READY_TIMEOUT_S} s: {what}; last seen: {reason}\n{self._dump_daemons()}"
+        )
 
     def _dump_daemons(self) -> str:
         """End the daemons; return what their logs say, and where their threads stood."""
@@ -398,3 +406,8 @@
             listed_port,
             control_port,
         )
+
+
+def unconnected(port: int) -> str | None:
+    """Return why a port of this machine cannot be connected to, ``None`` if it can."""
+    return None if accepts_connections(port) else f"no connection to port {port}"
--- a/mountstand/routing/observer.py
+++ b/mountstand/routing/observer.py
@@ -80,9 +80,10 @@
         # The machine list port returns the same object until the list changes.
         if machines is self._last_machines:
             return
-        self._last_machines = machines
         self._router.update_machines(machines)
         self._on_machines(machines)
+        # Only now: a list whose application failed is applied again at the next poll.
+        self._last_machines = machines
         self.ready.set()
 
     def poll_loads(self) -> None:
