Feeds: rows that could not be applied are read and applied again

The same fault elsewhere: an exception in what applies the rows of a table ended the feed's task ('task_failed'), and the daemon followed that table no more. No log shows that it happened. Such rows are logged with the last frames ('rows_not_applied'), and the table is read whole again with the pauses of a store that fails; rows from a peer that cannot be applied are not adopted. Both new tests failed before.

--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import traceback
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -27,6 +28,10 @@
 """Pause after a failed call: doubled from the first to the longest, each with jitter."""
 
 
+TRACEBACK_FRAMES = 3
+"""Frames of a failure that its log line tells, the innermost ones."""
+
+
 @dataclass(frozen=True)
 class TableChange:
     """Rows that changed, or with ``complete`` all rows that exist."""
@@ -35,6 +40,10 @@
     complete: bool
 
 
+class RowsNotApplied(Exception):
+    """Rows were read, and what applies them failed."""
+
+
 class TableWatcher:
     """Keeps ``apply`` told of every change of one table.
 
@@ -83,7 +92,7 @@
                 self._log.event("feed_history_gone", table=self._table, after=self._version)
                 self._version = None
                 continue
-            except StoreError as problem:
+            except (StoreError, RowsNotApplied) as problem:
                 self._note_failure(loop.time(), problem)
                 await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
                 pause_s = min(LONGEST_RETRY_S, pause_s * 2)
@@ -128,13 +137,20 @@
             return False
         self._version = version
         self._told_version = version
+        try:
+            self._take(TableChange(rows, complete=known is None))
+        except RowsNotApplied:
+            return False
         self.fresh_at_s = max(self.fresh_at_s, fresh_at_s)
-        self._take(TableChange(rows, complete=known is None))
         self.loaded.set()
         return True
 
     def _take(self, change: TableChange) -> None:
-        """Keep the rows of a change and apply it."""
+        """Keep the rows of a change and apply it.
+
+        Raises ``RowsNotApplied``; the table is read whole then, since the version that was reached
+        says nothing of what is in force.
+        """
         if self._keep_rows:
             if change.complete:
                 self._row_by_key.clear()
@@ -142,7 +158,17 @@
                 kept = self._row_by_key.get(row.key)
                 if kept is None or kept.version < row.version:
                     self._row_by_key[row.key] = row
-        self._apply(change)
+        try:
+            self._apply(change)
+        except Exception as problem:
+            self._version = None
+            self._log.event(
+                "rows_not_applied",
+                table=self._table,
+                rows=len(change.rows),
+                cause=traceback.format_exc(limit=-TRACEBACK_FRAMES),
+            )
+            raise RowsNotApplied(repr(problem)) from problem
 
     async def _step(self) -> bool:
         """Make one call, or a full read; returns whether anything had changed."""
@@ -176,7 +202,7 @@
             self._version = max(self._version, self._told_version)
         self._told_version = page.version
 
-    def _note_failure(self, now_s: float, problem: StoreError) -> None:
+    def _note_failure(self, now_s: float, problem: StoreError | RowsNotApplied) -> None:
         if self._failing_since_s is None:
             self._failing_since_s = now_s
             self._log.event(
--- a/tests/serving/test_serving_feeds.py
+++ b/tests/serving/test_serving_feeds.py
@@ -15,8 +15,8 @@
 from mountstand.platform.store_client import FEED_SLACK_S
 from mountstand.serving_feeds import FeedTargets, ServingFeeds
 from mountstand.store.memory_rows import MemoryRowStore
-from mountstand.store.rows import StoreRefused
-from mountstand.store.watch import LONGEST_RETRY_S
+from mountstand.store.rows import RowKey, StoredRow, StoreRefused, Transaction
+from mountstand.store.watch import LONGEST_RETRY_S, TableChange, TableWatcher
 from tests.stand_ins.harness import RecordingLog
 from tests.stand_ins.paused_clock import run_paused
 from tests.unit.test_platform_settings import GOOD
@@ -97,3 +97,55 @@
         self.assertEqual(0.1, feeds.jobs.pause_s)
         feeds.limit_job_feed_rate(1000, 3.0)
         self.assertEqual(1.0, feeds.jobs.pause_s)
+
+
+class FailingApplication(TestCase):
+    """Guards against a feed that ends for good because its rows could not be applied once."""
+
+    TABLE = "workers"
+
+    def watcher(self, store: MemoryRowStore, failures: int) -> tuple[TableWatcher, list[bytes]]:
+        """Return a watcher whose first applications fail, and the values that were applied."""
+        applied: list[bytes] = []
+        left = [ZeroDivisionError] * failures
+
+        def apply(change: TableChange) -> None:
+            if change.rows and left:
+                raise left.pop()
+            applied.extend(row.value for row in change.rows if row.value is not None)
+
+        self.log = RecordingLog()
+        return TableWatcher(store, self.TABLE, [""], apply, self.log, keep_rows=True), applied
+
+    async def write(self, store: MemoryRowStore, key: str, value: bytes) -> None:
+        await store.commit(Transaction(puts=[(RowKey(self.TABLE, "", key), value)]))
+
+    def test_rows_are_applied_once_that_works(self) -> None:
+        async def scenario() -> None:
+            store = MemoryRowStore()
+            watcher, applied = self.watcher(store, failures=3)
+            task = asyncio.create_task(watcher.run())
+            await watcher.loaded.wait()
+            await self.write(store, "w1", b"first")
+            await asyncio.sleep(5 * LONGEST_RETRY_S)
+            self.assertFalse(task.done())
+            self.assertEqual([b"first"], applied)
+            await self.write(store, "w2", b"second")
+            await asyncio.sleep(LONGEST_RETRY_S)
+            self.assertEqual([b"first", b"second"], applied)
+            self.assertFalse(watcher.failing)
+            task.cancel()
+
+        run_paused(scenario())
+        self.assertEqual(3, len(self.log.lines("rows_not_applied")))
+
+    def test_rows_of_a_peer_that_cannot_be_applied_are_not_adopted(self) -> None:
+        async def scenario() -> None:
+            watcher, applied = self.watcher(MemoryRowStore(), failures=1)
+            rows = [StoredRow(RowKey(self.TABLE, "", "w1"), 5, b"first")]
+            self.assertFalse(watcher.adopt(rows, 5, 1.0))
+            self.assertFalse(watcher.loaded.is_set())
+            self.assertTrue(watcher.adopt(rows, 5, 1.0))
+            self.assertEqual([b"first"], applied)
+
+        run_paused(scenario())
