Job owner: the last commit of a stop does not run beside the periodic one

Read while splitting the stop: it waits for the periodic commit a few seconds only, and commits itself then. Beside a slow store both ran at once, which the pipeline did not allow for: the same unresolved transaction was sent twice, by two threads that both changed its state. Not seen in a log.

--- a/mountstand/batch/commit_pipeline.py
+++ b/mountstand/batch/commit_pipeline.py
@@ -32,10 +32,7 @@
 
 
 class CommitPipeline:
-    """Commits for one owner; shares the owner's lock, ledgers and leases.
-
-    Only one thread may call :meth:`run`.
-    """
+    """Commits for one owner; shares the owner's lock, ledgers and leases."""
 
     def __init__(
         self,
@@ -60,9 +57,17 @@
         self._job_changed = job_changed
         self._job_completed = job_completed
         self._pending: PendingCommit | None = None
+        self._run_lock = threading.Lock()
 
     def run(self) -> None:
-        """Make all reported ranges durable; raise when the store does not answer."""
+        """Make all reported ranges durable; raise when the store does not answer.
+
+        Runs of several threads follow one another, so that one transaction at most is unresolved.
+        """
+        with self._run_lock:
+            self._run()
+
+    def _run(self) -> None:
         while True:
             if self._pending is None:
                 self._pending = self._next()
--- a/tests/integration/helpers.py
+++ b/tests/integration/helpers.py
@@ -13,7 +13,7 @@
 from mountstand.daemon import Daemon
 from mountstand.emulator.engine_core import expected_completion
 from mountstand.lab.fleet import Fleet
-from mountstand.lab.fleet_plan import DaemonAddress
+from mountstand.lab.fleet_plan import DaemonAddress, FleetPlan
 from mountstand.lab.ports import LOOPBACK
 from mountstand.process_settings import DaemonSettings
 
@@ -89,6 +89,19 @@
     return text, data.endswith(b"data: [DONE]\n\n")
 
 
+class StandInsTestCase(TestCase):
+    """Tests of one class share the stand-ins of a fleet without daemons."""
+
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        cls.fleet = Fleet(FleetPlan(daemons=0, engines=1, applications=0))
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start()
+
+
 def daemon_in_process(case: TestCase, fleet: Fleet, address: DaemonAddress) -> Daemon:
     """Return a daemon of this process on a fleet's stand-ins, not started."""
     case.addCleanup(sys.setswitchinterval, sys.getswitchinterval())
--- a/tests/integration/test_start.py
+++ b/tests/integration/test_start.py
@@ -16,25 +16,16 @@
 import time
 
 import urllib3
-from testtools import TestCase
 
-from mountstand.lab.fleet import Fleet
-from mountstand.lab.fleet_plan import DaemonAddress, FleetPlan
+from mountstand.lab.fleet_plan import DaemonAddress
 from mountstand.lab.ports import LOOPBACK, accepts_connections, free_ports
-from tests.integration.helpers import daemon_in_process, wait_until
+from tests.integration.helpers import StandInsTestCase, daemon_in_process, wait_until
 
 END_S = 20.0
 """A start that cannot succeed takes a few seconds; this leaves room on a busy machine."""
 
 
-class Start(TestCase):
-    @classmethod
-    def setUpClass(cls) -> None:
-        super().setUpClass()
-        cls.fleet = Fleet(FleetPlan(daemons=0, engines=1, applications=0))
-        cls.addClassCleanup(cls.fleet.stop)
-        cls.fleet.start()
-
+class Start(StandInsTestCase):
     def address(self) -> DaemonAddress:
         return DaemonAddress("starting", "zone-a", *free_ports(2))
 
--- a/tests/integration/test_stop_steps.py
+++ b/tests/integration/test_stop_steps.py
@@ -8,23 +8,13 @@
 
 import threading
 
-from testtools import TestCase
-
 from mountstand.daemon import Daemon
-from mountstand.lab.fleet import Fleet
-from mountstand.lab.fleet_plan import DaemonAddress, FleetPlan
+from mountstand.lab.fleet_plan import DaemonAddress
 from mountstand.lab.ports import accepts_connections, free_ports
-from tests.integration.helpers import daemon_in_process, wait_until
-
+from tests.integration.helpers import StandInsTestCase, daemon_in_process, wait_until
 
-class FailedStep(TestCase):
-    @classmethod
-    def setUpClass(cls) -> None:
-        super().setUpClass()
-        cls.fleet = Fleet(FleetPlan(daemons=0, engines=1, applications=0))
-        cls.addClassCleanup(cls.fleet.stop)
-        cls.fleet.start()
 
+class FailedStep(StandInsTestCase):
     def started(self, address: DaemonAddress) -> Daemon:
         daemon = daemon_in_process(self, self.fleet, address)
         daemon.start()
