Jobs: an accepted job whose write lost its answer is run soon by its own daemon

Cause: the store took the first write and its answer was lost; a second write met a conflict, so that the job counted as stored and no runner was started. Its head names this daemon, which is live: no other adopts it, and the daemon itself waited for its rank.

A job that this process owns and does not run is adopted after a second: while the daemon is live nobody competes for it. The same holds for adoptions that took effect without an answer.

--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -20,6 +20,7 @@
 from mountstand.jobs.repository import FALLBACK_OBJECT_COPIES, JobRepository, new_write_id
 from mountstand.jobs.runner import JobRunner
 from mountstand.serving.configuration import Route
+from mountstand.serving.residency import Regions
 from mountstand.store.rows import Conflict, StoreError, StoreRefused
 from mountstand.store.watch import TableChange
 
@@ -32,6 +33,10 @@
 It keeps daemons from competing for the same job.
 """
 
+OWN_JOB_ADOPTION_DELAY_S = 1.0
+"""Delay before adopting a job that this process owns but does not run; its acceptance may still be
+about to start it."""
+
 OBJECT_SCAN_INTERVAL_S = 3.0
 OBJECT_SCAN_RANK_KEY = "object scan"
 """Interval and ranking key of the scan for jobs that are stored only as fallback objects.
@@ -266,8 +271,9 @@
     def _adopt_if_orphaned(self, head: JobHead, version: int) -> None:
         """Adopt an open job without a live owner, after a delay given by this daemon's rank.
 
-        A job that this process owns but does not run counts as orphaned. Its adoption may have
-        taken effect without a reply, or the saved progress could not be loaded.
+        A job that this process owns but does not run counts as orphaned. Its acceptance or adoption
+        may have taken effect without a reply, or the saved progress could not be loaded. No other
+        daemon adopts such a job while this one is live, so its rank does not matter.
         """
         job_id = head.job_id
         if self._draining or job_id in self._runners or job_id in self._adopting_job_ids:
@@ -283,14 +289,16 @@
             return
         now_s = asyncio.get_running_loop().time()
         orphaned_since_s = self._orphaned_since_s_by_job_id.setdefault(job_id, now_s)
-        if (
-            now_s - orphaned_since_s
-            < self._owners.rank(job_id, regions) * ADOPTION_DELAY_PER_RANK_S
-        ):
+        if now_s - orphaned_since_s < self._adoption_delay_s(head, regions):
             return
         self._adopting_job_ids.add(job_id)
         self._spawn(self._adopt(head, version))
 
+    def _adoption_delay_s(self, head: JobHead, regions: Regions | None) -> float:
+        if head.owner == self._owners.own_token:
+            return OWN_JOB_ADOPTION_DELAY_S
+        return self._owners.rank(head.job_id, regions) * ADOPTION_DELAY_PER_RANK_S
+
     async def _adopt(self, head: JobHead, version: int) -> None:
         adopted = replace(head, owner=self._owners.own_token, write_id=new_write_id())
         try:
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from base64 import b64encode
 from collections.abc import Callable
 from dataclasses import replace
@@ -27,6 +28,9 @@
 
 BATCH = route(RequestKind.BATCH, max_attempts=3)
 TEXT = "\n".join(f"piece {number}" for number in range(1, 5))
+LATEST_RUN_S = 5.0
+"""Time in which a job that was accepted runs while nothing is broken any more."""
+
 INTERNAL_SERVER_ERROR = whole(b"", "500 Internal Server Error")
 
 
@@ -355,6 +359,25 @@
 
         self.run_scenario(work, (stream(4),))
 
+    def test_accepted_job_runs_soon_if_the_reply_of_its_write_was_lost(self) -> None:
+        """Guards against an accepted job that waits a second for each daemon that ranks before."""
+
+        async def work() -> None:
+            daemon = self.daemon("d0")
+            await daemon.watcher.loaded.wait()
+            self.live.update(f"d{n}" for n in range(1, 60))
+            rank_by_job_id = {f"job{n}": daemon.jobs._owners.rank(f"job{n}") for n in range(20)}
+            job_id = max(rank_by_job_id, key=lambda name: rank_by_job_id[name])
+            self.assertGreater(rank_by_job_id[job_id], 30)
+            fault_by_call = {"commit": iter(["lose"]), "put_object": itertools.repeat("refuse")}
+            self.set_fault(lambda call: next(fault_by_call.get(call, iter(())), ""))
+            self.assertEqual(SubmitOutcome.ACCEPTED, await daemon.submit(submission(job_id)))
+            async with asyncio.timeout(LATEST_RUN_S):
+                results = await daemon.wait_for_results(3, job_id)
+            self.assertEqual({"completed"}, {state for _, state, _ in results})
+
+        self.run_scenario(work, (stream(4),))
+
     def test_lost_write_has_an_unknown_outcome(self) -> None:
         async def work() -> None:
             daemon = self.daemon()
