Lab: a wait ends when a process has ended that the lab did not end

Seen by whoever runs a fleet of the lab: "not so after 20.0 s: daemon-0 is ready", with no word that the table, the machine list or the daemon itself was gone.

Cause: a wait looked for processes that had ended with a positive code. One that a signal ends has a negative code, and one that ends as if told to has 0: both counted as running well.

Whether the start that was seen not to be ready within 20 s met this is not known: its log does not tell how its processes stood.

Why it holds: the lab notes each signal by which it ends a process; every other end is told, whatever its code. Ends that the lab asked for are told as before, if their code is positive.

--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -37,6 +37,8 @@
 STACKS_WAIT_S = 2.0
 """Time to log the stacks when asked, for a process that still hears signals."""
 
+ENDING_SIGNALS = frozenset({signal.SIGKILL, signal.SIGTERM, signal.SIGABRT})
+
 
 @dataclass
 class FleetProcess:
@@ -45,6 +47,8 @@
     name: str
     process: subprocess.Popen[bytes]
     log: Path
+    told_to_end: bool = False
+    """Whether the lab has sent it a signal that ends it."""
 
     @property
     def is_running(self) -> bool:
@@ -54,8 +58,20 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if the process still runs."""
         if self.is_running:
+            self.told_to_end |= number in ENDING_SIGNALS
             self.process.send_signal(number)
 
+    def unexpected_code(self) -> int | None:
+        """Return the exit code of a process that failed or ended untold, ``None`` for others.
+
+        A signal from elsewhere ends it with a negative code: the system's, when memory runs out,
+        among them.
+        """
+        code = self.process.poll()
+        if code is None or (self.told_to_end and code <= 0):
+            return None
+        return code
+
     def dump(self) -> str:
         """End a process that hangs; return the end of its log with the stacks of its threads.
 
@@ -302,8 +318,8 @@
 
     def _check_processes(self) -> None:
         for process in self.processes.values():
-            code = process.process.poll()
-            if code is not None and code > 0:
+            code = process.unexpected_code()
+            if code is not None:
                 text = process.log.read_text()[-2000:]
                 raise RuntimeError(f"{process.name} ended with {code}: {text}")
 
