Daemon: a start that the system denies a thread of a server's pool ends the process

Operators and the lab see: a daemon that is not ready, nor ends, so that no supervisor starts it again. Its log has the start's exception; its control port refuses. The lab says "not so after 20.0 s: daemon-0 is ready".

Cause: a daemon has 175 threads when it starts, 152 of them of the pools of its two servers, which are not daemonic. A pool notes its threads once all have started, so that no stop reaches those of a pool that lacks one, and they keep the process alive.

That the start that was seen not to be ready within 20 s met this is suspected at most: nothing shows that the system denied a thread then.

Why it holds: the pools are made by a daemonic thread, so theirs are daemonic too, and the process ends with its main thread. A stop joins them as before.

Shown by integration/test_start: denied threads of both pools, which failed before. Its two tests of a process that must end share their check, which is as it was.

--- a/mountstand/http/server.py
+++ b/mountstand/http/server.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from concurrent.futures import Future
 from dataclasses import dataclass
 from typing import Any
 
@@ -131,9 +132,17 @@
         return self._thread is not None
 
     def listen(self) -> None:
-        """Take the address; connections wait until :meth:`start`. Raises ``PortUnavailable``."""
+        """Take the address; connections wait until :meth:`start`. Raises ``PortUnavailable``.
+
+        Threads are daemonic if the one that makes them is. If one of the pool's cannot start, no
+        stop of the server reaches the others, and they must not keep the process alive.
+        """
+        prepared: Future[None] = Future()
+        threading.Thread(
+            target=self._prepare, args=(prepared,), daemon=True, name="http listen"
+        ).start()
         try:
-            self._server.prepare()
+            prepared.result()
         except OSError as problem:
             raise PortUnavailable(f"TCP {self._address}: {problem}") from None
 
@@ -148,6 +157,14 @@
         if self._thread is not None:
             self._thread.join(5.0)
 
+    def _prepare(self, prepared: Future[None]) -> None:
+        try:
+            self._server.prepare()
+        except BaseException as problem:
+            prepared.set_exception(problem)
+        else:
+            prepared.set_result(None)
+
 
 def log_server_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
     """Send cheroot's own complaints to the debug log; they are about callers, not the daemon."""
--- a/tests/integration/test_start.py
+++ b/tests/integration/test_start.py
@@ -7,16 +7,24 @@
 processes showed it: ready, then refused. A daemon whose port another process holds stayed so for
 good: its start failed, the threads of the control interface kept the process alive, and it went on
 saying that it was ready.
+
+A daemon that the system denies a thread in its start stayed as well: the threads that its servers
+had started already kept the process alive, which served nobody.
 """
 
 from __future__ import annotations
 
+import os
 import socket
+import tempfile
 import threading
 import time
+from pathlib import Path
+from unittest import mock
 
 import urllib3
 
+from mountstand.lab.fleet import FleetProcess
 from mountstand.lab.fleet_plan import DaemonAddress
 from mountstand.lab.ports import LOOPBACK, accepts_connections, free_ports
 from tests.integration.helpers import StandInsTestCase, daemon_in_process, wait_until
@@ -24,6 +32,27 @@
 END_S = 20.0
 """A start that cannot succeed takes a few seconds; this leaves room on a busy machine."""
 
+DENIED = "can't start new thread"
+DENIED_THREADS = (("CP Server", 3), ("CP Server", 40))
+"""Threads by the start of their names, and which of those: of the operators' pool, and of the
+callers'."""
+
+DENY_THREAD = """
+import threading
+start = threading.Thread.start
+seen = []
+
+def start_unless_denied(self):
+    if self.name.startswith({prefix!r}):
+        seen.append(self.name)
+        if len(seen) == {number}:
+            raise RuntimeError({denied!r})
+    start(self)
+
+threading.Thread.start = start_unless_denied
+"""
+"""A module that the interpreter runs before a program."""
+
 
 class Start(StandInsTestCase):
     def address(self) -> DaemonAddress:
@@ -61,19 +90,39 @@
         with socket.socket() as held:
             held.bind((LOOPBACK, address.port))
             held.listen()
-            process = self.fleet.start_daemon(address)
-            deadline_s = time.monotonic() + END_S
-            ready = False
-            while process.is_running and time.monotonic() < deadline_s:
-                ready = ready or self.says_ready(address)
-                time.sleep(0.05)
-            ended = not process.is_running
-            self.fleet.kill(address.daemon_id)
+            log = self.check_ends(self.fleet.start_daemon(address), address)
+        self.assertIn("port_unavailable", log)
+        self.assertIn(str(address.port), log)
+
+    def test_ends_where_a_thread_cannot_start(self) -> None:
+        for prefix, number in DENIED_THREADS:
+            address = self.address()
+            log = self.check_ends(self.start_denied(address, prefix, number), address)
+            self.assertIn(DENIED, log)
+
+    def start_denied(self, address: DaemonAddress, prefix: str, number: int) -> FleetProcess:
+        """Start a daemon that cannot start the thread of this number among those of a name."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        module = DENY_THREAD.format(prefix=prefix, number=number, denied=DENIED)
+        (Path(folder.name) / "sitecustomize.py").write_text(module)
+        path = os.pathsep.join(filter(None, (folder.name, os.environ.get("PYTHONPATH"))))
+        with mock.patch.dict(os.environ, PYTHONPATH=path):
+            return self.fleet.start_daemon(address)
+
+    def check_ends(self, process: FleetProcess, address: DaemonAddress) -> str:
+        """Check that a daemon ends with 1 and never says that it is ready; return its log."""
+        deadline_s = time.monotonic() + END_S
+        ready = False
+        while process.is_running and time.monotonic() < deadline_s:
+            ready = ready or self.says_ready(address)
+            time.sleep(0.05)
+        ended = not process.is_running
+        self.fleet.kill(address.daemon_id)
         log = process.log.read_text()
         self.assertEqual((True, False), (ended, ready), log)
         self.assertEqual(1, process.process.returncode, log)
-        self.assertIn("port_unavailable", log)
-        self.assertIn(str(address.port), log)
+        return log
 
     def says_ready(self, address: DaemonAddress) -> bool:
         try:
