Daemon: ready means that the servers run; a start without one of them ends the process

Callers see: refused connections from a daemon that says it is ready. Operators see, where it is the other server: a control port that takes connections and answers none, of a process that does not end.

Cause: a server counted as running from the moment its thread was made. If that thread could not start, or could not start the one that it needs itself, the callers' server was "serving" and served nobody; and the stop of a failed start joined a thread that had never started, which ended the stop before the other server's.

Why it holds: a server runs if its thread is alive, and has a thread only once that has started; the start looks at both before it says that the daemon has started; each server is stopped whatever the other's stop does.

Shown by integration/test_start, which failed before.

--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+from contextlib import suppress
 
 from mountstand.background import BackgroundPart
 from mountstand.batch.executor import BatchExecutor
@@ -133,8 +134,9 @@
             self._start()
         except BaseException:
             # The servers' threads would keep alive a process that can serve nobody.
-            self._callers_server.stop()
-            self._control_server.stop()
+            for server in (self._callers_server, self._control_server):
+                with suppress(Exception):
+                    server.stop()
             raise
 
     def _start(self) -> None:
@@ -150,6 +152,8 @@
                 part.start()
         with logged_step("start", "callers' interface"):
             self._callers_server.start()
+        for server in (self._control_server, self._callers_server):
+            server.check_serving()
         log_state_change(logger, "daemon started", zone=self.settings.zone)
 
     def stop(self) -> bool:
--- a/mountstand/http/server.py
+++ b/mountstand/http/server.py
@@ -129,7 +129,7 @@
     @property
     def serving(self) -> bool:
         """Whether requests are answered."""
-        return self._thread is not None
+        return self._thread is not None and self._thread.is_alive()
 
     def listen(self) -> None:
         """Take the address; connections wait until :meth:`start`. Raises ``PortUnavailable``.
@@ -148,8 +148,15 @@
 
     def start(self) -> None:
         """Serve those that connect; :meth:`listen` comes first."""
-        self._thread = threading.Thread(target=self._server.serve, daemon=True, name="http")
-        self._thread.start()
+        thread = threading.Thread(target=self._server.serve, daemon=True, name="http")
+        thread.start()
+        # Only now: a thread that could not start serves nobody, and cannot be joined.
+        self._thread = thread
+
+    def check_serving(self) -> None:
+        """Raise ``PortUnavailable`` if the server has ended: it starts threads as it begins."""
+        if not self.serving:
+            raise PortUnavailable(f"TCP {self._address}: the server has ended")
 
     def stop(self) -> None:
         """Stop accepting, let running handlers end, close."""
--- a/tests/integration/test_start.py
+++ b/tests/integration/test_start.py
@@ -9,7 +9,8 @@
 saying that it was ready.
 
 A daemon that the system denies a thread in its start stayed as well: the threads that its servers
-had started already kept the process alive, which served nobody.
+had started already kept the process alive, which served nobody, and where the thread of the
+callers' server was the one denied, it said that it was ready.
 """
 
 from __future__ import annotations
@@ -33,9 +34,9 @@
 """A start that cannot succeed takes a few seconds; this leaves room on a busy machine."""
 
 DENIED = "can't start new thread"
-DENIED_THREADS = (("CP Server", 3), ("CP Server", 40))
-"""Threads by the start of their names, and which of those: of the operators' pool, and of the
-callers'."""
+DENIED_THREADS = (("CP Server", 3), ("CP Server", 40), ("http", 1), ("http", 2), ("Thread-", 1))
+"""Threads by the start of their names, and which of those: of the operators' pool, of the callers'
+pool, the servers' own, and one that the operators' server starts as it begins to serve."""
 
 DENY_THREAD = """
 import threading
