Lab: a wait that fails tells how the stores stood

Seen by whoever reads "not so after 20.0 s: daemon-0 is ready; last seen: readyz: 503": that the daemon lacks the machine list or its settings. Its log tells once that a store failed, not whether that store works by then, so that a store that is slow or frozen cannot be told from a daemon that no longer asks it.

Change: the failure tells of the table, the objects and the machine list how many operations they have run, and after what time they said so.

--- a/mountstand/lab/fleet.py
+++ b/mountstand/lab/fleet.py
@@ -37,6 +37,9 @@
 STACKS_WAIT_S = 2.0
 """Time to log the stacks when asked, for a process that still hears signals."""
 
+STORE_TIMEOUT_S = 2.0
+"""As long as a daemon waits for an answer of the table."""
+
 ENDING_SIGNALS = frozenset({signal.SIGKILL, signal.SIGTERM, signal.SIGABRT})
 
 
@@ -308,9 +311,27 @@
             self._check_processes()
             time.sleep(POLL_S)
         raise TimeoutError(
-            f"not so after {READY_TIMEOUT_S} s: {what}; last seen: {reason}\n{self._dump_daemons()}"
+            f"not so after {READY_TIMEOUT_S} s: {what}; last seen: {reason}\n"
+            f"{self._describe_stores()}\n{self._dump_daemons()}"
         )
 
+    def _describe_stores(self) -> str:
+        """Return what each store has run and after what time it answers.
+
+        A daemon that waits for a store tells that the store failed, not whether it works.
+        """
+        urls = {"table": self.table_url, "objects": self.objects_url, "machines": self.machines_url}
+        return "\n".join(f"{name}: {self._describe_store(url)}" for name, url in urls.items())
+
+    def _describe_store(self, url: str) -> str:
+        asked_s = time.monotonic()
+        try:
+            answer = self.http.request("GET", f"{url}/control/operations", timeout=STORE_TIMEOUT_S)
+            said = answer.data.decode(errors="replace")
+        except urllib3.exceptions.HTTPError as problem:
+            said = repr(problem)
+        return f"after {time.monotonic() - asked_s:.2f} s: {said}"
+
     def _dump_daemons(self) -> str:
         """End the daemons; return what their logs say, and where their threads stood."""
         names = [daemon.daemon_id for daemon in self.daemons if daemon.daemon_id in self.processes]
