Daemon: a failed start tells of a server that does not stop

The stop of one server kept the other's from running no more, but its failure was swallowed without a line. The steps of a planned stop log it.

--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -6,7 +6,6 @@
 import sys
 import threading
 import time
-from contextlib import suppress
 
 from mountstand.background import BackgroundPart
 from mountstand.batch.executor import BatchExecutor
@@ -134,9 +133,11 @@
             self._start()
         except BaseException:
             # The servers' threads would keep alive a process that can serve nobody.
-            for server in (self._callers_server, self._control_server):
-                with suppress(Exception):
-                    server.stop()
+            steps = StopSteps()
+            with steps.step("callers' interface"):
+                self._callers_server.stop()
+            with steps.step("control interface"):
+                self._control_server.stop()
             raise
 
     def _start(self) -> None:
