Stop signals: a flood of other signals hides none

Symptom: a process that got some hundred SIGUSR1 while its main thread was busy, and then SIGTERM, went on running until the next SIGTERM.

Cause: the interpreter writes each signal's number to a socket that does not block. Some hundred unread numbers fill it, and the next one is dropped; the handlers did nothing.

Fix: the handlers of SIGTERM and SIGINT set a flag, which the main thread looks at after each read. A number is dropped only where the socket is full. Then the next read does not wait, and the main thread runs the handler before it looks at the flag.

--- a/mountstand/cli/stopping.py
+++ b/mountstand/cli/stopping.py
@@ -39,18 +39,28 @@
         self._receiver, self._sender = socket.socketpair()
         self._sender.setblocking(False)
         signal.set_wakeup_fd(self._sender.fileno(), warn_on_full_buffer=False)
-        for number in STOP_SIGNALS | {STACKS_SIGNAL}:
-            signal.signal(number, lambda *_: None)
+        self._told_to_stop = False
+        for number in STOP_SIGNALS:
+            signal.signal(number, self._note)
+        signal.signal(STACKS_SIGNAL, lambda *_: None)
 
     def wait(self) -> None:
         """Return once the process is told to stop; log the stacks of its threads when asked."""
         while True:
             numbers = self._receiver.recv(RECEIVED_BYTES)
-            if STOP_SIGNALS & set(numbers):
+            if self._told_to_stop or STOP_SIGNALS & set(numbers):
+                self._told_to_stop = False
                 return
             if STACKS_SIGNAL in numbers:
                 log_stacks("stacks")
 
+    def _note(self, *_: object) -> None:
+        """Note a signal whose number may not have gone into a socket full of others.
+
+        The main thread runs this at the latest after its next read, which does not wait then.
+        """
+        self._told_to_stop = True
+
 
 def end_after(limit_s: float) -> None:
     """End the process if it still runs after a time, whatever its threads wait for.
