Limit of the stop: the kernel keeps it where the process cannot

Symptom: a process past the limit of its stop went on running if nobody read its log, or if a thread kept the interpreter's lock in a call to C.

Cause: the thread that ends the process logs the stacks first. That line waits for the log's reader as any other does, and the thread needs the interpreter's lock to run at all.

Fix: the limit also sets the process's timer, 5 s later, and SIGALRM has its default action: the kernel ends the process, whatever its threads wait for. The exit status is then that signal, not 1.

Evidence: with a full pipe as the log, and with a call to C that keeps the lock, the process was still running 8 s past a limit of 0.3 s (one run of each test, and one of 15 s with the pipe). Both tests pass with the change in 10 of 10 runs. Threads and pools that the interpreter waits for ended at the limit before, too; a test shows that now.

--- a/mountstand/cli/stopping.py
+++ b/mountstand/cli/stopping.py
@@ -21,6 +21,9 @@
 """Time to close all parts after the stop's time-out has cut off what was in progress. Idle ones
 take 1 s; each of the dozen tasks may be within a call to the store, which takes 1 s at most."""
 
+LAST_LOG_S = 5.0
+"""Time to log the stacks of a process that is ended; a log that nobody reads takes for ever."""
+
 CUT_OFF = 1
 """Exit code of a stop that cut work off."""
 
@@ -66,8 +69,12 @@
     """End the process if it still runs after a time, whatever its threads wait for.
 
     The servers of callers and operators wait without limit for threads that answer requests, and
-    the interpreter for all pools.
+    the interpreter for all pools. A thread logs the stacks and ends the process. Where that thread
+    waits itself, for the log or the interpreter's lock, the kernel ends it by SIGALRM. Call this in
+    the main thread.
     """
+    signal.signal(signal.SIGALRM, signal.SIG_DFL)
+    signal.setitimer(signal.ITIMER_REAL, limit_s + LAST_LOG_S)
     threading.Thread(target=_end_after, args=(limit_s,), daemon=True, name="stop limit").start()
 
 
--- a/tests/integration/test_stop_limits.py
+++ b/tests/integration/test_stop_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import subprocess
 import sys
 
@@ -11,11 +12,22 @@
 """The processes end within some seconds by themselves; this leaves room on a busy machine."""
 
 SET_UP = """
-import os, signal
+import contextlib, os, signal, threading, time
 from mountstand.cli import stopping
-from mountstand.cli.stopping import StopSignals
+from mountstand.cli.stopping import StopSignals, end_after
 from mountstand.telemetry.logs import configure_logging
 
+LIMIT_S = 0.3
+stopping.LAST_LOG_S = 0.7
+
+def fill_log():
+    os.set_blocking(2, False)
+    for size in (4096, 1):
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(2, b"x" * size)
+    os.set_blocking(2, True)
+
 configure_logging("limits")
 """
 
@@ -56,3 +68,31 @@
 os._exit(0)
 """)
         self.assertEqual(0, self.code(child))
+
+
+class LimitOfTheStop(LimitsTestCase):
+    def test_beside_threads_that_the_interpreter_waits_for(self) -> None:
+        child = self.started("""
+from concurrent.futures import ThreadPoolExecutor
+ThreadPoolExecutor().submit(time.sleep, 1000)
+threading.Thread(target=time.sleep, args=(1000,)).start()
+end_after(LIMIT_S)
+""")
+        self.assertEqual(1, self.code(child))
+
+    def test_beside_a_log_whose_reader_stands_still(self) -> None:
+        """The stacks that are logged at the limit wait for the reader as any other line."""
+        child = self.started("""
+fill_log()
+end_after(LIMIT_S)
+time.sleep(1000)
+""")
+        self.assertEqual(-signal.SIGALRM, self.code(child))
+
+    def test_beside_a_thread_that_keeps_the_interpreters_lock(self) -> None:
+        child = self.started("""
+import ctypes
+end_after(LIMIT_S)
+ctypes.PyDLL(None).sleep(1000)
+""")
+        self.assertEqual(-signal.SIGALRM, self.code(child))
