Limit of the stop: a stop goes on where no thread can be started

Symptom: a daemon that could start no more threads when it was told to stop ended its main thread with "can't start new thread" and stopped nothing; its other threads kept it alive without a limit.

Cause: the limit's thread is started before the stop, and its failure was not met.

Fix: the failure is logged, and the stop goes on. The timer, which needs no thread, is set first and keeps the limit.

--- a/mountstand/cli/stopping.py
+++ b/mountstand/cli/stopping.py
@@ -75,7 +75,12 @@
     """
     signal.signal(signal.SIGALRM, signal.SIG_DFL)
     signal.setitimer(signal.ITIMER_REAL, limit_s + LAST_LOG_S)
-    threading.Thread(target=_end_after, args=(limit_s,), daemon=True, name="stop limit").start()
+    thread = threading.Thread(target=_end_after, args=(limit_s,), daemon=True, name="stop limit")
+    try:
+        thread.start()
+    except RuntimeError:
+        # No thread can be started; the timer is enough for the stop to go on.
+        logger.exception("no thread for the stop's limit")
 
 
 def log_stacks(event: str) -> None:
--- a/tests/integration/test_stop_limits.py
+++ b/tests/integration/test_stop_limits.py
@@ -96,3 +96,17 @@
 ctypes.PyDLL(None).sleep(1000)
 """)
         self.assertEqual(-signal.SIGALRM, self.code(child))
+
+    def test_where_no_thread_can_be_started(self) -> None:
+        child = self.started("""
+def refuse(*_):
+    raise RuntimeError("can't start new thread")
+
+threading.Thread(target=time.sleep, args=(1000,)).start()
+threading._start_new_thread = refuse
+end_after(LIMIT_S)
+os.write(1, b"s")
+""")
+        self.assertEqual(-signal.SIGALRM, self.code(child))
+        assert child.stdout is not None
+        self.assertEqual(b"s", child.stdout.read(), "the stop goes on")
