Stop signals: heard while the stacks wait for the log's reader

Symptom: a daemon whose log nobody read, and which was asked for its stacks by SIGUSR1, did not hear SIGTERM.

Cause: the main thread logged the stacks itself, and waited in that line for the reader.

Fix: a thread of their own logs them; the main thread only reads signals.

--- a/mountstand/cli/stopping.py
+++ b/mountstand/cli/stopping.py
@@ -46,6 +46,8 @@
         for number in STOP_SIGNALS:
             signal.signal(number, self._note)
         signal.signal(STACKS_SIGNAL, lambda *_: None)
+        self._stacks_wanted = threading.Event()
+        threading.Thread(target=self._log_stacks_if_wanted, daemon=True, name="stacks").start()
 
     def wait(self) -> None:
         """Return once the process is told to stop; log the stacks of its threads when asked."""
@@ -55,7 +57,7 @@
                 self._told_to_stop = False
                 return
             if STACKS_SIGNAL in numbers:
-                log_stacks("stacks")
+                self._stacks_wanted.set()
 
     def _note(self, *_: object) -> None:
         """Note a signal whose number may not have gone into a socket full of others.
@@ -64,6 +66,14 @@
         """
         self._told_to_stop = True
 
+    def _log_stacks_if_wanted(self) -> None:
+        # In a thread of its own: a line may wait for the log's reader, and the main thread must
+        # hear signals meanwhile.
+        while True:
+            self._stacks_wanted.wait()
+            self._stacks_wanted.clear()
+            log_stacks("stacks")
+
 
 def end_after(limit_s: float) -> None:
     """End the process if it still runs after a time, whatever its threads wait for.
--- a/tests/integration/test_stop_limits.py
+++ b/tests/integration/test_stop_limits.py
@@ -69,6 +69,26 @@
 """)
         self.assertEqual(0, self.code(child))
 
+    def test_while_stacks_wait_for_a_log_whose_reader_stands_still(self) -> None:
+        child = self.started("""
+log_stacks = stopping.log_stacks
+
+def told(event):
+    os.write(1, b"l")
+    log_stacks(event)
+
+stopping.log_stacks = told
+signals = StopSignals()
+fill_log()
+os.kill(os.getpid(), signal.SIGUSR1)
+signals.wait()
+os._exit(0)
+""")
+        assert child.stdout is not None
+        self.assertEqual(b"l", child.stdout.read(1))
+        child.send_signal(signal.SIGTERM)
+        self.assertEqual(0, self.code(child))
+
 
 class LimitOfTheStop(LimitsTestCase):
     def test_beside_threads_that_the_interpreter_waits_for(self) -> None:
