Limit of the stop: it counts from a signal that comes during the start

Symptom: a daemon that could not finish its start, because nobody read its log, did not end by SIGTERM.

Cause: the main thread reads signals once the daemon has started, and sets the limit of the stop then.

Fix: the handler, which the main thread runs also within a write or an acquire that waits, sets the process's timer at the first signal to stop. The stop sets its own limit over it. A signal that reaches another thread while the main one waits in the start is still not seen before that wait ends.

--- a/mountstand/cli/serve.py
+++ b/mountstand/cli/serve.py
@@ -53,10 +53,11 @@
             },
         )
         configure_logging(settings.daemon_id)
-        signals = StopSignals()
+        limit_s = settings.stop_timeout_s + CLOSE_S
+        signals = StopSignals(limit_s)
         daemon = Daemon(settings)
         daemon.start()
         signals.wait()
-        end_after(settings.stop_timeout_s + CLOSE_S)
+        end_after(limit_s)
         if not daemon.stop():
             raise cappa.Exit("some work was cut off, or a step of the stop failed", code=CUT_OFF)
--- a/mountstand/cli/stopping.py
+++ b/mountstand/cli/stopping.py
@@ -38,7 +38,13 @@
     taken the event's lock.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limit_s: float | None = None) -> None:
+        """Let ``limit_s`` pass after the first signal to stop, then end a process that still runs.
+
+        A process that is told to stop before it has started may never come to its stop.
+        ``end_after`` puts its own limit in the place of this one.
+        """
+        self._limit_s = limit_s
         self._receiver, self._sender = socket.socketpair()
         self._sender.setblocking(False)
         signal.set_wakeup_fd(self._sender.fileno(), warn_on_full_buffer=False)
@@ -65,6 +71,10 @@
         The main thread runs this at the latest after its next read, which does not wait then.
         """
         self._told_to_stop = True
+        if self._limit_s is not None:
+            # Later signals must not put the end off.
+            limit_s, self._limit_s = self._limit_s, None
+            _kill_after(limit_s + LAST_LOG_S)
 
     def _log_stacks_if_wanted(self) -> None:
         # In a thread of its own: a line may wait for the log's reader, and the main thread must
@@ -83,8 +93,7 @@
     waits itself, for the log or the interpreter's lock, the kernel ends it by SIGALRM. Call this in
     the main thread.
     """
-    signal.signal(signal.SIGALRM, signal.SIG_DFL)
-    signal.setitimer(signal.ITIMER_REAL, limit_s + LAST_LOG_S)
+    _kill_after(limit_s + LAST_LOG_S)
     thread = threading.Thread(target=_end_after, args=(limit_s,), daemon=True, name="stop limit")
     try:
         thread.start()
@@ -98,6 +107,12 @@
     log_state_change(logger, event, stacks=stacks())
 
 
+def _kill_after(limit_s: float) -> None:
+    """Let the kernel end the process after a time; call this in the main thread."""
+    signal.signal(signal.SIGALRM, signal.SIG_DFL)
+    signal.setitimer(signal.ITIMER_REAL, limit_s)
+
+
 def _end_after(limit_s: float) -> None:
     # The clock doesn't count a time in which the machine was suspended, in which nothing ended.
     threading.Event().wait(limit_s)
--- a/tests/integration/test_stop_limits.py
+++ b/tests/integration/test_stop_limits.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 from testtools import TestCase
 
@@ -89,6 +90,22 @@
         child.send_signal(signal.SIGTERM)
         self.assertEqual(0, self.code(child))
 
+    def test_before_the_process_has_started(self) -> None:
+        """A start that waits for the log's reader never comes to the stop."""
+        child = self.started("""
+signals = StopSignals(LIMIT_S)
+fill_log()
+os.write(1, b"w")
+os.write(2, b"started")
+""")
+        assert child.stdout is not None
+        self.assertEqual(b"w", child.stdout.read(1))
+        deadline_s = time.monotonic() + ENDS_S
+        while child.poll() is None and time.monotonic() < deadline_s:
+            child.send_signal(signal.SIGTERM)
+            time.sleep(0.1)
+        self.assertEqual(-signal.SIGALRM, child.poll(), "later signals put the end off")
+
 
 class LimitOfTheStop(LimitsTestCase):
     def test_beside_threads_that_the_interpreter_waits_for(self) -> None:
