Stop the daemons of an interrupted demo

Symptom: "mountstand demo" did not end by Ctrl-C, nor after a failure such as a fleet that does not become ready; it had to be interrupted once more.

Cause: the daemons of the demo run in its process, and only the end of a whole run stopped them. Otherwise the interpreter waited for the threads of their servers, which nothing told to end.

Why it holds: the daemons and stand-ins stop on every way out of the run, each whether or not the stop before it was interrupted. The limit of a daemon's stop ends the process where a thread remains.

--- a/mountstand/cli/demo.py
+++ b/mountstand/cli/demo.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from collections.abc import Iterator
+from contextlib import ExitStack
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +17,7 @@
 from mountstand.cli.client import DaemonClient, print_json
 from mountstand.cli.emulate import EmulatorSettings, build_host
 from mountstand.cli.job import watch_job
+from mountstand.cli.stopping import CLOSE_S, end_after
 from mountstand.daemon import Daemon
 from mountstand.emulator.engine_core import expected_completion
 from mountstand.lab.ports import LOOPBACK, free_ports
@@ -29,6 +31,7 @@
 ONLINE_TOKENS = 24
 ONLINE_PROMPT = "Caption the photograph of the lighthouse at dusk"
 READY_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 10.0
 
 
 @dataclass(frozen=True)
@@ -105,6 +108,7 @@
                 "machines_poll_s": 0.3,
             },
             "online": {"threads": 16},
+            "stop_timeout_s": STOP_TIMEOUT_S,
             "seed": number,
         }
     )
@@ -182,6 +186,25 @@
     raise cappa.Exit("the fleet did not become ready", code=1)
 
 
+def run_all(ports: DemoPorts, daemons: list[Daemon]) -> dict[str, Any]:
+    """Run the online streams and the batch job; return what came of them."""
+    wait_ready(daemons)
+    clients = [DaemonClient(f"http://{LOOPBACK}:{port}") for port, _ in ports.daemons]
+    online = [stream_online(client) for client in clients]
+    clients[0].request("GET", "/v1/services/album/thumbnails/1")
+    return {
+        "demo": "ok",
+        "online_completed": sum(online),
+        **run_batch(clients),
+        "daemons": len(daemons),
+    }
+
+
+def stop_into(stopped: list[bool], daemon: Daemon) -> None:
+    """Stop a daemon, and add whether it stopped as planned."""
+    stopped.append(daemon.stop())
+
+
 @cappa.command(
     name="demo",
     help="Run an emulated fleet, three daemons, an online stream and a batch job.",
@@ -196,25 +219,22 @@
         started_s = time.monotonic()
         ports = choose_ports()
         host = build_host(emulator_settings(ports))
-        host.start()
         daemons = [Daemon(daemon_settings(ports, number)) for number in range(len(ZONES))]
-        for daemon in daemons:
-            daemon.start()
-        wait_ready(daemons)
-        clients = [DaemonClient(f"http://{LOOPBACK}:{port}") for port, _ in ports.daemons]
-        online = [stream_online(client) for client in clients]
-        clients[0].request("GET", "/v1/services/album/thumbnails/1")
-        closing = {
-            "demo": "ok",
-            "online_completed": sum(online),
-            **run_batch(clients),
-            "daemons": len(daemons),
-            "elapsed_s": round(time.monotonic() - started_s, 1),
-        }
-        stopped = [daemon.stop() for daemon in daemons]
-        host.stop()
+        stopped: list[bool] = []
+        # The threads of a daemon that is not stopped keep the process alive.
+        with ExitStack() as to_stop:
+            to_stop.callback(host.stop)
+            for daemon in daemons:
+                to_stop.callback(stop_into, stopped, daemon)
+            to_stop.callback(end_after, STOP_TIMEOUT_S * len(daemons) + CLOSE_S)
+            host.start()
+            for daemon in daemons:
+                daemon.start()
+            closing = run_all(ports, daemons)
+            closing["elapsed_s"] = round(time.monotonic() - started_s, 1)
         missed = closing["duplicates"] or closing["lost"] or closing["crossed"]
-        if missed or not all(online) or not all(stopped):
+        whole_streams = closing["online_completed"] == len(daemons)
+        if missed or not whole_streams or not all(stopped):
             closing["demo"] = "failed"
         print_json(closing)
         if closing["demo"] != "ok":
--- a/tests/integration/test_signals.py
+++ b/tests/integration/test_signals.py
@@ -200,3 +200,31 @@
                 body=orjson.dumps(body),
                 headers={"X-Request-Id": "stuck", "X-Deadline-Ms": str(self.DEADLINE_MS)},
             )
+
+
+class InterruptedDemo(TestCase):
+    """A demo that is interrupted stops its daemons and ends.
+
+    The interrupt ended the main thread alone. The threads of the daemons' servers kept the process
+    alive, which had to be interrupted once more.
+    """
+
+    END_S = 60.0
+
+    def test_interrupt_while_a_stream_is_shown(self) -> None:
+        with subprocess.Popen(
+            [sys.executable, "-m", "mountstand", "demo"],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+        ) as demo:
+            self.addCleanup(demo.kill)
+            assert demo.stderr is not None
+            self.assertNotEqual(b"", demo.stderr.read(1))
+            threading.Thread(target=demo.stderr.read, daemon=True).start()
+            demo.send_signal(signal.SIGINT)
+            try:
+                code = demo.wait(self.END_S)
+            except subprocess.TimeoutExpired:
+                demo.kill()
+                code = None
+        self.assertEqual(-signal.SIGINT, code)
--- a/tests/integration/test_stop_limits.py
+++ b/tests/integration/test_stop_limits.py
@@ -131,6 +131,18 @@
 import ctypes
 end_after(LIMIT_S)
 ctypes.PyDLL(None).sleep(1000)
+""")
+        self.assertEqual(-signal.SIGALRM, self.code(child))
+
+    def test_beside_an_end_of_the_interpreter_that_does_not_come(self) -> None:
+        child = self.started("""
+class Endless:
+    def __del__(self):
+        while True:
+            pass
+
+held = Endless()
+end_after(LIMIT_S)
 """)
         self.assertEqual(-signal.SIGALRM, self.code(child))
 
