Keep the exit code of a stop when more signals come

Symptom: a daemon that had stopped as planned ended with -15 by a second SIGTERM, or with -10 by SIGUSR1, that came while the interpreter ended. A supervisor that repeats its SIGTERM took the stop for a failure.

Cause: the interpreter's end sets the signals that have handlers back to their defaults, which end the process.

Evidence: with signals every 3 ms until the end the codes were -15 and -10 after the log line of a stop without a failure.

Why it holds: the signals are ignored once all parts have stopped. The interpreter's end leaves ignored signals as they are. The stop's limit still ends a process whose interpreter does not.

--- a/mountstand/cli/serve.py
+++ b/mountstand/cli/serve.py
@@ -59,5 +59,7 @@
         daemon.start()
         signals.wait()
         end_after(limit_s)
-        if not daemon.stop():
+        stopped = daemon.stop()
+        signals.ignore()
+        if not stopped:
             raise cappa.Exit("some work was cut off, or a step of the stop failed", code=CUT_OFF)
--- a/mountstand/cli/stopping.py
+++ b/mountstand/cli/stopping.py
@@ -65,6 +65,15 @@
             if STACKS_SIGNAL in numbers:
                 self._stacks_wanted.set()
 
+    def ignore(self) -> None:
+        """Ignore all further signals; comes last in a stop.
+
+        The interpreter's end takes handlers back, and a signal would then end the process with an
+        exit code of its own. It leaves signals that are ignored as they are.
+        """
+        for number in STOP_SIGNALS | {STACKS_SIGNAL}:
+            signal.signal(number, signal.SIG_IGN)
+
     def _note(self, *_: object) -> None:
         """Note a signal whose number may not have gone into a socket full of others.
 
--- a/tests/integration/test_signals.py
+++ b/tests/integration/test_signals.py
@@ -65,6 +65,27 @@
             self.assertEqual(0, code, f"{number.name}, {os.linesep}{log}")
 
 
+class RepeatedSignals(TestCase):
+    """The exit code tells how the stop went, also where signals come until the very end.
+
+    The interpreter's end takes the handlers back: a daemon that had stopped as planned ended with
+    -15 by a second SIGTERM, or with -10 by a request for its stacks.
+    """
+
+    INTERVAL_S = 0.002
+
+    def test_signals_until_the_end(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGUSR1):
+            with Fleet(FleetPlan(daemons=1, engines=1, applications=0)) as fleet:
+                daemon = fleet.processes[fleet.daemons[0].daemon_id]
+                daemon.send(signal.SIGTERM)
+                until_s = time.monotonic() + STOP_S
+                while daemon.is_running and time.monotonic() < until_s:
+                    daemon.send(number)
+                    time.sleep(self.INTERVAL_S)
+                self.assertEqual(0, daemon.process.poll(), number.name)
+
+
 class SignalAsTheWaitBegins(TestCase):
     """Guards against a signal that is lost as the main thread begins to wait for it.
 
