Keep the exit code of a serving process when more signals come

Symptom: a serving process that had stopped as planned ended with -15 by another SIGTERM, or with -1 by a SIGHUP, that came as it ended.

Cause: closing the event loop sets the signals back to their defaults.

The new test failed before and passes, once.

Why it holds: the process blocks these signals once the stop is over, in its only thread; SIGKILL still ends it.

--- a/mountstand/platform/__main__.py
+++ b/mountstand/platform/__main__.py
@@ -79,6 +79,8 @@
     await start_metrics(node)
     await stop.wait()
     await node.stop()
+    # Closing the loop takes the handlers back, and another signal would then decide the exit code.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
 
 
 async def start_metrics(node: ServingNode) -> None:
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -318,6 +319,25 @@
 
         run(scenario())
 
+    def test_signals_until_the_end_leave_the_exit_code(self) -> None:
+        """Guards against a signal that ends a stopped process once the loop is closed."""
+
+        async def scenario(number: signal.Signals) -> None:
+            async with Site(1) as site:
+                [process] = site.processes
+                process.signal(signal.SIGTERM)
+                ending = asyncio.create_task(process.ended())
+                assert process.process is not None
+                while not ending.done():
+                    # Not by the process's own method, which may take the exit code from the loop.
+                    with contextlib.suppress(ProcessLookupError):
+                        os.kill(process.process.pid, number)
+                    await asyncio.sleep(0.002)
+                self.assertEqual(0, ending.result(), number.name)
+
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            run(scenario(number))
+
     def test_job_goes_on_when_its_daemon_is_killed(self) -> None:
         async def scenario() -> None:
             worker = StandInWorker("w0", stream(12, gap_s=0.2))
