Test: an interrupted demo can be interrupted, whoever starts the test

The demo that the test starts has Python's handler now, as one that a person starts in a terminal. What is checked is as before.

--- a/tests/integration/test_signals.py
+++ b/tests/integration/test_signals.py
@@ -231,10 +231,18 @@
     """
 
     END_S = 60.0
+    INTERRUPTIBLE = """
+import signal
+from mountstand.cli.main import main
+
+signal.signal(signal.SIGINT, signal.default_int_handler)
+main()
+"""
+    """A shell starts its background jobs with SIGINT ignored, and a process inherits that."""
 
     def test_interrupt_while_a_stream_is_shown(self) -> None:
         with subprocess.Popen(
-            [sys.executable, "-m", "mountstand", "demo"],
+            [sys.executable, "-c", self.INTERRUPTIBLE, "demo"],
             stdout=subprocess.DEVNULL,
             stderr=subprocess.PIPE,
         ) as demo:
