--- a/mountstand/cli/stopping.py
+++ b/mountstand/cli/stopping.py
@@ -22,7 +22,7 @@
 take 1 s; each of the dozen tasks may be within a call to the store, which takes 1 s at most."""
 
 LAST_LOG_S = 5.0
-"""Time to log the stacks of a process that is ended; a log that nobody reads takes for ever."""
+"""Time to log the stacks before the kernel ends the process."""
 
 CUT_OFF = 1
 """Exit code of a stop that cut work off."""
--- a/tests/integration/forced_order/sitecustomize.py
+++ b/tests/integration/forced_order/sitecustomize.py
@@ -25,7 +25,7 @@
 
 LOCK_KEPT_S = 0.2
 UNHEARD_S = 2.0
-"""Time after SIGTERM at which the main thread's stack is told; one that heard it stops by then."""
+"""Time from SIGTERM to the report of the main thread's stack."""
 
 LOCK_KEPT_US = int(LOCK_KEPT_S * 1_000_000)
 LOOK_EVERY_US = 2000
@@ -47,20 +47,20 @@
         self._received = threading.Event()
         self._armed = False
         self._at_look = False
-        self._met = False
-        self._tell(f"moment {moment}, receiver {receiver}")
+        self._lock_taken = False
+        self._write(f"moment {moment}, receiver {receiver}")
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
         threading.Thread(target=self._hold, daemon=True, name="forced order").start()
         self._patch_condition()
 
     def arm(self) -> None:
-        """Wait for SIGTERM in the main thread; its next wait is the one to meet."""
+        """Wait for SIGTERM in the main thread; its next wait is the one that yields."""
         self._received.wait()
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
         self._armed = True
 
-    def meet(self) -> None:
-        """Let the other thread have the lock; nothing after that looks for signals.
+    def yield_lock(self) -> None:
+        """Let the other thread have the interpreter's lock; nothing after that looks for signals.
 
         The caller goes straight on into its wait.
         """
@@ -73,7 +73,7 @@
             self._at_look = True
             sleep(LOOK_EVERY_US)
             self._at_look = False
-            if self._met:
+            if self._lock_taken:
                 return
 
     def _hold(self) -> None:
@@ -88,49 +88,49 @@
             time.sleep(ASK_EVERY_S)
         # Up to the end of the next call nothing gives the lock away, so that the main thread is
         # still at its last look.
-        self._met = True
+        self._lock_taken = True
         if not self._inside:
             send(process_id, receiver_id, number)
             sleep(LOCK_KEPT_US)
         else:
             time.sleep(LOCK_KEPT_S)
             send(process_id, receiver_id, number)
-        self._tell("sent")
+        self._write("sent")
         time.sleep(UNHEARD_S)
-        self._tell_state()
+        self._report_state()
 
     def _patch_condition(self) -> None:
         release_save = threading.Condition._release_save  # type: ignore[attr-defined]
 
         def released(condition: Any) -> Any:
             state = release_save(condition)
-            self.meet()
+            self.yield_lock()
             return state
 
         threading.Condition._release_save = released  # type: ignore[attr-defined]
 
-    def _tell_state(self) -> None:
+    def _report_state(self) -> None:
         stack = traceback.extract_stack(sys._current_frames()[self._main.ident or 0])
         for frame in stack:
-            self._tell(f"{frame.name} ({Path(frame.filename).name}:{frame.lineno})")
+            self._write(f"{frame.name} ({Path(frame.filename).name}:{frame.lineno})")
         for line in Path("/proc/self/status").read_text().splitlines():
             if line.startswith(SIGNAL_LINES):
-                self._tell(line)
+                self._write(line)
 
-    def _tell(self, line: str) -> None:
+    def _write(self, line: str) -> None:
         with self._report.open("a") as report:
             print(line, file=report)
 
 
-class MetSocket:
-    """A socket whose reader meets the forced order just before its ``recv``."""
+class YieldingSocket:
+    """A socket whose reader yields the interpreter's lock just before its ``recv``."""
 
     def __init__(self, wrapped: Any, order: ForcedOrder) -> None:
         self._wrapped = wrapped
         self._order = order
 
     def recv(self, size: int) -> bytes:
-        self._order.meet()
+        self._order.yield_lock()
         return self._wrapped.recv(size)
 
 
@@ -155,7 +155,7 @@
 
     def made(self: stopping.StopSignals, *arguments: Any) -> None:
         init(self, *arguments)
-        self._receiver = MetSocket(self._receiver, order)  # type: ignore[assignment]
+        self._receiver = YieldingSocket(self._receiver, order)  # type: ignore[assignment]
 
     stopping.StopSignals.__init__ = made  # type: ignore[method-assign]
 
--- a/tests/integration/test_signal_order.py
+++ b/tests/integration/test_signal_order.py
@@ -103,11 +103,11 @@
                 self.assertEqual(0, child.wait(HEARD_S), (moment, receiver))
                 self.assertIn(f"moment {moment}, receiver {receiver}\n", report.read_text())
 
-    def test_the_order_is_met(self) -> None:
+    def test_a_handler_loses_them(self) -> None:
         """An event that a handler sets hears only what reaches a main thread that sleeps."""
         for moment, receiver in (("before", "main"), ("before", "other"), ("inside", "other")):
             child, report = self.started("by_handler", moment, receiver)
-            wait_until(lambda: "SigCgt" in report.read_text(), "its stack is told")  # noqa: B023
+            wait_until(lambda: "SigCgt" in report.read_text(), "its stack is reported")  # noqa: B023
             self.assertIsNone(child.poll(), (moment, receiver))
             self.assertIn("wait (threading.py", report.read_text())
         child, _ = self.started("by_handler", "inside", "main")
