--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -153,8 +153,9 @@
                 part.start()
         with logged_step("start", "callers' interface"):
             self._callers_server.start()
-        for server in (self._control_server, self._callers_server):
-            server.check_serving()
+        with logged_step("start", "check of both interfaces"):
+            self._control_server.check_serving()
+            self._callers_server.check_serving()
         log_state_change(logger, "daemon started", zone=self.settings.zone)
 
     def stop(self) -> bool:
--- a/tests/integration/forced_order/sitecustomize.py
+++ b/tests/integration/forced_order/sitecustomize.py
@@ -148,7 +148,7 @@
 
 
 def patch_stop_signals(order: ForcedOrder) -> None:
-    """Meet the order where ``StopSignals`` waits."""
+    """Yield the interpreter's lock where ``StopSignals`` waits."""
     from mountstand.cli import stopping
 
     init = stopping.StopSignals.__init__
