Lines that tell why an accepted item does not run

An item that was held back told so once and never again; one that waited for a slot told nothing, nor did a task of an item or job that ended with an error, nor a job without a live owner.

items_waiting: every 5 s for each job with items that have not run for as long: how many, by cause, and the one that waits longest. item_held_back carries the content and the time, and comes again after each attempt. item_task_failed, job_runner_failed: error and frames. job_orphaned: the owner in the head and the delay of the adoption. No change of decisions.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from mountstand.hashing import content_name
 from mountstand.jobs.model import ItemResult, ItemState, JobItem
@@ -34,6 +35,17 @@
 """The worker can never process this request, so the item fails without a retry."""
 
 
+class WaitCause(Enum):
+    """Why an item that is not running has not been sent to a worker; the values are logged."""
+
+    CONFIGURATION = "no configuration"
+    QUARANTINE = "quarantine"
+    OTHER_SUSPECTS = "other suspects"
+    SLOT = "slot"
+    STORE_VIEW = "store view too old"
+    RETRY = "retry"
+
+
 @dataclass
 class ItemProgress:
     """One item's output so far and the state of its current attempt."""
@@ -61,7 +73,13 @@
     """Total time that this daemon's attempts at the item spent reading response bodies."""
 
     block_logged: bool = False
-    """Whether ``item_held_back`` was logged for this item."""
+    """Whether ``item_held_back`` was logged since the latest attempt."""
+
+    wait_cause: WaitCause | None = None
+    """Why the item waits, ``None`` during an attempt."""
+
+    idle_since_s: float = 0.0
+    """When the latest attempt ended, or the item was loaded, in event loop time."""
 
     restored_from_store: bool = False
     """Whether the first part of the output comes from another process's saved progress."""
@@ -263,6 +281,10 @@
         """
         return self._context.quarantine.allows(self._call(progress), worker)
 
+    def content_name(self, progress: ItemProgress) -> str:
+        """Return the name of an item's content, as the log lines of the quarantine give it."""
+        return content_name(self._call(progress).content_key)
+
     def fail_item(self, progress: ItemProgress, cause: str, route: str) -> ItemResult:
         """Log that an item has failed permanently, and return its result."""
         self._log("item_given_up", item=progress.item.item_id, cause=cause, route=route)
@@ -289,7 +311,7 @@
             item=progress.item.item_id,
             worker=worker.record.worker_id,
             cause=cause,
-            content=content_name(self._call(progress).content_key),
+            content=self.content_name(progress),
             failures=progress.failures,
             last_event=progress.last_event_id,
             in_flight=worker.in_flight,
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -13,16 +13,18 @@
 
 import asyncio
 import random
-from collections import deque
+import traceback
+from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import replace
 
-from mountstand.jobs.item_execution import ItemExecutor, ItemProgress, RunnerContext
+from mountstand.jobs.item_execution import ItemExecutor, ItemProgress, RunnerContext, WaitCause
 from mountstand.jobs.model import ItemResult, JobHead, JobItem, SavedProgress
 from mountstand.jobs.repository import new_write_id
 from mountstand.serving.batch_room import Placement, Urgency
 from mountstand.serving.configuration import Route
 from mountstand.serving.residency import Regions
+from mountstand.serving.worker import Worker
 from mountstand.store.rows import ABSENT, Conflict, OutcomeUnknown, StoreError
 
 PROGRESS_SAVE_INTERVAL_S = 1.5
@@ -32,6 +34,12 @@
 BLOCKED_RECHECK_INTERVAL_S = 1.0
 """How often an item blocked by the quarantine is checked again."""
 
+WAIT_LOG_INTERVAL_S = 5.0
+"""How often ``items_waiting`` is logged, for items that have not run for at least this long."""
+
+LOGGED_FRAMES = 4
+"""Frames of an unexpected error that are logged, innermost last."""
+
 INITIAL_RETRY_DELAY_S = 0.1
 """First delay after a failed store write, and mean delay before a failed attempt is repeated."""
 
@@ -78,22 +86,30 @@
 
     async def run(self) -> None:
         """Run the items and list their results; cancel any items still running on exit."""
+        now_s = asyncio.get_running_loop().time()
         for progress in self._progress.values():
+            progress.idle_since_s = now_s
             task = asyncio.create_task(self._run_item(progress))
             self._tasks.add(task)
             task.add_done_callback(self._on_item_task_done)
-        save_task = asyncio.create_task(self._save_periodically())
+        periodic_tasks = [
+            asyncio.create_task(self._save_periodically()),
+            asyncio.create_task(self._log_waiting_periodically()),
+        ]
         try:
             await self._list_results()
         finally:
             self._stopped = True
-            save_task.cancel()
-            for task in self._tasks:
+            for task in [*periodic_tasks, *self._tasks]:
                 task.cancel()
 
     def _on_item_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         self._wake_event.set()
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            lines = traceback.format_exception(error, limit=-LOGGED_FRAMES)
+            self._log("item_task_failed", cause="".join(lines))
 
     def handle_head(self, head: JobHead, version: int) -> None:
         """Handle a head from the store feed: stop if the job is cancelled or has another owner."""
@@ -227,6 +243,34 @@
             except StoreError:
                 continue
 
+    async def _log_waiting_periodically(self) -> None:
+        """Log which items have not run for a while, and why, while the job is open."""
+        while not self._stopped:
+            await asyncio.sleep(WAIT_LOG_INTERVAL_S)
+            self._log_waiting()
+
+    def _log_waiting(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        waiting = [
+            progress
+            for progress in self._progress.values()
+            if progress.wait_cause is not None
+            and now_s - progress.idle_since_s >= WAIT_LOG_INTERVAL_S
+        ]
+        if not waiting:
+            return
+        longest = min(waiting, key=lambda progress: progress.idle_since_s)
+        causes = Counter(progress.wait_cause.value for progress in waiting if progress.wait_cause)
+        self._log(
+            "items_waiting",
+            count=len(waiting),
+            causes=dict(causes),
+            item=longest.item.item_id,
+            content=self._executor.content_name(longest),
+            cause=longest.wait_cause.value if longest.wait_cause else None,
+            idle_s=round(now_s - longest.idle_since_s, 1),
+        )
+
     async def _save(self) -> None:
         changed = [
             progress
@@ -268,6 +312,7 @@
         """
         configuration = self._context.configuration()
         if configuration is None or self._draining:
+            progress.wait_cause = WaitCause.CONFIGURATION
             return None
         route = configuration.match(self.head.host, progress.item.target)
         if route is None:
@@ -279,17 +324,29 @@
             return None
         placement = await self._wait_for_slot(route, progress)
         try:
-            blocked = self._executor.blocked_for_s(progress) > 0
-            if self._draining or blocked or not self._store_view_is_fresh():
-                return None
-            if not self._executor.allows(progress, placement.worker):
+            progress.wait_cause = self._wait_cause_at(progress, placement.worker)
+            if progress.wait_cause is not None or self._draining:
                 return None
             progress.preempted = False
+            progress.block_logged = False
             placement.preempt = progress.preempt
             return await self._executor.attempt(progress, route, placement.worker)
         finally:
+            if progress.wait_cause is None:
+                progress.wait_cause = WaitCause.RETRY
+                progress.idle_since_s = asyncio.get_running_loop().time()
             self._context.batch_scheduler.release(placement)
 
+    def _wait_cause_at(self, progress: ItemProgress, worker: Worker) -> WaitCause | None:
+        """Return why an item that got a slot may not run at its worker, ``None`` if it may."""
+        if self._executor.blocked_for_s(progress):
+            return WaitCause.QUARANTINE
+        if not self._store_view_is_fresh():
+            return WaitCause.STORE_VIEW
+        if not self._executor.allows(progress, worker):
+            return WaitCause.OTHER_SUSPECTS
+        return None
+
     async def _sleep_while_blocked(self, progress: ItemProgress) -> None:
         """Sleep one recheck interval for an item that is blocked because it crashes workers.
 
@@ -298,9 +355,15 @@
         """
         task = asyncio.current_task()
         assert task is not None
+        progress.wait_cause = WaitCause.QUARANTINE
         if not progress.block_logged:
             progress.block_logged = True
-            self._log("item_held_back", item=progress.item.item_id)
+            self._log(
+                "item_held_back",
+                item=progress.item.item_id,
+                content=self._executor.content_name(progress),
+                for_s=round(self._executor.blocked_for_s(progress), 1),
+            )
         self._waiting_tasks.add(task)
         try:
             await asyncio.sleep(BLOCKED_RECHECK_INTERVAL_S)
@@ -310,6 +373,7 @@
     async def _wait_for_slot(self, route: Route, progress: ItemProgress) -> Placement:
         task = asyncio.current_task()
         assert task is not None
+        progress.wait_cause = WaitCause.SLOT
         self._waiting_tasks.add(task)
         try:
             service = self._context.service_chooser.choose(route)
--- a/mountstand/jobs/service.py
+++ b/mountstand/jobs/service.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import replace
 
@@ -18,7 +19,7 @@
 from mountstand.jobs.quota import TokenQuota
 from mountstand.jobs.reading import ANY_TENANT, JobReader, ResultPage, is_visible_to_tenant
 from mountstand.jobs.repository import FALLBACK_OBJECT_COPIES, JobRepository, new_write_id
-from mountstand.jobs.runner import JobRunner
+from mountstand.jobs.runner import LOGGED_FRAMES, JobRunner
 from mountstand.serving.configuration import Route
 from mountstand.serving.residency import Regions
 from mountstand.store.rows import Conflict, StoreError, StoreRefused
@@ -288,8 +289,13 @@
         if not self._owners.may_own(regions):
             return
         now_s = asyncio.get_running_loop().time()
-        orphaned_since_s = self._orphaned_since_s_by_job_id.setdefault(job_id, now_s)
-        if now_s - orphaned_since_s < self._adoption_delay_s(head, regions):
+        delay_s = self._adoption_delay_s(head, regions)
+        if job_id not in self._orphaned_since_s_by_job_id:
+            self._orphaned_since_s_by_job_id[job_id] = now_s
+            self._context.log.event(
+                "job_orphaned", job=job_id, owner=head.owner, adopted_after_s=delay_s
+            )
+        if now_s - self._orphaned_since_s_by_job_id[job_id] < delay_s:
             return
         self._adopting_job_ids.add(job_id)
         self._spawn(self._adopt(head, version))
@@ -354,6 +360,13 @@
     async def _run(self, runner: JobRunner) -> None:
         try:
             await runner.run()
+        except Exception:
+            self._context.log.event(
+                "job_runner_failed",
+                job=runner.head.job_id,
+                cause=traceback.format_exc(limit=-LOGGED_FRAMES),
+            )
+            raise
         finally:
             if self._runners.get(runner.head.job_id) is runner:
                 del self._runners[runner.head.job_id]
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -16,6 +16,7 @@
 from mountstand.jobs.model import ItemState, JobSubmission
 from mountstand.jobs.owners import OwnershipRules
 from mountstand.jobs.repository import HEADS_TABLE, JobRepository, partition_names
+from mountstand.jobs.runner import WAIT_LOG_INTERVAL_S
 from mountstand.jobs.service import JobService
 from mountstand.platform.ingress import parse_items
 from mountstand.serving.configuration import Configuration, RequestKind
@@ -239,6 +240,26 @@
 
         self.run_scenario(work, (stream(4, cut_after=2), stream(4)))
 
+    def test_item_that_cannot_run_is_logged_with_the_cause(self) -> None:
+        """Otherwise nothing tells why an accepted item is neither done nor given up."""
+
+        async def work() -> None:
+            daemon = self.daemon()
+            (item,) = submission(items=1).items
+            await daemon.submit(submission(items=1))
+            runner = daemon.jobs._runners["job1"]
+            await eventually(lambda: runner._progress, "item loaded")
+            progress = runner._progress[0]
+            await eventually(lambda: progress.wait_cause is not None, "item waits")
+            progress.idle_since_s -= 2 * WAIT_LOG_INTERVAL_S
+            runner._log_waiting()
+            (line,) = self.fleet.log.lines("items_waiting")
+            self.assertEqual((1, item.item_id), (line["count"], line["item"]))
+            self.assertEqual(({"slot": 1}, "slot"), (line["causes"], line["cause"]))
+            self.assertGreaterEqual(line["idle_s"], 2 * WAIT_LOG_INTERVAL_S)
+
+        self.run_scenario(work, (stream(4),), slots=0)
+
     def test_failing_items_end_after_the_expected_number_of_attempts(self) -> None:
         for name, script, attempts in (
             ("422 after one attempt", whole(b"", "422 Unprocessable"), 1),
