Quarantine: batch items under which workers crashed are still owed

Cause: three worker crashes under a content held it back for ten minutes and more. For a caller's request that is a refusal it can act upon; an item has nobody who sends it again, and bursts of crashes do to a sound item what a crashing one does to its workers.

Change: items run again as trials, 2 s after the third crash and at most 8 s after each further one. They are held back after six crashes only, if at the last three no other worker ended without a suspect of its own. Who asks decides (Workload), not the content, so rows and messages stay as they were and what earlier versions stored holds no item back.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -11,6 +11,7 @@
 from mountstand.jobs.model import ItemResult, ItemState, JobItem
 from mountstand.jobs.repository import JobRepository
 from mountstand.quarantine.service import RequestQuarantine
+from mountstand.quarantine.workload import Workload
 from mountstand.serving.batch_room import BatchScheduler
 from mountstand.serving.configuration import Configuration, Route, WeightedServiceChooser
 from mountstand.serving.connections import WorkerConnections
@@ -302,6 +303,7 @@
                 body=item.body,
                 prompt=item.prompt,
                 tenant=self._tenant,
+                workload=Workload.BATCH,
             )
         return progress.call
 
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -65,7 +65,7 @@
         if not self.suspects.any_blocked:
             return 0.0
         now_s = asyncio.get_running_loop().time()
-        return self.suspects.blocked_for_s(call.content_key, now_s)
+        return self.suspects.blocked_for_s(call.content_key, now_s, call.workload)
 
     def note_broken(self, worker: Worker, call: Call, sent_at_s: float) -> None:
         """Record that the connection to a worker broke after the request was sent."""
@@ -91,7 +91,9 @@
 
     def requires_trial(self, call: Call) -> bool:
         """Return whether a request requires a trial, apart from other strong suspects."""
-        return self.suspects.any_trial_required and self.suspects.requires_trial(call.content_key)
+        if not self.suspects:
+            return False
+        return self.suspects.requires_trial(call.content_key, call.workload)
 
     @contextmanager
     def running(self, call: Call, worker: Worker) -> Iterator[None]:
@@ -111,7 +113,8 @@
                 self._separation.release_run(call.content_key, worker_id)
 
     def _begin_trial(self, call: Call, worker_id: str) -> None:
-        self._sharing.begin_run(call.content_key, asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self._sharing.begin_run(call.content_key, now_s, call.workload)
         self._log.event(
             "suspect_tried",
             content=content_name(call.content_key),
@@ -151,7 +154,7 @@
 
     def query_peers(self) -> None:
         """Query peers for their suspects, after a start or a suspension of this daemon."""
-        self._sharing.query_peers()
+        self._sharing.query_peers(asyncio.get_running_loop().time())
         self._wake_event.set()
 
     async def run(self) -> None:
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -16,6 +16,7 @@
 from mountstand.quarantine.reports import ENTRIES_PER_REPORT, build_reports, merge_report
 from mountstand.quarantine.suspect import WorkerCrash
 from mountstand.quarantine.suspects import CrashSuspects
+from mountstand.quarantine.workload import Workload
 from mountstand.wire.gossip import CrashQuery, CrashReport
 
 RETRANSMIT_DELAYS_S = (0.3, 1.0)
@@ -116,15 +117,15 @@
                 changed.append(content)
         self._publish(changed, now_s)
 
-    def begin_run(self, content: int, now_s: float) -> bool:
+    def begin_run(self, content: int, now_s: float, workload: Workload = Workload.ONLINE) -> bool:
         """Record that a content is about to be sent to a worker; return whether it may be.
 
         If the content requires a trial, the trial starts: the other daemons are notified and block
         the content until the outcome is known, so that only one daemon tries it at a time.
         """
-        if self.suspects.blocked_for_s(content, now_s):
+        if self.suspects.blocked_for_s(content, now_s, workload):
             return False
-        if self.suspects.requires_trial(content):
+        if self.suspects.requires_trial(content, workload):
             self.suspects.begin_trial(content, now_s)
             self._publish([content], now_s)
         return True
@@ -151,8 +152,9 @@
         if merge_report(self.suspects, message, now_s):
             self._update_blocked(sender, now_s)
 
-    def query_peers(self) -> None:
+    def query_peers(self, now_s: float) -> None:
         """Query peers for their suspects until one answers, at most ``MAX_QUERIES`` times."""
+        self.suspects.note_resumed(now_s)
         self._queries_left = MAX_QUERIES
         self._next_query_s = 0.0
 
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -15,6 +15,9 @@
 a worker without other strong suspects. Success clears it; a crash of that worker is attributed to
 it. Sets of crashes alone can't tell such a content from a cause.
 
+All of this holds for requests of callers. Batch items, which are owed, get a trial in place of a
+block and are blocked after more crashes only (:mod:`mountstand.quarantine.batch_verdicts`).
+
 The order in which evidence arrives makes no difference (:mod:`mountstand.quarantine.suspect`), so
 daemons with the same evidence decide alike, except for the jitter of trials. Times are seconds on
 the local clock of the daemon that holds the state.
@@ -24,6 +27,8 @@
 
 from collections.abc import Iterator
 
+from mountstand.quarantine.batch_verdicts import BatchVerdicts
+from mountstand.quarantine.crash_log import CrashLog
 from mountstand.quarantine.suspect import (
     CRASHES_TO_BLOCK,
     NEVER_S,
@@ -36,6 +41,7 @@
     block_duration_s,
 )
 from mountstand.quarantine.verdicts import Verdicts
+from mountstand.quarantine.workload import Workload
 
 MAX_SUSPECTS = 1024
 """Contents kept, about 400 bytes each. A single crash can add one for each slot of the worker."""
@@ -49,6 +55,15 @@
         self._max_suspects = max_suspects
         self.by_content: dict[int, Suspect] = {}
         self._cached_verdicts: Verdicts | None = None
+        self._crash_log = CrashLog()
+
+    def note_resumed(self, now_s: float) -> None:
+        """Record that this daemon may have missed crashes of workers before ``now_s``."""
+        self._crash_log.known_since_s = now_s
+
+    @property
+    def _batch_verdicts(self) -> BatchVerdicts:
+        return BatchVerdicts(self.by_content, self._verdicts, self._crash_log)
 
     @property
     def _verdicts(self) -> Verdicts:
@@ -86,24 +101,27 @@
         A trial counts as due ``TRIAL_JITTER_S`` before ``trial_at_s``, so that workers are reserved
         before the first daemon starts it.
         """
-        for content in self._verdicts.trial_required:
-            suspect = self.by_content[content]
+        for content, suspect in self.by_content.items():
+            is_batch_trial = suspect.trials.count and content in self._verdicts.blocked_until_s
+            if content not in self._verdicts.trial_required and not is_batch_trial:
+                continue
             due_s = suspect.trial_at_s - TRIAL_JITTER_S
             if suspect.trials.last_at_s >= now_s - within_s or 0 <= now_s - due_s <= within_s:
                 yield content
 
-    @property
-    def any_trial_required(self) -> bool:
-        """Whether any content requires a trial."""
-        return bool(self._verdicts.trial_required)
-
-    def requires_trial(self, content: int) -> bool:
+    def requires_trial(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
         """Return whether a content requires a trial before it may run freely.
 
         At most one daemon runs it at a time, apart from other strong suspects.
         """
+        if workload is Workload.BATCH:
+            return self._batch_verdicts.requires_trial(content)
         return content in self._verdicts.trial_required
 
+    def is_batch_cause(self, content: int) -> bool:
+        """Return whether a batch item is taken for the cause of its crashes."""
+        return self._batch_verdicts.is_cause(content)
+
     def begin_trial(self, content: int, now_s: float) -> None:
         """Record that a trial of a content starts, which blocks it until the next one is due."""
         suspect = self.by_content[content]
@@ -118,6 +136,8 @@
         trials: Trials = NO_TRIALS,
     ) -> bool:
         """Merge evidence about a content; return whether it was new (see :meth:`Suspect.merge`)."""
+        for worker, crash in crash_by_worker.items():
+            self._crash_log.note(worker, crash.at_s)
         suspect = self.by_content.get(content)
         if suspect is None:
             suspect = Suspect()
@@ -139,8 +159,12 @@
         self._cached_verdicts = None
         return True
 
-    def blocked_for_s(self, content: int, now_s: float) -> float:
+    def blocked_for_s(
+        self, content: int, now_s: float, workload: Workload = Workload.ONLINE
+    ) -> float:
         """Return the remaining block time of a content, 0 if it may be sent to workers."""
+        if workload is Workload.BATCH:
+            return max(0.0, self._batch_verdicts.blocked_until_s(content) - now_s)
         return max(0.0, self._verdicts.blocked_until_s.get(content, NEVER_S) - now_s)
 
     @property
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -30,6 +30,7 @@
 )
 from mountstand.quarantine.suspect import NEVER_S, CrashByWorker, WorkerCrash
 from mountstand.quarantine.suspects import CrashSuspects
+from mountstand.quarantine.workload import Workload
 from mountstand.store.ports import Machine, Put, TablePort, Transaction
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
@@ -173,7 +174,7 @@
     def start(self) -> None:
         """Query peers, and start the periodic tasks that exchange and store suspects."""
         with self._lock:
-            self._sharing.query_peers()
+            self._sharing.query_peers(elapsed_s())
         for task in self._tasks:
             task.start()
 
@@ -182,12 +183,12 @@
         stop_tasks(self._tasks)
         self._crash_check_pool.shutdown(wait=False, cancel_futures=True)
 
-    def check(self, content: int) -> None:
+    def check(self, content: int, workload: Workload = Workload.ONLINE) -> None:
         """Raise ``RequestQuarantined`` if a content is blocked."""
         if not self.suspects:
             return
         with self._lock:
-            blocked_for_s = self.suspects.blocked_for_s(content, elapsed_s())
+            blocked_for_s = self.suspects.blocked_for_s(content, elapsed_s(), workload)
         if blocked_for_s:
             raise self.quarantined_error(content, blocked_for_s)
 
@@ -218,8 +219,15 @@
             self._sent_at_s_by_machine[machine.machine_id] = {content: sent_at_s}
         self._crash_check_pool.submit(self._check_machine, machine)
 
+    def is_batch_cause(self, content: int) -> bool:
+        """Return whether a batch item is taken for the cause of its worker crashes."""
+        with self._lock:
+            return self.suspects.is_batch_cause(content)
+
     @contextmanager
-    def running(self, content: int, machine: Machine) -> Iterator[bool]:
+    def running(
+        self, content: int, machine: Machine, workload: Workload = Workload.ONLINE
+    ) -> Iterator[bool]:
         """Track the run of a strong suspect, so that this daemon sends no other one to the worker.
 
         Yields whether the content may run: it is not blocked, and :meth:`SuspectSeparation.allows`
@@ -228,7 +236,7 @@
         with self._lock:
             now_s = elapsed_s()
             allowed = self._separation.allows(content, machine.machine_id, now_s)
-            allowed = allowed and self._begin_run(content, machine, now_s)
+            allowed = allowed and self._begin_run(content, machine, now_s, workload)
             tracked = allowed and self._separation.track_run(content, machine.machine_id)
         try:
             yield allowed
@@ -272,10 +280,10 @@
 
     # Internals
 
-    def _begin_run(self, content: int, machine: Machine, now_s: float) -> bool:
+    def _begin_run(self, content: int, machine: Machine, now_s: float, workload: Workload) -> bool:
         """Return whether a content may be sent; start its trial if it requires one."""
-        is_trial = self.suspects.requires_trial(content)
-        if not self._sharing.begin_run(content, now_s):
+        is_trial = self.suspects.requires_trial(content, workload)
+        if not self._sharing.begin_run(content, now_s, workload):
             return False
         if is_trial:
             name = content_name(content)
--- a/mountstand/quarantine/verdicts.py
+++ b/mountstand/quarantine/verdicts.py
@@ -78,8 +78,12 @@
 
     def _block_until_trial(self, content: int) -> None:
         """Block a content until its next trial, plus a jitter derived from content and daemon."""
-        jitter_s = TRIAL_JITTER_S * rendezvous_share(content_name(content), self._daemon_name)
-        self.blocked_until_s[content] = self._by_content[content].trial_at_s + jitter_s
+        trial_at_s = self._by_content[content].trial_at_s
+        self.blocked_until_s[content] = trial_at_s + self.trial_jitter_s(content)
+
+    def trial_jitter_s(self, content: int) -> float:
+        """Return how much later than others this daemon starts a trial of a content."""
+        return TRIAL_JITTER_S * rendezvous_share(content_name(content), self._daemon_name)
 
     def _evaluate_with_same_crash_count(
         self, contents: list[int], attributed: set[int]
--- a/mountstand/serving/worker_protocol.py
+++ b/mountstand/serving/worker_protocol.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from mountstand.hashing import content_key
+from mountstand.quarantine.workload import Workload
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
 from mountstand.serving.residency import ANYWHERE, Regions
 from mountstand.serving.worker import LoadReport, Worker
@@ -43,6 +44,8 @@
     regions: Regions | None = ANYWHERE
     """Regions in which the request may be served."""
 
+    workload: Workload = Workload.ONLINE
+
     @cached_property
     def content_key(self) -> int:
         """Hash of host, method, target, tenant and body, the same for retries by the caller.
--- a/tests/model/quarantine_fleet.py
+++ b/tests/model/quarantine_fleet.py
@@ -15,6 +15,7 @@
 
 from mountstand.quarantine.separation import SuspectSeparation
 from mountstand.quarantine.sharing import QuarantineMessage, ReportLink, SuspectSharing
+from mountstand.quarantine.workload import Workload
 
 TIME_TO_CRASH_S = 0.03
 CRASH_DETECTION_DELAY_S = 0.12
@@ -138,10 +139,11 @@
         content: int,
         run_duration_s: float,
         on_end: Callable[[bool], None],
+        workload: Workload = Workload.ONLINE,
     ) -> bool:
         """Run a content if its daemon allows it and a worker is free; return whether it runs."""
         now_s = self.clock.now_s
-        if daemon.sharing.suspects.blocked_for_s(content, now_s):
+        if daemon.sharing.suspects.blocked_for_s(content, now_s, workload):
             return False
         eligible = [
             worker
@@ -150,7 +152,7 @@
             and len(worker.runs) < SLOTS_PER_WORKER
             and daemon.separation.allows(content, str(worker.key), now_s)
         ]
-        if not eligible or not daemon.sharing.begin_run(content, now_s):
+        if not eligible or not daemon.sharing.begin_run(content, now_s, workload):
             return False
         worker = self.rng.choice(eligible)
         run = SimulatedRun(content, daemon, now_s, on_end)
@@ -163,6 +165,12 @@
             self.clock.call_later(run_duration_s, lambda: self._serve(worker, run))
         return True
 
+    def crash_some(self, share: float) -> None:
+        """Crash a share of the workers at the same moment, whatever they run."""
+        running = [worker for worker in self.workers if worker.up]
+        for worker in self.rng.sample(running, round(share * len(running))):
+            self._crash(worker)
+
     def late_runs(self, content: int, grace_s: float) -> int:
         """Return how many runs of a content start more than ``grace_s`` after its third one.
 
@@ -216,16 +224,25 @@
 class SimulatedItem:
     """An item of a job, which its daemon retries until it is served."""
 
-    def __init__(self, fleet: QuarantineFleet, daemon: SimulatedDaemon, content: int) -> None:
+    def __init__(
+        self,
+        fleet: QuarantineFleet,
+        daemon: SimulatedDaemon,
+        content: int,
+        run_duration_range_s: tuple[float, float] = (0.06, 0.3),
+    ) -> None:
         self._fleet = fleet
+        self._run_duration_range_s = run_duration_range_s
         self._daemon = daemon
         self._content = content
         self.done = False
         self._try()
 
     def _try(self) -> None:
-        run_duration_s = self._fleet.rng.uniform(0.06, 0.3)
-        if not self._fleet.run(self._daemon, self._content, run_duration_s, self._on_end):
+        run_duration_s = self._fleet.rng.uniform(*self._run_duration_range_s)
+        if not self._fleet.run(
+            self._daemon, self._content, run_duration_s, self._on_end, Workload.BATCH
+        ):
             self._fleet.clock.call_later(RETRY_DELAY_S, self._try)
 
     def _on_end(self, served: bool) -> None:
