--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -43,6 +43,7 @@
 from mountstand.online.request import request_content_key
 from mountstand.process_settings import BatchSettings
 from mountstand.quarantine.threads import ContentQuarantine
+from mountstand.quarantine.workload import Workload
 from mountstand.routing.fleet_view import DispatchOutcome
 from mountstand.routing.router import Router
 from mountstand.store.ports import Machine, ObjectPort
@@ -312,9 +313,9 @@
             return DispatchOutcome.NEUTRAL
         content = item_content_key(held, item)
         try:
-            self._quarantine.check(content)
+            self._quarantine.check(content, Workload.BATCH)
         except RequestQuarantined as error:
-            if self._quarantine.requires_trial(content):
+            if not self._quarantine.is_batch_cause(content):
                 self._pause(held, item, error.retry_after_s or RETRY_PAUSE_S)
                 return DispatchOutcome.NEUTRAL
             self._record(held, item, ItemStatus.FAILED, error_line(item, ItemStatus.FAILED, error))
@@ -327,7 +328,7 @@
             priority=BATCH_PRIORITY + held.grant.priority,
             label=f"{held.grant.key.job_key}:{item.index}",
         )
-        with self._quarantine.running(content, worker) as allowed:
+        with self._quarantine.running(content, worker, Workload.BATCH) as allowed:
             if not allowed:
                 self._pause(held, item)
                 return DispatchOutcome.NEUTRAL
@@ -347,9 +348,10 @@
         try:
             answer = self._backend.call(worker, request, ITEM_TIMEOUT_S)
         except MountstandError as error:
-            if isinstance(error, BackendFailed):
-                self._quarantine.note_broken(worker, content, sent_at_s)
-            return self._handle_failure(held, item, worker, error)
+            crashed = isinstance(error, BackendFailed) and self._quarantine.crashed_during(
+                worker, content, sent_at_s
+            )
+            return self._handle_failure(held, item, worker, error, crashed=crashed)
         self._quarantine.note_served(content)
         self._router.record_response_load(worker.machine_id, answer.load)
         self._record_answer(held, item, answer)
@@ -376,8 +378,19 @@
         self._record(held, item, ItemStatus.FAILED, line)
 
     def _handle_failure(
-        self, held: HeldRange, item: BatchItem, worker: Machine, error: MountstandError
+        self,
+        held: HeldRange,
+        item: BatchItem,
+        worker: Machine,
+        error: MountstandError,
+        *,
+        crashed: bool,
     ) -> DispatchOutcome:
+        """Pause or end an item whose dispatch failed.
+
+        A run that ended with the crash of its worker is not one of the item's attempts. The
+        quarantine bounds such runs.
+        """
         if held.dropped:
             return DispatchOutcome.NEUTRAL
         if error.executed is Executed.NO:
@@ -390,6 +403,9 @@
             line = error_line(item, ItemStatus.OUTCOME_UNKNOWN, error)
             self._record(held, item, ItemStatus.OUTCOME_UNKNOWN, line)
             return DispatchOutcome.FAILED
+        if crashed:
+            self._pause(held, item)
+            return DispatchOutcome.FAILED
         attempts = held.attempts.get(item.index, 0) + 1
         held.attempts[item.index] = attempts
         if attempts >= held.grant.max_attempts:
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -13,8 +13,9 @@
 import uuid
 import zlib
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import CancelledError, Future, ThreadPoolExecutor
 from contextlib import contextmanager
+from dataclasses import dataclass, field
 
 from mountstand.background import BackgroundPart, PeriodicTask, stop_tasks
 from mountstand.clock import elapsed_s
@@ -54,9 +55,23 @@
 KEY_PREFIX = "quarantine/"
 """Prefix of the row keys in the table, followed by the content key in hexadecimal."""
 
+CRASH_CHECK_TIMEOUT_S = 5.0
+"""How long the sender of a broken request waits for the check of its machine. A check takes up to
+two seconds, and waits for others if several machines fail at once."""
+
 CrashCheck = Callable[[Machine], bool]
 
 
+@dataclass(slots=True)
+class PendingCheck:
+    """A crash check of one machine, and the broken requests that led to it."""
+
+    sent_at_s: dict[int, float] = field(default_factory=dict)
+    """When each request was sent, by content."""
+
+    crashed: Future[bool] = field(default_factory=Future)
+
+
 class MembershipReportLink(ReportLink):
     """Sends reports in datagrams of the membership protocol. All daemons serve callers."""
 
@@ -160,7 +175,7 @@
         self._crash_check_pool = ThreadPoolExecutor(
             CRASH_CHECK_THREADS, thread_name_prefix="worker-end"
         )
-        self._sent_at_s_by_machine: dict[str, dict[int, float]] = {}
+        self._pending_check_by_machine: dict[str, PendingCheck] = {}
         self._tasks = [
             PeriodicTask("quarantine", TICK_S, self._tick),
             PeriodicTask("quarantine store", STORE_INTERVAL_S, self._sync_table),
@@ -182,6 +197,9 @@
         """Stop the periodic tasks and cancel crash checks that have not started."""
         stop_tasks(self._tasks)
         self._crash_check_pool.shutdown(wait=False, cancel_futures=True)
+        with self._lock:
+            for check in self._pending_check_by_machine.values():
+                check.crashed.cancel()
 
     def check(self, content: int, workload: Workload = Workload.ONLINE) -> None:
         """Raise ``RequestQuarantined`` if a content is blocked."""
@@ -204,20 +222,38 @@
         with self._lock:
             return self.suspects.requires_trial(content)
 
-    def note_broken(self, machine: Machine, content: int, sent_at_s: float) -> None:
+    def note_broken(self, machine: Machine, content: int, sent_at_s: float) -> Future[bool] | None:
         """Record that the connection to a worker broke after the request was sent.
 
-        A crash check of the machine runs in the background, unless one is already pending.
+        A crash check of the machine runs in the background, unless one is already pending. Returns
+        whether the worker crashed, once that is known; ``None`` for a machine that is leaving.
         """
         if machine.leaving:
-            return
+            return None
         with self._lock:
-            sent = self._sent_at_s_by_machine.get(machine.machine_id)
-            if sent is not None:
-                sent.setdefault(content, sent_at_s)
-                return
-            self._sent_at_s_by_machine[machine.machine_id] = {content: sent_at_s}
-        self._crash_check_pool.submit(self._check_machine, machine)
+            check = self._pending_check_by_machine.get(machine.machine_id)
+            is_new = check is None
+            if check is None:
+                check = PendingCheck()
+                self._pending_check_by_machine[machine.machine_id] = check
+            check.sent_at_s.setdefault(content, sent_at_s)
+        if is_new:
+            self._crash_check_pool.submit(self._check_machine, machine)
+        return check.crashed
+
+    def crashed_during(self, machine: Machine, content: int, sent_at_s: float) -> bool:
+        """Record a broken request like :meth:`note_broken`; return whether its worker crashed.
+
+        Waits for the crash check. ``False`` if it is not known within ``CRASH_CHECK_TIMEOUT_S``.
+        """
+        crashed = self.note_broken(machine, content, sent_at_s)
+        if crashed is None:
+            return False
+        try:
+            return crashed.result(CRASH_CHECK_TIMEOUT_S)
+        except (TimeoutError, CancelledError):
+            logger.warning("crash check too slow", extra={"worker": machine.machine_id})
+            return False
 
     def is_batch_cause(self, content: int) -> bool:
         """Return whether a batch item is taken for the cause of its worker crashes."""
@@ -298,13 +334,16 @@
                 time.sleep(CRASH_CHECK_INTERVAL_S)
             crashed = crashed and self._has_crashed(machine)
         with self._lock:
-            sent_at_s = self._sent_at_s_by_machine.pop(machine.machine_id)
+            check = self._pending_check_by_machine.pop(machine.machine_id)
             if crashed:
                 self._sharing.note_worker_crash(
-                    crash_key(machine), broke_at_s, sent_at_s, elapsed_s()
+                    crash_key(machine), broke_at_s, check.sent_at_s, elapsed_s()
                 )
+        # Cancelled while this daemon stops.
+        if check.crashed.set_running_or_notify_cancel():
+            check.crashed.set_result(crashed)
         if crashed:
-            broken = len(sent_at_s)
+            broken = len(check.sent_at_s)
             log_state_change(logger, "worker ended", worker=machine.machine_id, broken=broken)
 
     def _tick(self) -> None:
--- a/tests/quarantine/test_threads.py
+++ b/tests/quarantine/test_threads.py
@@ -82,6 +82,21 @@
                 lambda n=number: self.crashes(quarantine) == n + 1, "the crash is counted"
             )
 
+    def test_sender_of_a_broken_request_learns_whether_its_worker_crashed(self) -> None:
+        """A batch item's run that ended with its worker is not one of the item's attempts."""
+        quarantine = self.start()
+        self.assertTrue(quarantine.crashed_during(machine(0), CULPRIT, elapsed_s()))
+        self.crashed = False
+        self.assertFalse(quarantine.crashed_during(machine(1), CULPRIT, elapsed_s()))
+
+    def test_stop_ends_the_wait_for_a_crash_check(self) -> None:
+        quarantine = self.start()
+        for number in range(50):
+            waiting = quarantine.note_broken(machine(number), CULPRIT, elapsed_s())
+        quarantine.stop()
+        assert waiting is not None
+        self.assertTrue(waiting.cancelled())
+
     def crashes(self, quarantine: ContentQuarantine) -> int:
         suspect = quarantine.suspects.by_content.get(CULPRIT)
         return len(suspect.crash_by_worker) if suspect else 0
