Batch items: an unexpected error in an attempt no longer drops the item

Callers would see: an accepted item neither done nor given up, while the rest of its job is listed; nothing works on it until the job has another owner.

Evidence: test_item_is_retried_after_an_unexpected_error, an error raised in the place of an attempt: no result in 20 s before, retried now.

Change: the error is logged with its item (item_task_failed), and the item is tried again a second later.

--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -37,6 +37,9 @@
 WAIT_LOG_INTERVAL_S = 5.0
 """How often ``items_waiting`` is logged, for items that have not run for at least this long."""
 
+UNEXPECTED_ERROR_DELAY_S = 1.0
+"""Delay before an item is tried again after an error in this program."""
+
 LOGGED_FRAMES = 4
 """Frames of an unexpected error that are logged, innermost last."""
 
@@ -106,10 +109,6 @@
     def _on_item_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         self._wake_event.set()
-        error = None if task.cancelled() else task.exception()
-        if error is not None:
-            lines = traceback.format_exception(error, limit=-LOGGED_FRAMES)
-            self._log("item_task_failed", cause="".join(lines))
 
     def handle_head(self, head: JobHead, version: int) -> None:
         """Handle a head from the store feed: stop if the job is cancelled or has another owner."""
@@ -292,7 +291,7 @@
 
     async def _run_item(self, progress: ItemProgress) -> None:
         while not self._stopped:
-            result = await self._try_item(progress)
+            result = await self._try_item_safely(progress)
             if result is not None:
                 self._context.metrics.batch_item_ended(result.state.value)
                 self._progress.pop(progress.index, None)
@@ -305,6 +304,19 @@
                 await asyncio.sleep(INITIAL_RETRY_DELAY_S * random.uniform(0.5, 1.5))
         self._wake_event.set()
 
+    async def _try_item_safely(self, progress: ItemProgress) -> ItemResult | None:
+        """Make one attempt; after an unexpected error, log it and let the item be retried."""
+        try:
+            return await self._try_item(progress)
+        except Exception:
+            self._log(
+                "item_task_failed",
+                item=progress.item.item_id,
+                cause=traceback.format_exc(limit=-LOGGED_FRAMES),
+            )
+            await asyncio.sleep(UNEXPECTED_ERROR_DELAY_S)
+            return None
+
     async def _try_item(self, progress: ItemProgress) -> ItemResult | None:
         """Wait for a slot and make one attempt.
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -7,6 +7,7 @@
 from base64 import b64encode
 from collections.abc import Callable
 from dataclasses import replace
+from unittest import mock
 
 import orjson
 from testtools import TestCase
@@ -21,6 +22,7 @@
 from mountstand.platform.ingress import parse_items
 from mountstand.serving.configuration import Configuration, RequestKind
 from mountstand.serving.slot_demand import WaitingCounts
+from mountstand.serving.worker import Worker
 from mountstand.store.memory_rows import MemoryRowStore
 from mountstand.store.rows import StoreError, StoreRefused, Transaction
 from mountstand.store.watch import TableWatcher
@@ -260,6 +262,27 @@
 
         self.run_scenario(work, (stream(4),), slots=0)
 
+    def test_item_is_retried_after_an_unexpected_error(self) -> None:
+        """Guards against an item that is dropped without a line, while its job stays open."""
+
+        async def work() -> None:
+            note_reply = Worker.note_reply
+            failures = iter([ValueError("unexpected")])
+
+            def fail_once(worker: Worker, now_s: float) -> None:
+                for failure in failures:
+                    raise failure
+                note_reply(worker, now_s)
+
+            with mock.patch.object(Worker, "note_reply", fail_once):
+                daemon = self.daemon()
+                await daemon.submit(submission(items=1))
+                self.assert_all_completed(await daemon.wait_for_results(1), 1)
+            (line,) = self.fleet.log.lines("item_task_failed")
+            self.assertIn("unexpected", line["cause"])
+
+        self.run_scenario(work, (stream(4),))
+
     def test_failing_items_end_after_the_expected_number_of_attempts(self) -> None:
         for name, script, attempts in (
             ("422 after one attempt", whole(b"", "422 Unprocessable"), 1),
