Event streams: an event id of thousands of digits breaks the answer off

Callers would see: an item of a batch job that nobody worked on any more; an online stream that ended without an answer, by an error nobody expected.

Cause: the id of an event was turned into a number whatever its length, and Python refuses more than 4,300 digits with a ValueError, which no caller of the splitter expects. Bytes that are no answer may hold such an id.

Change: ids beyond 18 digits are malformed, and end the attempt as other malformed answers do: the item goes to another worker, and so does a stream that may.

--- a/mountstand/serving/events.py
+++ b/mountstand/serving/events.py
@@ -5,8 +5,13 @@
 import re
 from dataclasses import dataclass
 
+from mountstand.transport.http_client import ReplyBroken
+
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?m)^id:[ ]?(\d+)\r?$")
+MAX_ID_DIGITS = 18
+"""Digits of an event's id; a longer one does not fit into 64 bits and is no event's."""
+
 DATA_LINE = re.compile(rb"(?m)^data:[ ]?([^\r\n]*)\r?$")
 
 
@@ -30,15 +35,17 @@
         self._pending = b""
 
     def feed(self, piece: bytes) -> list[StreamEvent]:
-        """Add ``piece`` to the body and return the events that it completes."""
+        """Add ``piece`` to the body and return the events that it completes.
+
+        Raises ``ReplyBroken`` for bytes that are no event.
+        """
         self._pending += piece
         events = []
         start = 0
         for end in EVENT_END.finditer(self._pending):
             raw = self._pending[start : end.end()]
             start = end.end()
-            id_match = EVENT_ID.search(raw)
-            events.append(StreamEvent(raw, int(id_match.group(1)) if id_match else None))
+            events.append(StreamEvent(raw, _event_id(raw)))
         self._pending = self._pending[start:]
         return events
 
@@ -46,3 +53,13 @@
     def partial(self) -> bytes:
         """The bytes received of an event that is not yet complete; empty between events."""
         return self._pending
+
+
+def _event_id(raw: bytes) -> int | None:
+    id_match = EVENT_ID.search(raw)
+    if id_match is None:
+        return None
+    digits = id_match.group(1)
+    if len(digits) > MAX_ID_DIGITS:
+        raise ReplyBroken("malformed: event id")
+    return int(digits)
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -262,6 +262,19 @@
 
         self.run_scenario(work, (stream(4),), slots=0)
 
+    def test_item_is_retried_after_an_event_id_that_is_no_number(self) -> None:
+        """Otherwise the error ends the item's task, and nothing works on the item any more."""
+
+        async def work() -> None:
+            daemon = self.daemon()
+            await daemon.submit(submission(items=1))
+            self.assert_all_completed(await daemon.wait_for_results(1), 1)
+            self.assertEqual([], self.fleet.log.lines("item_task_failed"))
+
+        event_with_long_id = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
+        garbled = whole(event_with_long_id, "200 OK", "Content-Type: text/event-stream")
+        self.run_scenario(work, (garbled, stream(4)))
+
     def test_item_is_retried_after_an_unexpected_error(self) -> None:
         """Guards against an item that is dropped without a line, while its job stays open."""
 
