Workers' answers without end: broken off, and tried elsewhere

Callers would see: memory of a daemon that grows with what a worker sends; a request that waits for its deadline though another worker could serve it; an item of a batch job that is neither done nor given up, for as long as the worker sends.

Cause: the parser takes a head, headers, interim answers, answers to other requests, trailers and extensions of any length; an event without end was kept and searched from its start with each piece; an item had no bound on its output, and its stall timeout began anew with each byte.

Change: an answer is broken off after 1 MiB without its head, a piece of its body, or the end of an event, and at once when bytes follow a whole answer. An item's attempt ends after 4 MiB of events, whose output is dropped, 2 s after its last whole event, and with the retention of its job. A resumable stream's stall is counted from its last whole event too.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -24,7 +24,11 @@
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyBroken
 
 STREAM_STALL_TIMEOUT_S = 2.0
-"""Maximum gap between two chunks of a response stream, after which the attempt fails."""
+"""Maximum gap between two events of a response stream, after which the attempt fails."""
+
+MAX_OUTPUT_BYTES = 4 * 1024 * 1024
+"""Bytes of events in one attempt, beyond which they are taken for garbage and dropped. Results are
+read in pages of about a megabyte."""
 
 RESPONSE_HEAD_TIMEOUT_S = 6.0
 """Maximum wait for a response head, after which the attempt fails."""
@@ -91,6 +95,11 @@
     head_received_at_s: float | None = None
     """When the current attempt received a response head with status 200, in event loop time."""
 
+    def truncate(self, event_count: int, last_event_id: int | None) -> None:
+        """Drop the output after the first ``event_count`` events."""
+        del self.texts[event_count:]
+        self.last_event_id = last_event_id
+
     def preempt(self) -> None:
         """Close the item's connection to free its slot for online requests."""
         self.preempted = True
@@ -239,15 +248,19 @@
         """
         splitter = EventSplitter()
         loop = asyncio.get_running_loop()
-        while True:
-            async with asyncio.timeout(STREAM_STALL_TIMEOUT_S):
-                chunk = await connection.read_piece()
-            if chunk is None:
-                break
-            worker.last_contact_s = worker.last_data_s = loop.time()
-            for event in splitter.feed(chunk):
-                progress.texts.append(event.data.decode("utf-8", "replace"))
-                progress.last_event_id = event.event_id
+        event_count, last_event_id = len(progress.texts), progress.last_event_id
+        output_bytes = 0
+        async with asyncio.timeout(STREAM_STALL_TIMEOUT_S) as stall:
+            while (chunk := await connection.read_piece()) is not None:
+                worker.last_contact_s = worker.last_data_s = loop.time()
+                for event in splitter.feed(chunk):
+                    progress.texts.append(event.data.decode("utf-8", "replace"))
+                    progress.last_event_id = event.event_id
+                    output_bytes += len(event.raw)
+                    stall.reschedule(loop.time() + STREAM_STALL_TIMEOUT_S)
+                if output_bytes > MAX_OUTPUT_BYTES:
+                    progress.truncate(event_count, last_event_id)
+                    raise ReplyBroken("output without end")
         if splitter.partial:
             raise ReplyBroken("ended within an event")
 
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -342,7 +342,10 @@
             progress.preempted = False
             progress.block_logged = False
             placement.preempt = progress.preempt
-            return await self._executor.attempt(progress, route, placement.worker)
+            async with asyncio.timeout(self._retention_left_s(route)):
+                return await self._executor.attempt(progress, route, placement.worker)
+        except TimeoutError:
+            return None
         finally:
             if progress.wait_cause is None:
                 progress.wait_cause = WaitCause.RETRY
@@ -422,8 +425,15 @@
         return route.priority if tenant is None else tenant.effective_priority(route.priority)
 
     def _retention_expired(self, route: Route) -> bool:
+        left_s = self._retention_left_s(route)
+        return left_s is not None and left_s < 0
+
+    def _retention_left_s(self, route: Route) -> float | None:
+        """Return the time until items may be given up, ``None`` if there is no such time."""
+        if route.retention_s <= 0:
+            return None
         age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
-        return route.retention_s > 0 and age_s > route.retention_s
+        return route.retention_s - age_s
 
     def _log(self, event: str, **fields: object) -> None:
         self._context.log.event(event, job=self.head.job_id, **fields)
--- a/mountstand/serving/events.py
+++ b/mountstand/serving/events.py
@@ -9,6 +9,12 @@
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?m)^id:[ ]?(\d+)\r?$")
+MAX_EVENT_BYTES = 1024 * 1024
+"""Bytes without the end of an event after which an answer is broken off."""
+
+EVENT_END_BYTES = 4
+"""The longest end of an event."""
+
 MAX_ID_DIGITS = 18
 """Digits of an event's id; a longer one does not fit into 64 bits and is no event's."""
 
@@ -39,14 +45,18 @@
 
         Raises ``ReplyBroken`` for bytes that are no event.
         """
+        # The part before was searched already, but for an end that the piece completes.
+        search_start = max(0, len(self._pending) - EVENT_END_BYTES)
         self._pending += piece
         events = []
         start = 0
-        for end in EVENT_END.finditer(self._pending):
+        for end in EVENT_END.finditer(self._pending, search_start):
             raw = self._pending[start : end.end()]
             start = end.end()
             events.append(StreamEvent(raw, _event_id(raw)))
         self._pending = self._pending[start:]
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise ReplyBroken("malformed: event without end")
         return events
 
     @property
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -160,32 +160,40 @@
         if not responder.started:
             responder.start(head.status, head.headers.end_to_end(), head.length)
         while True:
-            piece = await self._read_event_bytes(worker, connection, stall_timeout_s)
-            if piece is None:
+            events = await self._read_events(worker, connection, splitter, stall_timeout_s)
+            if events is None:
                 break
-            events = splitter.feed(piece)
-            if events:
-                await self._relay_events(exchange, events)
+            await self._relay_events(exchange, events)
         if splitter.partial:
             exchange.cause = "ended within an event"
             return Outcome.BROKEN_MIDWAY
         responder.finish()
         return Outcome.DELIVERED
 
-    async def _read_event_bytes(
-        self, worker: Worker, connection: ClientConnection, stall_timeout_s: float | None
-    ) -> bytes | None:
-        """Read part of an event stream. Raises ``WorkerUnresponsive`` if the stream stalls."""
+    async def _read_events(
+        self,
+        worker: Worker,
+        connection: ClientConnection,
+        splitter: EventSplitter,
+        stall_timeout_s: float | None,
+    ) -> list[StreamEvent] | None:
+        """Read until an event is complete; return ``None`` at the end of the stream.
+
+        Raises ``WorkerUnresponsive`` if no event is complete within ``stall_timeout_s``.
+        """
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(stall_timeout_s):
-                piece = await connection.read_piece()
+                while (piece := await connection.read_piece()) is not None:
+                    worker.last_data_s = loop.time()
+                    events = splitter.feed(piece)
+                    if events:
+                        return events
+                return None
         except TimeoutError:
             # A stalled worker gets no new requests for a moment, like one that is full.
             worker.note_overloaded(loop.time())
             raise WorkerUnresponsive("stalled between events") from None
-        worker.last_data_s = loop.time()
-        return piece
 
     async def _relay_events(self, exchange: Exchange, events: list[StreamEvent]) -> None:
         for event in events:
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -21,6 +21,10 @@
 READ_AHEAD_BYTES = 1024 * 1024
 """Reading pauses when so much of an answer has not been taken."""
 
+MAX_UNDELIVERED_BYTES = 1024 * 1024
+"""An answer is broken off after so many bytes without its head or a piece of its body: a head,
+interim answers, an answer to another request, or trailers that do not end."""
+
 
 class ConnectFailed(Exception):
     """No connection came up, so nothing was sent.
@@ -67,6 +71,7 @@
         self._headers: list[Header] = []
         self._parts: deque[ReplyHead | bytes | None] = deque()
         self._queued_bytes = 0
+        self._undelivered_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._broken: ReplyBroken | None = None
         self._in_exchange = False
@@ -99,9 +104,10 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the server; bytes outside an exchange belong to no request."""
         self.last_received_at_s = self.last_bytes_at_s = self._loop.time()
-        if not self._in_exchange or self._parser is None:
+        if not self._in_exchange or self._parser is None or self._complete:
             self.close()
             return
+        self._undelivered_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserCallbackError) as problem:
@@ -111,6 +117,8 @@
         except httptools.HttpParserUpgrade:
             self.reusable = False
             self._break(ReplyBroken("protocol switch"))
+        if self._undelivered_bytes > MAX_UNDELIVERED_BYTES:
+            self._break(ReplyBroken("no answer within 1 MiB"))
 
     def eof_received(self) -> bool:
         """Note an orderly close; it ends a body that has no length."""
@@ -200,6 +208,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._parts.clear()
         self._queued_bytes = 0
+        self._undelivered_bytes = 0
         self._complete = False
         self._until_close = False
         self._no_body = method == "HEAD"
@@ -294,6 +303,7 @@
 
     def _put(self, part: ReplyHead | bytes | None) -> None:
         self._parts.append(part)
+        self._undelivered_bytes = 0
         self._wake()
 
     def _finish(self) -> None:
