Own interface: replies of back ends without end are broken off

Callers would see: threads and memory of a daemon taken for good by a back end that sends without end, or a byte now and then; an online request far past its deadline; load polls of all machines that stop.

Cause: the timeout of a socket bounds one read, not a reply; interim replies, a body up to the close and control replies had no bound in all. A stream's frame without end was kept, and each byte counted as a sign of life.

A stream breaks after 1 MiB without the end of a frame, and its silence is counted from the last whole frame.

--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -8,19 +8,21 @@
 from __future__ import annotations
 
 import http.client
+import logging
 import select
 import socket
 import threading
 import time
 from collections import defaultdict
+from dataclasses import dataclass
 from enum import Enum
 
 import orjson
-import urllib3
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError
 
 from mountstand.clock import elapsed_s
+from mountstand.engines.bounded_reply import read_reply_body, read_reply_head
 from mountstand.engines.port import (
     BackendAnswer,
     BackendPort,
@@ -38,12 +40,15 @@
     BackendUnreachable,
     DeadlineExceeded,
     Executed,
+    MountstandError,
 )
 from mountstand.store.http_adapters import HEADER_BYTES
 from mountstand.store.ports import Machine
 from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.transport.forwarders import TURNED_AWAY_PAUSE_S, TURNED_AWAY_S
 
+logger = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_S = 1.0
 CALLER_CHECK_INTERVAL_S = 0.25
 """How often a wait looks whether the caller left, and whether the deadline passed during sleep."""
@@ -69,6 +74,14 @@
     OTHER = "other"
 
 
+@dataclass(frozen=True, slots=True)
+class ControlReply:
+    """A whole reply to a request of the daemon's own."""
+
+    status: int
+    body: bytes
+
+
 class CallerLeft(BackendFailed):
     """The caller closed its connection while the back end was working."""
 
@@ -112,13 +125,10 @@
     def __init__(self, metrics: DaemonMetrics | None = None) -> None:
         self._metrics = metrics
         self._pool = ConnectionPool()
+        self._control_pool = ConnectionPool()
         self._answered_at_s: dict[tuple[str, int], float] = {}
         """When a machine last answered anything, by its address."""
 
-        self._control = urllib3.PoolManager(
-            num_pools=512, maxsize=2, retries=False, timeout=urllib3.Timeout(CONTROL_TIMEOUT_S)
-        )
-
     def call(
         self,
         machine: Machine,
@@ -133,7 +143,7 @@
         try:
             response = exchange_head(connection, request, deadline_s, caller_gone)
             self._note_answered(machine)
-            body = read_body(connection, response, deadline_s)
+            body = read_body(response)
             clean = not response.will_close
             check_answer(machine, request, response, body)
             return BackendAnswer(
@@ -143,10 +153,7 @@
                 load_figures(response),
             )
         finally:
-            if clean:
-                self._pool.give_back(machine, connection)
-            else:
-                connection.close()
+            end_exchange(self._pool, machine, connection, clean=clean)
 
     def open_stream(
         self,
@@ -162,7 +169,7 @@
             response = exchange_head(connection, request, deadline_s, caller_gone)
             self._note_answered(machine)
             if response.status != http.client.OK:
-                body = read_body(connection, response, deadline_s)
+                body = read_body(response)
                 check_answer(machine, request, response, body)
                 raise BackendFailed(f"status {response.status} instead of a stream")
             check_echo(machine, request, response)
@@ -196,11 +203,10 @@
 
     def cancel(self, machine: Machine, request_id: str) -> None:
         """Stop a dispatched request; best effort."""
-        url = f"http://{machine.address}:{machine.port}/v1/streams/{request_id}"
         try:
-            self._control.request("DELETE", url)
-        except HTTPError:
-            return
+            self._control_request(machine, "DELETE", f"/v1/streams/{request_id}", None)
+        except MountstandError as error:
+            logger.debug("cancel failed", extra={"worker": machine.machine_id, "code": error.code})
 
     def has_ended(self, machine: Machine) -> bool:
         """Return whether nothing listens there, or behind it; see :meth:`BackendPort.has_ended`."""
@@ -233,31 +239,36 @@
         """Give a fenced order; return ``False`` when the engine has seen a higher epoch."""
         body = {"epoch": order.epoch, "kind": "load_model"}
         body |= {"model": order.model, "version": order.version}
-        response = self._control_request(machine, "POST", "/orders", orjson.dumps(body))
-        return response.status == http.client.OK
+        reply = self._control_request(machine, "POST", "/orders", orjson.dumps(body))
+        return reply.status == http.client.OK
 
     def _get_json(self, machine: Machine, path: str) -> dict:
-        response = self._control_request(machine, "GET", path, None)
+        reply = self._control_request(machine, "GET", path, None)
         try:
-            return orjson.loads(response.data)
+            return orjson.loads(reply.body)
         except ValueError:
             raise BackendFailed(f"{machine.machine_id}: {path} is not JSON") from None
 
     def _control_request(
         self, machine: Machine, method: str, path: str, body: bytes | None
-    ) -> urllib3.BaseHTTPResponse:
-        url = f"http://{machine.address}:{machine.port}{path}"
+    ) -> ControlReply:
+        deadline_s = elapsed_s() + CONTROL_TIMEOUT_S
+        connection = self._control_pool.take(machine) or connect(machine, CONTROL_TIMEOUT_S)
+        clean = False
         try:
-            response = self._control.request(method, url, body=body)
+            connection.request(method, path, body=body)
+            response = read_reply_head(connection, deadline_s)
             self._note_answered(machine)
-            if self._metrics is not None:
-                moved = 2 * HEADER_BYTES + len(body or b"") + len(response.data)
-                self._metrics.control_bytes.labels("worker").inc(moved)
-            return response
-        except (NewConnectionError, ConnectTimeoutError):
-            raise BackendUnreachable(f"{machine.machine_id}: no connection") from None
-        except HTTPError as problem:
+            reply = ControlReply(response.status, read_reply_body(response))
+            clean = not response.will_close
+        except (OSError, http.client.HTTPException, HTTPError) as problem:
             raise BackendFailed(f"{machine.machine_id}: {type(problem).__name__}") from None
+        finally:
+            end_exchange(self._control_pool, machine, connection, clean=clean)
+        if self._metrics is not None:
+            moved = 2 * HEADER_BYTES + len(body or b"") + len(reply.body)
+            self._metrics.control_bytes.labels("worker").inc(moved)
+        return reply
 
 
 def probe(machine: Machine) -> Contact:
@@ -307,21 +318,27 @@
     try:
         connection.request(request.method, request.path, body=request.body, headers=headers)
         wait_for_answer(connection, deadline_s, caller_gone)
-        set_timeout(connection, deadline_s)
-        return http.client.HTTPConnection.getresponse(connection)
+        return read_reply_head(connection, deadline_s)
     except TimeoutError:
         raise DeadlineExceeded() from None
     except (OSError, http.client.HTTPException, HTTPError) as problem:
         raise BackendFailed(f"the exchange broke: {type(problem).__name__}") from None
 
 
-def read_body(
-    connection: HTTPConnection, response: http.client.HTTPResponse, deadline_s: float
-) -> bytes:
+def end_exchange(
+    pool: ConnectionPool, machine: Machine, connection: HTTPConnection, *, clean: bool
+) -> None:
+    """Keep a connection whose exchange ended cleanly, close any other."""
+    if clean:
+        pool.give_back(machine, connection)
+    else:
+        connection.close()
+
+
+def read_body(response: http.client.HTTPResponse) -> bytes:
     """Read the whole body; a body shorter than announced is an error."""
     try:
-        set_timeout(connection, deadline_s)
-        return response.read()
+        return read_reply_body(response)
     except TimeoutError:
         raise DeadlineExceeded() from None
     except (OSError, http.client.HTTPException) as problem:
@@ -345,12 +362,6 @@
             raise CallerLeft()
 
 
-def set_timeout(connection: HTTPConnection, deadline_s: float) -> None:
-    """Bound the next blocking read by the deadline."""
-    assert connection.sock is not None
-    connection.sock.settimeout(max(0.001, deadline_s - elapsed_s()))
-
-
 def buffered_bytes(connection: HTTPConnection, response: http.client.HTTPResponse) -> bytes:
     """Take the body bytes that have arrived, without waiting and without decoding them."""
     if response.fp is None or connection.sock is None:
--- a/mountstand/online/event_stream.py
+++ b/mountstand/online/event_stream.py
@@ -10,6 +10,9 @@
 
 FRAME_END = b"\n\n"
 DONE_FRAME = b"data: [DONE]\n\n"
+MAX_FRAME_BYTES = 1024 * 1024
+"""Bytes without the end of a frame after which a stream is malformed."""
+
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -33,6 +36,8 @@
         """Whole frames given out, the closing one not counted."""
         self.done = False
         """Whether the closing frame was given out."""
+        self.whole_frames = 0
+        """Whole frames received, those dropped and the closing one counted."""
         self._skip_frames = skip_frames
         self._pending = b""
         self._body: list[bytes] = []
@@ -46,12 +51,18 @@
         self._body.append(body)
 
     def feed(self, received: bytes) -> bytes:
-        """Take bytes from the back end; return the whole frames they complete."""
+        """Take bytes from the back end; return the whole frames they complete.
+
+        Raises :class:`MalformedStream`.
+        """
         body = self._decode(received)
         whole, separator, rest = (self._pending + body).rpartition(FRAME_END)
         self._pending = rest
+        if len(rest) > MAX_FRAME_BYTES:
+            raise MalformedStream("a frame without end")
         if not separator:
             return b""
+        self.whole_frames += (whole + separator).count(FRAME_END)
         return self._account(whole + separator)
 
     def _decode(self, received: bytes) -> bytes:
--- a/mountstand/online/stream_relay.py
+++ b/mountstand/online/stream_relay.py
@@ -60,7 +60,8 @@
     unsent: bytearray = field(default_factory=bytearray)
     finishing: bool = False
     paused: bool = False
-    last_read_s: float = 0.0
+    last_frame_s: float = 0.0
+    """When the back end last completed a frame."""
     last_write_s: float = 0.0
 
     @property
@@ -139,7 +140,7 @@
     def _start(self, stream: RelayedStream, now_s: float) -> None:
         stream.caller.setblocking(False)
         stream.upstream.setblocking(False)
-        stream.last_read_s = stream.last_write_s = now_s
+        stream.last_frame_s = stream.last_write_s = now_s
         stream.unsent += stream.head
         stream.head = b""
         self._selector.register(stream.upstream, selectors.EVENT_READ, (stream, False))
@@ -168,8 +169,10 @@
         if not received:
             self._end(stream, StreamEnd.BROKEN)
             return
-        stream.last_read_s = now_s
+        whole_frames = stream.decoder.whole_frames
         self._receive(stream, received)
+        if stream.decoder.whole_frames > whole_frames:
+            stream.last_frame_s = now_s
 
     def _receive(self, stream: RelayedStream, received: bytes) -> None:
         try:
@@ -245,7 +248,7 @@
         for stream in list(self._held):
             if stream.unsent and now_s - stream.last_write_s > STALLED_CALLER_S:
                 self._end(stream, StreamEnd.CALLER_LEFT)
-            elif not stream.paused and now_s - stream.last_read_s > SILENT_BACKEND_S:
+            elif not stream.paused and now_s - stream.last_frame_s > SILENT_BACKEND_S:
                 self._end(stream, StreamEnd.BROKEN)
 
 
