Quarantine: workers are reserved for a blocked content only once a trial began

Read-through of the change: a blocked request had a worker reserved for a trial that it would not get. The reader of replies has a typed buffer.

--- a/mountstand/engines/bounded_reply.py
+++ b/mountstand/engines/bounded_reply.py
@@ -10,6 +10,7 @@
 import io
 import socket
 from functools import partial
+from typing import Any
 
 from urllib3.connection import HTTPConnection
 
@@ -41,7 +42,7 @@
         """Return ``True``."""
         return True
 
-    def readinto(self, buffer) -> int | None:  # type: ignore[no-untyped-def]
+    def readinto(self, buffer: Any) -> int | None:
         """Read into ``buffer``; return the number of bytes, ``None`` if there are none yet."""
         if self._sock.gettimeout() != 0:
             left_s = self._deadline_s - elapsed_s()
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -99,14 +99,15 @@
         """Yield contents whose trial became due or was started by any daemon within ``within_s``.
 
         A trial counts as due ``TRIAL_JITTER_S`` before ``trial_at_s``, so that workers are reserved
-        before the first daemon starts it.
+        before the first daemon starts it. Blocked contents may be batch items with a trial.
         """
         for content, suspect in self.by_content.items():
-            is_batch_trial = suspect.trials.count and content in self._verdicts.blocked_until_s
-            if content not in self._verdicts.trial_required and not is_batch_trial:
+            requires_trial = content in self._verdicts.trial_required
+            if not requires_trial and content not in self._verdicts.blocked_until_s:
                 continue
             due_s = suspect.trial_at_s - TRIAL_JITTER_S
-            if suspect.trials.last_at_s >= now_s - within_s or 0 <= now_s - due_s <= within_s:
+            is_due = requires_trial and 0 <= now_s - due_s <= within_s
+            if is_due or suspect.trials.last_at_s >= now_s - within_s:
                 yield content
 
     def requires_trial(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
