Own interface: the last worker left gets all of a request's time

Cause: each try of a repeatable request got half of the time left, also where no other worker was left to use the rest: 1.25 s of 5 s for the good engine.

Change: a try gets half only while a worker that was not tried is left.

--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -150,12 +150,13 @@
             if machine is None:
                 break
             dispatch = to_backend_request(request)
+            timeout_s = self._try_timeout_s(request, excluded | {machine.machine_id})
             sent_at_s = elapsed_s()
             try:
                 with self._quarantine.running(request.content_key, machine) as allowed:
                     if not allowed:
                         self._refuse_suspect(request)
-                    result = send(machine, dispatch, try_timeout_s(request))
+                    result = send(machine, dispatch, timeout_s)
                 self._router.record_response_load(machine.machine_id, result.load)
                 return Dispatched(machine, dispatch.request_id, result)
             except RequestQuarantined as error:
@@ -173,6 +174,17 @@
                 self._metrics.online_retries.labels(error.code).inc()
         raise final_error(last_error, request, maybe_executed=maybe_executed)
 
+    def _try_timeout_s(self, request: OnlineRequest, tried: frozenset[str]) -> float:
+        """Return how long a try may take: all the time left, unless a worker is left to be tried.
+
+        ``tried`` holds the workers of all tries, that of the present one included.
+        """
+        left_s = max(0.0, request.deadline_s - elapsed_s())
+        route = RouteRequest(request.service, request.prefix, tried)
+        if not request.repeatable or not self._router.has_candidate(route):
+            return left_s
+        return min(left_s, max(MIN_TRY_S, left_s * FIRST_TRY_SHARE))
+
     def _refuse_suspect(self, request: OnlineRequest) -> None:
         """Raise ``RequestQuarantined`` unless a request may run beside other suspects."""
         self.check(request)
@@ -239,14 +251,6 @@
     )
 
 
-def try_timeout_s(request: OnlineRequest) -> float:
-    """Return how long one try may take."""
-    left_s = max(0.0, request.deadline_s - elapsed_s())
-    if not request.repeatable:
-        return left_s
-    return min(left_s, max(MIN_TRY_S, left_s * FIRST_TRY_SHARE))
-
-
 def final_error(
     last_error: MountstandError | None, request: OnlineRequest, *, maybe_executed: bool
 ) -> MountstandError:
--- a/mountstand/routing/router.py
+++ b/mountstand/routing/router.py
@@ -53,6 +53,12 @@
             self._view.record_dispatch_start(worker.worker_id)
             return worker.machine
 
+    def has_candidate(self, request: RouteRequest) -> bool:
+        """Return whether any worker may take ``request``, now or after a backoff."""
+        with self._lock:
+            candidates = self._view.candidates(request.service, elapsed_s())
+            return any(worker.worker_id not in request.excluded for worker in candidates)
+
     def end_dispatch(self, worker_id: str, outcome: DispatchOutcome) -> None:
         """Record the end and outcome of an online dispatch."""
         with self._lock:
