Soak: workers crash in bursts, whatever they run

--bursts, with a source of chance of its own: several workers crash at once, again and again, in place of requests and items that crash them; streams last 1.5 to 6 s.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -28,6 +28,9 @@
         keep_open=bool(case.get("keep_open", False)),
         series=bool(case.get("series", False)),
         zones=bool(case.get("zones", False)),
+        bursts=bool(case.get("bursts", False)),
+        workers=int(str(case.get("workers", Soak.workers))),
+        fault_gap_s=float(str(case.get("fault_gap_s", Soak.fault_gap_s))),
     )
     with tempfile.TemporaryDirectory() as folder:
         figures = asyncio.run(run_soak(options, Path(folder)))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -15,11 +15,12 @@
 import cappa
 
 from tests.soak.callers import Callers
-from tests.soak.crashing import CrashingCallers
+from tests.soak.crashing import CrashBursts, CrashingCallers
 from tests.soak.faults import FaultInjector
 from tests.soak.history import Violation
 from tests.soak.site import ROOT, Site
 from tests.soak.tenants import WINDOW_S
+from tests.soak.workers import EVENT_GAP_S, LONG_EVENT_GAP_S
 
 SETTLE_S = 30.0
 """After the last fault, all accepted work must end within this time."""
@@ -44,6 +45,9 @@
     fault_gap_s: Annotated[float, cappa.Arg(long=True, help="Mean time between faults")] = 1.0
     keep_open: Annotated[bool, cappa.Arg(long=True, help="Callers use connections again")] = False
     series: Annotated[bool, cappa.Arg(long=True, help="Faults come in series as well")] = False
+    bursts: Annotated[
+        bool, cappa.Arg(long=True, help="Workers crash in bursts, in place of by requests")
+    ] = False
     zones: Annotated[bool, cappa.Arg(long=True, help="Two zones; cold workers")] = False
     production: Annotated[str, cappa.Arg(long=True, help="Commit that runs at first")] = ""
     logs: Annotated[str, cappa.Arg(long=True, help="Folder that keeps the logs")] = ""
@@ -62,9 +66,16 @@
         crash_rng,
         zones=options.zones,
         code=code,
+        event_gap_s=LONG_EVENT_GAP_S if options.bursts else EVENT_GAP_S,
+    )
+    callers = Callers(
+        site, crash_rng, keeps_open=options.keep_open, crashing_items=not options.bursts
+    )
+    crashing: CrashBursts | CrashingCallers = (
+        CrashBursts(crash_rng, site.crash_some)
+        if options.bursts
+        else CrashingCallers(crash_rng, callers.send_crashing)
     )
-    callers = Callers(site, crash_rng, keeps_open=options.keep_open)
-    crashing_callers = CrashingCallers(crash_rng, callers.send_crashing)
     injector = FaultInjector(site, in_series=options.series)
     _check_routes_with(callers, injector, site)
     await site.start()
@@ -72,15 +83,15 @@
         online = [asyncio.create_task(callers.send_online()) for _ in range(options.callers)]
         jobs = asyncio.create_task(callers.send_jobs())
         faults = asyncio.create_task(injector.run(options.fault_gap_s))
-        crashing = asyncio.create_task(crashing_callers.run())
+        crashes = asyncio.create_task(crashing.run())
         if options.production:
             await _upgrade(options, injector, code)
         else:
             await asyncio.sleep(options.duration_s)
         injector.stopping = True
-        crashing_callers.stopping = True
+        crashing.stopping = True
         await faults
-        await crashing
+        await crashes
         callers.stopping = True
         await asyncio.gather(*online)
         _, late = await asyncio.wait([jobs], timeout=SETTLE_S)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -68,7 +68,15 @@
 class Callers:
     """Sends requests to the processes and checks what comes back."""
 
-    def __init__(self, site: Site, crash_rng: random.Random, *, keeps_open: bool = False) -> None:
+    def __init__(
+        self,
+        site: Site,
+        crash_rng: random.Random,
+        *,
+        keeps_open: bool = False,
+        crashing_items: bool = True,
+    ) -> None:
+        self._crashing_item_share = ITEM_SHARE if crashing_items else 0.0
         self._site = site
         self._keeps_open = keeps_open
         self._open_by_process: dict[str, list[OpenConnection]] = {}
@@ -219,7 +227,7 @@
         if rng.random() < 0.2:
             item_ids[-1] += "-undoable"
             self._history.given_up_reasons.add(item_ids[-1])
-        if self._crash_rng.random() < ITEM_SHARE:
+        if self._crash_rng.random() < self._crashing_item_share:
             item_ids.append(f"item-{number}-{MARK}")
         tenant = self._site.tenants.free_tenant()
         job = BatchJob(f"job-{number}", item_ids, tenant.name)
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -31,6 +31,13 @@
 ITEM_SHARE = 0.05
 """Share of jobs that hold an item which crashes workers."""
 
+BURST_GAP_S = 5.0
+CRASHES_PER_BURST = (3, 6)
+BURST_CRASH_SHARE = (0.3, 0.6)
+BURST_CRASH_GAP_S = (0.2, 0.6)
+"""Mean time between bursts of crashes; how often workers crash in one, how many of them at once,
+and the time from one such moment to the next."""
+
 AWAY_S = (0.5, 3.0)
 """How long a worker that crashed is away."""
 
@@ -77,6 +84,23 @@
             self._history.violate("BUDGET", request_id, detail, now_s)
 
 
+class CrashBursts:
+    """Lets several workers crash at once, again and again, whatever they run."""
+
+    def __init__(self, rng: random.Random, crash_some: Callable[[float], None]) -> None:
+        self._rng = rng
+        self._crash_some = crash_some
+        self.stopping = False
+
+    async def run(self) -> None:
+        """Play one burst after another until told to stop."""
+        while not self.stopping:
+            await asyncio.sleep(self._rng.expovariate(1 / BURST_GAP_S))
+            for _ in range(self._rng.randint(*CRASHES_PER_BURST)):
+                self._crash_some(self._rng.uniform(*BURST_CRASH_SHARE))
+                await asyncio.sleep(self._rng.uniform(*BURST_CRASH_GAP_S))
+
+
 class CrashingCallers:
     """Sends series of tries of contents that crash workers."""
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -19,7 +19,7 @@
 from tests.soak.history import CANCEL_S, DRAIN_S, MAX_ATTEMPTS, History
 from tests.soak.proxy import FaultProxy
 from tests.soak.tenants import OVERSHOOT, SLACK, WINDOW_S, SoakTenants
-from tests.soak.workers import SLOTS, SoakWorker
+from tests.soak.workers import EVENT_GAP_S, SLOTS, SoakWorker
 from tests.soak.zones import REGION, ZONES, SoakZones
 from tests.stand_ins.store import StandInStore
 
@@ -208,7 +208,9 @@
         *,
         zones: bool = False,
         code: Path = ROOT,
+        event_gap_s: float = EVENT_GAP_S,
     ) -> None:
+        self._event_gap_s = event_gap_s
         self._code = code
         self.history = History()
         self.zones = SoakZones(self.history, played=zones)
@@ -292,6 +294,7 @@
             self.crashing,
             self._note_crash,
             self.zones,
+            self._event_gap_s,
         )
         self.zones.add_worker(worker.worker_id, self._next_worker)
         self._next_worker += 1
@@ -302,6 +305,13 @@
         self.list_worker(worker, "ready")
         return worker
 
+    def crash_some(self, share: float) -> None:
+        """Crash a share of the workers at the same moment, whatever they run."""
+        live = [worker for worker in self.workers if not worker.crashed]
+        for worker in self._crash_rng.sample(live, round(share * len(live))):
+            worker.crashed = True
+            self._note_crash(worker)
+
     def _note_crash(self, worker: SoakWorker) -> None:
         task = asyncio.create_task(self._replace_crashed(worker))
         self._restarts.add(task)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -21,6 +21,9 @@
 
 SLOTS = 8
 EVENT_GAP_S = 0.02
+LONG_EVENT_GAP_S = 0.5
+"""Time between events, and between those of items long enough to be running in several crashes."""
+
 KEEP_ALIVE = "Keep-Alive: timeout=10"
 
 
@@ -46,7 +49,9 @@
         crashing: CrashingRuns,
         on_crash: Callable[[SoakWorker], None],
         zones: SoakZones,
+        event_gap_s: float = EVENT_GAP_S,
     ) -> None:
+        self._event_gap_s = event_gap_s
         self.worker_id = worker_id
         self.crashed = False
         self._crashing = crashing
@@ -110,7 +115,7 @@
         elif chance() < self.faults.answers_lost:
             reset(writer.transport)
         elif "plain" in req.target or "once" in req.target:
-            await asyncio.sleep(EVENT_GAP_S * self.faults.slow_factor)
+            await asyncio.sleep(self._event_gap_s * self.faults.slow_factor)
             await self._send(req, writer, "200 OK", whole_body(req.request_id))
         else:
             await self._stream(req, writer, chance() < self.faults.broken_midway)
@@ -137,5 +142,5 @@
                 return
             writer.write(chunk(event))
             await writer.drain()
-            await asyncio.sleep(EVENT_GAP_S * self.faults.slow_factor)
+            await asyncio.sleep(self._event_gap_s * self.faults.slow_factor)
         writer.write(b"0\r\n\r\n")
