Own interface: the first try leaves time for another, also at an only worker

Callers would see: a request to a service with one worker that takes its whole deadline and fails, since a kept connection had gone silent, though a new connection works.

Cause: gave a try all the time left where no untried worker remains, the very first one included.

Change: only a second or later try gets all the time.

--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -150,7 +150,8 @@
             if machine is None:
                 break
             dispatch = to_backend_request(request)
-            timeout_s = self._try_timeout_s(request, excluded | {machine.machine_id})
+            tried = excluded | {machine.machine_id}
+            timeout_s = self._try_timeout_s(request, tried, is_first=last_error is None)
             sent_at_s = elapsed_s()
             try:
                 with self._quarantine.running(request.content_key, machine) as allowed:
@@ -174,14 +175,20 @@
                 self._metrics.online_retries.labels(error.code).inc()
         raise final_error(last_error, request, maybe_executed=maybe_executed)
 
-    def _try_timeout_s(self, request: OnlineRequest, tried: frozenset[str]) -> float:
-        """Return how long a try may take: all the time left, unless a worker is left to be tried.
+    def _try_timeout_s(
+        self, request: OnlineRequest, tried: frozenset[str], *, is_first: bool
+    ) -> float:
+        """Return how long a try may take.
 
-        ``tried`` holds the workers of all tries, that of the present one included.
+        The first one leaves time for another, at the same worker if there is no other, since its
+        connection may be silent. A later one gets all the time left, unless a worker remains to be
+        tried. ``tried`` holds the workers of all tries, that of the present one included.
         """
         left_s = max(0.0, request.deadline_s - elapsed_s())
+        if not request.repeatable:
+            return left_s
         route = RouteRequest(request.service, request.prefix, tried)
-        if not request.repeatable or not self._router.has_candidate(route):
+        if not is_first and not self._router.has_candidate(route):
             return left_s
         return min(left_s, max(MIN_TRY_S, left_s * FIRST_TRY_SHARE))
 
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -24,10 +24,11 @@
 
 
 class FreezingBackend:
-    """Freezes the first worker that is asked, and lets all others answer after a while."""
+    """Never answers the first request, and lets its worker answer later ones if ``recovers``."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, recovers: bool) -> None:
         self.asked: list[str] = []
+        self._recovers = recovers
 
     def call(
         self,
@@ -38,7 +39,9 @@
     ) -> BackendAnswer:
         """Answer, or wait until ``timeout_s`` has passed."""
         self.asked.append(machine.machine_id)
-        needed_s = ANSWER_S if machine.machine_id != self.asked[0] else DEADLINE_S
+        is_first = len(self.asked) == 1
+        frozen = is_first or (machine.machine_id == self.asked[0] and not self._recovers)
+        needed_s = DEADLINE_S if frozen else ANSWER_S
         time.sleep(min(needed_s, timeout_s))
         if needed_s > timeout_s:
             raise DeadlineExceeded()
@@ -49,7 +52,7 @@
 
 
 class Tries(TestCase):
-    def dispatcher(self, workers: int) -> Dispatcher:
+    def dispatcher(self, workers: int, *, recovers: bool = False) -> Dispatcher:
         router = Router("a", 1)
         router.update_machines(
             Machine(
@@ -69,15 +72,23 @@
         quarantine = ContentQuarantine(
             "d", RecordingReportLink(), table, lambda machine: False, metrics, 1
         )
-        self.backend = FreezingBackend()
+        self.backend = FreezingBackend(recovers=recovers)
         return Dispatcher(router, self.backend, metrics, lambda service: None, quarantine)  # type: ignore[arg-type]
 
-    def test_last_worker_gets_all_the_time_left_beside_a_frozen_one(self) -> None:
-        """Otherwise a request fails although its deadline leaves a good worker time enough."""
+    def request(self) -> OnlineRequest:
         now_s = elapsed_s()
-        request = OnlineRequest(
+        return OnlineRequest(
             "r", "caption", "t", "POST", "/v1/completions", b"{}", now_s, now_s + DEADLINE_S
         )
-        dispatched = self.dispatcher(2).call(request)
+
+    def test_only_worker_is_asked_again_if_a_connection_to_it_went_silent(self) -> None:
+        """Otherwise the silent connection takes all of the request's time."""
+        dispatched = self.dispatcher(1, recovers=True).call(self.request())
+        self.assertEqual(200, dispatched.result.status)
+        self.assertEqual(["w0", "w0"], self.backend.asked)
+
+    def test_last_worker_gets_all_the_time_left_beside_a_frozen_one(self) -> None:
+        """Otherwise a request fails although its deadline leaves a good worker time enough."""
+        dispatched = self.dispatcher(2).call(self.request())
         self.assertEqual(200, dispatched.result.status)
         self.assertEqual(["w0", "w1"], sorted(self.backend.asked))
