Known failures: crashing items and requests with a late run too many

Not mended: it changes decisions on the platform.

Two loops in tests that could run for ever are bounded.

--- a/tests/integration/test_owed_items.py
+++ b/tests/integration/test_owed_items.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import signal
-import time
 from base64 import b64encode
 from contextlib import suppress
 
@@ -18,7 +17,7 @@
 from mountstand.lab.fleet_plan import FleetPlan
 from mountstand.serving.worker_protocol import Call
 from mountstand.transport.http_client import ConnectFailed, ReplyBroken
-from tests.integration.helpers import job, submit, wait_completed
+from tests.integration.helpers import job, submit, wait_completed, wait_until
 from tests.integration.test_crashing_request import SiteWorkers, configuration_with_once
 from tests.integration.test_platform_node import Process, Site, all_results
 from tests.stand_ins.crashing import CrashableWorker, RestartingWorkers
@@ -198,8 +197,10 @@
             self._crash(fleet, "unlucky")
             line = {"custom_id": "i0", "body": {"model": "caption", "prompt": "unlucky"}}
             submit(fleet, fleet.daemons[0], "unlucky-job", orjson.dumps(line))
-            while sum(run["label"].endswith(":0") for run in fleet.executions()) < 3:
-                time.sleep(0.02)
+            wait_until(
+                lambda: sum(run["label"].endswith(":0") for run in fleet.executions()) >= 3,
+                "the item has run three times",
+            )
             self._crash(fleet, "")
             wait_completed(fleet, fleet.daemons[1], "unlucky-job")
             counts = job(fleet, fleet.daemons[1], "unlucky-job")["request_counts"]
--- a/tests/model/test_crash_suspects.py
+++ b/tests/model/test_crash_suspects.py
@@ -84,3 +84,13 @@
     ] == []
     late = {seed: simulation.late_runs for seed, simulation in enumerate(simulations)}
     assert {seed: runs for seed, runs in late.items() if runs > MAX_LATE_RUNS} == {}
+
+
+@pytest.mark.parametrize(
+    ("seed", "loss_probability"), [(412, 0.0), (187, 0.3), (427, 0.3)], ids=lambda value: str(value)
+)
+def test_seed_with_a_late_run_too_many(seed: int, loss_probability: float) -> None:
+    """Seeds in which one of three crashing requests or items ran four times too late."""
+    simulation = Simulation(seed, 3, loss_probability)
+    assert simulation.incomplete_items == 0
+    assert simulation.late_runs <= MAX_LATE_RUNS
--- a/tests/unit/test_endless_backend.py
+++ b/tests/unit/test_endless_backend.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import itertools
 import socket
 import threading
 import time
@@ -25,6 +24,9 @@
 REQUEST = BackendRequest("r1", "POST", "/v1/completions", b"{}", 0)
 TIMEOUT_S = 3.0
 MARGIN_S = 2.0
+MAX_SENDING_S = 20.0
+"""How long a server sends at most, far longer than a reply may be read."""
+
 SOCKET_BUFFER_BYTES = 16 * 1024 * 1024
 """Bytes that may be under way between the two sockets when a reply is broken off."""
 
@@ -70,7 +72,8 @@
         try:
             conn.recv(65536)
             conn.sendall(self._start)
-            for _ in itertools.count():
+            stop_s = time.monotonic() + MAX_SENDING_S
+            while time.monotonic() < stop_s:
                 conn.sendall(self._piece)
                 self.sent_bytes += len(self._piece)
                 time.sleep(self._gap_s)
