Logs: software versions of workers, and which stream a request takes up

The versions at which the parts of a stream or of an item's output were written could not be told from the lines. They are read from the workers' rows and from the header that names the request which began the stream. No decision uses them yet.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -230,6 +230,7 @@
             "item_completed",
             item=progress.item.item_id,
             worker=worker.record.worker_id,
+            software=worker.record.software_version,
             **self._attempt_log_fields(progress),
         )
         return ItemResult(
@@ -325,6 +326,7 @@
             "item_attempt_failed",
             item=progress.item.item_id,
             worker=worker.record.worker_id,
+            software=worker.record.software_version,
             cause=cause,
             content=self.content_name(progress),
             failures=progress.failures,
--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -159,6 +159,7 @@
             body=request.body,
             prompt=parse_prompt(request.headers.get(names.PREFIX.lower())),
             last_event_id=number(request.headers.get(names.LAST_EVENT_ID.lower())),
+            resumed_request_id=request.headers.get(names.RESUMES.lower()) or "",
             tenant=tenant_name,
             tenant_weight=tenant.weight if tenant is not None else None,
             priority=tenant.effective_priority(route.priority) if tenant else route.priority,
--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -115,6 +115,7 @@
         version=row.version,
         started_at_ms=_field(fields, "born", int, 0),
         cold_remaining_s=_field(fields, "cold_left_ms", (int, float), 0) / 1000,
+        software_version=str(_field(fields, "version", (str, int), "")),
     )
 
 
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -89,6 +89,9 @@
     worker_id: str = ""
     """The worker of the latest attempt."""
 
+    software_version: str = ""
+    """The software version of that worker."""
+
     cause: str = ""
     """Why the latest attempt or the request failed, as logged."""
 
--- a/mountstand/serving/exchange_log.py
+++ b/mountstand/serving/exchange_log.py
@@ -31,6 +31,7 @@
             route=exchange.route.name,
             worker=worker.record.worker_id,
             worker_version=worker.record.version,
+            software=worker.record.software_version,
             outcome=outcome.value,
             cause=exchange.cause,
             content=None if without_run else content_name(exchange.call.content_key),
@@ -79,6 +80,8 @@
             tenant=exchange.call.tenant,
             priority=exchange.call.priority,
             worker=exchange.worker_id,
+            software=exchange.software_version,
+            resumes=exchange.call.resumed_request_id,
             status=status,
             outcome="caller gone"
             if left_before_reply
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -265,6 +265,7 @@
         """Make one attempt at a worker whose slot the request already holds."""
         exchange.tried_worker_ids.add(worker.record.worker_id)
         exchange.worker_id = worker.record.worker_id
+        exchange.software_version = worker.record.software_version
         now_s = asyncio.get_running_loop().time()
         exchange.estimated_load = worker.estimated_load(now_s)
         self._batch_scheduler.preempt_for_online(worker, now_s)
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -57,6 +57,9 @@
     cold_remaining_s: float = 0.0
     """Remaining length of the cold-start period when the record was written."""
 
+    software_version: str = ""
+    """Version of the worker's software; empty if it names none."""
+
 
 @dataclass(frozen=True)
 class LoadReport:
--- a/mountstand/serving/worker_protocol.py
+++ b/mountstand/serving/worker_protocol.py
@@ -32,6 +32,9 @@
     body: bytes
     prompt: Prompt = EMPTY_PROMPT
     last_event_id: int | None = None
+    resumed_request_id: str = ""
+    """Id of the request that brought the first event of the stream that is taken up, if any."""
+
     tenant: str = ""
     """Name of the caller's tenant, empty if callers need no API key."""
 
