Streams and batch items go on only at the software version that began them

What callers saw: streams held events of two versions of a back end. What two versions write does not fit together, and workers don't check it.

Cause: no code read the version that workers list. Whatever goes on with a stream chose among all workers of the service: an answer after a worker broke off, a caller that takes a stream up at any daemon, an item with saved progress.

Now a stream is bound to the software (service and version) of its first event. Within an answer only workers of that software are chosen, full ones again after a pause. A stream that nobody knows goes on only if there was no other software while it may have lasted; otherwise it is refused at once, as not run. Items wait for a slot at their software while it has workers, and begin anew otherwise; rows of progress tell the software after the bytes that the version before reads.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -61,6 +61,9 @@
     last_event_id: int | None = None
     """ID of the last complete event; the next attempt resumes after it."""
 
+    software_key: int | None = None
+    """The software that wrote the output so far, ``None`` if there is none."""
+
     failures: int = 0
     """Number of ``WORKER_ERROR_STATUS`` responses; broken streams do not count."""
 
@@ -100,6 +103,12 @@
         del self.texts[event_count:]
         self.last_event_id = last_event_id
 
+    def restart(self) -> None:
+        """Drop the whole output, so that any software may begin the item anew."""
+        self.truncate(0, None)
+        self.saved_event_id = None
+        self.software_key = None
+
     def preempt(self) -> None:
         """Close the item's connection to free its slot for online requests."""
         self.preempted = True
@@ -142,13 +151,28 @@
     async def attempt(
         self, progress: ItemProgress, route: Route, worker: Worker
     ) -> ItemResult | None:
-        """Make one attempt; return the final result, or ``None`` if the item must be retried."""
+        """Make one attempt; return the final result, or ``None`` if the item must be retried.
+
+        The item begins anew if other software than the worker's wrote its output so far.
+        """
+        if progress.software_key not in (None, worker.software_key):
+            self._restart(progress, worker)
         with self._context.quarantine.running(self._call(progress), worker):
             result = await self._attempt(progress, route, worker)
         if result is None and progress.sent_at_s is not None:
             await self._context.quarantine.wait_until_checked(worker)
         return result
 
+    def _restart(self, progress: ItemProgress, worker: Worker) -> None:
+        self._log(
+            "item_restarted",
+            item=progress.item.item_id,
+            worker=worker.record.worker_id,
+            software=worker.record.software_version,
+            events=len(progress.texts),
+        )
+        progress.restart()
+
     async def _attempt(
         self, progress: ItemProgress, route: Route, worker: Worker
     ) -> ItemResult | None:
@@ -255,6 +279,7 @@
             while (chunk := await connection.read_piece()) is not None:
                 worker.last_contact_s = worker.last_data_s = loop.time()
                 for event in splitter.feed(chunk):
+                    progress.software_key = worker.software_key
                     progress.texts.append(event.data.decode("utf-8", "replace"))
                     progress.last_event_id = event.event_id
                     output_bytes += len(event.raw)
--- a/mountstand/jobs/model.py
+++ b/mountstand/jobs/model.py
@@ -11,6 +11,9 @@
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
 from mountstand.transport.headers import Header
 
+SOFTWARE_KEY_BYTES = 4
+"""Bytes of :func:`mountstand.serving.software.software_key` in a row."""
+
 
 class ItemState(Enum):
     """Final state of an item."""
@@ -211,25 +214,38 @@
     """Checkpoint of an unfinished item, from which the next owner of the job resumes it.
 
     ``texts`` holds the texts of the complete stream events up to ``last_event_id``. ``failures``
-    counts the failed attempts.
+    counts the failed attempts. ``software_key`` names the software that wrote the texts, ``None``
+    if the row doesn't tell, as those of former versions of this program.
     """
 
     index: int
     last_event_id: int
     failures: int
     texts: list[str]
+    software_key: int | None = None
 
 
 def encode_progress(progress: SavedProgress) -> bytes:
-    """Serialize an item's progress for its row."""
+    """Serialize an item's progress for its row.
+
+    The software follows the compressed fields: former versions of this program read exactly four
+    fields, and nothing after the compressed stream.
+    """
     fields = [progress.index, progress.last_event_id, progress.failures, progress.texts]
-    return zlib.compress(orjson.dumps(fields), 1)
+    compressed = zlib.compress(orjson.dumps(fields), 1)
+    if progress.software_key is None:
+        return compressed
+    return compressed + progress.software_key.to_bytes(SOFTWARE_KEY_BYTES, "big")
 
 
 def decode_progress(value: bytes) -> SavedProgress:
     """Deserialize an item's progress from its row."""
-    index, last_event_id, failures, texts = orjson.loads(zlib.decompress(value))
-    return SavedProgress(index, last_event_id, failures, texts)
+    decompressor = zlib.decompressobj()
+    index, last_event_id, failures, texts = orjson.loads(decompressor.decompress(value))
+    software = decompressor.unused_data
+    is_known = len(software) == SOFTWARE_KEY_BYTES
+    software_key = int.from_bytes(software, "big") if is_known else None
+    return SavedProgress(index, last_event_id, failures, texts, software_key)
 
 
 def encode_result(result: ItemResult) -> bytes:
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -34,6 +34,10 @@
 BLOCKED_RECHECK_INTERVAL_S = 1.0
 """How often an item blocked by the quarantine is checked again."""
 
+SAME_SOFTWARE_WAIT_S = 2.0
+"""How long an item with output waits for a slot at the software that wrote it, before any slot may
+be taken and the item may begin anew. A whole run takes some seconds."""
+
 WAIT_LOG_INTERVAL_S = 5.0
 """How often ``items_waiting`` is logged, for items that have not run for at least this long."""
 
@@ -226,11 +230,14 @@
     def _restore(self, saved: SavedProgress) -> None:
         progress = self._progress.get(saved.index)
         if progress is not None:
-            progress.texts = list(saved.texts)
-            progress.last_event_id = saved.last_event_id
-            progress.saved_event_id = saved.last_event_id
-            progress.restored_from_store = True
             progress.failures = saved.failures
+            # Output of unknown software cannot be continued, so the item begins anew.
+            if saved.software_key is not None:
+                progress.texts = list(saved.texts)
+                progress.last_event_id = saved.last_event_id
+                progress.saved_event_id = saved.last_event_id
+                progress.software_key = saved.software_key
+                progress.restored_from_store = True
             self._stored_progress_indexes.add(saved.index)
 
     async def _save_periodically(self) -> None:
@@ -280,7 +287,8 @@
         if not changed or self._version == ABSENT:
             return
         saved = [
-            SavedProgress(p.index, p.last_event_id or 0, p.failures, list(p.texts)) for p in changed
+            SavedProgress(p.index, p.last_event_id or 0, p.failures, list(p.texts), p.software_key)
+            for p in changed
         ]
         await self._context.repository.save_progress(self.head, self._version, saved)
         for progress, saved_progress in zip(changed, saved, strict=True):
@@ -391,6 +399,9 @@
         progress.wait_cause = WaitCause.SLOT
         self._waiting_tasks.add(task)
         try:
+            placement = await self._wait_for_same_software(route, progress)
+            if placement is not None:
+                return placement
             service = self._context.service_chooser.choose(route)
             urgency = self._urgency(route, service, progress)
             pool_name = self._context.directory.pool_name(service, self._regions(route))
@@ -398,6 +409,30 @@
         finally:
             self._waiting_tasks.discard(task)
 
+    async def _wait_for_same_software(
+        self, route: Route, progress: ItemProgress
+    ) -> Placement | None:
+        """Wait for a slot at the software that wrote the item's output so far.
+
+        Returns ``None`` if it has no workers for the route, or no slot for a while.
+        """
+        software_key = progress.software_key
+        if software_key is None:
+            return None
+        directory = self._context.directory
+        service = directory.service_of_software(software_key)
+        if service is None or service not in {share.service for share in route.shares}:
+            return None
+        pool_name = directory.software_pool_name(software_key, self._regions(route))
+        if not directory.active_workers(pool_name):
+            return None
+        urgency = self._urgency(route, service, progress)
+        try:
+            async with asyncio.timeout(SAME_SOFTWARE_WAIT_S):
+                return await self._context.batch_scheduler.acquire(pool_name, urgency)
+        except TimeoutError:
+            return None
+
     def _regions(self, route: Route) -> Regions | None:
         """Return the regions in which this tenant's items on a route may run."""
         configuration = self._context.configuration()
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -80,6 +80,13 @@
     """The id after which a stream is resumed: of the last event sent to the caller, or before that
     the one that the caller named in its request."""
 
+    software_key: int | None = None
+    """The software that began the stream, which alone may go on with it; ``None`` before the first
+    event and for requests that are no stream."""
+
+    refusing_worker_ids: set[str] = field(default_factory=set)
+    """The tried workers that refused for lack of room."""
+
     unreachable_worker_ids: set[str] = field(default_factory=set)
     """The tried workers to which no connection could be opened."""
 
@@ -121,6 +128,11 @@
         """Whether the route allows another run of a request that may already have run."""
         return self.route.repeatable and self.runs < self.route.max_attempts
 
+    @property
+    def is_bound_midway(self) -> bool:
+        """Whether the caller has a part of a stream that one software alone may go on with."""
+        return self.software_key is not None and self.responder.started
+
     def end_pending_prefill(self) -> None:
         """Stop counting the prompt as pending: it was processed, or the attempt ended."""
         if self.pending_prefill is not None:
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -26,6 +26,7 @@
 from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.online_queue import OnlineQueue, start_deadlines
 from mountstand.serving.reply_relay import ReplyRelay
+from mountstand.serving.stream_service import StreamVersions
 from mountstand.serving.worker import PendingPrefill, Worker
 from mountstand.serving.worker_protocol import Call, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
@@ -47,6 +48,9 @@
 costs at most one connect timeout. If the service has fewer workers, unreachable ones are tried
 again, since the next connect over a lossy link usually succeeds."""
 
+FULL_RETRY_PAUSE_S = 0.1
+"""Pause before the workers that may go on with a broken stream are asked again, if all are full."""
+
 RETRY_AFTER_FULL_S = 0.2
 """``Retry-After`` of requests rejected because workers were full."""
 
@@ -71,6 +75,7 @@
         queue: OnlineQueue,
         batch_scheduler: BatchScheduler,
         quarantine: RequestQuarantine,
+        stream_versions: StreamVersions,
         metrics: ServingMetrics,
         log: DecisionLog,
     ) -> None:
@@ -81,7 +86,8 @@
         self._service_chooser = service_chooser
         self._batch_scheduler = batch_scheduler
         self._quarantine = quarantine
-        self._relay = ReplyRelay(directory, connections, protocol, batch_scheduler)
+        self._stream_versions = stream_versions
+        self._relay = ReplyRelay(directory, connections, protocol, batch_scheduler, stream_versions)
         self._metrics = metrics
         self._log = ExchangeLog(metrics, log)
         self.max_idle_connections_per_worker = 4
@@ -122,6 +128,9 @@
         """Try workers until one delivers a reply or no further attempt is allowed."""
         if self._reject_if_quarantined(exchange, None):
             return
+        if not await self._bind_taken_up_stream(exchange):
+            self._end_unsuccessfully(exchange)
+            return
         worker = await self._wait_for_worker(exchange, received_at_s)
         while not exchange.responder.finished:
             if self._reject_if_quarantined(exchange, worker):
@@ -151,7 +160,32 @@
                 return
             if outcome not in OUTCOMES_WITHOUT_RUN and self._quarantine.is_suspect(exchange.call):
                 await self._quarantine.wait_until_checked(worker)
-            worker = self._choose_worker(exchange)
+            worker = await self._choose_worker(exchange)
+
+    async def _bind_taken_up_stream(self, exchange: Exchange) -> bool:
+        """Bind a stream that the caller takes up to the software that began it.
+
+        Returns whether the request may be sent to workers.
+        """
+        call = exchange.call
+        if not exchange.route.resumable or not call.last_event_id:
+            return True
+        software_key = await self._stream_versions.find(call.resumed_request_id, exchange.route)
+        if software_key is None:
+            exchange.cause = "stream of unknown software"
+            return False
+        service = self._directory.service_of_software(software_key)
+        if service not in {share.service for share in exchange.route.shares}:
+            exchange.cause = "no worker of the stream's software"
+            return False
+        exchange.software_key = software_key
+        return True
+
+    def _pool_name(self, exchange: Exchange) -> str:
+        """Return the pool of the workers that may run the request, or go on with its stream."""
+        if exchange.software_key is None:
+            return exchange.pool_name
+        return self._directory.software_pool_name(exchange.software_key, exchange.call.regions)
 
     async def _wait_for_worker(self, exchange: Exchange, received_at_s: float) -> Worker | None:
         """Queue the request until a worker can start it soon, and return that worker.
@@ -167,7 +201,7 @@
             received_at_s, route.target_latency_s, caller_start_timeout_s, priority
         )
         worker = await self._queue.acquire(
-            exchange.pool_name, exchange.call.prompt, deadlines, exchange.call
+            self._pool_name(exchange), exchange.call.prompt, deadlines, exchange.call
         )
         exchange.queue_wait_s = asyncio.get_running_loop().time() - received_at_s
         return worker
@@ -204,7 +238,7 @@
         now_s = asyncio.get_running_loop().time()
         call = exchange.call
         other = self._directory.choose(
-            exchange.pool_name,
+            self._pool_name(exchange),
             call.prompt,
             exchange.tried_worker_ids,
             now_s,
@@ -229,16 +263,22 @@
         failed = worker_failed(exchange, outcome)
         worker.health.own.add(asyncio.get_running_loop().time(), failed=failed)
 
-    def _choose_worker(self, exchange: Exchange) -> Worker | None:
+    async def _choose_worker(self, exchange: Exchange) -> Worker | None:
         """Choose a worker for a further attempt and take a slot there.
 
-        Workers that could not be reached are tried again once all others were tried.
+        Workers that could not be reached are tried again once all others were tried. So are, after
+        a pause, full ones if the caller has a part of a stream that only they may go on with.
         """
         worker = self._choose_untried_worker(exchange)
         if worker is None and exchange.unreachable_worker_ids:
             exchange.tried_worker_ids -= exchange.unreachable_worker_ids
             exchange.unreachable_worker_ids.clear()
             worker = self._choose_untried_worker(exchange)
+        if worker is None and exchange.is_bound_midway and exchange.refusing_worker_ids:
+            await asyncio.sleep(FULL_RETRY_PAUSE_S)
+            exchange.tried_worker_ids -= exchange.refusing_worker_ids
+            exchange.refusing_worker_ids.clear()
+            worker = self._choose_untried_worker(exchange)
         if worker is not None:
             worker.in_flight += 1
         return worker
@@ -246,14 +286,14 @@
     def _choose_untried_worker(self, exchange: Exchange) -> Worker | None:
         now_s = asyncio.get_running_loop().time()
         return self._directory.choose(
-            exchange.pool_name, exchange.call.prompt, exchange.tried_worker_ids, now_s
+            self._pool_name(exchange), exchange.call.prompt, exchange.tried_worker_ids, now_s
         )
 
     def _may_retry(self, exchange: Exchange, outcome: Outcome) -> bool:
         """Count the failed attempt and return whether another worker may be tried."""
         if outcome in (Outcome.NOT_RUN, Outcome.OTHER_WORKER):
             exchange.refused_attempts += 1
-            return exchange.refused_attempts < MAX_REFUSED_ATTEMPTS
+            return exchange.is_bound_midway or exchange.refused_attempts < MAX_REFUSED_ATTEMPTS
         if outcome is Outcome.NOT_SENT:
             exchange.unsent_attempts += 1
             return exchange.unsent_attempts < MAX_UNSENT_ATTEMPTS
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -9,6 +9,7 @@
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
 from mountstand.serving.exchange import Exchange, Outcome, WorkerUnresponsive
+from mountstand.serving.stream_service import StreamVersions
 from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
@@ -43,11 +44,13 @@
         connections: WorkerConnections,
         protocol: WorkerProtocol,
         batch_scheduler: BatchScheduler,
+        stream_versions: StreamVersions,
     ) -> None:
         self._directory = directory
         self._connections = connections
         self._protocol = protocol
         self._batch_scheduler = batch_scheduler
+        self._stream_versions = stream_versions
 
     async def run(
         self, exchange: Exchange, worker: Worker, connection: ClientConnection
@@ -115,6 +118,7 @@
             self._directory.forget(worker)
             return Outcome.OTHER_WORKER
         exchange.cause = "worker full"
+        exchange.refusing_worker_ids.add(worker.record.worker_id)
         worker.note_overloaded(now_s)
         return Outcome.NOT_RUN
 
@@ -163,6 +167,7 @@
             events = await self._read_events(worker, connection, splitter, stall_timeout_s)
             if events is None:
                 break
+            self._bind_stream(exchange, worker)
             await self._relay_events(exchange, events)
         if splitter.partial:
             exchange.cause = "ended within an event"
@@ -195,6 +200,16 @@
             worker.note_overloaded(loop.time())
             raise WorkerUnresponsive("stalled between events") from None
 
+    def _bind_stream(self, exchange: Exchange, worker: Worker) -> None:
+        """Bind a resumable stream to the software of its first event's worker.
+
+        Other daemons are told before the caller gets the event, so that they know the stream when
+        the caller takes it up there.
+        """
+        if exchange.route.resumable and exchange.software_key is None:
+            exchange.software_key = worker.software_key
+            self._stream_versions.note_begun(exchange.call.request_id, worker.software_key)
+
     async def _relay_events(self, exchange: Exchange, events: list[StreamEvent]) -> None:
         for event in events:
             if event.event_id is not None:
--- a/mountstand/serving/worker.py
+++ b/mountstand/serving/worker.py
@@ -9,6 +9,7 @@
 
 from mountstand.serving.cold_workers import ColdStartBudget
 from mountstand.serving.prompt import Prompt
+from mountstand.serving.software import software_key
 from mountstand.serving.worker_health import WorkerHealth, new_health
 
 LOAD_REPORT_MAX_AGE_S = 2.0
@@ -134,6 +135,11 @@
         """Number that identifies the worker's process in messages between daemons."""
         return zlib.crc32(self.incarnation.encode())
 
+    @cached_property
+    def software_key(self) -> int:
+        """Number that stands for the service and version of the worker's software."""
+        return software_key(self.record.service, self.record.software_version)
+
     @property
     def withdrawn_since_s(self) -> float | None:
         """Since when the worker gets no new work because it is leaving or its zone is evacuated."""
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -9,7 +9,8 @@
 
 from mountstand.serving.cold_workers import ColdStartBudget, ColdStartLimit, ColdStartShares
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt
-from mountstand.serving.residency import Geography, Regions
+from mountstand.serving.residency import ANYWHERE, Geography, Regions
+from mountstand.serving.software import SoftwareHistory
 from mountstand.serving.worker import Worker, WorkerRecord
 from mountstand.serving.worker_choice import WorkerChooser
 from mountstand.serving.worker_health import eject_outliers
@@ -32,8 +33,8 @@
     ``withdrawn_grace_s`` is how long a withdrawn worker may still be used if no other worker of its
     service is reachable. Indexes are rebuilt lazily by the first look-up after a change, since
     startup brings thousands of changes at once. A pool is the part of a service's workers that is
-    in given regions; the service's name stands for the pool of all its workers, so all look-ups by
-    service also take the name of a pool.
+    in given regions, or that runs a given version of its software; the service's name stands for
+    the pool of all its workers, so all look-ups by service also take the name of a pool.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         self._geography = geography or Geography()
         self._pool_by_name: dict[str, _Pool] = {}
         self._evacuated_since_s: dict[str, float] = {}
+        self.software_history = SoftwareHistory()
         self._cold_limit_by_service: Mapping[str, ColdStartLimit] = {}
         self._cold_shares: ColdStartShares | None = None
 
@@ -71,6 +73,7 @@
             started_at_ms = record.started_at_ms or known.record.started_at_ms
             known.record = replace(record, started_at_ms=started_at_ms)
             known.evacuated_since_s = self._evacuated_since_s.get(record.zone)
+        self.software_history.note(record.service, known.software_key, now_s)
         if known.cold_budget is not None:
             known.cold_budget.extend_cold_period(now_s + record.cold_remaining_s)
         if not record.draining:
@@ -110,6 +113,7 @@
 
     def replace_all(self, records: Iterable[WorkerRecord], now_s: float) -> None:
         """Apply a complete list: update the listed workers and mark all others as leaving."""
+        self.software_history.restart(now_s)
         listed = {record.worker_id: record for record in records}
         for worker_id, known in self.workers.items():
             if worker_id not in listed:
@@ -127,13 +131,33 @@
             self._index = None
         return name
 
+    def software_pool_name(self, software_key: int, regions: Regions | None) -> str:
+        """Return the name of the pool of the workers in ``regions`` with a software."""
+        name = f"software {software_key:08x}"
+        if regions is not None:
+            name += f" in {', '.join(sorted(regions))}"
+        if name not in self._pool_by_name:
+            self._pool_by_name[name] = _Pool(regions=regions, software_key=software_key)
+            self._index = None
+        return name
+
+    def service_of_software(self, software_key: int) -> str | None:
+        """Return the service of a software that has workers, ``None`` if it has none."""
+        return next(
+            (
+                worker.record.service
+                for worker in self.workers.values()
+                if worker.software_key == software_key
+            ),
+            None,
+        )
+
     def pool_contains(self, pool_name: str, worker: Worker) -> bool:
         """Return whether a worker belongs to a pool or service."""
         definition = self._pool_by_name.get(pool_name)
         if definition is None:
             return pool_name == worker.record.service
-        allowed = self._geography.allows(definition.regions, worker.record.zone)
-        return allowed and definition.service == worker.record.service
+        return definition.contains(worker, self._geography)
 
     def pool_names_of(self, worker: Worker) -> list[str]:
         """Return the names of a worker's service and of all pools that contain it."""
@@ -195,7 +219,10 @@
         return newly
 
     def sweep(self, now_s: float) -> None:
-        """Drop idle workers that have been leaving for more than ``LEAVING_RETENTION_S`` ago."""
+        """Drop idle workers that have been leaving for more than ``LEAVING_RETENTION_S`` ago.
+
+        Also drops the pools of software that no worker has any more.
+        """
         for worker_id, known in list(self.workers.items()):
             since_s = known.leaving_since_s
             if (
@@ -205,6 +232,18 @@
             ):
                 del self.workers[worker_id]
                 self._index = None
+        for worker in self.workers.values():
+            if worker.leaving_since_s is None:
+                self.software_history.note(worker.record.service, worker.software_key, now_s)
+        self.software_history.expire(now_s)
+        self._drop_pools_without_software()
+
+    def _drop_pools_without_software(self) -> None:
+        keys = {worker.software_key for worker in self.workers.values()}
+        for name, pool in list(self._pool_by_name.items()):
+            if pool.software_key is not None and pool.software_key not in keys:
+                del self._pool_by_name[name]
+                self._index = None
 
     def forget(self, worker: Worker) -> None:
         """Drop a worker whose address now belongs to another worker."""
@@ -334,8 +373,10 @@
 def _has_restarted(known: WorkerRecord, record: WorkerRecord) -> bool:
     """Return whether two records with the same worker id belong to different processes.
 
-    Without both start times this is unknown and taken as no restart.
+    Without both start times, only another software version tells.
     """
+    if known.software_version != record.software_version:
+        return True
     return (
         known.started_at_ms > 0
         and record.started_at_ms > 0
@@ -345,10 +386,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _Pool:
-    """Definition of a pool: a service restricted to some regions."""
+    """Definition of a pool: a service or a software, restricted to some regions."""
+
+    service: str | None = None
+    regions: Regions | None = ANYWHERE
+    software_key: int | None = None
 
-    service: str
-    regions: Regions
+    def contains(self, worker: Worker, geography: Geography) -> bool:
+        """Return whether a worker belongs to the pool."""
+        if not geography.allows(self.regions, worker.record.zone):
+            return False
+        if self.software_key is not None:
+            return self.software_key == worker.software_key
+        return self.service == worker.record.service
 
 
 class _WorkerIndex:
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -36,6 +36,7 @@
 from mountstand.serving.residency import Regions
 from mountstand.serving.slot_demand import WorkKind
 from mountstand.serving.slot_lending import SlotLending
+from mountstand.serving.stream_service import StreamVersions
 from mountstand.serving.worker_ends import WorkerCrashDetector
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
@@ -62,6 +63,8 @@
     SlotAsk,
     SlotGrant,
     SlotReturn,
+    StreamOrigin,
+    StreamQuery,
     TokenAsk,
     TokenGrant,
 )
@@ -156,6 +159,12 @@
         )
         self.quarantine.on_blocked = self.queue.reject
         self.queue.on_over_share_changed = self._report_tenants_over_share
+        self._stream_versions = StreamVersions(
+            MembershipMessageLink(self.membership),
+            self.directory.software_history,
+            self._worker_list_is_fresh,
+            log,
+        )
         self.forwarder = Forwarder(
             self.directory,
             self.connections,
@@ -164,6 +173,7 @@
             self.queue,
             self.batch_scheduler,
             self.quarantine,
+            self._stream_versions,
             metrics,
             log,
         )
@@ -336,6 +346,11 @@
         age_s = self.feeds.daemons.age_s(asyncio.get_running_loop().time())
         return age_s > self.settings.contact_s
 
+    def _worker_list_is_fresh(self) -> bool:
+        """Return whether this daemon cannot have missed workers that came and went."""
+        now_s = asyncio.get_running_loop().time()
+        return self.feeds.workers.age_s(now_s) <= self.settings.contact_s
+
     def store_age_s(self) -> float:
         """Return an upper bound on the staleness of this daemon's view of the jobs."""
         return self.feeds.jobs.age_s(asyncio.get_running_loop().time())
@@ -359,6 +374,7 @@
         self._listeners.set_limits(configuration.limits)
         self._limits.set_tenants(configuration.tenants)
         self._zones.apply_configuration(configuration)
+        self._stream_versions.apply_configuration(configuration)
 
     def _schedule_share_update(self) -> None:
         """Schedule an update of the shares after a fleet change, unless one is pending."""
@@ -390,6 +406,7 @@
             1, min(MAX_IDLE_CONNECTIONS_PER_WORKER, max_idle)
         )
         self._limits.redistribute(self.directory.slots())
+        self._stream_versions.handle_fleet_change()
 
     def _handle_peer_message(self, sender_id: str, message: GossipMessage) -> None:
         if isinstance(message, LoadDigest):
@@ -399,6 +416,8 @@
             self._limits.handle(sender_id, message)
         elif isinstance(message, SlotAsk | SlotGrant | SlotReturn):
             self._lending.handle(sender_id, message)
+        elif isinstance(message, StreamOrigin | StreamQuery):
+            self._stream_versions.handle(sender_id, message)
         elif isinstance(message, CrashReport | CrashQuery):
             self.quarantine.handle(sender_id, message)
 
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -164,6 +164,27 @@
     """Asks a daemon for all that it knows of such contents."""
 
 
+UNKNOWN_SOFTWARE = -1
+"""Stands in ``StreamOrigin.software`` for a stream that the sender doesn't know."""
+
+
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
+    """Tells which software began a stream, unasked or in answer to a ``StreamQuery``.
+
+    ``stream`` is :func:`mountstand.serving.stream_origins.stream_key` of the request that brought
+    its first event, ``software`` is :func:`mountstand.serving.software.software_key`.
+    """
+
+    stream: int
+    software: int
+
+
+class StreamQuery(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a daemon which software began a stream."""
+
+    stream: int
+
+
 GossipMessage = (
     Ping
     | PingRequest
@@ -177,6 +198,8 @@
     | SlotReturn
     | CrashReport
     | CrashQuery
+    | StreamOrigin
+    | StreamQuery
 )
 
 KINDS: dict[int, type[GossipMessage]] = {
@@ -192,6 +215,8 @@
     24: SlotReturn,
     25: CrashReport,
     26: CrashQuery,
+    27: StreamOrigin,
+    28: StreamQuery,
 }
 
 
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -229,7 +229,25 @@
     raise AssertionError(f"{len(found)} of {items} results")
 
 
-class WholePath(TestCase):
+class ResolvingTestCase(TestCase):
+    """A test case with processes that come to know each other."""
+
+    async def check_resolve(self, site: Site) -> None:
+        """Wait until the first process refers callers to all processes."""
+        addresses = {f"127.0.0.1:{process.ports['front']}" for process in site.processes}
+        for _ in range(100):
+            answer = await site.processes[0].call(
+                "GET", f"/resolve?name={HOST}&zone=zone-a", port="directory"
+            )
+            found = orjson.loads(answer.body)
+            if set(found["addresses"]) == addresses:
+                self.assertTrue(0 < found["ttl_s"] <= 5)
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"{found['addresses']} instead of {addresses}")
+
+
+class WholePath(ResolvingTestCase):
     def test_online_batch_resolve_and_figures(self) -> None:
         async def scenario() -> None:
             async with Site(2, StandInWorker("w0", stream(4))) as site:
@@ -240,7 +258,7 @@
                 self.assertEqual("stamp-r1", answer.headers["response-stamp"])
                 self.assertEqual(404, (await first.call("GET", "/none/x")).status)
 
-                await self._check_resolve(site)
+                await self.check_resolve(site)
                 handed_in = await first.call(
                     "POST", "/batch/x", body=job_document(3), headers={"Request-Id": "job1"}
                 )
@@ -258,19 +276,6 @@
 
         run(scenario())
 
-    async def _check_resolve(self, site: Site) -> None:
-        addresses = {f"127.0.0.1:{process.ports['front']}" for process in site.processes}
-        for _ in range(100):
-            answer = await site.processes[0].call(
-                "GET", f"/resolve?name={HOST}&zone=zone-a", port="directory"
-            )
-            found = orjson.loads(answer.body)
-            if set(found["addresses"]) == addresses:
-                self.assertTrue(0 < found["ttl_s"] <= 5)
-                return
-            await asyncio.sleep(0.05)
-        raise AssertionError(f"{found['addresses']} instead of {addresses}")
-
     def test_malformed_jobs_get_a_400(self) -> None:
         cases = {
             "no json": b"{",
--- a/tests/integration/test_stream_versions.py
+++ b/tests/integration/test_stream_versions.py
@@ -5,10 +5,8 @@
 import asyncio
 import signal
 
-from testtools import TestCase
-
 from mountstand.transport.http_client import ClientConnection, ReplyBroken, connect
-from tests.integration.test_platform_node import Answer, Process, Site
+from tests.integration.test_platform_node import Answer, Process, ResolvingTestCase, Site
 from tests.stand_ins.harness import HOST, eventually, run
 from tests.stand_ins.worker import StandInWorker, event, stream
 
@@ -103,13 +101,17 @@
     return versions
 
 
-class TakenUp(TestCase):
+class TakenUp(ResolvingTestCase):
     def workers(self, version: str, count: int) -> list[StandInWorker]:
         answer = stream(EVENTS, gap_s=EVENT_GAP_S)
         return [StandInWorker(f"{version}-{n}", answer) for n in range(count)]
 
     async def begin_streams(self, site: VersionedSite, process: Process) -> list[Caller]:
-        """Begin streams at a process and wait until each has some events."""
+        """Begin streams at a process and wait until each has some events.
+
+        They begin once the processes know each other.
+        """
+        await self.check_resolve(site)
         callers = [Caller(number) for number in range(STREAMS)]
         self.reading = [asyncio.create_task(caller.begin(process)) for caller in callers]
         await eventually(lambda: all(caller.events > 2 for caller in callers), "all have begun")
@@ -187,6 +189,7 @@
             workers = [*self.workers("v1", 1), *self.workers("v2", 1)]
             async with VersionedSite(1, *workers) as site:
                 caller = Caller(0)
+                caller.received = event(1)
                 for names_first in (True, False):
                     answer = await caller.go_on(site.processes[0], names_first=names_first)
                     self.assertEqual(503, answer.status)
--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -50,6 +50,7 @@
             fleet.queue,
             fleet.batch_scheduler,
             fleet.quarantine,
+            fleet.stream_versions,
             fleet.metrics,
             fleet.log,
         )
--- a/tests/stand_ins/harness.py
+++ b/tests/stand_ins/harness.py
@@ -23,12 +23,14 @@
 )
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.online_queue import OnlineQueue
+from mountstand.serving.stream_service import StreamVersions
 from mountstand.serving.worker import WorkerRecord
 from mountstand.serving.worker_ends import WorkerCrashDetector
 from mountstand.serving.workers import WorkerDirectory
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_server import ServerLimits
+from tests.stand_ins.peer_link import RecordingPeerLink
 from tests.stand_ins.report_link import RecordingReportLink
 from tests.stand_ins.worker import StandInWorker
 
@@ -112,6 +114,9 @@
         self.quarantine = RequestQuarantine(
             "test", self.crash_detector, self.link, self.rng, self.metrics, self.log
         )
+        self.stream_versions = StreamVersions(
+            RecordingPeerLink(), self.directory.software_history, lambda: True, self.log
+        )
 
     async def __aenter__(self) -> Fleet:
         """Start the workers and add them to the directory."""
