Own interface: a broken stream is run again only at the software version that began it

A stream whose engine could not resume it was run again at any engine of the service, and the frames already given were dropped by count. Another version of the engine writes other frames, so that the answer held parts of two. The machine list may name the version of a worker's software; once frames were given, only workers of the same version are chosen, and the caller is told if there is none.

--- a/mountstand/emulator/platform_apps.py
+++ b/mountstand/emulator/platform_apps.py
@@ -134,7 +134,10 @@
         entity_tag = f'"{shown.time_s}"'
         if request.headers.get("If-None-Match") == entity_tag:
             return web.Response(status=304, headers={"ETag": entity_tag})
-        listed = [machine.model_dump(mode="json") for machine in shown.machines.values()]
+        listed = [
+            machine.model_dump(mode="json", exclude_defaults=True)
+            for machine in shown.machines.values()
+        ]
         response = web.json_response({"machines": listed}, headers={"ETag": entity_tag})
         response.enable_compression()
         return response
--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -187,7 +187,7 @@
         left_s = max(0.0, request.deadline_s - elapsed_s())
         if not request.repeatable:
             return left_s
-        route = RouteRequest(request.service, request.prefix, tried)
+        route = _route(request, tried)
         if not is_first and not self._router.has_candidate(route):
             return left_s
         return min(left_s, max(MIN_TRY_S, left_s * FIRST_TRY_SHARE))
@@ -201,12 +201,12 @@
     def _choose(
         self, request: OnlineRequest, excluded: frozenset[str], last_error: MountstandError | None
     ) -> Machine | None:
-        route = RouteRequest(request.service, request.prefix, excluded)
+        route = _route(request, excluded)
         machine = self._router.begin_dispatch(route)
         if machine is None and last_error is not None:
             # Every worker was tried or refuses just now: those tried may be asked again once.
             time.sleep(max(0.0, min(NO_WORKER_PAUSE_S, request.deadline_s - elapsed_s())))
-            machine = self._router.begin_dispatch(RouteRequest(request.service, request.prefix))
+            machine = self._router.begin_dispatch(_route(request, frozenset()))
         return machine
 
     def _learn(
@@ -245,6 +245,10 @@
             return self._budget.withdraw()
 
 
+def _route(request: OnlineRequest, excluded: frozenset[str]) -> RouteRequest:
+    return RouteRequest(request.service, request.prefix, excluded, request.software_version)
+
+
 def to_backend_request(request: OnlineRequest) -> BackendRequest:
     """Return a dispatch of ``request`` under a fresh id."""
     return BackendRequest(
--- a/mountstand/online/request.py
+++ b/mountstand/online/request.py
@@ -29,6 +29,9 @@
         Names a not-repeatable request across resends; empty when there is none.
     prefix
         Leading cache blocks of the prompt.
+    software_version
+        Version of the software that alone may run it, since it goes on with a stream that a worker
+        of this version began; ``None`` if any may.
     """
 
     request_id: str
@@ -45,6 +48,7 @@
     prefix: tuple[str, ...] = ()
     headers: dict[str, str] = field(default_factory=dict)
     caller_gone: CallerGone | None = None
+    software_version: str | None = None
 
     @cached_property
     def content_key(self) -> int:
--- a/mountstand/online/service.py
+++ b/mountstand/online/service.py
@@ -218,11 +218,16 @@
         return True
 
     def _run_again(self, lease: StreamLease, stream: RelayedStream) -> None:
-        """Run the request on another worker and drop the frames already relayed."""
+        """Run the request on another worker and drop the frames already relayed.
+
+        Another version of the worker's software would not write the same frames again.
+        """
         if not lease.request.repeatable:
             raise MountstandError("the stream broke and must not run twice")
         self._dispatcher.cancel(lease.machine, lease.request_id)
         again = extend_deadline(lease.request, RECOVERY_TIMEOUT_S)
+        if stream.frames_relayed:
+            again = replace(again, software_version=lease.machine.software_version)
         opened = self._dispatcher.open_stream(again, frozenset({lease.machine.machine_id}))
         self._dispatcher.end_stream(lease.machine, DispatchOutcome.FAILED)
         lease.machine = opened.machine
--- a/mountstand/routing/chooser.py
+++ b/mountstand/routing/chooser.py
@@ -16,6 +16,7 @@
 
 from mountstand.routing.fleet_view import FleetView, WorkerState
 from mountstand.routing.prefix_index import PrefixIndex
+from mountstand.store.ports import Machine
 
 SPILL_LOAD_THRESHOLD = 0.9
 """Other zones are considered once the least loaded home worker reaches this load.
@@ -41,12 +42,20 @@
     """Routing criteria of one request.
 
     ``prefix`` holds the hashes of the prompt's leading blocks, in order. ``excluded`` holds the ids
-    of workers that must not be chosen.
+    of workers that must not be chosen. Only workers with ``software_version`` are chosen, unless it
+    is ``None``.
     """
 
     service: str
     prefix: tuple[str, ...] = ()
     excluded: frozenset[str] = frozenset()
+    software_version: str | None = None
+
+    def allows(self, machine: Machine) -> bool:
+        """Return whether a worker may be chosen as far as its id and its software go."""
+        if machine.machine_id in self.excluded:
+            return False
+        return self.software_version in (None, machine.software_version)
 
 
 class WorkerChooser:
@@ -81,7 +90,7 @@
         candidates = [
             worker
             for worker in self._view.candidates(request.service, now_s)
-            if worker.worker_id not in request.excluded and worker.backoff_until_s <= now_s
+            if request.allows(worker.machine) and worker.backoff_until_s <= now_s
         ]
         candidates = self._apply_zone_weights(candidates)
         if not candidates:
--- a/mountstand/routing/fleet_view.py
+++ b/mountstand/routing/fleet_view.py
@@ -234,8 +234,9 @@
 
 def is_replaced(previous: Machine, listed: Machine) -> bool:
     """Return whether a machine id now identifies another process."""
-    return (previous.address, previous.port, previous.service) != (
+    return (previous.address, previous.port, previous.service, previous.software_version) != (
         listed.address,
         listed.port,
         listed.service,
+        listed.software_version,
     )
--- a/mountstand/routing/router.py
+++ b/mountstand/routing/router.py
@@ -57,7 +57,7 @@
         """Return whether any worker may take ``request``, now or after a backoff."""
         with self._lock:
             candidates = self._view.candidates(request.service, elapsed_s())
-            return any(worker.worker_id not in request.excluded for worker in candidates)
+            return any(request.allows(worker.machine) for worker in candidates)
 
     def end_dispatch(self, worker_id: str, outcome: DispatchOutcome) -> None:
         """Record the end and outcome of an online dispatch."""
--- a/mountstand/store/ports.py
+++ b/mountstand/store/ports.py
@@ -131,7 +131,11 @@
 
 
 class Machine(BaseModel):
-    """One machine of the platform's list; ``service`` names what its worker serves."""
+    """One machine of the platform's list; ``service`` names what its worker serves.
+
+    ``software_version`` is that of the worker's software, empty if the list doesn't tell. Daemons
+    that don't know the field reject a list with it.
+    """
 
     model_config = ConfigDict(frozen=True, extra="forbid")
 
@@ -142,6 +146,7 @@
     zone: str
     service: str = ""
     state: MachineState = MachineState.LIVE
+    software_version: str = ""
 
     @property
     def leaving(self) -> bool:
--- a/tests/unit/test_chooser.py
+++ b/tests/unit/test_chooser.py
@@ -14,7 +14,9 @@
 PREFIX_BLOCKS = ("block1", "block2", "block3")
 
 
-def make_machine(number: int, zone: str, state: MachineState = MachineState.LIVE) -> Machine:
+def make_machine(
+    number: int, zone: str, state: MachineState = MachineState.LIVE, software_version: str = ""
+) -> Machine:
     return Machine(
         machine_id=f"w{number}",
         role=MachineRole.ENGINE,
@@ -23,6 +25,7 @@
         zone=zone,
         service="caption",
         state=state,
+        software_version=software_version,
     )
 
 
@@ -53,6 +56,17 @@
         # Home workers may still be chosen once all zones are considered.
         self.assertEqual({"w2", "w3"}, self.chosen_worker_ids() - {"w0", "w1"})
 
+    def test_only_workers_of_the_wanted_software_version(self) -> None:
+        """Guards against a stream that another software version goes on with."""
+        versions = ("v1", "v2", "v2", "v1")
+        self.view.update_machines(
+            make_machine(n, "home", software_version=version) for n, version in enumerate(versions)
+        )
+        self.assertEqual({"w0", "w3"}, self.chosen_worker_ids(software_version="v1"))
+        excluded = frozenset({"w0"})
+        self.assertEqual({"w3"}, self.chosen_worker_ids(software_version="v1", excluded=excluded))
+        self.assertEqual(set(), self.chosen_worker_ids(software_version="v3"))
+
     def test_prefers_prefix_holder_within_load_limit(self) -> None:
         self.chooser.prefix_index.record_stored(PREFIX_BLOCKS[0], "w1")
         self.chooser.prefix_index.record_stored(PREFIX_BLOCKS[1], "w1")
