--- a/mountstand/serving/software.py
+++ b/mountstand/serving/software.py
@@ -55,13 +55,15 @@
             if now_s - sighting.last_s <= MAX_RETENTION_S
         }
 
+    def knows_since(self, since_s: float) -> bool:
+        """Return whether this daemon has watched the list of workers since ``since_s``."""
+        return self._known_since_s is not None and self._known_since_s <= since_s
+
     def only_software(self, services: Collection[str], since_s: float) -> int | None:
         """Return the key of the only software of ``services`` that was listed since ``since_s``.
 
-        Returns ``None`` if there was more, or none, or if this daemon doesn't know all of the time.
+        Returns ``None`` if this daemon has seen more, or none.
         """
-        if self._known_since_s is None or self._known_since_s > since_s:
-            return None
         keys = [
             key
             for key, sighting in self._sighting_by_key.items()
--- a/mountstand/serving/stream_service.py
+++ b/mountstand/serving/stream_service.py
@@ -76,18 +76,25 @@
         """Return the key of the software that began a stream, ``None`` if it cannot be known.
 
         ``request_id`` is that of the request which brought the stream's first event, empty if the
-        caller doesn't name it.
+        caller doesn't name it. Callers that know of software versions do; for others the only
+        software that this daemon has seen lately is taken, however long it has watched.
         """
-        stream = stream_key(request_id)
-        software = self._origins.software(stream) if request_id else None
-        if software is None:
-            software = self._only_software(route)
-        if software is None and request_id:
-            software = await self._ask(stream)
+        if request_id:
+            software = await self._find_named(stream_key(request_id), route)
+        else:
+            software = self._history.only_software(_services(route), self._earliest_s(route))
         if software is None:
             self._log.event("stream_unknown", resumes=request_id, route=route.name)
         return software
 
+    async def _find_named(self, stream: int, route: Route) -> int | None:
+        software = self._origins.software(stream)
+        if software is None and self._view_is_fresh():
+            earliest_s = self._earliest_s(route)
+            if self._history.knows_since(earliest_s):
+                software = self._history.only_software(_services(route), earliest_s)
+        return await self._ask(stream) if software is None else software
+
     def handle(self, sender: str, message: StreamOrigin | StreamQuery) -> None:
         """Record another daemon's report, or answer its query."""
         if isinstance(message, StreamQuery):
@@ -100,13 +107,9 @@
         if query is not None:
             query.note_answer(sender, is_known=message.software != UNKNOWN_SOFTWARE)
 
-    def _only_software(self, route: Route) -> int | None:
-        """Return the software of a route if there was no other one while the stream may last."""
-        if not self._view_is_fresh():
-            return None
-        services = {share.service for share in route.shares}
-        since_s = asyncio.get_running_loop().time() - LIFETIME_TIMEOUTS * route.timeout_s
-        return self._history.only_software(services, since_s)
+    def _earliest_s(self, route: Route) -> float:
+        """Return when a stream of a route that is taken up now may have begun at the earliest."""
+        return asyncio.get_running_loop().time() - LIFETIME_TIMEOUTS * route.timeout_s
 
     async def _ask(self, stream: int) -> int | None:
         """Ask other daemons until one knows the stream, or all have answered, or time is up."""
@@ -142,6 +145,10 @@
             self.done.set()
 
 
+def _services(route: Route) -> set[str]:
+    return {share.service for share in route.shares}
+
+
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
     try:
         async with asyncio.timeout(timeout_s):
