--- a/tests/stand_ins/crashing.py
+++ b/tests/stand_ins/crashing.py
@@ -7,20 +7,28 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tests.stand_ins.worker import Answer, Received, StandInWorker, chunk, head
+from tests.stand_ins.worker import Answer, Received, StandInWorker, chunk, event, head
 
 CRASH_AFTER_S = 0.04
 """Time that a worker runs a request before it crashes."""
 
 
 class CrashableWorker(StandInWorker):
-    """A worker that ends as it runs a request that ``crashes`` names."""
+    """A worker that ends as it runs a request that ``crashes`` names.
+
+    If it ``closes_cleanly``, its answer has no length and ends with the connection, between events.
+    """
 
     def __init__(
-        self, worker_id: str, crashes: Callable[[Received], bool], *script: Answer
+        self,
+        worker_id: str,
+        crashes: Callable[[Received], bool],
+        *script: Answer,
+        closes_cleanly: bool = False,
     ) -> None:
         super().__init__(worker_id, *script)
         self.crashes = crashes
+        self._closes_cleanly = closes_cleanly
         self.crashed = asyncio.Event()
 
     def _next_answer(self) -> Answer:
@@ -30,9 +38,14 @@
             if not self.crashes(request):
                 await normal(request, writer)
                 return
-            writer.write(head(request, "200 OK", "Transfer-Encoding: chunked") + chunk(b"id"))
+            if self._closes_cleanly:
+                writer.write(head(request, "200 OK", "Content-Type: text/event-stream") + event(1))
+            else:
+                writer.write(head(request, "200 OK", "Transfer-Encoding: chunked") + chunk(b"id"))
             await writer.drain()
             await asyncio.sleep(CRASH_AFTER_S)
+            if self._closes_cleanly:
+                writer.close()
             self.crashed.set()
             await self.stop()
 
@@ -63,6 +76,7 @@
     script: tuple[Answer, ...] = ()
     restart_s: float = 0.6
     unlist_s: float = 1.2
+    closes_cleanly: bool = False
     ended: list[CrashableWorker] = field(default_factory=list)
     running: list[CrashableWorker] = field(default_factory=list)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
@@ -85,7 +99,12 @@
         return [req for worker in [*self.ended, *self.running] for req in worker.received]
 
     async def _start_one(self, port: int) -> None:
-        worker = CrashableWorker(f"w{self._started}", self.crashes, *self.script)
+        worker = CrashableWorker(
+            f"w{self._started}",
+            self.crashes,
+            *self.script,
+            closes_cleanly=self.closes_cleanly,
+        )
         self._started += 1
         worker.port = port
         await worker.start()
--- a/tests/stand_ins/worker.py
+++ b/tests/stand_ins/worker.py
@@ -18,6 +18,9 @@
     target: str
     headers: Headers
     body: bytes
+    at_s: float = 0.0
+    """When it was read, on the event loop's clock."""
+
     caller_left: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -174,4 +177,4 @@
         pairs = [line.split(": ", 1) for line in lines]
         headers = Headers([(pair[0], pair[1] if len(pair) > 1 else "") for pair in pairs])
         body = await reader.readexactly(int(headers.get("content-length") or 0))
-        return Received(method, target, headers, body)
+        return Received(method, target, headers, body, asyncio.get_running_loop().time())
