Quarantine: a part of a prompt that crashes workers holds back all requests with it

What callers saw: requests of one kind crashed worker after worker, 28 in one bout, and with each of them what ran beside it.

Cause: the quarantine names a request by its whole content. No two of these requests were alike, so each content had one crash, and three are needed. What they share is a part of their prompts.

Now parts are suspects of their own, but for the last of a prompt. A part counts once per content, so that a single content which crashes workers is not taken for a fault of its parts, and each whole answer to a request that has a part clears it: sound requests share all other parts. Three crashes hold a part back for two seconds; then one request with it runs as a trial, and only a crash of that trial, beside no other such part and no other crash, blocks it for ten minutes. A request with several suspected parts is tried four seconds later than others, so that one with the sound part alone comes first. A stream without length that ends with its connection counts as whole only if its worker is still there.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -246,6 +246,9 @@
             await self._collect(progress, worker, connection)
         finally:
             progress.run_time_s += loop.time() - head_received_at_s
+        if response_head.ends_with_connection and await self._has_crashed(progress, worker):
+            self._log_failed_attempt(progress, worker, "ended with its worker")
+            return None
         worker.health.own.add(loop.time(), failed=False)
         context.quarantine.note_served(call)
         if not progress.restored_from_store:
@@ -290,6 +293,12 @@
         if splitter.partial:
             raise ReplyBroken("ended within an event")
 
+    async def _has_crashed(self, progress: ItemProgress, worker: Worker) -> bool:
+        """Return whether the worker of a stream that ended with its connection has crashed."""
+        assert progress.sent_at_s is not None
+        self._context.quarantine.note_broken(worker, self._call(progress), progress.sent_at_s)
+        return await self._context.quarantine.wait_until_checked(worker)
+
     def _record_broken_attempt(self, progress: ItemProgress, worker: Worker) -> None:
         """Count a broken or timed-out attempt against the worker and make the item a suspect."""
         if progress.sent_at_s is not None:
--- a/mountstand/quarantine/batch_verdicts.py
+++ b/mountstand/quarantine/batch_verdicts.py
@@ -14,14 +14,13 @@
 
 from mountstand.quarantine.crash_log import CrashLog
 from mountstand.quarantine.suspect import (
-    CRASHES_TO_BLOCK,
     INITIAL_BLOCK_S,
     NEVER_S,
     TRIAL_BACKOFF_FACTOR,
     TRIAL_DELAY_S,
     Suspect,
 )
-from mountstand.quarantine.verdicts import Verdicts
+from mountstand.quarantine.verdicts import Verdicts, workers_with_suspects
 
 CRASHES_TO_BLOCK_BATCH = 6
 """Worker crashes after which a batch item may be blocked. The later half are trials, apart from
@@ -73,21 +72,12 @@
         last_crashes_s = sorted(crash.at_s for crash in suspect.crash_by_worker.values())
         if last_crashes_s[-1] < self._crash_log.known_since_s:
             return False
-        explained = self._workers_with_suspects()
+        explained = workers_with_suspects(self._by_content)
         return all(
             self._crash_log.workers_crashed_around(at_s) <= explained
             for at_s in last_crashes_s[-ISOLATED_CRASHES_TO_BLOCK:]
         )
 
-    def _workers_with_suspects(self) -> set[int]:
-        """Return the workers at whose crash a content with enough crashes was running."""
-        return {
-            worker
-            for suspect in self._by_content.values()
-            if len(suspect.crash_by_worker) >= CRASHES_TO_BLOCK
-            for worker in suspect.crash_by_worker
-        }
-
 
 def trial_at_s(suspect: Suspect) -> float:
     """Return the earliest time of an item's next trial, counted from its last crash or trial."""
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -12,6 +12,7 @@
 from contextlib import contextmanager
 
 from mountstand.hashing import content_name
+from mountstand.quarantine.part_quarantine import PartQuarantine
 from mountstand.quarantine.separation import SuspectSeparation
 from mountstand.quarantine.sharing import (
     QuarantineMessage,
@@ -21,10 +22,11 @@
 )
 from mountstand.quarantine.stored import StoredSuspects
 from mountstand.serving.worker import Worker
-from mountstand.serving.worker_ends import WorkerCrashDetector, WorkerCrashObserver
+from mountstand.serving.worker_ends import BrokenRun, WorkerCrashDetector, WorkerCrashObserver
 from mountstand.serving.worker_protocol import Call
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
+from mountstand.wire.gossip import PartQuery, PartReport
 
 TICK_S = 0.1
 """Interval of :meth:`SuspectSharing.tick` while there are suspects or outstanding queries."""
@@ -53,6 +55,7 @@
         self._sharing.observer = self
         self.suspects = self._sharing.suspects
         self._separation = SuspectSeparation(self.suspects)
+        self.parts = PartQuarantine(daemon_name, link, rng, log)
         self._stored: StoredSuspects | None = None
         self.on_blocked: Callable[[int], None] = lambda content: None
         self._wake_event = asyncio.Event()
@@ -62,23 +65,28 @@
 
     def blocked_for_s(self, call: Call) -> float:
         """Return the remaining block time of a request, 0 if it may be sent to workers."""
-        if not self.suspects.any_blocked:
-            return 0.0
         now_s = asyncio.get_running_loop().time()
-        return self.suspects.blocked_for_s(call.content_key, now_s, call.workload)
+        part_blocked_for_s = self.parts.blocked_for_s(call.prompt.shared_keys, now_s)
+        if not self.suspects.any_blocked:
+            return part_blocked_for_s
+        blocked_for_s = self.suspects.blocked_for_s(call.content_key, now_s, call.workload)
+        return max(blocked_for_s, part_blocked_for_s)
 
     def note_broken(self, worker: Worker, call: Call, sent_at_s: float) -> None:
         """Record that the connection to a worker broke after the request was sent."""
         self._crash_detector.note_broken(worker, call, sent_at_s)
 
-    async def wait_until_checked(self, worker: Worker) -> None:
-        """Wait for the pending crash check of a worker, if there is one, up to a timeout."""
-        await self._crash_detector.wait_until_checked(worker)
+    async def wait_until_checked(self, worker: Worker) -> bool:
+        """Wait for the pending crash check of a worker, if there is one, up to a timeout.
+
+        Returns whether it found that the worker has crashed.
+        """
+        return await self._crash_detector.wait_until_checked(worker)
 
     def is_suspect(self, call: Call) -> bool:
-        """Return whether a request's content has worker crashes that no success has cleared."""
-        if not self.suspects:
-            return False
+        """Return whether a request's content or a part has crashes that no success cleared."""
+        if self.parts.is_suspect(call.prompt.shared_keys):
+            return True
         suspect = self.suspects.by_content.get(call.content_key)
         return suspect is not None and bool(suspect.crash_by_worker)
 
@@ -100,9 +108,12 @@
         """Track the run of a strong suspect, so that this daemon sends no other one to the worker.
 
         Enter it right after :meth:`blocked_for_s` and :meth:`allows`, without awaiting in between.
-        If the content requires a trial, the trial starts here and blocks it on all daemons.
+        If the content or a part requires a trial, the trial starts here and blocks it on all
+        daemons.
         """
         worker_id = worker.record.worker_id
+        now_s = asyncio.get_running_loop().time()
+        self.parts.begin_trials(call.prompt.shared_keys, call.request_id, worker_id, now_s)
         if self.requires_trial(call):
             self._begin_trial(call, worker_id)
         tracked = bool(self.suspects) and self._separation.track_run(call.content_key, worker_id)
@@ -123,54 +134,81 @@
             trials=self.suspects.by_content[call.content_key].trials.count,
         )
 
-    def note_served(self, call: Call) -> None:
-        """Record that a worker answered a request completely, which clears its content."""
+    def note_served(self, call: Call, *, succeeded: bool = True) -> None:
+        """Record that a worker answered a request completely, which clears its content.
+
+        It clears the parts of its prompt too if the answer is one of success.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if succeeded:
+            self.parts.note_served(call.prompt.shared_keys, call.request_id, now_s)
         if not self.suspects:
             return
         content = call.content_key
-        if self._sharing.note_served(content, asyncio.get_running_loop().time()):
+        if self._sharing.note_served(content, now_s):
             name = content_name(content)
             self._log.event("suspect_cleared", content=name, request=call.request_id)
 
     def on_worker_crash(
-        self, worker: Worker, sent_at_s: Mapping[int, float], crashed_at_s: float
+        self, worker: Worker, run_by_content: Mapping[int, BrokenRun], crashed_at_s: float
     ) -> None:
-        """Suspect the contents whose connections from this daemon broke when the worker crashed."""
+        """Suspect what was running on connections from this daemon when the worker crashed."""
         now_s = asyncio.get_running_loop().time()
+        new_contents = [key for key in run_by_content if not self._has_crashes(key)]
+        self.parts.note_worker_crash(worker.key, crashed_at_s, run_by_content, new_contents, now_s)
+        sent_at_s = {content: run.sent_at_s for content, run in run_by_content.items()}
         self._sharing.note_worker_crash(worker.key, crashed_at_s, sent_at_s, now_s)
         self._wake_event.set()
 
+    def _has_crashes(self, content: int) -> bool:
+        suspect = self.suspects.by_content.get(content)
+        return suspect is not None and bool(suspect.crash_by_worker)
+
     # Sharing with other daemons and the store
 
-    def attach_store(self, stored: StoredSuspects) -> None:
+    def attach_store(
+        self, stored: StoredSuspects, stored_parts: StoredSuspects | None = None
+    ) -> None:
         """Persist suspects in the store, and merge what other daemons have stored."""
         self._stored = stored
         stored.on_change = self._note_stored
+        if stored_parts is not None:
+            self.parts.attach_store(stored_parts, self._note_stored)
 
     def handle(self, sender: str, message: QuarantineMessage) -> None:
         """Merge a report from another daemon, or answer its query."""
-        self._sharing.handle(sender, message, asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        if isinstance(message, PartReport | PartQuery):
+            self.parts.handle(sender, message, now_s)
+        else:
+            self._sharing.handle(sender, message, now_s)
         self._wake_event.set()
 
     def query_peers(self) -> None:
         """Query peers for their suspects, after a start or a suspension of this daemon."""
-        self._sharing.query_peers(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self._sharing.query_peers(now_s)
+        self.parts.query_peers(now_s)
         self._wake_event.set()
 
     async def run(self) -> None:
         """Query peers, then exchange and expire suspects while there are any, until cancelled."""
         self.query_peers()
         while True:
-            if self._sharing.idle:
+            if self._sharing.idle and self.parts.idle:
                 self._wake_event.clear()
                 await self._wake_event.wait()
             await asyncio.sleep(TICK_S)
-            self._sharing.tick(asyncio.get_running_loop().time())
+            now_s = asyncio.get_running_loop().time()
+            self._sharing.tick(now_s)
+            self.parts.tick(now_s)
             self._metrics.contents_blocked(len(self._sharing.last_blocked))
             self._remove_stale_rows()
 
     def _note_stored(self) -> None:
-        self._sharing.note_stored(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self._sharing.note_stored(now_s)
+        self.parts.note_stored(now_s)
         self._wake_event.set()
 
     def _remove_stale_rows(self) -> None:
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -15,9 +15,9 @@
 from mountstand.hashing import rendezvous_owner
 from mountstand.quarantine.reports import ENTRIES_PER_REPORT, build_reports, merge_report
 from mountstand.quarantine.suspect import WorkerCrash
-from mountstand.quarantine.suspects import CrashSuspects
+from mountstand.quarantine.suspects import CrashSuspects, SuspectKind
 from mountstand.quarantine.workload import Workload
-from mountstand.wire.gossip import CrashQuery, CrashReport
+from mountstand.wire.gossip import CrashQuery, CrashReport, PartQuery, PartReport
 
 RETRANSMIT_DELAYS_S = (0.3, 1.0)
 """Delays from the first report of an observation to its retransmissions, against packet loss."""
@@ -40,7 +40,8 @@
 """Entries in the reply to a query, strongest suspects first. More contents than that are rarely
 blocked."""
 
-QuarantineMessage = CrashReport | CrashQuery
+ContentMessage = CrashReport | CrashQuery
+QuarantineMessage = ContentMessage | PartReport | PartQuery
 
 
 class ReportLink(ABC):
@@ -85,11 +86,17 @@
 class SuspectSharing:
     """Holds the suspects of the daemon named ``daemon_name`` and exchanges them with its peers."""
 
-    def __init__(self, daemon_name: str, link: ReportLink, rng: random.Random) -> None:
+    def __init__(
+        self,
+        daemon_name: str,
+        link: ReportLink,
+        rng: random.Random,
+        kind: SuspectKind = SuspectKind.CONTENT,
+    ) -> None:
         self._daemon_name = daemon_name
         self._link = link
         self._rng = rng
-        self.suspects = CrashSuspects(daemon_name)
+        self.suspects = CrashSuspects(daemon_name, kind=kind)
         self.observer: SuspectObserver | None = None
         self.last_blocked: set[int] = set()
         """Contents blocked at the last update, to detect newly blocked ones."""
@@ -141,7 +148,7 @@
         """Update the blocked contents after rows of the store were merged into the suspects."""
         self._update_blocked("store", now_s)
 
-    def handle(self, sender: str, message: QuarantineMessage, now_s: float) -> None:
+    def handle(self, sender: str, message: ContentMessage, now_s: float) -> None:
         """Merge a report from another daemon, or answer its query."""
         if isinstance(message, CrashQuery):
             strongest = self.suspects.strongest_first()[:MAX_ENTRIES_PER_REPLY]
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -8,18 +8,22 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import orjson
 
 from mountstand.hashing import content_name
-from mountstand.quarantine.suspect import NEVER_S, WorkerCrash
+from mountstand.quarantine.suspect import NEVER_S, NO_TRIALS, Trials, WorkerCrash
 from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.store.rows import RowKey, RowStore, StoredRow, StoreError, Transaction
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
 
 SUSPECTS_TABLE = "crash_suspects"
-"""Name of the table. Row keys are content keys in hexadecimal."""
+"""Name of the table. Row keys are content keys in hexadecimal, after ``PART_ROW_PREFIX`` for prompt
+parts. Former versions of this program pass over the rows of parts."""
+
+PART_ROW_PREFIX = "part:"
 
 ROWS_PER_WRITE = 20
 MAX_ROWS = 500
@@ -34,6 +38,8 @@
 class StoredSuspects:
     """Writes the suspects of one daemon to the table, and merges rows read from it.
 
+    Rows belong to these suspects if their key is a content key after ``row_prefix``.
+
     ``store_now_ms`` returns the time of the store's clock, and raises ``StoreError`` while it is
     unknown. ``on_change`` is called after rows have added evidence.
     """
@@ -44,7 +50,9 @@
         store: RowStore,
         store_now_ms: Callable[[], int],
         log: DecisionLog,
+        row_prefix: str = "",
     ) -> None:
+        self._row_prefix = row_prefix
         self._suspects = suspects
         self._store = store
         self._store_now_ms = store_now_ms
@@ -71,8 +79,11 @@
         now_s = asyncio.get_running_loop().time()
         changed = False
         for row in change.rows:
+            prefix, separator, name = row.key.key.rpartition(":")
+            if prefix + separator != self._row_prefix:
+                continue
             try:
-                changed = self._merge_row(int(row.key.key, 16), row, now_s) or changed
+                changed = self._merge_row(int(name, 16), row, now_s) or changed
             except (ValueError, KeyError, TypeError, AttributeError) as error:
                 self._log.event("suspect_unreadable", key=row.key.key, cause=repr(error))
         if changed:
@@ -110,7 +121,7 @@
         for content in contents:
             suspect = self._suspects.by_content.get(content)
             if suspect is None or not suspect.crash_by_worker:
-                transaction.removals.append(_key(content))
+                transaction.removals.append(self._key(content))
                 continue
             crashes = {
                 str(worker): [
@@ -119,7 +130,11 @@
                 ]
                 for worker, crash in suspect.crash_by_worker.items()
             }
-            transaction.puts.append((_key(content), orjson.dumps({"ends": crashes})))
+            fields: dict[str, Any] = {"ends": crashes}
+            if suspect.trials.count:
+                tried_ms = now_ms - round((now_s - suspect.trials.last_at_s) * 1000)
+                fields["trials"] = [suspect.trials.count, tried_ms]
+            transaction.puts.append((self._key(content), orjson.dumps(fields)))
         self._pending_writes.difference_update(contents)
         try:
             await self._store.commit(transaction)
@@ -132,12 +147,16 @@
             self._stored_contents.discard(content)
             return False
         self._stored_contents.add(content)
-        crashes = orjson.loads(row.value)["ends"]
+        fields = orjson.loads(row.value)
         crash_by_worker = {
             int(worker): WorkerCrash(now_s - self._age_s(at_ms), run_duration_ms / 1000)
-            for worker, (at_ms, run_duration_ms) in crashes.items()
+            for worker, (at_ms, run_duration_ms) in fields["ends"].items()
         }
-        return self._suspects.merge(content, crash_by_worker, NEVER_S)
+        trials = NO_TRIALS
+        if "trials" in fields:
+            count, tried_ms = fields["trials"]
+            trials = Trials(int(count), now_s - self._age_s(tried_ms))
+        return self._suspects.merge(content, crash_by_worker, NEVER_S, trials)
 
     def _age_s(self, at_ms: int) -> float:
         """Return the age of a stored time, 0 while the store's clock is unknown."""
@@ -146,6 +165,5 @@
         except StoreError:
             return 0.0
 
-
-def _key(content: int) -> RowKey:
-    return RowKey(SUSPECTS_TABLE, "", content_name(content))
+    def _key(self, content: int) -> RowKey:
+        return RowKey(SUSPECTS_TABLE, "", self._row_prefix + content_name(content))
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -18,6 +18,9 @@
 All of this holds for requests of callers. Batch items, which are owed, get a trial in place of a
 block and are blocked after more crashes only (:mod:`mountstand.quarantine.batch_verdicts`).
 
+Parts of prompts are judged alike, except that they are blocked only by a trial
+(:mod:`mountstand.quarantine.part_verdicts`).
+
 The order in which evidence arrives makes no difference (:mod:`mountstand.quarantine.suspect`), so
 daemons with the same evidence decide alike, except for the jitter of trials. Times are seconds on
 the local clock of the daemon that holds the state.
@@ -26,9 +29,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from enum import Enum
 
 from mountstand.quarantine.batch_verdicts import BatchVerdicts
 from mountstand.quarantine.crash_log import CrashLog
+from mountstand.quarantine.part_verdicts import PartVerdicts
 from mountstand.quarantine.suspect import (
     CRASHES_TO_BLOCK,
     NEVER_S,
@@ -47,12 +52,28 @@
 """Contents kept, about 400 bytes each. A single crash can add one for each slot of the worker."""
 
 
+class SuspectKind(Enum):
+    """What is suspected of crashing workers."""
+
+    CONTENT = "content"
+    """A whole request, without its id."""
+
+    PROMPT_PART = "prompt part"
+    """A part that the prompts of several requests have in common."""
+
+
 class CrashSuspects:
     """All suspected contents known to the daemon named ``daemon_name``."""
 
-    def __init__(self, daemon_name: str = "", max_suspects: int = MAX_SUSPECTS) -> None:
+    def __init__(
+        self,
+        daemon_name: str = "",
+        max_suspects: int = MAX_SUSPECTS,
+        kind: SuspectKind = SuspectKind.CONTENT,
+    ) -> None:
         self._daemon_name = daemon_name
         self._max_suspects = max_suspects
+        self._kind = kind
         self.by_content: dict[int, Suspect] = {}
         self._cached_verdicts: Verdicts | None = None
         self._crash_log = CrashLog()
@@ -69,7 +90,12 @@
     def _verdicts(self) -> Verdicts:
         """Verdicts on the current evidence, recomputed only after the evidence has changed."""
         if self._cached_verdicts is None:
-            self._cached_verdicts = Verdicts(self.by_content, self._daemon_name)
+            if self._kind is SuspectKind.PROMPT_PART:
+                self._cached_verdicts = PartVerdicts(
+                    self.by_content, self._daemon_name, self._crash_log
+                )
+            else:
+                self._cached_verdicts = Verdicts(self.by_content, self._daemon_name)
         return self._cached_verdicts
 
     def __bool__(self) -> bool:
@@ -110,6 +136,10 @@
             if is_due or suspect.trials.last_at_s >= now_s - within_s:
                 yield content
 
+    def trial_at_s(self, content: int) -> float:
+        """Return the earliest time of the next trial of a suspected content."""
+        return self.by_content[content].trial_at_s
+
     def requires_trial(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
         """Return whether a content requires a trial before it may run freely.
 
--- a/mountstand/quarantine/threads.py
+++ b/mountstand/quarantine/threads.py
@@ -24,6 +24,7 @@
 from mountstand.membership.service import MembershipService
 from mountstand.quarantine.separation import SuspectSeparation
 from mountstand.quarantine.sharing import (
+    ContentMessage,
     QuarantineMessage,
     ReportLink,
     SuspectObserver,
@@ -291,7 +292,7 @@
         if cleared:
             log_state_change(logger, "suspect cleared", content=content_name(content))
 
-    def handle(self, sender: str, message: QuarantineMessage) -> None:
+    def handle(self, sender: str, message: ContentMessage) -> None:
         """Merge a report from another daemon, or answer its query."""
         with self._lock:
             self._sharing.handle(sender, message, elapsed_s())
--- a/mountstand/quarantine/verdicts.py
+++ b/mountstand/quarantine/verdicts.py
@@ -58,10 +58,13 @@
         strong = (each for each in self._by_content.values() if each.is_strong)
         suspects_by_worker = Counter(worker for each in strong for worker in each.crash_by_worker)
         for content in self.blocked_until_s:
-            if not self._by_content[content].is_confirmed_cause(suspects_by_worker):
+            if not self._is_confirmed(self._by_content[content], suspects_by_worker):
                 self._block_until_trial(content)
                 self.trial_required.add(content)
 
+    def _is_confirmed(self, suspect: Suspect, suspects_by_worker: Mapping[int, int]) -> bool:
+        return suspect.is_confirmed_cause(suspects_by_worker)
+
     def _require_trial_unless_blocked(self, contents: list[int]) -> None:
         """Require a trial of contents that have enough crashes but are not blocked.
 
@@ -138,6 +141,16 @@
         return attributable
 
 
+def workers_with_suspects(by_key: Mapping[int, Suspect]) -> set[int]:
+    """Return the workers at whose crash a suspect with enough crashes was running."""
+    return {
+        worker
+        for suspect in by_key.values()
+        if len(suspect.crash_by_worker) >= CRASHES_TO_BLOCK
+        for worker in suspect.crash_by_worker
+    }
+
+
 def _decrement(counts: Counter[frozenset[int]], workers: frozenset[int]) -> None:
     counts[workers] -= 1
     if not counts[workers]:
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -48,6 +48,9 @@
 costs at most one connect timeout. If the service has fewer workers, unreachable ones are tried
 again, since the next connect over a lossy link usually succeeds."""
 
+FIRST_FAILURE_STATUS = 300
+"""The lowest HTTP status that tells of no success."""
+
 FULL_RETRY_PAUSE_S = 0.1
 """Pause before the workers that may go on with a broken stream are asked again, if all are full."""
 
@@ -87,7 +90,9 @@
         self._batch_scheduler = batch_scheduler
         self._quarantine = quarantine
         self._stream_versions = stream_versions
-        self._relay = ReplyRelay(directory, connections, protocol, batch_scheduler, stream_versions)
+        self._relay = ReplyRelay(
+            directory, connections, protocol, batch_scheduler, quarantine, stream_versions
+        )
         self._metrics = metrics
         self._log = ExchangeLog(metrics, log)
         self.max_idle_connections_per_worker = 4
@@ -152,7 +157,8 @@
                 exchange.delivered = True
                 self._record_duration(exchange, worker)
                 if not worker_failed(exchange, outcome):
-                    self._quarantine.note_served(exchange.call)
+                    succeeded = exchange.responder.status < FIRST_FAILURE_STATUS
+                    self._quarantine.note_served(exchange.call, succeeded=succeeded)
                 return
             self._log.attempt_failed(exchange, worker, outcome)
             if not self._may_retry(exchange, outcome):
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -211,11 +211,14 @@
         if waiter in self._waiters_by_pool[pool]:
             self._waiters_by_pool[pool].remove(waiter)
 
-    def reject(self, content_key: int) -> None:
-        """Stop waiting for all requests with this content; their ``acquire`` returns ``None``."""
+    def reject(self, suspect_key: int) -> None:
+        """Stop waiting for all requests with this content or with this shared part of a prompt.
+
+        Their ``acquire`` returns ``None``.
+        """
         for waiters in self._waiters_by_pool.values():
             for waiter in waiters:
-                rejected = waiter.call is not None and waiter.call.content_key == content_key
+                rejected = waiter.call is not None and waiter.call.involves(suspect_key)
                 if rejected and not waiter.assignment.done():
                     waiter.assignment.set_result(None)
 
--- a/mountstand/serving/prompt.py
+++ b/mountstand/serving/prompt.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import cached_property
+
+from mountstand.hashing import content_key
+
+MAX_TRACKED_PARTS = 16
+"""Shared parts of a prompt that are held against crashes of workers."""
 
 
 @dataclass(frozen=True)
@@ -13,6 +19,11 @@
     tokens: int
 
 
+def part_key(part_id: str) -> int:
+    """Return the number that stands for a part of a prompt."""
+    return content_key(b"prompt part", part_id.encode())
+
+
 @dataclass(frozen=True)
 class Prompt:
     """The parts of a prompt in order; all but the last may be shared with other requests."""
@@ -39,6 +50,12 @@
         """Tokens of all parts."""
         return sum(part.tokens for part in self.parts)
 
+    @cached_property
+    def shared_keys(self) -> tuple[int, ...]:
+        """The keys of the first ``MAX_TRACKED_PARTS`` different parts that others may share."""
+        ids = dict.fromkeys(part.part_id for part in self.shared[:MAX_TRACKED_PARTS])
+        return tuple(part_key(part_id) for part_id in ids)
+
     @property
     def affinity_key(self) -> str | None:
         """The key that selects the workers which should have the shared parts in their cache.
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from mountstand.quarantine.service import RequestQuarantine
 from mountstand.serving.batch_room import BatchScheduler
 from mountstand.serving.configuration import Route
 from mountstand.serving.connections import WorkerConnections
@@ -44,12 +45,14 @@
         connections: WorkerConnections,
         protocol: WorkerProtocol,
         batch_scheduler: BatchScheduler,
+        quarantine: RequestQuarantine,
         stream_versions: StreamVersions,
     ) -> None:
         self._directory = directory
         self._connections = connections
         self._protocol = protocol
         self._batch_scheduler = batch_scheduler
+        self._quarantine = quarantine
         self._stream_versions = stream_versions
 
     async def run(
@@ -171,10 +174,19 @@
             await self._relay_events(exchange, events)
         if splitter.partial:
             exchange.cause = "ended within an event"
+            self._quarantine.note_broken(worker, exchange.call, exchange.sent_at_s)
+            return Outcome.BROKEN_MIDWAY
+        if head.ends_with_connection and await self._has_crashed(exchange, worker):
+            exchange.cause = "ended with its worker"
             return Outcome.BROKEN_MIDWAY
         responder.finish()
         return Outcome.DELIVERED
 
+    async def _has_crashed(self, exchange: Exchange, worker: Worker) -> bool:
+        """Return whether the worker of a stream that ended with its connection has crashed."""
+        self._quarantine.note_broken(worker, exchange.call, exchange.sent_at_s)
+        return await self._quarantine.wait_until_checked(worker)
+
     async def _read_events(
         self,
         worker: Worker,
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -11,6 +11,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from mountstand.hashing import content_name
 from mountstand.serving.connections import ClosedOnAccept, WorkerConnections
@@ -46,6 +47,14 @@
 """Maximum number of content keys in a log line, about as many as requests run at a worker."""
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """A run that broke: when it was sent, and the keys of the shared parts of its prompt."""
+
+    sent_at_s: float
+    part_keys: tuple[int, ...] = ()
+
+
 class WorkerCrashObserver(ABC):
     """Is notified of worker crashes."""
 
@@ -53,11 +62,11 @@
 
     @abstractmethod
     def on_worker_crash(
-        self, worker: Worker, sent_at_s: Mapping[int, float], noticed_at_s: float
+        self, worker: Worker, run_by_content: Mapping[int, BrokenRun], noticed_at_s: float
     ) -> None:
         """Handle a crash of ``worker``, noticed at ``noticed_at_s`` by the first broken exchange.
 
-        ``sent_at_s`` maps the content key of each broken request to the time it was sent.
+        ``run_by_content`` maps the content key of each broken request to its run.
         """
 
 
@@ -70,8 +79,8 @@
         self._connections = connections
         self._metrics = metrics
         self._log = log
-        self._sent_at_s_by_worker: dict[str, dict[int, float]] = {}
-        self._check_by_worker: dict[str, asyncio.Task[None]] = {}
+        self._runs_by_worker: dict[str, dict[int, BrokenRun]] = {}
+        self._check_by_worker: dict[str, asyncio.Task[bool]] = {}
         self.observers: list[WorkerCrashObserver] = []
 
     def note_broken(self, worker: Worker, call: Call, sent_at_s: float) -> None:
@@ -82,37 +91,43 @@
         if worker.leaving_since_s is not None:
             return
         worker_id = worker.record.worker_id
-        sent = self._sent_at_s_by_worker.setdefault(worker_id, {})
-        sent.setdefault(call.content_key, sent_at_s)
+        runs = self._runs_by_worker.setdefault(worker_id, {})
+        runs.setdefault(call.content_key, BrokenRun(sent_at_s, call.prompt.shared_keys))
         if worker_id not in self._check_by_worker:
             self._check_by_worker[worker_id] = asyncio.create_task(self._check(worker))
 
-    async def wait_until_checked(self, worker: Worker) -> None:
-        """Wait for a running check of ``worker``, if any, up to ``CHECK_WAIT_TIMEOUT_S``."""
+    async def wait_until_checked(self, worker: Worker) -> bool:
+        """Wait for a running check of ``worker``, if any, up to ``CHECK_WAIT_TIMEOUT_S``.
+
+        Returns whether it found that the worker has crashed.
+        """
         check = self._check_by_worker.get(worker.record.worker_id)
-        if check is not None:
-            await asyncio.wait([check], timeout=CHECK_WAIT_TIMEOUT_S)
+        if check is None:
+            return False
+        await asyncio.wait([check], timeout=CHECK_WAIT_TIMEOUT_S)
+        return check.done() and not check.cancelled() and check.result()
 
-    async def _check(self, worker: Worker) -> None:
+    async def _check(self, worker: Worker) -> bool:
         broke_at_s = asyncio.get_running_loop().time()
         try:
             crashed = await self._has_crashed(worker)
         finally:
-            sent_at_s = self._sent_at_s_by_worker.pop(worker.record.worker_id)
+            runs = self._runs_by_worker.pop(worker.record.worker_id)
             del self._check_by_worker[worker.record.worker_id]
         if not crashed:
-            return
+            return False
         worker.note_connect_failed(asyncio.get_running_loop().time())
         self._metrics.worker_ended()
         self._log.event(
             "worker_ended",
             worker=worker.record.worker_id,
             worker_version=worker.record.version,
-            contents=[content_name(key) for key in sorted(sent_at_s)[:MAX_LOGGED_CONTENTS]],
-            broken=len(sent_at_s),
+            contents=[content_name(key) for key in sorted(runs)[:MAX_LOGGED_CONTENTS]],
+            broken=len(runs),
         )
         for observer in self.observers:
-            observer.on_worker_crash(worker, sent_at_s, broke_at_s)
+            observer.on_worker_crash(worker, runs, broke_at_s)
+        return True
 
     async def _has_crashed(self, worker: Worker) -> bool:
         """Return whether nothing listens at a worker's address, or only a port forwarder does.
--- a/mountstand/serving/worker_protocol.py
+++ b/mountstand/serving/worker_protocol.py
@@ -58,6 +58,10 @@
         texts = (self.host, self.method, self.target, self.tenant)
         return content_key(*(text.encode() for text in texts), self.body)
 
+    def involves(self, suspect_key: int) -> bool:
+        """Return whether a key stands for the request's content or a shared part of its prompt."""
+        return suspect_key == self.content_key or suspect_key in self.prompt.shared_keys
+
 
 class ReplyKind(Enum):
     """What a reply says about the request."""
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -24,7 +24,7 @@
 from mountstand.membership.message_link import MembershipMessageLink
 from mountstand.membership.registry import DaemonRegistry, DaemonRow, new_token
 from mountstand.quarantine.service import RequestQuarantine
-from mountstand.quarantine.stored import StoredSuspects
+from mountstand.quarantine.stored import PART_ROW_PREFIX, StoredSuspects
 from mountstand.serving.batch_room import BatchScheduler
 from mountstand.serving.configuration import Configuration, WeightedServiceChooser
 from mountstand.serving.connections import WorkerConnections
@@ -60,6 +60,8 @@
     GossipBodies,
     GossipMessage,
     LoadDigest,
+    PartQuery,
+    PartReport,
     SlotAsk,
     SlotGrant,
     SlotReturn,
@@ -158,6 +160,7 @@
             log,
         )
         self.quarantine.on_blocked = self.queue.reject
+        self.quarantine.parts.on_blocked = self.queue.reject
         self.queue.on_over_share_changed = self._report_tenants_over_share
         self._stream_versions = StreamVersions(
             MembershipMessageLink(self.membership),
@@ -228,7 +231,10 @@
         self._stored_suspects = StoredSuspects(
             self.quarantine.suspects, store, self._store_now_ms, log
         )
-        self.quarantine.attach_store(self._stored_suspects)
+        self._stored_parts = StoredSuspects(
+            self.quarantine.parts.suspects, store, self._store_now_ms, log, PART_ROW_PREFIX
+        )
+        self.quarantine.attach_store(self._stored_suspects, self._stored_parts)
         worker_sync = WorkerDirectorySync(source, self.directory, log)
         self.feeds = ServingFeeds(
             store,
@@ -238,7 +244,7 @@
                 worker_sync.apply,
                 self.registry,
                 lambda change: self.jobs.apply(change),
-                self._stored_suspects.apply,
+                self._apply_suspect_rows,
             ),
             settings,
             log,
@@ -370,6 +376,10 @@
         self._configuration_state.apply(change)
         self._zones.apply(change)
 
+    def _apply_suspect_rows(self, change: TableChange) -> None:
+        self._stored_suspects.apply(change)
+        self._stored_parts.apply(change)
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._listeners.set_limits(configuration.limits)
         self._limits.set_tenants(configuration.tenants)
@@ -418,7 +428,7 @@
             self._lending.handle(sender_id, message)
         elif isinstance(message, StreamOrigin | StreamQuery):
             self._stream_versions.handle(sender_id, message)
-        elif isinstance(message, CrashReport | CrashQuery):
+        elif isinstance(message, CrashReport | CrashQuery | PartReport | PartQuery):
             self.quarantine.handle(sender_id, message)
 
     # Start, stop and reload
@@ -437,6 +447,7 @@
             self._limits.run(),
             self.quarantine.run(),
             self._stored_suspects.run(),
+            self._stored_parts.run(),
             self._zones.run(),
         ):
             self._spawn(coroutine)
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -56,6 +56,11 @@
     length: int | None
     chunked: bool
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection tells that the answer has ended."""
+        return self.length is None and not self.chunked
+
 
 _END = None
 """Marks the end of a whole body in the queue of received parts."""
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -164,6 +164,19 @@
     """Asks a daemon for all that it knows of such contents."""
 
 
+class PartReport(msgspec.Struct, frozen=True, array_like=True):
+    """Tells of prompt parts under which workers ended, or answers a ``PartQuery``.
+
+    ``SuspectEntry.content`` is :func:`mountstand.serving.prompt.part_key` of the part.
+    """
+
+    suspects: tuple[SuspectEntry, ...] = ()
+
+
+class PartQuery(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a daemon for all that it knows of such parts."""
+
+
 UNKNOWN_SOFTWARE = -1
 """Stands in ``StreamOrigin.software`` for a stream that the sender doesn't know."""
 
@@ -200,6 +213,8 @@
     | CrashQuery
     | StreamOrigin
     | StreamQuery
+    | PartReport
+    | PartQuery
 )
 
 KINDS: dict[int, type[GossipMessage]] = {
@@ -217,6 +232,8 @@
     26: CrashQuery,
     27: StreamOrigin,
     28: StreamQuery,
+    29: PartReport,
+    30: PartQuery,
 }
 
 
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -13,7 +13,7 @@
 from mountstand.quarantine.suspect import INITIAL_BLOCK_S, SUSPECT_RETENTION_S
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.worker import Worker, WorkerRecord
-from mountstand.serving.worker_ends import WorkerCrashDetector
+from mountstand.serving.worker_ends import BrokenRun, WorkerCrashDetector
 from mountstand.serving.worker_protocol import Call
 from mountstand.store.memory_rows import MemoryRowStore
 from mountstand.store.rows import RowKey, Transaction
@@ -104,8 +104,11 @@
         higher numbers start over.
         """
         at_s = asyncio.get_running_loop().time() - 10.0 + number % 10
-        sent_at_s = {each.content_key: at_s - 0.04 for each in calls or (CULPRIT,)}
-        self.quarantine.on_worker_crash(worker(number), sent_at_s, at_s)
+        run_by_content = {
+            each.content_key: BrokenRun(at_s - 0.04, each.prompt.shared_keys)
+            for each in calls or (CULPRIT,)
+        }
+        self.quarantine.on_worker_crash(worker(number), run_by_content, at_s)
 
 
 class NetworkTestCase(TestCase):
