Quarantine: the second trial of a part decides, also beside other suspected parts

Parts that always come together were tried again and again, since neither was the only suspect at any crash. Tests of the parts' verdicts without a network.

--- /dev/null
+++ b/tests/quarantine/test_parts.py
@@ -0,0 +1,165 @@
+"""Prompt parts that crash workers: what blocks them, what clears sound ones, agreement."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from testtools import TestCase
+
+from mountstand.quarantine.part_quarantine import JOINT_TRIAL_DELAY_S, PartQuarantine
+from mountstand.quarantine.suspect import INITIAL_BLOCK_S, TRIAL_DELAY_S, TRIAL_JITTER_S
+from mountstand.serving.prompt import Prompt, PromptPart, part_key
+from mountstand.serving.worker_ends import BrokenRun
+from mountstand.wire.gossip import PartQuery, PartReport
+from tests.stand_ins.harness import RecordingLog
+from tests.stand_ins.report_link import RecordingReportLink
+
+FIRST, BAD, SOUND = (part_key(part_id) for part_id in ("first", "bad", "sound"))
+START_S = 1000.0
+RUN_S = 0.05
+GAP_S = 1.2
+"""Between crashes; more than the error that is allowed for times of other daemons."""
+
+
+class PartTestCase(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.link = RecordingReportLink("d2")
+        self.quarantine = PartQuarantine("d1", self.link, random.Random(1), RecordingLog())
+        self.worker = 0
+        self.now_s = START_S
+
+    def crash(self, *runs: tuple[int, ...], new: bool = True) -> None:
+        """Let a worker crash that ran requests with these parts, after ``GAP_S``."""
+        self.now_s += GAP_S
+        self.worker += 1
+        by_content = {
+            self.worker * 100 + n: BrokenRun(self.now_s - RUN_S, parts)
+            for n, parts in enumerate(runs)
+        }
+        self.quarantine.note_worker_crash(
+            self.worker, self.now_s, by_content, list(by_content) if new else [], self.now_s
+        )
+
+    def held(self, *parts: int) -> float:
+        return self.quarantine.blocked_for_s(parts, self.now_s)
+
+    def serve(self, *parts: int) -> None:
+        self.quarantine.note_served(parts, "r", self.now_s)
+
+    def try_once(self, *parts: int) -> None:
+        """Wait until a request with these parts may be tried, and begin its trial."""
+        self.now_s += self.held(*parts)
+        self.assertEqual(0, self.held(*parts))
+        self.quarantine.begin_trials(parts, "r", "w", self.now_s)
+
+
+class Blocking(PartTestCase):
+    def test_part_is_held_back_for_a_trial_after_three_contents_crashed(self) -> None:
+        for _ in range(2):
+            self.crash((FIRST, BAD))
+            self.serve(FIRST)
+        self.assertEqual(0, self.held(FIRST, BAD))
+        self.crash((FIRST, BAD))
+        self.serve(FIRST)
+        self.assertTrue(TRIAL_DELAY_S <= self.held(FIRST, BAD) <= TRIAL_DELAY_S + TRIAL_JITTER_S)
+
+    def test_trial_that_crashes_its_worker_blocks_the_part_alone(self) -> None:
+        """Guards against a block of the first part, which sound requests have too."""
+        for _ in range(3):
+            self.crash((FIRST, BAD))
+            self.serve(FIRST)
+        self.try_once(FIRST, BAD)
+        self.crash((FIRST, BAD))
+        self.assertGreaterEqual(self.held(FIRST, BAD), INITIAL_BLOCK_S)
+        self.assertEqual(0, self.held(FIRST, SOUND))
+
+    def test_one_content_that_crashes_again_and_again_blames_no_part(self) -> None:
+        """Guards against a block of parts where the request as a whole is the cause."""
+        self.crash((FIRST, SOUND))
+        for _ in range(5):
+            self.crash((FIRST, SOUND), new=False)
+        self.assertEqual(0, self.held(FIRST, SOUND))
+
+    def test_parts_beside_the_bad_one_are_cleared_by_answers(self) -> None:
+        """Guards against sound requests held back for what ran beside them."""
+        for _ in range(4):
+            self.crash((FIRST, BAD), (FIRST, SOUND))
+            self.serve(FIRST, SOUND)
+        self.assertEqual(0, self.held(FIRST, SOUND))
+        self.assertLess(0, self.held(FIRST, BAD))
+
+    def test_success_during_the_hold_clears_a_part(self) -> None:
+        for _ in range(3):
+            self.crash((SOUND,))
+        self.assertLess(0, self.held(SOUND))
+        self.serve(SOUND)
+        self.assertEqual(0, self.held(SOUND))
+
+    def test_request_with_two_suspected_parts_is_tried_after_those_with_one(self) -> None:
+        """Guards against a trial that blocks a sound part together with the bad one."""
+        for _ in range(3):
+            self.crash((FIRST, BAD))
+        alone_s, joint_s = self.held(FIRST), self.held(FIRST, BAD)
+        self.assertGreaterEqual(joint_s, TRIAL_DELAY_S + JOINT_TRIAL_DELAY_S)
+        self.assertLess(alone_s, joint_s)
+        self.try_once(FIRST)
+        self.serve(FIRST)
+        self.assertEqual(0, self.held(FIRST))
+        self.try_once(FIRST, BAD)
+        self.crash((FIRST, BAD))
+        self.assertGreaterEqual(self.held(FIRST, BAD), INITIAL_BLOCK_S)
+        self.assertEqual(0, self.held(FIRST))
+
+    def test_parts_that_always_come_together_are_blocked_by_the_second_trial(self) -> None:
+        """Guards against trials without end where no request has one of the parts alone."""
+        for _ in range(3):
+            self.crash((FIRST, BAD))
+        self.try_once(FIRST, BAD)
+        self.crash((FIRST, BAD))
+        self.assertLess(self.held(FIRST, BAD), INITIAL_BLOCK_S)
+        self.try_once(FIRST, BAD)
+        self.crash((FIRST, BAD))
+        self.assertGreaterEqual(self.held(FIRST, BAD), INITIAL_BLOCK_S)
+
+    def test_crash_of_a_trial_among_others_blocks_nothing(self) -> None:
+        """Guards against a block of a whole route in a burst of crashes with another cause."""
+        for _ in range(3):
+            self.crash((SOUND,))
+        self.try_once(SOUND)
+        self.crash((SOUND,))
+        other = {999: BrokenRun(self.now_s - RUN_S, (FIRST,))}
+        self.quarantine.note_worker_crash(99, self.now_s, other, [999], self.now_s)
+        self.assertLess(self.held(SOUND), INITIAL_BLOCK_S)
+
+    def test_requests_without_parts_are_never_held_back(self) -> None:
+        for _ in range(4):
+            self.crash(())
+        self.assertEqual(0, self.held())
+
+
+class Messages(PartTestCase):
+    def test_daemons_agree_and_answer_queries(self) -> None:
+        async def scenario() -> None:
+            other = PartQuarantine(
+                "d2", RecordingReportLink("d1"), random.Random(2), RecordingLog()
+            )
+            for _ in range(3):
+                self.crash((BAD,))
+            self.quarantine.handle("d2", PartQuery(), self.now_s)
+            answer, receivers = self.link.sent[-1]
+            self.assertEqual({"d2"}, set(receivers))
+            assert isinstance(answer, PartReport)
+            other.handle("d1", answer, self.now_s)
+            self.assertLess(0, other.blocked_for_s((BAD,), self.now_s))
+
+        asyncio.run(scenario())
+
+
+class Keys(TestCase):
+    def test_last_part_has_no_key(self) -> None:
+        """Guards against a block of a whole session by its own part."""
+        prompt = Prompt((PromptPart("first", 10), PromptPart("bad", 5), PromptPart("own", 3)))
+        self.assertEqual((FIRST, BAD), prompt.shared_keys)
+        self.assertEqual((), Prompt((PromptPart("own", 3),)).shared_keys)
