--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -29,6 +29,7 @@
         series=bool(case.get("series", False)),
         zones=bool(case.get("zones", False)),
         bursts=bool(case.get("bursts", False)),
+        versions=bool(case.get("versions", False)),
         workers=int(str(case.get("workers", Soak.workers))),
         fault_gap_s=float(str(case.get("fault_gap_s", Soak.fault_gap_s))),
     )
@@ -92,6 +93,16 @@
         self.history.note_run("once-2", Run("w0", 1.5))
         self.assertEqual(["REFUSED", "REFUSED"], self.rules())
 
+    def test_run_that_goes_on_at_another_software_version(self) -> None:
+        self.history.note_run("item-1", Run("w0", 1.0, software_version="v1"))
+        self.history.note_run("item-1", Run("w2", 2.0, 5, software_version="v1"))
+        self.history.note_run("item-1", Run("w1", 3.0, software_version="v2"))
+        self.history.note_run("item-1", Run("w3", 4.0, 2, software_version="v2"))
+        self.assertEqual([], self.rules())
+        self.history.note_run("item-2", Run("w0", 1.0, software_version="v1"))
+        self.history.note_run("item-2", Run("w1", 2.0, 2, software_version="v2"))
+        self.assertEqual(["ORDER"], self.rules())
+
     def test_run_that_nobody_asked_for(self) -> None:
         self.history.note_run("strange", Run("w0", 1.0))
         self.assertEqual(["UNASKED"], self.rules())
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -49,6 +49,9 @@
         bool, cappa.Arg(long=True, help="Workers crash in bursts, in place of by requests")
     ] = False
     zones: Annotated[bool, cappa.Arg(long=True, help="Two zones; cold workers")] = False
+    versions: Annotated[
+        bool, cappa.Arg(long=True, help="Workers of two software versions, side by side")
+    ] = False
     production: Annotated[str, cappa.Arg(long=True, help="Commit that runs at first")] = ""
     logs: Annotated[str, cappa.Arg(long=True, help="Folder that keeps the logs")] = ""
 
@@ -67,6 +70,7 @@
         zones=options.zones,
         code=code,
         event_gap_s=LONG_EVENT_GAP_S if options.bursts else EVENT_GAP_S,
+        versions=options.versions,
     )
     callers = Callers(
         site, crash_rng, keeps_open=options.keep_open, crashing_items=not options.bursts
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -49,6 +49,8 @@
     key: str | None = None
     """The tenant and the caller's key as the worker got them."""
 
+    software_version: str = ""
+
 
 @dataclass(slots=True)
 class OnlineRequest:
@@ -101,6 +103,7 @@
     def note_run(self, request_id: str, run: Run) -> None:
         """Note that a worker began a request."""
         runs = self.runs_by_id[request_id]
+        self._check_software(request_id, runs, run)
         runs.append(run)
         self._check_draining(request_id, run)
         req = self.online.get(request_id)
@@ -143,6 +146,15 @@
         req = self.online.get(request_id)
         return req.tenant if req is not None else None
 
+    def _check_software(self, request_id: str, before: list[Run], run: Run) -> None:
+        """Check that a run goes on with what the same version of the workers' software wrote."""
+        if not run.resume_after:
+            return
+        versions = {r.software_version for r in before if r.resume_after < run.resume_after}
+        if run.software_version not in versions:
+            detail = f"{run.software_version} goes on after {run.resume_after} of {versions}"
+            self.violate("ORDER", request_id, detail, run.at_s)
+
     def _check_draining(self, request_id: str, run: Run) -> None:
         """No new work goes to a worker that is leaving, from processes in touch."""
         since_s = run.draining_since_s
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -209,7 +209,9 @@
         zones: bool = False,
         code: Path = ROOT,
         event_gap_s: float = EVENT_GAP_S,
+        versions: bool = False,
     ) -> None:
+        self._versions = ("v1", "v2") if versions else ("",)
         self._event_gap_s = event_gap_s
         self._code = code
         self.history = History()
@@ -295,6 +297,7 @@
             self._note_crash,
             self.zones,
             self._event_gap_s,
+            self._versions[self._next_worker % len(self._versions)],
         )
         self.zones.add_worker(worker.worker_id, self._next_worker)
         self._next_worker += 1
@@ -337,6 +340,7 @@
             "address": f"127.0.0.1:{self.worker_links[worker.worker_id].port}",
             "slots": SLOTS,
             "state": state,
+            "version": worker.software_version,
             **self.zones.row_of(worker.worker_id),
         }
         self._write_row("servers", worker.worker_id, row)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -50,7 +50,9 @@
         on_crash: Callable[[SoakWorker], None],
         zones: SoakZones,
         event_gap_s: float = EVENT_GAP_S,
+        software_version: str = "",
     ) -> None:
+        self.software_version = software_version
         self._event_gap_s = event_gap_s
         self.worker_id = worker_id
         self.crashed = False
@@ -81,6 +83,7 @@
                 self.draining_since_s,
                 req.headers.get("tenant"),
                 req.headers.get("api-key"),
+                self.software_version,
             ),
         )
         self._zones.note_run(self.worker_id, req.request_id)
