--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -143,14 +143,7 @@
 
     def service_of_software(self, software_key: int) -> str | None:
         """Return the service of a software that has workers, ``None`` if it has none."""
-        return next(
-            (
-                worker.record.service
-                for worker in self.workers.values()
-                if worker.software_key == software_key
-            ),
-            None,
-        )
+        return self._indexed().service_by_software.get(software_key)
 
     def pool_contains(self, pool_name: str, worker: Worker) -> bool:
         """Return whether a worker belongs to a pool or service."""
@@ -232,16 +225,15 @@
             ):
                 del self.workers[worker_id]
                 self._index = None
-        for worker in self.workers.values():
-            if worker.leaving_since_s is None:
-                self.software_history.note(worker.record.service, worker.software_key, now_s)
+        for key, service in self._indexed().service_by_software.items():
+            self.software_history.note(service, key, now_s)
         self.software_history.expire(now_s)
         self._drop_pools_without_software()
 
     def _drop_pools_without_software(self) -> None:
-        keys = {worker.software_key for worker in self.workers.values()}
+        service_by_software = self._indexed().service_by_software
         for name, pool in list(self._pool_by_name.items()):
-            if pool.software_key is not None and pool.software_key not in keys:
+            if pool.software_key is not None and pool.software_key not in service_by_software:
                 del self._pool_by_name[name]
                 self._index = None
 
@@ -404,15 +396,24 @@
 class _WorkerIndex:
     """Look-up tables for one state of the directory."""
 
-    __slots__ = ("active_by_service", "by_key", "services", "slots", "withdrawn_by_service")
+    __slots__ = (
+        "active_by_service",
+        "by_key",
+        "service_by_software",
+        "services",
+        "slots",
+        "withdrawn_by_service",
+    )
 
     def __init__(self, workers: Iterable[Worker]) -> None:
         self.by_key: dict[int, Worker] = {}
         self.active_by_service: dict[str, list[Worker]] = {}
         self.withdrawn_by_service: dict[str, list[Worker]] = {}
+        self.service_by_software: dict[int, str] = {}
         self.slots = 0
         for worker in workers:
             self.by_key[worker.key] = worker
+            self.service_by_software[worker.software_key] = worker.record.service
             self._add(worker.record.service, worker)
             self.slots += worker.slots() if worker.withdrawn_since_s is None else 0
         self.services = sorted(self.active_by_service.keys() | self.withdrawn_by_service.keys())
--- a/tests/integration/test_crashing_part.py
+++ b/tests/integration/test_crashing_part.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from base64 import b64encode
 
 import orjson
@@ -154,14 +153,7 @@
                 traffic = Traffic(site, "/plain/x")
                 await traffic.send(16)
                 await asyncio.sleep(CONTACT_S)
-                for process in site.processes:
-                    process.signal(signal.SIGKILL)
-                for process in site.processes:
-                    await process.ended()
-                for process in site.processes:
-                    await process.start()
-                for process in site.processes:
-                    await site.wait_ready(process)
+                await site.kill_and_restart(*site.processes)
                 await asyncio.sleep(0.5)
                 await traffic.send(12)
                 await workers.stop()
--- a/tests/integration/test_crashing_request.py
+++ b/tests/integration/test_crashing_request.py
@@ -120,14 +120,7 @@
                     await asyncio.sleep(TRY_GAP_S)
                 await asyncio.sleep(CONTACT_S)
                 before = sum(is_bad(request) for request in workers.received())
-                for process in site.processes:
-                    process.signal(signal.SIGKILL)
-                for process in site.processes:
-                    await process.ended()
-                for process in site.processes:
-                    await process.start()
-                for process in site.processes:
-                    await site.wait_ready(process)
+                await site.kill_and_restart(*site.processes)
                 await asyncio.sleep(0.5)
                 statuses = {
                     await ask(site.processes[i % 2], "/plain/x", f"again-{i}", BAD)
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -155,7 +155,9 @@
         await self.store.stop()
         self.folder.cleanup()
 
-    async def list_worker(self, worker: StandInWorker, state: str = "ready") -> None:
+    async def list_worker(
+        self, worker: StandInWorker, state: str = "ready", version: str = ""
+    ) -> None:
         """Write a worker's row as the worker itself does."""
         row = {
             "service": "llm",
@@ -163,9 +165,22 @@
             "zone": "zone-a",
             "slots": 8,
             "state": state,
+            "version": version,
         }
         await self.store.put("servers", worker.worker_id, row)
 
+    async def kill_and_restart(self, *processes: Process) -> None:
+        """Kill processes at once, start them again, and wait until they are ready."""
+        for process in processes:
+            process.signal(signal.SIGKILL)
+        for process in processes:
+            await process.ended()
+            process.output.clear()
+        for process in processes:
+            await process.start()
+        for process in processes:
+            await self.wait_ready(process)
+
     async def wait_ready(self, process: Process) -> None:
         """Wait until a process says that it is ready."""
         deadline_s = asyncio.get_running_loop().time() + START_TIMEOUT_S
--- a/tests/integration/test_stream_versions.py
+++ b/tests/integration/test_stream_versions.py
@@ -22,17 +22,11 @@
 class VersionedSite(Site):
     """A site whose workers list the software version that their name begins with."""
 
-    async def list_worker(self, worker: StandInWorker, state: str = "ready") -> None:
+    async def list_worker(
+        self, worker: StandInWorker, state: str = "ready", version: str = ""
+    ) -> None:
         """Write a worker's row as the worker itself does."""
-        row = {
-            "service": "llm",
-            "address": f"127.0.0.1:{worker.port}",
-            "zone": "zone-a",
-            "slots": 8,
-            "state": state,
-            "version": worker.worker_id.partition("-")[0],
-        }
-        await self.store.put("servers", worker.worker_id, row)
+        await super().list_worker(worker, state, version or worker.worker_id.partition("-")[0])
 
     async def add_workers(self, workers: list[StandInWorker]) -> None:
         """Start and list further workers, and wait until every process knows them."""
@@ -169,19 +163,12 @@
                 site.workers = (*first_workers, *others)
                 await site.add_workers(others)
                 await self.kill(site.processes[0])
-                await self.restart(site, site.processes[1])
+                await site.kill_and_restart(site.processes[1])
                 answers = [await caller.go_on(site.processes[1]) for caller in callers]
                 self.check_answers(site, callers, answers)
 
         run(scenario())
 
-    async def restart(self, site: VersionedSite, process: Process) -> None:
-        process.signal(signal.SIGKILL)
-        await process.ended()
-        process.output.clear()
-        await process.start()
-        await site.wait_ready(process)
-
     def test_unknown_stream_is_refused_beside_two_versions(self) -> None:
         """Guards against a stream of unknown origin that any version goes on with."""
 
--- a/tests/jobs/test_item_versions.py
+++ b/tests/jobs/test_item_versions.py
@@ -81,12 +81,7 @@
         """Guards against a new owner that goes on at any version with what the former one saved."""
 
         async def work() -> None:
-            self.set_software(w0="v1", w1="v2")
-            first = self.daemon("d1")
-            self.remove_workers("w1")
-            await first.submit(submission(items=1))
-            await eventually(self.saved_progress, "progress is saved", 15.0)
-            first.kill()
+            await self.save_progress_and_die()
             self.set_software(w1="v2")
             self.remove_workers("w0")
             found = await self.daemon("d2").wait_for_results(1)
@@ -95,6 +90,15 @@
 
         self.run_scenario(work, (three_events_then_silence,), (stream(4),))
 
+    async def save_progress_and_die(self) -> None:
+        """Let an item's owner save progress that a worker of v1 made, and die."""
+        self.set_software(w0="v1", w1="v2")
+        first = self.daemon("d1")
+        self.remove_workers("w1")
+        await first.submit(submission(items=1))
+        await eventually(self.saved_progress, "progress is saved", 15.0)
+        first.kill()
+
     def saved_progress(self) -> list[bytes]:
         return [
             row.value
@@ -106,12 +110,7 @@
         """Guards against progress of unknown origin that is continued at any version."""
 
         async def work() -> None:
-            self.set_software(w0="v1", w1="v2")
-            first = self.daemon("d1")
-            self.remove_workers("w1")
-            await first.submit(submission(items=1))
-            await eventually(self.saved_progress, "progress is saved", 15.0)
-            first.kill()
+            await self.save_progress_and_die()
             for key, row in list(self.store.rows.items()):
                 if key.table == PROGRESS_TABLE and row.value:
                     fields = orjson.loads(zlib.decompress(row.value))
