Quarantine: bursts of crashes hold no sound part of items back

Crashes come to a bad part as a worker begins to write. So a run that has written for half a second is no evidence against its parts, and clears them. Items are tried again within seconds, as for their contents.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -95,6 +95,9 @@
     sent_at_s: float | None = None
     """When the current attempt sent its request, in event loop time."""
 
+    writing_since_s: float | None = None
+    """When the first event of the current attempt came, in event loop time."""
+
     head_received_at_s: float | None = None
     """When the current attempt received a response head with status 200, in event loop time."""
 
@@ -176,7 +179,7 @@
     async def _attempt(
         self, progress: ItemProgress, route: Route, worker: Worker
     ) -> ItemResult | None:
-        progress.sent_at_s = progress.head_received_at_s = None
+        progress.sent_at_s = progress.head_received_at_s = progress.writing_since_s = None
         pending_prefill = PendingPrefill(worker, progress.item.prompt)
         try:
             progress.connection = await self._context.connections.acquire(worker, repeatable=True)
@@ -282,6 +285,7 @@
             while (chunk := await connection.read_piece()) is not None:
                 worker.last_contact_s = worker.last_data_s = loop.time()
                 for event in splitter.feed(chunk):
+                    self._note_writing(progress)
                     progress.software_key = worker.software_key
                     progress.texts.append(event.data.decode("utf-8", "replace"))
                     progress.last_event_id = event.event_id
@@ -293,17 +297,27 @@
         if splitter.partial:
             raise ReplyBroken("ended within an event")
 
+    def _note_writing(self, progress: ItemProgress) -> None:
+        if progress.writing_since_s is None:
+            progress.writing_since_s = asyncio.get_running_loop().time()
+        call = self._call(progress)
+        self._context.quarantine.note_writing(call, progress.writing_since_s)
+
     async def _has_crashed(self, progress: ItemProgress, worker: Worker) -> bool:
         """Return whether the worker of a stream that ended with its connection has crashed."""
         assert progress.sent_at_s is not None
-        self._context.quarantine.note_broken(worker, self._call(progress), progress.sent_at_s)
+        self._context.quarantine.note_broken(
+            worker, self._call(progress), progress.sent_at_s, progress.writing_since_s
+        )
         return await self._context.quarantine.wait_until_checked(worker)
 
     def _record_broken_attempt(self, progress: ItemProgress, worker: Worker) -> None:
         """Count a broken or timed-out attempt against the worker and make the item a suspect."""
         if progress.sent_at_s is not None:
             call = self._call(progress)
-            self._context.quarantine.note_broken(worker, call, progress.sent_at_s)
+            self._context.quarantine.note_broken(
+                worker, call, progress.sent_at_s, progress.writing_since_s
+            )
         worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
 
     def _handle_error_status(
--- a/mountstand/quarantine/part_quarantine.py
+++ b/mountstand/quarantine/part_quarantine.py
@@ -21,7 +21,9 @@
 )
 from mountstand.quarantine.stored import StoredSuspects
 from mountstand.quarantine.suspects import SuspectKind
+from mountstand.quarantine.workload import Workload
 from mountstand.serving.worker_ends import BrokenRun
+from mountstand.serving.worker_protocol import Call
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.wire.gossip import CrashQuery, CrashReport, PartQuery, PartReport
 
@@ -52,13 +54,20 @@
 
     # Called by the serving path
 
-    def blocked_for_s(self, parts: Collection[int], now_s: float) -> float:
-        """Return how long a request with these parts is still held back, 0 if it may be sent."""
+    def blocked_for_s(
+        self, parts: Collection[int], now_s: float, workload: Workload = Workload.ONLINE
+    ) -> float:
+        """Return how long a request with these parts is still held back, 0 if it may be sent.
+
+        Batch items, which are owed, are tried again within seconds as for their contents.
+        """
         if not self.suspects:
             return 0.0
+        blocked_for_s = max(
+            (self.suspects.blocked_for_s(part, now_s, workload) for part in parts), default=0.0
+        )
         suspected = [part for part in parts if self.suspects.requires_trial(part)]
-        blocked_for_s = max((self.suspects.blocked_for_s(part, now_s) for part in parts), default=0)
-        if len(suspected) > 1:
+        if len(suspected) > 1 and workload is Workload.ONLINE:
             trial_at_s = max(self.suspects.trial_at_s(part) for part in suspected)
             blocked_for_s = max(blocked_for_s, trial_at_s + JOINT_TRIAL_DELAY_S - now_s)
         return blocked_for_s
@@ -68,20 +77,18 @@
         by_part = self.suspects.by_content
         return any(part in by_part and by_part[part].crash_by_worker for part in parts)
 
-    def begin_trials(
-        self, parts: Collection[int], request_id: str, worker_id: str, now_s: float
-    ) -> None:
-        """Begin the trial of those of the parts that require one, before a request is sent."""
+    def begin_trials(self, call: Call, worker_id: str, now_s: float) -> None:
+        """Begin the trials of the parts of a request that require one, before it is sent."""
         if not self.suspects:
             return
-        for part in parts:
-            if not self.suspects.requires_trial(part):
+        for part in call.prompt.shared_keys:
+            if not self.suspects.requires_trial(part, call.workload):
                 continue
-            self._sharing.begin_run(part, now_s)
+            self._sharing.begin_run(part, now_s, call.workload)
             self._log.event(
                 "part_tried",
                 part=content_name(part),
-                request=request_id,
+                request=call.request_id,
                 worker=worker_id,
                 trials=self.suspects.by_content[part].trials.count,
             )
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -22,7 +22,12 @@
 )
 from mountstand.quarantine.stored import StoredSuspects
 from mountstand.serving.worker import Worker
-from mountstand.serving.worker_ends import BrokenRun, WorkerCrashDetector, WorkerCrashObserver
+from mountstand.serving.worker_ends import (
+    BrokenRun,
+    WorkerCrashDetector,
+    WorkerCrashObserver,
+    proves_parts_sound,
+)
 from mountstand.serving.worker_protocol import Call
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
@@ -66,15 +71,26 @@
     def blocked_for_s(self, call: Call) -> float:
         """Return the remaining block time of a request, 0 if it may be sent to workers."""
         now_s = asyncio.get_running_loop().time()
-        part_blocked_for_s = self.parts.blocked_for_s(call.prompt.shared_keys, now_s)
+        part_blocked_for_s = self.parts.blocked_for_s(call.prompt.shared_keys, now_s, call.workload)
         if not self.suspects.any_blocked:
             return part_blocked_for_s
         blocked_for_s = self.suspects.blocked_for_s(call.content_key, now_s, call.workload)
         return max(blocked_for_s, part_blocked_for_s)
 
-    def note_broken(self, worker: Worker, call: Call, sent_at_s: float) -> None:
-        """Record that the connection to a worker broke after the request was sent."""
-        self._crash_detector.note_broken(worker, call, sent_at_s)
+    def note_broken(
+        self, worker: Worker, call: Call, sent_at_s: float, writing_since_s: float | None
+    ) -> None:
+        """Record that the connection to a worker broke after the request was sent.
+
+        ``writing_since_s`` is when the first event of this run came, if any.
+        """
+        self._crash_detector.note_broken(worker, call, sent_at_s, writing_since_s)
+
+    def note_writing(self, call: Call, writing_since_s: float) -> None:
+        """Record that a run goes on writing, which clears the parts of its prompt after a while."""
+        if self.parts.suspects and proves_parts_sound(writing_since_s):
+            now_s = asyncio.get_running_loop().time()
+            self.parts.note_served(call.prompt.shared_keys, call.request_id, now_s)
 
     async def wait_until_checked(self, worker: Worker) -> bool:
         """Wait for the pending crash check of a worker, if there is one, up to a timeout.
@@ -113,7 +129,7 @@
         """
         worker_id = worker.record.worker_id
         now_s = asyncio.get_running_loop().time()
-        self.parts.begin_trials(call.prompt.shared_keys, call.request_id, worker_id, now_s)
+        self.parts.begin_trials(call, worker_id, now_s)
         if self.requires_trial(call):
             self._begin_trial(call, worker_id)
         tracked = bool(self.suspects) and self._separation.track_run(call.content_key, worker_id)
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -105,6 +105,9 @@
     first_event_at_s: float | None = None
     """When the first event of a stream was relayed, on the event loop's clock."""
 
+    writing_since_s: float | None = None
+    """When the first event of the latest attempt came, on the event loop's clock."""
+
     sent_at_s: float = 0.0
     """When the request was last sent to a worker, on the event loop's clock."""
 
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -312,6 +312,7 @@
         exchange.tried_worker_ids.add(worker.record.worker_id)
         exchange.worker_id = worker.record.worker_id
         exchange.software_version = worker.record.software_version
+        exchange.writing_since_s = None
         now_s = asyncio.get_running_loop().time()
         exchange.estimated_load = worker.estimated_load(now_s)
         self._batch_scheduler.preempt_for_online(worker, now_s)
@@ -388,7 +389,9 @@
         except (ReplyBroken, WorkerUnresponsive) as error:
             if isinstance(error, ReplyBroken):
                 self._connections.note_broken(connection)
-            self._quarantine.note_broken(worker, exchange.call, exchange.sent_at_s)
+            self._quarantine.note_broken(
+                worker, exchange.call, exchange.sent_at_s, exchange.writing_since_s
+            )
             exchange.cause = str(error)
             reply_started = exchange.responder.started
             return Outcome.BROKEN_MIDWAY if reply_started else Outcome.MAY_HAVE_RUN
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -174,7 +174,7 @@
             await self._relay_events(exchange, events)
         if splitter.partial:
             exchange.cause = "ended within an event"
-            self._quarantine.note_broken(worker, exchange.call, exchange.sent_at_s)
+            self._note_broken(exchange, worker)
             return Outcome.BROKEN_MIDWAY
         if head.ends_with_connection and await self._has_crashed(exchange, worker):
             exchange.cause = "ended with its worker"
@@ -182,9 +182,14 @@
         responder.finish()
         return Outcome.DELIVERED
 
+    def _note_broken(self, exchange: Exchange, worker: Worker) -> None:
+        self._quarantine.note_broken(
+            worker, exchange.call, exchange.sent_at_s, exchange.writing_since_s
+        )
+
     async def _has_crashed(self, exchange: Exchange, worker: Worker) -> bool:
         """Return whether the worker of a stream that ended with its connection has crashed."""
-        self._quarantine.note_broken(worker, exchange.call, exchange.sent_at_s)
+        self._note_broken(exchange, worker)
         return await self._quarantine.wait_until_checked(worker)
 
     async def _read_events(
@@ -227,8 +232,12 @@
             if event.event_id is not None:
                 exchange.last_event_id = event.event_id
         exchange.end_pending_prefill()
+        now_s = asyncio.get_running_loop().time()
         if exchange.first_event_at_s is None:
-            exchange.first_event_at_s = asyncio.get_running_loop().time()
+            exchange.first_event_at_s = now_s
+        if exchange.writing_since_s is None:
+            exchange.writing_since_s = now_s
+        self._quarantine.note_writing(exchange.call, exchange.writing_since_s)
         exchange.responder.write(b"".join(event.raw for event in events))
         await exchange.responder.drain()
 
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -43,13 +43,20 @@
 """How long a caller waits for a check: two refused probes take 0.1 s, and a check that takes longer
 than this usually does not show a crash. It runs on, but the caller continues without its result."""
 
+WRITING_PROVES_S = 0.5
+"""A part of a prompt that crashes workers does so as they begin to write an answer on it. A run
+that has written for this long shows that its parts are sound."""
+
 MAX_LOGGED_CONTENTS = 20
 """Maximum number of content keys in a log line, about as many as requests run at a worker."""
 
 
 @dataclass(frozen=True, slots=True)
 class BrokenRun:
-    """A run that broke: when it was sent, and the keys of the shared parts of its prompt."""
+    """A run that broke: when it was sent, and the keys of its prompt's shared parts.
+
+    ``part_keys`` is empty if the run had written long enough to show that they are sound.
+    """
 
     sent_at_s: float
     part_keys: tuple[int, ...] = ()
@@ -83,16 +90,20 @@
         self._check_by_worker: dict[str, asyncio.Task[bool]] = {}
         self.observers: list[WorkerCrashObserver] = []
 
-    def note_broken(self, worker: Worker, call: Call, sent_at_s: float) -> None:
+    def note_broken(
+        self, worker: Worker, call: Call, sent_at_s: float, writing_since_s: float | None = None
+    ) -> None:
         """Record that the exchange of ``call`` with ``worker`` broke; start a check if none runs.
 
-        Leaving workers are ignored.
+        ``writing_since_s`` is when the worker's first event came, if any. Leaving workers are
+        ignored.
         """
         if worker.leaving_since_s is not None:
             return
         worker_id = worker.record.worker_id
         runs = self._runs_by_worker.setdefault(worker_id, {})
-        runs.setdefault(call.content_key, BrokenRun(sent_at_s, call.prompt.shared_keys))
+        part_keys = () if proves_parts_sound(writing_since_s) else call.prompt.shared_keys
+        runs.setdefault(call.content_key, BrokenRun(sent_at_s, part_keys))
         if worker_id not in self._check_by_worker:
             self._check_by_worker[worker_id] = asyncio.create_task(self._check(worker))
 
@@ -177,3 +188,10 @@
             after_ms=milliseconds(now_s - began_s),
             said_after_ms=milliseconds(last_data_s - began_s) if last_data_s > began_s else None,
         )
+
+
+def proves_parts_sound(writing_since_s: float | None) -> bool:
+    """Return whether a run that wrote its first event then shows that its prompt is sound."""
+    if writing_since_s is None:
+        return False
+    return asyncio.get_running_loop().time() - writing_since_s > WRITING_PROVES_S
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -7,10 +7,13 @@
 
 from testtools import TestCase
 
+from mountstand.quarantine.batch_verdicts import MAX_TRIAL_DELAY_S
 from mountstand.quarantine.part_quarantine import JOINT_TRIAL_DELAY_S, PartQuarantine
 from mountstand.quarantine.suspect import INITIAL_BLOCK_S, TRIAL_DELAY_S, TRIAL_JITTER_S
+from mountstand.quarantine.workload import Workload
 from mountstand.serving.prompt import Prompt, PromptPart, part_key
 from mountstand.serving.worker_ends import BrokenRun
+from mountstand.serving.worker_protocol import Call
 from mountstand.wire.gossip import PartQuery, PartReport
 from tests.stand_ins.harness import RecordingLog
 from tests.stand_ins.report_link import RecordingReportLink
@@ -52,7 +55,10 @@
         """Wait until a request with these parts may be tried, and begin its trial."""
         self.now_s += self.held(*parts)
         self.assertEqual(0, self.held(*parts))
-        self.quarantine.begin_trials(parts, "r", "w", self.now_s)
+        ids = {FIRST: "first", BAD: "bad", SOUND: "sound"}
+        prompt = Prompt((*(PromptPart(ids[part], 1) for part in parts), PromptPart("own", 1)))
+        call = Call("r", "h", "POST", "/x", (), b"", prompt)
+        self.quarantine.begin_trials(call, "w", self.now_s)
 
 
 class Blocking(PartTestCase):
@@ -133,6 +139,15 @@
         self.quarantine.note_worker_crash(99, self.now_s, other, [999], self.now_s)
         self.assertLess(self.held(SOUND), INITIAL_BLOCK_S)
 
+    def test_items_are_tried_again_within_seconds(self) -> None:
+        """Guards against sound items that wait for minutes after bursts of crashes."""
+        for _ in range(6):
+            self.crash((SOUND,), (FIRST,))
+            self.now_s += self.held(SOUND)
+            self.try_once(SOUND)
+        blocked_for_s = self.quarantine.blocked_for_s((SOUND,), self.now_s, Workload.BATCH)
+        self.assertLessEqual(blocked_for_s, MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
+
     def test_requests_without_parts_are_never_held_back(self) -> None:
         for _ in range(4):
             self.crash(())
