Tests of prompt parts that could pass without telling anything

Read again with the code changed on purpose: the test of items that are tried again within seconds passed also when items were held back as online requests are, since its last trial was no block. The rule that a run which has written for half a second blames no part, and clears its parts, had no test; it has two. At least eight must come, and the traffic lasts 19 s in place of 12. Rows of workers without a version are played again where no version is wanted.

--- a/tests/integration/test_crashing_part.py
+++ b/tests/integration/test_crashing_part.py
@@ -23,10 +23,11 @@
 CRASHES_ALLOWED = 5
 LATE_RUNS_ALLOWED = 3
 WORKERS = 5
-TRIES = 40
+TRIES = 64
 TRY_GAP_S = 0.3
+MIN_SOUND_REQUESTS = 8
 MIN_SOUND_SHARE = 0.5
-"""Share of the sound requests that must be served once all know of the part."""
+"""How many sound requests must come once all know of the part, and what share must be served."""
 
 
 def prompt(middle: str, number: int) -> str:
@@ -91,22 +92,23 @@
         reached = [r.request_id for r in workers.received() if is_bad(r)]
         return [request_id for request_id in reached if self.sent_at_s[request_id] > known_s]
 
-    def late_sound_share(self, workers: RestartingWorkers) -> float:
-        """Return the share of sound requests that were served, of those sent after that time."""
+    def late_sound_statuses(self, workers: RestartingWorkers) -> list[int]:
+        """Return the statuses of the sound requests that were sent well after that time."""
         known_s = self.known_s(workers) + CONTACT_S
-        late = [
+        return [
             status
             for request_id, status in self.statuses.items()
             if request_id.startswith("good") and self.sent_at_s[request_id] > known_s
         ]
-        return sum(status == 200 for status in late) / len(late) if late else 1.0
 
 
 class CrashingPart(TestCase):
     def check(self, traffic: Traffic, workers: RestartingWorkers, name: str) -> None:
         late = traffic.late_runs(workers)
         self.assertTrue(len(late) <= LATE_RUNS_ALLOWED, (name, "late runs", late))
-        share = traffic.late_sound_share(workers)
+        statuses = traffic.late_sound_statuses(workers)
+        self.assertTrue(len(statuses) >= MIN_SOUND_REQUESTS, (name, "too few to tell", statuses))
+        share = sum(status == 200 for status in statuses) / len(statuses)
         self.assertTrue(share >= MIN_SOUND_SHARE, (name, "sound requests", share))
 
     def test_requests_with_the_part_are_held_back_and_others_served(self) -> None:
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -165,8 +165,9 @@
             "zone": "zone-a",
             "slots": 8,
             "state": state,
-            "version": version,
         }
+        if version:
+            row["version"] = version
         await self.store.put("servers", worker.worker_id, row)
 
     async def kill_and_restart(self, *processes: Process) -> None:
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -9,16 +9,24 @@
 
 from mountstand.quarantine.batch_verdicts import MAX_TRIAL_DELAY_S
 from mountstand.quarantine.part_quarantine import JOINT_TRIAL_DELAY_S, PartQuarantine
+from mountstand.quarantine.service import RequestQuarantine
 from mountstand.quarantine.suspect import INITIAL_BLOCK_S, TRIAL_DELAY_S, TRIAL_JITTER_S
 from mountstand.quarantine.workload import Workload
+from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.prompt import Prompt, PromptPart, part_key
-from mountstand.serving.worker_ends import BrokenRun
+from mountstand.serving.worker import Worker, WorkerRecord
+from mountstand.serving.worker_ends import WRITING_PROVES_S, BrokenRun, WorkerCrashDetector
 from mountstand.serving.worker_protocol import Call
+from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.wire.gossip import PartQuery, PartReport
 from tests.stand_ins.harness import RecordingLog
+from tests.stand_ins.paused_clock import PausedClockLoop, run_paused
 from tests.stand_ins.report_link import RecordingReportLink
 
 FIRST, BAD, SOUND = (part_key(part_id) for part_id in ("first", "bad", "sound"))
+SOUND_CALL = Call(
+    "r", "h", "POST", "/x", (), b"", Prompt((PromptPart("sound", 1), PromptPart("own", 1)))
+)
 START_S = 1000.0
 RUN_S = 0.05
 GAP_S = 1.2
@@ -48,6 +56,9 @@
     def held(self, *parts: int) -> float:
         return self.quarantine.blocked_for_s(parts, self.now_s)
 
+    def held_for_items(self, *parts: int) -> float:
+        return self.quarantine.blocked_for_s(parts, self.now_s, Workload.BATCH)
+
     def serve(self, *parts: int) -> None:
         self.quarantine.note_served(parts, "r", self.now_s)
 
@@ -141,12 +152,15 @@
 
     def test_items_are_tried_again_within_seconds(self) -> None:
         """Guards against sound items that wait for minutes after bursts of crashes."""
-        for _ in range(6):
-            self.crash((SOUND,), (FIRST,))
-            self.now_s += self.held(SOUND)
+        for number in range(5):
+            self.crash((SOUND,))
+            other = {900 + number: BrokenRun(self.now_s - RUN_S, (part_key(f"other {number}"),))}
+            self.quarantine.note_worker_crash(
+                500 + number, self.now_s, other, list(other), self.now_s
+            )
             self.try_once(SOUND)
-        blocked_for_s = self.quarantine.blocked_for_s((SOUND,), self.now_s, Workload.BATCH)
-        self.assertLessEqual(blocked_for_s, MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
+            self.assertLessEqual(self.held_for_items(SOUND), MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
+        self.assertGreater(self.held(SOUND), MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
 
     def test_requests_without_parts_are_never_held_back(self) -> None:
         for _ in range(4):
@@ -154,6 +168,55 @@
         self.assertEqual(0, self.held())
 
 
+class Writing(TestCase):
+    """A part that crashes workers does so as they begin to write."""
+
+    def test_run_that_wrote_for_long_blames_no_part(self) -> None:
+        """Guards against parts of long items that are held back after bursts of crashes."""
+
+        async def scenario() -> list[tuple[int, ...]]:
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, PausedClockLoop)
+            now_s = loop.time()
+            crash_detector = WorkerCrashDetector(
+                WorkerConnections(), ServingMetrics(), RecordingLog()
+            )
+            runs = []
+            for writing_since_s in (None, now_s - WRITING_PROVES_S / 2, now_s - 1.0):
+                worker = Worker(WorkerRecord("w", "llm", "127.0.0.1", 1, "a", 4, False, 1))
+                crash_detector.note_broken(worker, SOUND_CALL, now_s - 2.0, writing_since_s)
+                runs += crash_detector._runs_by_worker.pop("w").values()
+                crash_detector._check_by_worker.pop("w").cancel()
+            return [run.part_keys for run in runs]
+
+        self.assertEqual([(SOUND,), (SOUND,), ()], run_paused(scenario()))
+
+    def test_run_that_goes_on_writing_clears_its_parts(self) -> None:
+        """Guards against sound parts that wait for the end of a long item."""
+
+        async def scenario() -> None:
+            metrics, log = ServingMetrics(), RecordingLog()
+            quarantine = RequestQuarantine(
+                "d1",
+                WorkerCrashDetector(WorkerConnections(), metrics, log),
+                RecordingReportLink(),
+                random.Random(1),
+                metrics,
+                log,
+            )
+            now_s = asyncio.get_running_loop().time()
+            for n in range(3):
+                run = {n: BrokenRun(now_s - 5 + n - RUN_S, (SOUND,))}
+                quarantine.parts.note_worker_crash(n, now_s - 5 + n, run, [n], now_s)
+            self.assertTrue(quarantine.parts.is_suspect((SOUND,)))
+            quarantine.note_writing(SOUND_CALL, now_s - WRITING_PROVES_S / 2)
+            self.assertTrue(quarantine.parts.is_suspect((SOUND,)))
+            quarantine.note_writing(SOUND_CALL, now_s - 2 * WRITING_PROVES_S)
+            self.assertFalse(quarantine.parts.is_suspect((SOUND,)))
+
+        run_paused(scenario())
+
+
 class Messages(PartTestCase):
     def test_daemons_agree_and_answer_queries(self) -> None:
         async def scenario() -> None:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -340,9 +340,10 @@
             "address": f"127.0.0.1:{self.worker_links[worker.worker_id].port}",
             "slots": SLOTS,
             "state": state,
-            "version": worker.software_version,
             **self.zones.row_of(worker.worker_id),
         }
+        if worker.software_version:
+            row["version"] = worker.software_version
         self._write_row("servers", worker.worker_id, row)
         if state == "draining" and worker.draining_since_s is None:
             worker.draining_since_s = asyncio.get_running_loop().time()
