Streams' versions: one name for module and class, one copy of a route's services

The module is named after its class; a route tells its services in one place in place of three; the history of softwares says from when it watches. An output without length that ends with its worker has a test for items: without the check a part of it is listed as the whole.

--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -421,7 +421,7 @@
             return None
         directory = self._context.directory
         service = directory.service_of_software(software_key)
-        if service is None or service not in {share.service for share in route.shares}:
+        if service is None or service not in route.services:
             return None
         pool_name = directory.software_pool_name(software_key, self._regions(route))
         if not directory.active_workers(pool_name):
--- a/mountstand/serving/configuration.py
+++ b/mountstand/serving/configuration.py
@@ -81,6 +81,11 @@
         """How long callers wait for a response to start."""
         return min(self.timeout_s, self.caller_first_event_timeout_s or self.timeout_s)
 
+    @property
+    def services(self) -> frozenset[str]:
+        """The services whose workers may run requests of the route."""
+        return frozenset(share.service for share in self.shares)
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may be retried after a worker may have run it."""
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -26,7 +26,7 @@
 from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.online_queue import OnlineQueue, start_deadlines
 from mountstand.serving.reply_relay import ReplyRelay
-from mountstand.serving.stream_service import StreamVersions
+from mountstand.serving.stream_versions import StreamVersions
 from mountstand.serving.worker import PendingPrefill, Worker
 from mountstand.serving.worker_protocol import Call, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
@@ -181,7 +181,7 @@
             exchange.cause = "stream of unknown software"
             return False
         service = self._directory.service_of_software(software_key)
-        if service not in {share.service for share in exchange.route.shares}:
+        if service not in exchange.route.services:
             exchange.cause = "no worker of the stream's software"
             return False
         exchange.software_key = software_key
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -10,7 +10,7 @@
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
 from mountstand.serving.exchange import Exchange, Outcome, WorkerUnresponsive
-from mountstand.serving.stream_service import StreamVersions
+from mountstand.serving.stream_versions import StreamVersions
 from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
--- a/mountstand/serving/software.py
+++ b/mountstand/serving/software.py
@@ -38,7 +38,7 @@
         self._sighting_by_key: dict[int, _Sighting] = {}
         self._known_since_s: float | None = None
 
-    def restart(self, now_s: float) -> None:
+    def watch_from(self, now_s: float) -> None:
         """Note that workers may have come and gone unnoticed before ``now_s``."""
         self._known_since_s = now_s
 
--- a/mountstand/serving/stream_service.py
+++ b/mountstand/serving/stream_versions.py
@@ -82,7 +82,7 @@
         if request_id:
             software = await self._find_named(stream_key(request_id), route)
         else:
-            software = self._history.only_software(_services(route), self._earliest_s(route))
+            software = self._history.only_software(route.services, self._earliest_s(route))
         if software is None:
             self._log.event("stream_unknown", resumes=request_id, route=route.name)
         return software
@@ -92,7 +92,7 @@
         if software is None and self._view_is_fresh():
             earliest_s = self._earliest_s(route)
             if self._history.knows_since(earliest_s):
-                software = self._history.only_software(_services(route), earliest_s)
+                software = self._history.only_software(route.services, earliest_s)
         return await self._ask(stream) if software is None else software
 
     def handle(self, sender: str, message: StreamOrigin | StreamQuery) -> None:
@@ -145,10 +145,6 @@
             self.done.set()
 
 
-def _services(route: Route) -> set[str]:
-    return {share.service for share in route.shares}
-
-
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
     try:
         async with asyncio.timeout(timeout_s):
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -113,7 +113,7 @@
 
     def replace_all(self, records: Iterable[WorkerRecord], now_s: float) -> None:
         """Apply a complete list: update the listed workers and mark all others as leaving."""
-        self.software_history.restart(now_s)
+        self.software_history.watch_from(now_s)
         listed = {record.worker_id: record for record in records}
         for worker_id, known in self.workers.items():
             if worker_id not in listed:
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -36,7 +36,7 @@
 from mountstand.serving.residency import Regions
 from mountstand.serving.slot_demand import WorkKind
 from mountstand.serving.slot_lending import SlotLending
-from mountstand.serving.stream_service import StreamVersions
+from mountstand.serving.stream_versions import StreamVersions
 from mountstand.serving.worker_ends import WorkerCrashDetector
 from mountstand.serving.worker_protocol import WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -27,7 +27,17 @@
 from mountstand.store.rows import StoreError, StoreRefused, Transaction
 from mountstand.store.watch import TableWatcher
 from tests.stand_ins.harness import HOST, Fleet, configuration, eventually, route, run
-from tests.stand_ins.worker import Answer, StandInWorker, event, reset, silence, stream, whole
+from tests.stand_ins.worker import (
+    Answer,
+    Received,
+    StandInWorker,
+    event,
+    head,
+    reset,
+    silence,
+    stream,
+    whole,
+)
 
 BATCH = route(RequestKind.BATCH, max_attempts=3)
 TEXT = "\n".join(f"piece {number}" for number in range(1, 5))
@@ -275,6 +285,25 @@
         garbled = whole(event_with_long_id, "200 OK", "Content-Type: text/event-stream")
         self.run_scenario(work, (garbled, stream(4)))
 
+    def test_output_without_length_that_ends_with_its_worker_is_not_whole(self) -> None:
+        """Guards against a part of an output that is listed as the whole of it."""
+
+        async def crash_between_events(request: Received, writer: asyncio.StreamWriter) -> None:
+            writer.write(head(request, "200 OK", "Content-Type: text/event-stream") + event(1))
+            await writer.drain()
+            writer.close()
+            await self.fleet.workers[0].stop()
+
+        async def work() -> None:
+            daemon = self.daemon()
+            self.fleet.directory.workers["w1"].in_flight = 8
+            await daemon.submit(submission(items=1))
+            await eventually(lambda: self.fleet.workers[0].received, "the item runs")
+            self.fleet.directory.workers["w1"].in_flight = 0
+            self.assert_all_completed(await daemon.wait_for_results(1), 1)
+
+        self.run_scenario(work, (crash_between_events,), (stream(4),))
+
     def test_item_is_retried_after_an_unexpected_error(self) -> None:
         """Guards against an item that is dropped without a line, while its job stays open."""
 
--- a/tests/serving/test_stream_origins.py
+++ b/tests/serving/test_stream_origins.py
@@ -12,7 +12,7 @@
 from mountstand.serving.configuration import RequestKind
 from mountstand.serving.software import SoftwareHistory, software_key
 from mountstand.serving.stream_origins import HOLDERS, HolderChoice, StreamOrigins, stream_key
-from mountstand.serving.stream_service import StreamVersions
+from mountstand.serving.stream_versions import StreamVersions
 from mountstand.wire.gossip import UNKNOWN_SOFTWARE, StreamOrigin, StreamQuery
 from tests.stand_ins.harness import RecordingLog, route, run
 from tests.stand_ins.peer_link import RecordingPeerLink
@@ -24,7 +24,7 @@
 class Histories(TestCase):
     def history(self) -> SoftwareHistory:
         history = SoftwareHistory()
-        history.restart(0.0)
+        history.watch_from(0.0)
         history.note("llm", V1, 1.0)
         return history
 
@@ -49,7 +49,7 @@
         self.assertFalse(SoftwareHistory().knows_since(0.5))
         history = self.history()
         self.assertTrue(history.knows_since(0.5))
-        history.restart(10.0)
+        history.watch_from(10.0)
         self.assertFalse(history.knows_since(9.0))
         self.assertTrue(history.knows_since(10.0))
 
@@ -160,10 +160,10 @@
         async def scenario() -> None:
             daemon = self.daemon()
             now_s = asyncio.get_running_loop().time()
-            self.history.restart(now_s - 1.0)
+            self.history.watch_from(now_s - 1.0)
             self.history.note("llm", V1, now_s)
             self.assertIsNone(await daemon.find("r1", STREAM_ROUTE))
-            self.history.restart(now_s - 60.0)
+            self.history.watch_from(now_s - 60.0)
             self.assertEqual(V1, await daemon.find("r1", STREAM_ROUTE))
 
         run(scenario())
--- a/tests/stand_ins/harness.py
+++ b/tests/stand_ins/harness.py
@@ -23,7 +23,7 @@
 )
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.online_queue import OnlineQueue
-from mountstand.serving.stream_service import StreamVersions
+from mountstand.serving.stream_versions import StreamVersions
 from mountstand.serving.worker import WorkerRecord
 from mountstand.serving.worker_ends import WorkerCrashDetector
 from mountstand.serving.workers import WorkerDirectory
