Items with several suspected parts are tried after those with one

Cause: an online request with several suspected parts of its prompt waits 4 s longer for its trial than one with a single part, so that a sound request clears the part that both have. Items did not wait. All of them come due together, so a bad item often took the trial of the shared first part: both parts got the crash, the next trial was 8 s away, and after two such trials the shared part was blocked with the bad one, and with it each sound item that had not run yet.

Change: an item with several suspected parts waits 2 s longer than one with a single part.

--- a/mountstand/quarantine/batch_verdicts.py
+++ b/mountstand/quarantine/batch_verdicts.py
@@ -58,7 +58,7 @@
         suspect = self._by_content[content]
         if self.is_cause(content):
             return suspect.last_crash_s + INITIAL_BLOCK_S
-        return trial_at_s(suspect) + self._verdicts.trial_jitter_s(content)
+        return item_trial_at_s(suspect) + self._verdicts.trial_jitter_s(content)
 
     def is_cause(self, content: int) -> bool:
         """Return whether an item is taken for the cause of its crashes."""
@@ -79,7 +79,7 @@
         )
 
 
-def trial_at_s(suspect: Suspect) -> float:
+def item_trial_at_s(suspect: Suspect) -> float:
     """Return the earliest time of an item's next trial, counted from its last crash or trial."""
     delay_s = min(MAX_TRIAL_DELAY_S, TRIAL_DELAY_S * TRIAL_BACKOFF_FACTOR**suspect.trials.count)
     return max(suspect.last_crash_s, suspect.trials.last_at_s) + delay_s
--- a/mountstand/quarantine/part_quarantine.py
+++ b/mountstand/quarantine/part_quarantine.py
@@ -32,6 +32,9 @@
 about a part that is suspected alone, and a sound part is cleared by a request without the bad one.
 """
 
+JOINT_ITEM_TRIAL_DELAY_S = 2.0
+"""The same for batch items, which are owed: half as long, as those that wait are there already."""
+
 
 class PartQuarantine(SuspectObserver):
     """Decides which requests may be sent to workers, as far as the parts of their prompts go.
@@ -66,12 +69,19 @@
         blocked_for_s = max(
             (self.suspects.blocked_for_s(part, now_s, workload) for part in parts), default=0.0
         )
-        suspected = [part for part in parts if self.suspects.requires_trial(part)]
-        if len(suspected) > 1 and workload is Workload.ONLINE:
-            trial_at_s = max(self.suspects.trial_at_s(part) for part in suspected)
-            blocked_for_s = max(blocked_for_s, trial_at_s + JOINT_TRIAL_DELAY_S - now_s)
+        suspected = [part for part in parts if self.suspects.requires_trial(part, workload)]
+        if len(suspected) > 1:
+            joint_trial_at_s = self._joint_trial_at_s(suspected, workload)
+            blocked_for_s = max(blocked_for_s, joint_trial_at_s - now_s)
         return blocked_for_s
 
+    def _joint_trial_at_s(self, suspected: Collection[int], workload: Workload) -> float:
+        """Return the earliest time of the trial of a request with several suspected parts."""
+        trial_at_s = max(self.suspects.trial_at_s(part, workload) for part in suspected)
+        if workload is Workload.BATCH:
+            return trial_at_s + JOINT_ITEM_TRIAL_DELAY_S
+        return trial_at_s + JOINT_TRIAL_DELAY_S
+
     def is_suspect(self, parts: Collection[int]) -> bool:
         """Return whether any of these parts has crashes that no success has cleared."""
         by_part = self.suspects.by_content
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -31,7 +31,7 @@
 from collections.abc import Iterator
 from enum import Enum
 
-from mountstand.quarantine.batch_verdicts import BatchVerdicts
+from mountstand.quarantine.batch_verdicts import BatchVerdicts, item_trial_at_s
 from mountstand.quarantine.crash_log import CrashLog
 from mountstand.quarantine.part_verdicts import PartVerdicts
 from mountstand.quarantine.suspect import (
@@ -136,9 +136,10 @@
             if is_due or suspect.trials.last_at_s >= now_s - within_s:
                 yield content
 
-    def trial_at_s(self, content: int) -> float:
+    def trial_at_s(self, content: int, workload: Workload = Workload.ONLINE) -> float:
         """Return the earliest time of the next trial of a suspected content."""
-        return self.by_content[content].trial_at_s
+        suspect = self.by_content[content]
+        return item_trial_at_s(suspect) if workload is Workload.BATCH else suspect.trial_at_s
 
     def requires_trial(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
         """Return whether a content requires a trial before it may run freely.
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -8,7 +8,11 @@
 from testtools import TestCase
 
 from mountstand.quarantine.batch_verdicts import MAX_TRIAL_DELAY_S
-from mountstand.quarantine.part_quarantine import JOINT_TRIAL_DELAY_S, PartQuarantine
+from mountstand.quarantine.part_quarantine import (
+    JOINT_ITEM_TRIAL_DELAY_S,
+    JOINT_TRIAL_DELAY_S,
+    PartQuarantine,
+)
 from mountstand.quarantine.service import RequestQuarantine
 from mountstand.quarantine.suspect import INITIAL_BLOCK_S, TRIAL_DELAY_S, TRIAL_JITTER_S
 from mountstand.quarantine.workload import Workload
@@ -129,6 +133,19 @@
         self.assertGreaterEqual(self.held(FIRST, BAD), INITIAL_BLOCK_S)
         self.assertEqual(0, self.held(FIRST))
 
+    def test_item_with_two_suspected_parts_is_tried_after_those_with_one(self) -> None:
+        """Guards against bad items that take every trial of a part which sound items have too."""
+        for _ in range(3):
+            self.crash((FIRST, BAD))
+        alone_s, joint_s = self.held_for_items(FIRST), self.held_for_items(FIRST, BAD)
+        self.assertLessEqual(alone_s, TRIAL_DELAY_S + TRIAL_JITTER_S)
+        self.assertGreaterEqual(joint_s, TRIAL_DELAY_S + JOINT_ITEM_TRIAL_DELAY_S)
+        self.try_once(FIRST, BAD)
+        self.crash((FIRST, BAD))
+        alone_s, joint_s = self.held_for_items(FIRST), self.held_for_items(FIRST, BAD)
+        self.assertLessEqual(alone_s, MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
+        self.assertGreaterEqual(joint_s, MAX_TRIAL_DELAY_S + JOINT_ITEM_TRIAL_DELAY_S)
+
     def test_parts_that_always_come_together_are_blocked_by_the_second_trial(self) -> None:
         """Guards against trials without end where no request has one of the parts alone."""
         for _ in range(3):
