A sound part that crashed only beside the bad one isn't blocked alone

Cause: the second trial of a request with two suspected parts blocked both for ten minutes. Where only bad requests came in the few seconds before each of these trials, the shared first part was blocked with the bad one, and with it all of its route. Nothing could clear it: no request with it was let through.

Change: such parts are a confirmed cause together. Requests with several of them are held back for ten minutes; requests with one of them are tried within 8 s. A success clears that part and leaves the other one as the only suspect, which blocks it; a crash blocks the part that was tried.

--- a/mountstand/quarantine/batch_verdicts.py
+++ b/mountstand/quarantine/batch_verdicts.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from mountstand.quarantine.crash_log import CrashLog
 from mountstand.quarantine.suspect import (
@@ -66,6 +66,14 @@
             return False
         if content in self._verdicts.trial_required:
             return False
+        return self._has_isolated_crashes(content)
+
+    def are_cause_together(self, contents: Iterable[int]) -> bool:
+        """Return whether an item is taken for a cause that has all of ``contents``."""
+        together = self._verdicts.confirmed_together.intersection(contents)
+        return sum(self._has_isolated_crashes(content) for content in together) > 1
+
+    def _has_isolated_crashes(self, content: int) -> bool:
         suspect = self._by_content[content]
         if len(suspect.crash_by_worker) < CRASHES_TO_BLOCK_BATCH:
             return False
--- a/mountstand/quarantine/part_quarantine.py
+++ b/mountstand/quarantine/part_quarantine.py
@@ -72,7 +72,8 @@
         suspected = [part for part in parts if self.suspects.requires_trial(part, workload)]
         if len(suspected) > 1:
             joint_trial_at_s = self._joint_trial_at_s(suspected, workload)
-            blocked_for_s = max(blocked_for_s, joint_trial_at_s - now_s)
+            together_until_s = self.suspects.blocked_together_until_s(suspected, workload)
+            blocked_for_s = max(blocked_for_s, joint_trial_at_s - now_s, together_until_s - now_s)
         return blocked_for_s
 
     def _joint_trial_at_s(self, suspected: Collection[int], workload: Workload) -> float:
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -18,7 +18,7 @@
 All of this holds for requests of callers. Batch items, which are owed, get a trial in place of a
 block and are blocked after more crashes only (:mod:`mountstand.quarantine.batch_verdicts`).
 
-Parts of prompts are judged alike, except that they are blocked only by a trial
+Parts of prompts are judged alike, except that they are blocked only by a trial, alone or together
 (:mod:`mountstand.quarantine.part_verdicts`).
 
 The order in which evidence arrives makes no difference (:mod:`mountstand.quarantine.suspect`), so
@@ -28,7 +28,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from enum import Enum
 
 from mountstand.quarantine.batch_verdicts import BatchVerdicts, item_trial_at_s
@@ -36,6 +36,7 @@
 from mountstand.quarantine.part_verdicts import PartVerdicts
 from mountstand.quarantine.suspect import (
     CRASHES_TO_BLOCK,
+    INITIAL_BLOCK_S,
     NEVER_S,
     NO_TRIALS,
     SUSPECT_RETENTION_S,
@@ -139,7 +140,26 @@
     def trial_at_s(self, content: int, workload: Workload = Workload.ONLINE) -> float:
         """Return the earliest time of the next trial of a suspected content."""
         suspect = self.by_content[content]
-        return item_trial_at_s(suspect) if workload is Workload.BATCH else suspect.trial_at_s
+        if workload is Workload.BATCH or content in self._verdicts.confirmed_together:
+            return item_trial_at_s(suspect)
+        return suspect.trial_at_s
+
+    def blocked_together_until_s(
+        self, contents: Collection[int], workload: Workload = Workload.ONLINE
+    ) -> float:
+        """Return when a request with several contents may run again, if these crash together.
+
+        ``NEVER_S`` if they are no confirmed cause together.
+        """
+        together = self._verdicts.confirmed_together.intersection(contents)
+        if len(together) < 2:
+            return NEVER_S
+        last_crash_s = max(self.by_content[content].last_crash_s for content in together)
+        if workload is Workload.BATCH:
+            is_cause = self._batch_verdicts.are_cause_together(together)
+            return last_crash_s + INITIAL_BLOCK_S if is_cause else NEVER_S
+        crash_count = max(len(self.by_content[content].crash_by_worker) for content in together)
+        return last_crash_s + block_duration_s(crash_count)
 
     def requires_trial(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
         """Return whether a content requires a trial before it may run freely.
--- a/mountstand/quarantine/verdicts.py
+++ b/mountstand/quarantine/verdicts.py
@@ -21,7 +21,13 @@
 class Verdicts:
     """Verdicts on all suspected contents, as seen by the daemon named ``daemon_name``."""
 
-    __slots__ = ("_by_content", "_daemon_name", "blocked_until_s", "trial_required")
+    __slots__ = (
+        "_by_content",
+        "_daemon_name",
+        "blocked_until_s",
+        "confirmed_together",
+        "trial_required",
+    )
 
     def __init__(self, by_content: Mapping[int, Suspect], daemon_name: str) -> None:
         self._by_content = by_content
@@ -33,6 +39,10 @@
         """Contents that require a trial: at most one run at a time across all daemons, most of them
         after a short block."""
 
+        self.confirmed_together: set[int] = set()
+        """Contents that require a trial alone, of which several in one request are a confirmed
+        cause. Only prompt parts can come together."""
+
         self._evaluate()
 
     def _evaluate(self) -> None:
@@ -55,13 +65,17 @@
         """Let the block of contents that are not a confirmed cause end at their next trial."""
         if not self.blocked_until_s:
             return
-        strong = (each for each in self._by_content.values() if each.is_strong)
-        suspects_by_worker = Counter(worker for each in strong for worker in each.crash_by_worker)
+        suspects_by_worker = self._suspects_by_worker()
         for content in self.blocked_until_s:
             if not self._is_confirmed(self._by_content[content], suspects_by_worker):
                 self._block_until_trial(content)
                 self.trial_required.add(content)
 
+    def _suspects_by_worker(self) -> Counter[int]:
+        """Return how many strong suspects were running at each crash, by worker key."""
+        strong = (each for each in self._by_content.values() if each.is_strong)
+        return Counter(worker for each in strong for worker in each.crash_by_worker)
+
     def _is_confirmed(self, suspect: Suspect, suspects_by_worker: Mapping[int, int]) -> bool:
         return suspect.is_confirmed_cause(suspects_by_worker)
 
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -157,6 +157,53 @@
         self.crash((FIRST, BAD))
         self.assertGreaterEqual(self.held(FIRST, BAD), INITIAL_BLOCK_S)
 
+    def crash_together(self) -> None:
+        """Let two parts crash workers six times, the last three in trials of both."""
+        for _ in range(3):
+            self.crash((FIRST, BAD))
+        for _ in range(3):
+            self.try_once(FIRST, BAD)
+            self.crash((FIRST, BAD))
+
+    def test_part_that_crashed_only_beside_the_bad_one_is_soon_tried_alone(self) -> None:
+        """Guards against a first part that is held back for minutes with the bad one."""
+        for _ in range(3):
+            self.crash((FIRST, BAD))
+        for _ in range(2):
+            self.try_once(FIRST, BAD)
+            self.crash((FIRST, BAD))
+        self.assertLessEqual(self.held(FIRST), MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
+        self.assertGreaterEqual(self.held(FIRST, BAD), INITIAL_BLOCK_S)
+        self.try_once(FIRST)
+        self.assertLessEqual(self.held(FIRST), MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
+        self.now_s += GAP_S
+        self.serve(FIRST)
+        self.assertEqual(0, self.held(FIRST, SOUND))
+        self.assertGreaterEqual(self.held(BAD), INITIAL_BLOCK_S)
+        self.assertGreaterEqual(self.held(FIRST, BAD), INITIAL_BLOCK_S)
+
+    def test_first_part_that_crashes_its_own_trial_is_blocked(self) -> None:
+        """Guards against a bad part that is taken for sound as it crashed only beside another."""
+        for _ in range(3):
+            self.crash((FIRST, SOUND))
+        for _ in range(2):
+            self.try_once(FIRST, SOUND)
+            self.crash((FIRST, SOUND))
+        self.try_once(FIRST)
+        self.crash((FIRST,))
+        self.assertGreaterEqual(self.held(FIRST), INITIAL_BLOCK_S)
+        self.assertGreaterEqual(self.held(FIRST, SOUND), INITIAL_BLOCK_S)
+        self.assertLessEqual(self.held(SOUND), MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
+
+    def test_item_with_one_of_the_parts_that_crashed_together_is_soon_tried(self) -> None:
+        """Guards against sound items that wait for minutes beside bad ones."""
+        self.crash_together()
+        self.assertGreaterEqual(self.held_for_items(FIRST, BAD), INITIAL_BLOCK_S - GAP_S)
+        self.assertLessEqual(self.held_for_items(FIRST), MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
+        self.serve(FIRST)
+        self.now_s += GAP_S
+        self.assertEqual(0, self.held_for_items(FIRST))
+
     def test_crash_of_a_trial_among_others_blocks_nothing(self) -> None:
         """Guards against a block of a whole route in a burst of crashes with another cause."""
         for _ in range(3):
