Reports that are passed on keep the time of a trial

Cause: a report tells the age of a suspect's last trial, and of equal counts the later time held. Each daemon that passed a report on made the time later by the delay of the report, every two seconds, until the trial seemed to begin after its own crash. The crash then confirmed nothing, and a blocked content, or a part of prompts, was tried again. Crash times were safe: their earliest time holds.

Change: of the same number of trials, the earliest time holds; a trial that a success has refuted is not merged.

--- a/mountstand/quarantine/suspect.py
+++ b/mountstand/quarantine/suspect.py
@@ -3,7 +3,7 @@
 The result of a merge doesn't depend on the order of reports, up to ``CLOCK_TOLERANCE_S``. Crashes
 are united, except for those refuted by a later success and those beyond ``MAX_CRASHES_KEPT``. A
 crash keeps its earliest reported time, the last success its latest, and the trials their highest
-count. Times are seconds on the local clock of the daemon that holds the state.
+count with its earliest time. Times are seconds on the local clock of the daemon that holds the state.
 """
 
 from __future__ import annotations
@@ -129,6 +129,11 @@
         delay_s = min(INITIAL_BLOCK_S, TRIAL_DELAY_S * TRIAL_BACKOFF_FACTOR**self.trials.count)
         return max(self.last_crash_s, self.trials.last_at_s) + delay_s
 
+    @property
+    def _refuted_until_s(self) -> float:
+        """Time up to which the last success refutes crashes and trials."""
+        return self.served_at_s + CLOCK_TOLERANCE_S
+
     def merge(
         self, crash_by_worker: CrashByWorker, served_at_s: float, trials: Trials = NO_TRIALS
     ) -> bool:
@@ -143,8 +148,9 @@
         for worker, crash in crash_by_worker.items():
             known = self.crash_by_worker.get(worker, crash)
             self.crash_by_worker[worker] = min(crash, known, key=_crash_time)
-        self.trials = max(self.trials, trials)
         self._drop_refuted()
+        if trials.last_at_s > self._refuted_until_s:
+            self.trials = _merged_trials(self.trials, trials)
         while len(self.crash_by_worker) > MAX_CRASHES_KEPT:
             oldest = min(self.crash_by_worker, key=lambda key: self.crash_by_worker[key].at_s)
             del self.crash_by_worker[oldest]
@@ -155,7 +161,7 @@
 
         The content was served, so it did not cause them.
         """
-        refuted_until_s = self.served_at_s + CLOCK_TOLERANCE_S
+        refuted_until_s = self._refuted_until_s
         self.crash_by_worker = {
             worker: crash
             for worker, crash in self.crash_by_worker.items()
@@ -165,6 +171,16 @@
             self.trials = NO_TRIALS
 
 
+def _merged_trials(known: Trials, reported: Trials) -> Trials:
+    """Return the trials with the higher count, or the earlier ones of the same count.
+
+    A report tells ages, so each daemon that passes it on makes its times later by its delay.
+    """
+    if known.count != reported.count:
+        return max(known, reported)
+    return min(known, reported)
+
+
 def block_duration_s(crash_count: int) -> float:
     """Return how long a content is blocked after ``crash_count`` crashes attributed to it."""
     return INITIAL_BLOCK_S * 2.0 ** (min(crash_count, MAX_CRASHES_KEPT) - CRASHES_TO_BLOCK)
--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -219,6 +219,33 @@
         self.assert_blocked_for(TRIAL_DELAY_S * TRIAL_BACKOFF_FACTOR, receiver, self.LATEST_TRIAL_S)
         self.assertEqual([], merge_report(receiver, report, self.LATEST_TRIAL_S + 0.3))
 
+    def test_reports_that_are_passed_on_keep_the_time_of_a_trial(self) -> None:
+        """Guards against a block that ends as the trial seems to begin after its own crash."""
+        delay_s = 0.005
+        daemons = (self.suspects, CrashSuspects("d2"), CrashSuspects("d3"))
+        self.crash_trial(9, OTHER)
+        now_s = self.LATEST_TRIAL_S + RUN_DURATION_S
+        for number in range(60):
+            sender, receiver = daemons[number % 3], daemons[(number + 1) % 3]
+            report = build_report(sender, [CULPRIT, OTHER, THIRD], now_s)
+            now_s += delay_s
+            merge_report(receiver, report, now_s)
+        for suspects in daemons:
+            self.assertFalse(suspects.requires_trial(OTHER))
+            self.assertGreater(suspects.blocked_for_s(OTHER, now_s), INITIAL_BLOCK_S)
+
+    def test_report_of_a_trial_before_a_success_leaves_the_next_one(self) -> None:
+        old = after_crashes(*self.CRASHES)
+        old.begin_trial(OTHER, self.LATEST_TRIAL_S)
+        now_s = self.LATEST_TRIAL_S + 5
+        self.suspects.note_served(OTHER, now_s)
+        for worker in range(20, 23):
+            self.suspects.merge(OTHER, {worker: WorkerCrash(now_s + worker, RUN_DURATION_S)})
+        now_s += 30
+        self.suspects.begin_trial(OTHER, now_s)
+        merge_report(self.suspects, build_report(old, [OTHER], now_s), now_s)
+        self.assertEqual(now_s, self.suspects.by_content[OTHER].trials.last_at_s)
+
     def test_daemons_without_support_for_trials_are_compatible(self) -> None:
         class OldEntry(msgspec.Struct, frozen=True, array_like=True):
             content: int
