--- a/mountstand/quarantine/suspect.py
+++ b/mountstand/quarantine/suspect.py
@@ -3,7 +3,8 @@
 The result of a merge doesn't depend on the order of reports, up to ``CLOCK_TOLERANCE_S``. Crashes
 are united, except for those refuted by a later success and those beyond ``MAX_CRASHES_KEPT``. A
 crash keeps its earliest reported time, the last success its latest, and the trials their highest
-count with its earliest time. Times are seconds on the local clock of the daemon that holds the state.
+count with its earliest time. Times are seconds on the local clock of the daemon that holds the
+state.
 """
 
 from __future__ import annotations
