--- a/mountstand/quarantine/part_verdicts.py
+++ b/mountstand/quarantine/part_verdicts.py
@@ -54,7 +54,10 @@
         )
 
     def _trial_crashes(self, suspect: Suspect, explained: set[int]) -> list[int]:
-        """Return the workers that crashed in the last trial, with none of ``explained`` apart."""
+        """Return the workers that crashed since the last trial of a suspect began.
+
+        Those beside which another worker crashed that is not ``explained`` are left out.
+        """
         if not suspect.trials.count:
             return []
         return [
