Ages in reports of suspects are rounded down

Cause: ages were rounded to the nearest millisecond, and of several reported times the earliest holds. Where a report takes less than half a millisecond, the receiver's time was often earlier than the sender's, and each report that was passed on made it earlier again: crashes and trials apart from each other, so that a crash could come before its own trial.

Change: ages are rounded down. A receiver's time is never earlier.

--- a/mountstand/quarantine/reports.py
+++ b/mountstand/quarantine/reports.py
@@ -70,4 +70,9 @@
 
 
 def _age_ms(now_s: float, at_s: float) -> int:
-    return max(0, round((now_s - at_s) * 1000))
+    """Return an age in whole milliseconds, rounded down.
+
+    The receiver's time is then never earlier than the sender's. Of several reported times the
+    earliest holds, so that it stays the same however often reports are passed on.
+    """
+    return max(0, int((now_s - at_s) * 1000))
--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -221,18 +221,31 @@
 
     def test_reports_that_are_passed_on_keep_the_time_of_a_trial(self) -> None:
         """Guards against a block that ends as the trial seems to begin after its own crash."""
-        delay_s = 0.005
+        daemons = self.pass_reports_on(delay_s=0.005)
+        for suspects in daemons:
+            self.assertFalse(suspects.requires_trial(OTHER))
+            blocked_s = suspects.blocked_for_s(OTHER, self.LATEST_TRIAL_S + 1)
+            self.assertGreater(blocked_s, INITIAL_BLOCK_S)
+
+    def test_reports_that_are_passed_on_quickly_make_no_time_earlier(self) -> None:
+        """Guards against times that go back by a part of a millisecond with each report."""
+        for suspects in self.pass_reports_on(delay_s=0.0001):
+            suspect = suspects.by_content[OTHER]
+            crash = suspect.crash_by_worker[9]
+            self.assertGreaterEqual(suspect.trials.last_at_s, self.LATEST_TRIAL_S - 1e-6)
+            self.assertGreaterEqual(crash.at_s, self.LATEST_TRIAL_S + RUN_DURATION_S - 1e-6)
+
+    def pass_reports_on(self, delay_s: float) -> tuple[CrashSuspects, ...]:
+        """Crash a trial of OTHER, and let three daemons report it to each other many times."""
         daemons = (self.suspects, CrashSuspects("d2"), CrashSuspects("d3"))
         self.crash_trial(9, OTHER)
         now_s = self.LATEST_TRIAL_S + RUN_DURATION_S
         for number in range(60):
             sender, receiver = daemons[number % 3], daemons[(number + 1) % 3]
+            now_s += 0.0137
             report = build_report(sender, [CULPRIT, OTHER, THIRD], now_s)
-            now_s += delay_s
-            merge_report(receiver, report, now_s)
-        for suspects in daemons:
-            self.assertFalse(suspects.requires_trial(OTHER))
-            self.assertGreater(suspects.blocked_for_s(OTHER, now_s), INITIAL_BLOCK_S)
+            merge_report(receiver, report, now_s + delay_s)
+        return daemons
 
     def test_report_of_a_trial_before_a_success_leaves_the_next_one(self) -> None:
         old = after_crashes(*self.CRASHES)
