A trial that no worker ran begins again at once

Cause: a trial began, and blocked its content or part on all daemons for 8, 32, 128 s and so on, before its request was sent. If the worker was gone or took nothing, the request could not even try the next worker: its own trial held it back, and all others with it. Just after crashes, when trials come, workers are often gone.

Change: the daemon that began such a trial may begin it again, for this request or another one, and it counts once.

Result: two tests of quarantine/test_parts (new; the first can't pass before, there was no way to say so).

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -160,11 +160,15 @@
         """
         if progress.software_key not in (None, worker.software_key):
             self._restart(progress, worker)
-        with self._context.quarantine.running(self._call(progress), worker):
+        with self._context.quarantine.running(self._call(progress), worker) as trials:
             result = await self._attempt(progress, route, worker)
-        if result is None and progress.sent_at_s is not None:
+        if result is not None:
+            return result
+        if progress.sent_at_s is None:
+            trials.note_not_run()
+        else:
             await self._context.quarantine.wait_until_checked(worker)
-        return result
+        return None
 
     def _restart(self, progress: ItemProgress, worker: Worker) -> None:
         self._log(
@@ -237,9 +241,11 @@
             worker.note_load(reply_summary.load, loop.time())
         if reply_summary.kind is ReplyKind.OTHER_WORKER:
             context.directory.forget(worker)
+            progress.sent_at_s = None
             return None
         if reply_summary.kind is ReplyKind.NOT_RUN:
             worker.note_overloaded(loop.time())
+            progress.sent_at_s = None
             return None
         if response_head.status != 200:
             return self._handle_error_status(progress, route, worker, response_head.status)
--- a/mountstand/quarantine/part_quarantine.py
+++ b/mountstand/quarantine/part_quarantine.py
@@ -70,7 +70,8 @@
             (self.suspects.blocked_for_s(part, now_s, workload) for part in parts), default=0.0
         )
         suspected = [part for part in parts if self.suspects.requires_trial(part, workload)]
-        if len(suspected) > 1:
+        may_begin_again = all(self.suspects.is_trial_open(part) for part in suspected)
+        if len(suspected) > 1 and not may_begin_again:
             joint_trial_at_s = self._joint_trial_at_s(suspected, workload)
             together_until_s = self.suspects.blocked_together_until_s(suspected, workload)
             blocked_for_s = max(blocked_for_s, joint_trial_at_s - now_s, together_until_s - now_s)
@@ -88,13 +89,19 @@
         by_part = self.suspects.by_content
         return any(part in by_part and by_part[part].crash_by_worker for part in parts)
 
-    def begin_trials(self, call: Call, worker_id: str, now_s: float) -> None:
-        """Begin the trials of the parts of a request that require one, before it is sent."""
+    def begin_trials(self, call: Call, worker_id: str, now_s: float) -> list[int]:
+        """Begin the trials of the parts of a request that require one, before it is sent.
+
+        Returns these parts.
+        """
         if not self.suspects:
-            return
-        for part in call.prompt.shared_keys:
-            if not self.suspects.requires_trial(part, call.workload):
-                continue
+            return []
+        tried = [
+            part
+            for part in call.prompt.shared_keys
+            if self.suspects.requires_trial(part, call.workload)
+        ]
+        for part in tried:
             self._sharing.begin_run(part, now_s, call.workload)
             self._log.event(
                 "part_tried",
@@ -103,6 +110,7 @@
                 worker=worker_id,
                 trials=self.suspects.by_content[part].trials.count,
             )
+        return tried
 
     def note_served(self, parts: Collection[int], request_id: str, now_s: float) -> None:
         """Clear the parts of a request that a worker answered completely and with success."""
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -20,6 +20,7 @@
     SuspectObserver,
     SuspectSharing,
 )
+from mountstand.quarantine.started_trials import StartedTrials
 from mountstand.quarantine.stored import StoredSuspects
 from mountstand.serving.worker import Worker
 from mountstand.serving.worker_ends import (
@@ -120,21 +121,23 @@
         return self.suspects.requires_trial(call.content_key, call.workload)
 
     @contextmanager
-    def running(self, call: Call, worker: Worker) -> Iterator[None]:
+    def running(self, call: Call, worker: Worker) -> Iterator[StartedTrials]:
         """Track the run of a strong suspect, so that this daemon sends no other one to the worker.
 
         Enter it right after :meth:`blocked_for_s` and :meth:`allows`, without awaiting in between.
         If the content or a part requires a trial, the trial starts here and blocks it on all
-        daemons.
+        daemons. Yields the trials that started.
         """
         worker_id = worker.record.worker_id
         now_s = asyncio.get_running_loop().time()
-        self.parts.begin_trials(call, worker_id, now_s)
+        trials = StartedTrials()
+        trials.add(self.parts.suspects, self.parts.begin_trials(call, worker_id, now_s))
         if self.requires_trial(call):
             self._begin_trial(call, worker_id)
+            trials.add(self.suspects, (call.content_key,))
         tracked = bool(self.suspects) and self._separation.track_run(call.content_key, worker_id)
         try:
-            yield
+            yield trials
         finally:
             if tracked:
                 self._separation.release_run(call.content_key, worker_id)
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -35,6 +35,7 @@
 from mountstand.quarantine.crash_log import CrashLog
 from mountstand.quarantine.part_verdicts import PartVerdicts
 from mountstand.quarantine.suspect import (
+    CLOCK_TOLERANCE_S,
     CRASHES_TO_BLOCK,
     INITIAL_BLOCK_S,
     NEVER_S,
@@ -78,6 +79,11 @@
         self.by_content: dict[int, Suspect] = {}
         self._cached_verdicts: Verdicts | None = None
         self._crash_log = CrashLog()
+        self._own_trials: dict[int, Trials] = {}
+        """The last trial that this daemon began, by content."""
+
+        self._open_trials: set[int] = set()
+        """Contents whose last trial this daemon may begin again."""
 
     def note_resumed(self, now_s: float) -> None:
         """Record that this daemon may have missed crashes of workers before ``now_s``."""
@@ -175,11 +181,35 @@
         return self._batch_verdicts.is_cause(content)
 
     def begin_trial(self, content: int, now_s: float) -> None:
-        """Record that a trial of a content starts, which blocks it until the next one is due."""
+        """Record that a trial of a content starts, which blocks it until the next one is due.
+
+        A trial that no worker ran begins again and counts once.
+        """
+        if self.is_trial_open(content):
+            self._open_trials.remove(content)
+            return
         suspect = self.by_content[content]
         suspect.merge({}, NEVER_S, Trials(suspect.trials.count + 1, now_s))
+        self._own_trials[content] = suspect.trials
         self._cached_verdicts = None
 
+    def reopen_trial(self, content: int) -> None:
+        """Let this daemon begin its last trial of a content again, as no worker ran it."""
+        if self._is_own_trial(content):
+            self._open_trials.add(content)
+
+    def is_trial_open(self, content: int) -> bool:
+        """Return whether this daemon may begin the last trial of a content again."""
+        return content in self._open_trials and self._is_own_trial(content)
+
+    def _is_own_trial(self, content: int) -> bool:
+        """Return whether this daemon began the last trial, whose time reports may have changed."""
+        suspect = self.by_content.get(content)
+        own = self._own_trials.get(content, NO_TRIALS)
+        if suspect is None or own.count != suspect.trials.count or own is NO_TRIALS:
+            return False
+        return abs(own.last_at_s - suspect.trials.last_at_s) <= CLOCK_TOLERANCE_S
+
     def merge(
         self,
         content: int,
@@ -215,6 +245,8 @@
         self, content: int, now_s: float, workload: Workload = Workload.ONLINE
     ) -> float:
         """Return the remaining block time of a content, 0 if it may be sent to workers."""
+        if self.is_trial_open(content):
+            return 0.0
         if workload is Workload.BATCH:
             return max(0.0, self._batch_verdicts.blocked_until_s(content) - now_s)
         return max(0.0, self._verdicts.blocked_until_s.get(content, NEVER_S) - now_s)
@@ -255,6 +287,9 @@
             del self.by_content[content]
         if expired:
             self._cached_verdicts = None
+        for content in self._own_trials.keys() - self.by_content.keys():
+            del self._own_trials[content]
+            self._open_trials.discard(content)
 
     def _strength(self, content: int) -> tuple[int, float]:
         suspect = self.by_content[content]
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -150,7 +150,7 @@
                 self._reject_quarantined(exchange, worker, TRIAL_RETRY_AFTER_S)
                 return
             worker = allowed_worker
-            with self._quarantine.running(exchange.call, worker):
+            with self._quarantine.running(exchange.call, worker) as trials:
                 outcome = await self._attempt(exchange, worker)
             self._record_outcome(exchange, worker, outcome)
             if outcome is Outcome.DELIVERED:
@@ -161,6 +161,8 @@
                     self._quarantine.note_served(exchange.call, succeeded=succeeded)
                 return
             self._log.attempt_failed(exchange, worker, outcome)
+            if outcome in OUTCOMES_WITHOUT_RUN:
+                trials.note_not_run()
             if not self._may_retry(exchange, outcome):
                 self._end_unsuccessfully(exchange)
                 return
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -14,7 +14,13 @@
     PartQuarantine,
 )
 from mountstand.quarantine.service import RequestQuarantine
-from mountstand.quarantine.suspect import INITIAL_BLOCK_S, TRIAL_DELAY_S, TRIAL_JITTER_S
+from mountstand.quarantine.started_trials import StartedTrials
+from mountstand.quarantine.suspect import (
+    INITIAL_BLOCK_S,
+    TRIAL_DELAY_S,
+    TRIAL_JITTER_S,
+    Trials,
+)
 from mountstand.quarantine.workload import Workload
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.prompt import Prompt, PromptPart, part_key
@@ -66,14 +72,17 @@
     def serve(self, *parts: int) -> None:
         self.quarantine.note_served(parts, "r", self.now_s)
 
-    def try_once(self, *parts: int) -> None:
+    def try_once(self, *parts: int) -> StartedTrials:
         """Wait until a request with these parts may be tried, and begin its trial."""
         self.now_s += self.held(*parts)
         self.assertEqual(0, self.held(*parts))
         ids = {FIRST: "first", BAD: "bad", SOUND: "sound"}
         prompt = Prompt((*(PromptPart(ids[part], 1) for part in parts), PromptPart("own", 1)))
         call = Call("r", "h", "POST", "/x", (), b"", prompt)
-        self.quarantine.begin_trials(call, "w", self.now_s)
+        trials = StartedTrials()
+        suspects = self.quarantine.suspects
+        trials.add(suspects, self.quarantine.begin_trials(call, "w", self.now_s))
+        return trials
 
 
 class Blocking(PartTestCase):
@@ -226,6 +235,31 @@
             self.assertLessEqual(self.held_for_items(SOUND), MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
         self.assertGreater(self.held(SOUND), MAX_TRIAL_DELAY_S + TRIAL_JITTER_S)
 
+    def test_trial_that_no_worker_ran_begins_again_at_once(self) -> None:
+        """Guards against a route that waits longer after each trial at a worker that is gone."""
+        for _ in range(3):
+            self.crash((FIRST, BAD))
+        trials = self.try_once(FIRST, BAD)
+        self.assertGreater(self.held(FIRST, BAD), TRIAL_DELAY_S)
+        self.assertGreater(self.held_for_items(BAD), TRIAL_DELAY_S)
+        self.quarantine.suspects.merge(BAD, {}, trials=Trials(1, self.now_s - 0.001))
+        trials.note_not_run()
+        self.assertEqual(0, self.held(FIRST, BAD))
+        self.assertEqual(0, self.held_for_items(FIRST))
+        self.try_once(FIRST, BAD)
+        self.assertEqual(1, self.quarantine.suspects.by_content[BAD].trials.count)
+        self.assertGreater(self.held(FIRST), TRIAL_DELAY_S)
+        self.assertGreater(self.held(FIRST, BAD), TRIAL_DELAY_S)
+
+    def test_trial_of_another_daemon_does_not_begin_again(self) -> None:
+        """Guards against two trials at once."""
+        for _ in range(3):
+            self.crash((BAD,))
+        trials = self.try_once(BAD)
+        self.quarantine.suspects.merge(BAD, {}, trials=Trials(2, self.now_s))
+        trials.note_not_run()
+        self.assertGreater(self.held(BAD), TRIAL_DELAY_S)
+
     def test_requests_without_parts_are_never_held_back(self) -> None:
         for _ in range(4):
             self.crash(())
