A trial begins again only while the verdict is a trial

A trial that no worker ran began again also after other evidence had blocked its content or part: one run more at that daemon. And once another daemon's trial had replaced it, the mark stayed: this daemon's next trial, running or not, could begin a second time beside itself.

Change: the mark holds only while the content still requires a trial (an item: while it isn't taken for the cause), and goes as a trial begins.

Result: two new tests of quarantine/test_parts fail before. Not brought about with real processes.

--- a/mountstand/quarantine/part_quarantine.py
+++ b/mountstand/quarantine/part_quarantine.py
@@ -79,7 +79,7 @@
             (self.suspects.blocked_for_s(part, now_s, workload) for part in parts), default=0.0
         )
         suspected = [part for part in parts if self.suspects.requires_trial(part, workload)]
-        may_begin_again = all(self.suspects.is_trial_open(part) for part in suspected)
+        may_begin_again = all(self.suspects.is_trial_open(part, workload) for part in suspected)
         if len(suspected) > 1 and not may_begin_again:
             joint_trial_at_s = self._joint_trial_at_s(suspected, workload, has_crashed)
             together_until_s = self.suspects.blocked_together_until_s(suspected, workload)
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -133,7 +133,7 @@
         if self.suspects.blocked_for_s(content, now_s, workload):
             return False
         if self.suspects.requires_trial(content, workload):
-            self.suspects.begin_trial(content, now_s)
+            self.suspects.begin_trial(content, now_s, workload)
             self._publish([content], now_s)
         return True
 
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -180,13 +180,14 @@
         """Return whether a batch item is taken for the cause of its crashes."""
         return self._batch_verdicts.is_cause(content)
 
-    def begin_trial(self, content: int, now_s: float) -> None:
+    def begin_trial(self, content: int, now_s: float, workload: Workload = Workload.ONLINE) -> None:
         """Record that a trial of a content starts, which blocks it until the next one is due.
 
         A trial that no worker ran begins again and counts once.
         """
-        if self.is_trial_open(content):
-            self._open_trials.remove(content)
+        begins_again = self.is_trial_open(content, workload)
+        self._open_trials.discard(content)
+        if begins_again:
             return
         suspect = self.by_content[content]
         suspect.merge({}, NEVER_S, Trials(suspect.trials.count + 1, now_s))
@@ -198,9 +199,16 @@
         if self._is_own_trial(content):
             self._open_trials.add(content)
 
-    def is_trial_open(self, content: int) -> bool:
-        """Return whether this daemon may begin the last trial of a content again."""
-        return content in self._open_trials and self._is_own_trial(content)
+    def is_trial_open(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
+        """Return whether this daemon may begin the last trial of a content again.
+
+        It may not once other evidence has blocked the content.
+        """
+        if content not in self._open_trials or not self._is_own_trial(content):
+            return False
+        if workload is Workload.BATCH:
+            return not self.is_batch_cause(content)
+        return content in self._verdicts.trial_required
 
     def _is_own_trial(self, content: int) -> bool:
         """Return whether this daemon began the last trial, whose time reports may have changed."""
@@ -245,7 +253,7 @@
         self, content: int, now_s: float, workload: Workload = Workload.ONLINE
     ) -> float:
         """Return the remaining block time of a content, 0 if it may be sent to workers."""
-        if self.is_trial_open(content):
+        if self.is_trial_open(content, workload):
             return 0.0
         if workload is Workload.BATCH:
             return max(0.0, self._batch_verdicts.blocked_until_s(content) - now_s)
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -270,6 +270,25 @@
         trials.note_not_run()
         self.assertGreater(self.held(BAD), TRIAL_DELAY_S)
 
+    def test_trial_that_no_worker_ran_does_not_begin_again_once_the_part_is_blocked(self) -> None:
+        for _ in range(3):
+            self.crash((BAD,))
+        trials = self.try_once(BAD)
+        trials.note_not_run()
+        self.assertEqual(0, self.held(BAD))
+        self.crash((BAD,))
+        self.assertGreaterEqual(self.held(BAD), INITIAL_BLOCK_S)
+
+    def test_trial_that_no_worker_ran_leaves_the_next_one_alone(self) -> None:
+        """Guards against two trials at once after one that other daemons' trials have replaced."""
+        for _ in range(3):
+            self.crash((BAD,))
+        self.try_once(BAD).note_not_run()
+        self.quarantine.suspects.merge(BAD, {}, trials=Trials(2, self.now_s))
+        self.assertGreater(self.held(BAD), TRIAL_DELAY_S)
+        self.try_once(BAD)
+        self.assertGreater(self.held(BAD), TRIAL_DELAY_S)
+
     def test_requests_without_parts_are_never_held_back(self) -> None:
         for _ in range(4):
             self.crash(())
