--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -93,7 +93,8 @@
     """Whether the first part of the output comes from another process's saved progress."""
 
     sent_at_s: float | None = None
-    """When the current attempt sent its request, in event loop time."""
+    """When the current attempt sent its request, in event loop time; ``None`` if no worker took it.
+    """
 
     writing_since_s: float | None = None
     """When the first event of the current attempt came, in event loop time."""
--- a/mountstand/quarantine/reports.py
+++ b/mountstand/quarantine/reports.py
@@ -45,11 +45,11 @@
     return SuspectEntry(
         content,
         tuple(suspect.crash_by_worker),
-        tuple(_age_ms(now_s, crash.at_s) for crash in suspect.crash_by_worker.values()),
+        tuple(age_ms(now_s, crash.at_s) for crash in suspect.crash_by_worker.values()),
         tuple(round(crash.run_duration_s * 1000) for crash in suspect.crash_by_worker.values()),
-        _age_ms(now_s, suspect.served_at_s) if served else NEVER_SERVED,
+        age_ms(now_s, suspect.served_at_s) if served else NEVER_SERVED,
         suspect.trials.count,
-        _age_ms(now_s, suspect.trials.last_at_s) if suspect.trials.count else 0,
+        age_ms(now_s, suspect.trials.last_at_s) if suspect.trials.count else 0,
     )
 
 
@@ -57,8 +57,8 @@
     """Return crashes by worker key, the time of the last success, and the trials."""
     reported = zip(entry.workers, entry.ages_ms, entry.ran_ms, strict=False)
     crash_by_worker = {
-        worker: WorkerCrash(now_s - max(0, age_ms) / 1000, max(0, ran_ms) / 1000)
-        for worker, age_ms, ran_ms in reported
+        worker: WorkerCrash(now_s - max(0, crash_age_ms) / 1000, max(0, ran_ms) / 1000)
+        for worker, crash_age_ms, ran_ms in reported
     }
     served_at_s = NEVER_S
     if entry.served_ms != NEVER_SERVED:
@@ -69,7 +69,7 @@
     return crash_by_worker, served_at_s, trials
 
 
-def _age_ms(now_s: float, at_s: float) -> int:
+def age_ms(now_s: float, at_s: float) -> int:
     """Return an age in whole milliseconds, rounded down.
 
     The receiver's time is then never earlier than the sender's. Of several reported times the
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -13,6 +13,7 @@
 import orjson
 
 from mountstand.hashing import content_name
+from mountstand.quarantine.reports import age_ms
 from mountstand.quarantine.suspect import NEVER_S, NO_TRIALS, Trials, WorkerCrash
 from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.store.rows import RowKey, RowStore, StoredRow, StoreError, Transaction
@@ -27,7 +28,7 @@
 
 ROWS_PER_WRITE = 20
 MAX_ROWS = 500
-"""Maximum number of rows, about 200 bytes each. They fit into one page of a read."""
+"""Maximum number of rows of each kind, contents and prompt parts, about 200 bytes each."""
 
 INITIAL_RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 5.0
@@ -125,14 +126,14 @@
                 continue
             crashes = {
                 str(worker): [
-                    now_ms - round((now_s - crash.at_s) * 1000),
+                    now_ms - age_ms(now_s, crash.at_s),
                     round(crash.run_duration_s * 1000),
                 ]
                 for worker, crash in suspect.crash_by_worker.items()
             }
             fields: dict[str, Any] = {"ends": crashes}
             if suspect.trials.count:
-                tried_ms = now_ms - round((now_s - suspect.trials.last_at_s) * 1000)
+                tried_ms = now_ms - age_ms(now_s, suspect.trials.last_at_s)
                 fields["trials"] = [suspect.trials.count, tried_ms]
             transaction.puts.append((self._key(content), orjson.dumps(fields)))
         self._pending_writes.difference_update(contents)
