Show that a stopping daemon takes streams that it then cuts off

Cause: new requests are taken until 3.7 s after SIGTERM, whatever time they need. Change: a case under review/.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,85 @@
+"""Requests that are sent more than 3 s after SIGTERM are taken, passed on to a worker and cut off.
+
+The worker streams at a usual pace and is sound. Some requests come on a connection that was open
+before, some on new ones.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from mountstand.transport.http_client import ClientConnection, ReplyBroken, connect
+from review.common.kit import HOST, LOCAL, TROUBLE, Record, Site, play
+from tests.stand_ins.worker import StandInWorker, stream
+
+EVENTS = 15
+EVENT_GAP_S = 0.42
+"""Pauses below the 500 ms of the sheet; the stream takes 5.9 s, the route allows 8 s."""
+
+GRACE_S = 8.0
+
+
+async def request(
+    record: Record, request_id: str, conn: ClientConnection, sigterm_s: float, after_s: float
+) -> bool:
+    """Send a stream ``after_s`` after SIGTERM; returns whether it was answered or never taken."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(sigterm_s + after_s - loop.time())
+    if not conn.open:
+        record.note(f"{request_id}: not sent, the daemon has closed the connection")
+        return True
+    headers = [("Host", HOST), ("Request-Id", request_id), ("Deadline-Ms", "8000")]
+    sent_s = loop.time()
+    record.note(f"{request_id}: sent {sent_s - sigterm_s:.2f} s after SIGTERM")
+    conn.send("POST", "/caption/1", [*headers, ("Token-Count", "543,31")], b"photo")
+    body = b""
+    try:
+        head = await conn.read_head()
+        while (piece := await conn.read_piece()) is not None:
+            body += piece
+    except ReplyBroken as problem:
+        events = body.count(b"\n\n")
+        record.note(
+            f"{request_id}: connection ended ({problem}) {loop.time() - sent_s:.2f} s after it was"
+            f" sent, {events} of {EVENTS} events"
+        )
+        return False
+    record.note(f"{request_id}: status {head.status}, complete, {body.count(b'id:')} events")
+    return True
+
+
+async def scenario(record: Record) -> bool:
+    """Return whether no request was lost that a worker had got."""
+    loop = asyncio.get_running_loop()
+    async with Site(record) as site:
+        worker = await site.add_worker(StandInWorker("llm-1", stream(EVENTS, gap_s=EVENT_GAP_S)))
+        daemon = site.daemon("front-1")
+        await daemon.start()
+        await daemon.wait_ready()
+        await asyncio.sleep(1.0)
+        kept = await connect(LOCAL, daemon.front, 1.0)
+        kept.send("GET", "/nowhere/1", [("Host", HOST), ("Request-Id", "r0")])
+        record.note(f"r0: status {(await kept.read_head()).status}, its connection is kept")
+        await kept.read_body()
+        kept.end_exchange()
+        sigterm_s = loop.time()
+        if TROUBLE:
+            daemon.signal(signal.SIGTERM)
+        tasks = [asyncio.create_task(request(record, "r1", kept, sigterm_s, 3.08))]
+        await asyncio.sleep(3.05)
+        for number, after_s in ((2, 3.1), (3, 3.12), (4, 3.4)):
+            conn = await connect(LOCAL, daemon.front, 1.0)
+            tasks.append(
+                asyncio.create_task(request(record, f"r{number}", conn, sigterm_s, after_s))
+            )
+        whole = await asyncio.gather(*tasks)
+        if TROUBLE:
+            await daemon.ended()
+            record.note(f"{loop.time() - sigterm_s:.2f} s after SIGTERM; grace_s is {GRACE_S:g}")
+        ran = {got.request_id for got in worker.received}
+        record.note(f"requests that the worker got: {sorted(ran)}")
+        return all(ok or f"r{number}" not in ran for number, ok in enumerate(whole, 1))
+
+
+play(__file__, scenario)
