--- a/review/common/link.py
+++ b/review/common/link.py
@@ -1,4 +1,4 @@
-"""A loopback proxy for one link, which can be cut: its connections are reset and new ones too."""
+"""A loopback proxy for one link, whose connections can be reset or go silent."""
 
 from __future__ import annotations
 
@@ -20,6 +20,7 @@
         self._is_cut = False
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> Link:
         """Begin to listen."""
@@ -33,6 +34,11 @@
         for writer in list(self._writers):
             reset(writer.transport)
 
+    def silence_open(self) -> int:
+        """Let every open connection go silent for good, while new ones work; returns how many."""
+        self._silent |= self._writers
+        return len(self._silent) // 2
+
     def heal(self) -> None:
         """Pass connections on again."""
         self._is_cut = False
@@ -63,10 +69,13 @@
             task.cancel()
         for each in (writer, target):
             self._writers.discard(each)
+            self._silent.discard(each)
             each.transport.abort()
 
     async def _pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError):
             while piece := await reader.read(READ_BYTES):
+                if writer in self._silent:
+                    continue
                 writer.write(piece)
                 await writer.drain()
