--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,87 +1,74 @@
-"""Open connections to the store go silent; a change of the configuration is in force 5 s later.
+"""A worker is removed from the list while one daemon can't reach the store and its peer restarts.
 
-New connections work all the time. The daemons have just answered some reads of batch jobs, so that
-a few of their idle connections are silent too.
+The daemon takes the version of the list from the peer, but not the removal: the peer read the list
+after it. So the daemon goes on with the removed worker for good.
 """
 
 from __future__ import annotations
 
 import asyncio
+import signal
 
-from review.common.kit import LOCAL, TROUBLE, Daemon, Record, Site, call, configuration, play
+from review.common.kit import LOCAL, TROUBLE, Record, Site, call, play
 from review.common.link import Link
 from tests.stand_ins.worker import StandInWorker, whole
 
+DRAIN_S = 2.0
 CONTACT_S = 3.0
-CONFIG_APPLY_S = 2.0
-WATCH_S = 6.0
-READS = 8
-INTERVAL_S = 0.1
-
-
-def moved_configuration() -> dict[str, object]:
-    """Return the next version: one route moves to another service."""
-    fields = configuration(version=2)
-    for route in fields["routes"]:
-        if route["name"] == "thumb-fetch":
-            route["service"] = "album-app-b"
-    fields["services"].append({"name": "album-app-b", "max_conns": 110})
-    return fields
-
-
-async def read_jobs(daemons: list[Daemon]) -> None:
-    """Let callers read batch jobs at all daemons, some at the same moment."""
-    reads = [
-        call(daemon.front, "GET", f"/lots/{number:016x}?after=0")
-        for daemon in daemons
-        for number in range(READS)
-    ]
-    await asyncio.gather(*reads)
+CUT_S = 3.0
+SETTLE_S = 3.0
+REQUESTS = 40
 
 
 async def scenario(record: Record) -> bool:
-    """Return whether no request was run by the old service later than the bound."""
+    """Return whether no request reached the removed worker later than the bound."""
     loop = asyncio.get_running_loop()
     async with Site(record) as site:
-        old = await site.add_worker(StandInWorker("app-1", whole()), "album-app", 6)
-        await site.add_worker(StandInWorker("app-b-1", whole()), "album-app-b", 6)
-        links = [await Link(site.store.port).start() for _ in range(2)]
-        daemons = [site.daemon(f"front-{n}", link.port) for n, link in enumerate(links, 1)]
-        seeds = [f"{LOCAL}:{daemon.control}" for daemon in daemons]
-        for daemon in daemons:
+        leaving = await site.add_worker(StandInWorker("leaving", whole()), "album-app", 6)
+        staying = await site.add_worker(StandInWorker("staying", whole()), "album-app", 6)
+        link = await Link(site.store.port).start()
+        cut_off = site.daemon("front-1", link.port)
+        peer = site.daemon("front-2")
+        seeds = [f"{LOCAL}:{daemon.control}" for daemon in (cut_off, peer)]
+        for daemon in (cut_off, peer):
             daemon.settings["seeds"] = seeds
             await daemon.start()
-        for daemon in daemons:
+        for daemon in (cut_off, peer):
             await daemon.wait_ready()
-        await asyncio.sleep(3.0)
-        await read_jobs(daemons)
+        await asyncio.sleep(SETTLE_S)
 
-        silent_s = loop.time()
+        cut_at_s = loop.time()
         if TROUBLE:
-            counts = [link.silence_open() for link in links]
-            record.note(f"open connections to the store go silent: {counts}; new ones work")
-        await site.store.put("op", "config", moved_configuration())
-        acknowledged_s = loop.time()
-        record.note("store: version 2 acknowledged, thumb-fetch moves to album-app-b")
-        bound_s = max(acknowledged_s + CONFIG_APPLY_S, silent_s + CONTACT_S)
-        sent_s: dict[str, float] = {}
-        while loop.time() < silent_s + WATCH_S:
-            await asyncio.sleep(INTERVAL_S)
-            for daemon in daemons:
-                request_id = f"r{len(sent_s)}"
-                sent_s[request_id] = loop.time()
-                headers = {"Request-Id": request_id, "Deadline-Ms": "4000"}
-                status, _ = await call(daemon.front, "POST", "/thumb/1", b"size", headers)
-                service = "old" if old.received and old.received[-1].request_id == request_id else "new"
-                after_s = sent_s[request_id] - acknowledged_s
-                record.note(
-                    f"{request_id} to {daemon.name}, {after_s:.2f} s after the acknowledgement:"
-                    f" {status}, run by the {service} service"
-                )
-        late = [got.request_id for got in old.received if sent_s[got.request_id] > bound_s]
-        record.note(f"run by the old service later than the bound: {len(late)}")
-        for link in links:
-            link.stop()
+            record.note("front-1 is partitioned from the store (reset)")
+            link.cut()
+        await asyncio.sleep(0.5)
+        if TROUBLE:
+            peer.signal(signal.SIGKILL)
+            await peer.ended()
+        await site.store.remove("servers", "leaving")
+        removed_at_s = loop.time()
+        record.note("store: servers/leaving removed; the worker serves on for 12 s")
+        if TROUBLE:
+            await peer.start()
+        await peer.wait_ready()
+        await asyncio.sleep(cut_at_s + CUT_S - loop.time())
+        link.heal()
+        record.note("front-1 reaches the store again")
+        await asyncio.sleep(CONTACT_S + 0.5)
+
+        record.note("front-1 is in touch: nothing has struck it for longer than contact_ms")
+        for number in range(REQUESTS):
+            headers = {"Request-Id": f"r{number}", "Deadline-Ms": "4000"}
+            status, _ = await call(cut_off.front, "POST", f"/thumb/{number}", b"size", headers)
+            record.note(f"request r{number} to front-1: {status}")
+            await asyncio.sleep(0.02)
+        late = [got for got in leaving.received if got.at_s > removed_at_s + DRAIN_S]
+        for got in late:
+            record.note(f"worker leaving ran {got.request_id} {got.at_s - removed_at_s:.2f} s later")
+        record.note(f"worker staying ran {len(staying.received)}")
+        for line in cut_off.log_lines("table_from_peer"):
+            record.note(f"log of front-1: {line}")
+        link.stop()
         return not late
 
 
