--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,6 +23,8 @@
 """Pauses below the 500 ms of the sheet; the stream takes 5.9 s, the route allows 8 s."""
 
 GRACE_S = 8.0
+DAEMONS = 3
+"""One of them is stopped, less than the share of the site's `roll_term`."""
 
 
 async def request(
@@ -59,10 +61,15 @@
     loop = asyncio.get_running_loop()
     async with Site(record) as site:
         worker = await site.add_worker(StandInWorker("llm-1", stream(EVENTS, gap_s=EVENT_GAP_S)))
-        daemon = site.daemon("front-1")
-        await daemon.start()
-        await daemon.wait_ready()
+        daemons = [site.daemon(f"front-{number}") for number in range(1, DAEMONS + 1)]
+        seeds = [f"{LOCAL}:{daemon.control}" for daemon in daemons]
+        for daemon in daemons:
+            daemon.settings["seeds"] = seeds
+            await daemon.start()
+        for daemon in daemons:
+            await daemon.wait_ready()
         await asyncio.sleep(1.0)
+        daemon = daemons[0]
         kept = await connect(LOCAL, daemon.front, 1.0)
         kept.send("GET", "/nowhere/1", [("Host", HOST), ("Request-Id", "r0")])
         record.note(f"r0: status {(await kept.read_head()).status}, its connection is kept")
