Clear batch items and resumed streams whose runs get on

Cause: an item is blocked after six worker crashes of which the last three were isolated, and only a whole answer cleared it. The longer an item runs, the more single crashes it meets.

The new test with real processes, test_item_whose_runs_get_on_is_done_after_single_crashes, failed on (the item was not done in 18 s) and passes; test_item_whose_runs_get_on_is_not_blocked does the same without a network.

Why it works: a run that resumes after the last event kept begins where the run before it ended. Once it has written for half a second, the content did not cause that end, and its crashes are void. A content that crashes workers at one place of its output crashes the next run at once; it writes nothing and is blocked as before (test_item_whose_runs_write_nothing_is_blocked). Runs that begin anew clear nothing by writing. Messages and rows are unchanged.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -92,6 +92,9 @@
     restored_from_store: bool = False
     """Whether the first part of the output comes from another process's saved progress."""
 
+    resumed_after_id: int | None = None
+    """The event after which the current attempt resumes, ``None`` if it begins anew."""
+
     sent_at_s: float | None = None
     """When the current attempt sent its request, in event loop time; ``None`` if no worker took it.
     """
@@ -233,6 +236,7 @@
             lambda reply: context.protocol.is_reply_to(call, reply),
         )
         progress.sent_at_s = loop.time()
+        progress.resumed_after_id = progress.last_event_id
         async with asyncio.timeout(RESPONSE_HEAD_TIMEOUT_S):
             response_head = await connection.read_head()
         pending_prefill.end()
@@ -307,8 +311,11 @@
     def _note_writing(self, progress: ItemProgress) -> None:
         if progress.writing_since_s is None:
             progress.writing_since_s = asyncio.get_running_loop().time()
-        call = self._call(progress)
-        self._context.quarantine.note_writing(call, progress.writing_since_s)
+        self._context.quarantine.note_writing(
+            self._call(progress),
+            progress.writing_since_s,
+            resumed=bool(progress.resumed_after_id),
+        )
 
     async def _has_crashed(self, progress: ItemProgress, worker: Worker) -> bool:
         """Return whether the worker of a stream that ended with its connection has crashed."""
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -27,7 +27,7 @@
     BrokenRun,
     WorkerCrashDetector,
     WorkerCrashObserver,
-    proves_parts_sound,
+    proves_sound,
 )
 from mountstand.serving.worker_protocol import Call
 from mountstand.telemetry.decisions import DecisionLog
@@ -92,11 +92,19 @@
         """
         self._crash_detector.note_broken(worker, call, sent_at_s, writing_since_s)
 
-    def note_writing(self, call: Call, writing_since_s: float) -> None:
-        """Record that a run goes on writing, which clears the parts of its prompt after a while."""
-        if self.parts.suspects and proves_parts_sound(writing_since_s):
-            now_s = asyncio.get_running_loop().time()
-            self.parts.note_served(call.prompt.shared_keys, call.request_id, now_s)
+    def note_writing(self, call: Call, writing_since_s: float, *, resumed: bool) -> None:
+        """Record that a run goes on writing, which clears the parts of its prompt after a while.
+
+        A run that ``resumed`` an output clears its content too. It began where an earlier run
+        ended, so the content did not cause that end. A content that crashes workers later in its
+        output crashes the next run at once.
+        """
+        if not (self.parts.suspects or self.suspects) or not proves_sound(writing_since_s):
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.parts.note_served(call.prompt.shared_keys, call.request_id, now_s)
+        if resumed:
+            self._clear(call, now_s)
 
     async def wait_until_checked(self, worker: Worker) -> bool:
         """Wait for the pending crash check of a worker, if there is one, up to a timeout.
@@ -166,11 +174,11 @@
         now_s = asyncio.get_running_loop().time()
         if succeeded:
             self.parts.note_served(call.prompt.shared_keys, call.request_id, now_s)
-        if not self.suspects:
-            return
-        content = call.content_key
-        if self._sharing.note_served(content, now_s):
-            name = content_name(content)
+        self._clear(call, now_s)
+
+    def _clear(self, call: Call, now_s: float) -> None:
+        if self.suspects and self._sharing.note_served(call.content_key, now_s):
+            name = content_name(call.content_key)
             self._log.event("suspect_cleared", content=name, request=call.request_id)
 
     def on_worker_crash(
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -80,6 +80,9 @@
     """The id after which a stream is resumed: of the last event sent to the caller, or before that
     the one that the caller named in its request."""
 
+    resumed_after_id: int | None = None
+    """The event after which the latest attempt resumed the stream, ``None`` if it began anew."""
+
     software_key: int | None = None
     """The software that began the stream, which alone may go on with it; ``None`` before the first
     event and for requests that are no stream."""
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -386,6 +386,7 @@
             return Outcome.NOT_SENT
         exchange.runs += 1
         exchange.sent_at_s = now_s
+        exchange.resumed_after_id = exchange.last_event_id
         try:
             return await self._relay.run(exchange, worker, connection)
         except (ReplyBroken, WorkerUnresponsive) as error:
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -237,7 +237,8 @@
             exchange.first_event_at_s = now_s
         if exchange.writing_since_s is None:
             exchange.writing_since_s = now_s
-        self._quarantine.note_writing(exchange.call, exchange.writing_since_s)
+        resumed = bool(exchange.resumed_after_id)
+        self._quarantine.note_writing(exchange.call, exchange.writing_since_s, resumed=resumed)
         exchange.responder.write(b"".join(event.raw for event in events))
         await exchange.responder.drain()
 
--- a/mountstand/serving/worker_ends.py
+++ b/mountstand/serving/worker_ends.py
@@ -45,7 +45,8 @@
 
 WRITING_PROVES_S = 0.5
 """A part of a prompt that crashes workers does so as they begin to write an answer on it. A run
-that has written for this long shows that its parts are sound."""
+that has written for this long shows that its parts are sound, and that the content is where it
+began."""
 
 MAX_LOGGED_CONTENTS = 20
 """Maximum number of content keys in a log line, about as many as requests run at a worker."""
@@ -102,7 +103,7 @@
             return
         worker_id = worker.record.worker_id
         runs = self._runs_by_worker.setdefault(worker_id, {})
-        part_keys = () if proves_parts_sound(writing_since_s) else call.prompt.shared_keys
+        part_keys = () if proves_sound(writing_since_s) else call.prompt.shared_keys
         runs.setdefault(call.content_key, BrokenRun(sent_at_s, part_keys))
         if worker_id not in self._check_by_worker:
             self._check_by_worker[worker_id] = asyncio.create_task(self._check(worker))
@@ -190,8 +191,8 @@
         )
 
 
-def proves_parts_sound(writing_since_s: float | None) -> bool:
-    """Return whether a run that wrote its first event then shows that its prompt is sound."""
+def proves_sound(writing_since_s: float | None) -> bool:
+    """Return whether a run has written for long enough since its first event to count as sound."""
     if writing_since_s is None:
         return False
     return asyncio.get_running_loop().time() - writing_since_s > WRITING_PROVES_S
--- a/tests/integration/test_owed_items.py
+++ b/tests/integration/test_owed_items.py
@@ -15,6 +15,7 @@
 
 from mountstand.lab.fleet import Fleet
 from mountstand.lab.fleet_plan import FleetPlan
+from mountstand.quarantine.batch_verdicts import CRASHES_TO_BLOCK_BATCH
 from mountstand.serving.worker_protocol import Call
 from mountstand.transport.http_client import ConnectFailed, ReplyBroken
 from tests.integration.helpers import job, submit, wait_completed, wait_until
@@ -38,6 +39,11 @@
 CRASH_GAP_S = 0.3
 """Time that the item runs before each crash."""
 
+LONG_RUN_S = 1.2
+"""Time that the item runs before each crash of its worker alone, writing for most of it."""
+
+LONG_ITEM_STREAM = stream(100, gap_s=0.1)
+
 RUN_AGAIN_WITHIN_S = 12.0
 """Time from a crash to the next run of the item."""
 
@@ -70,9 +76,19 @@
             worker = await self._wait_for_item()
             await asyncio.sleep(CRASH_GAP_S)
             others = [each for each in self._workers.running if each is not worker]
-            for crashing in [worker, *others[:1]]:
-                crashing.crashed.set()
-                await crashing.stop()
+            await self._crash(worker, *others[:1])
+
+    async def crash_alone(self, count: int) -> None:
+        """Crash the item's worker ``count`` times, each time once the item has written."""
+        for _ in range(count):
+            worker = await self._wait_for_item()
+            await asyncio.sleep(LONG_RUN_S)
+            await self._crash(worker)
+
+    async def _crash(self, *workers: CrashableWorker) -> None:
+        for crashing in workers:
+            crashing.crashed.set()
+            await crashing.stop()
 
     async def _wait_for_item(self) -> CrashableWorker:
         deadline_s = asyncio.get_running_loop().time() + RUN_AGAIN_WITHIN_S
@@ -164,6 +180,23 @@
     def test_item_is_done_after_a_restart_of_all_processes(self) -> None:
         self.run_burst(3, "restart")
 
+    def test_item_whose_runs_get_on_is_done_after_single_crashes(self) -> None:
+        """Guards against a block of a long item whose worker crashes again and again by chance."""
+
+        async def scenario() -> None:
+            async with Site(2) as site:
+                workers = RestartingWorkers(
+                    SiteWorkers(site), lambda req: False, (LONG_ITEM_STREAM,)
+                )
+                await workers.start(WORKERS)
+                await asyncio.sleep(0.5)
+                await submit_item(site.processes[0])
+                await CrashBurst(site, workers).crash_alone(CRASHES_TO_BLOCK_BATCH)
+                await wait_done(site.processes[1])
+                await workers.stop()
+
+        asyncio.run(asyncio.wait_for(scenario(), SCENARIO_TIMEOUT_S))
+
     def test_item_that_earlier_versions_blocked_is_done(self) -> None:
         """Rows of the store that were written by a version that blocks such an item."""
 
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -336,9 +336,9 @@
                 run = {n: BrokenRun(now_s - 5 + n - RUN_S, (SOUND,))}
                 quarantine.parts.note_worker_crash(n, now_s - 5 + n, run, [n], now_s)
             self.assertTrue(quarantine.parts.is_suspect((SOUND,)))
-            quarantine.note_writing(SOUND_CALL, now_s - WRITING_PROVES_S / 2)
+            quarantine.note_writing(SOUND_CALL, now_s - WRITING_PROVES_S / 2, resumed=False)
             self.assertTrue(quarantine.parts.is_suspect((SOUND,)))
-            quarantine.note_writing(SOUND_CALL, now_s - 2 * WRITING_PROVES_S)
+            quarantine.note_writing(SOUND_CALL, now_s - 2 * WRITING_PROVES_S, resumed=False)
             self.assertFalse(quarantine.parts.is_suspect((SOUND,)))
 
         run_paused(scenario())
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -5,12 +5,15 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from testtools import TestCase
 
+from mountstand.quarantine.batch_verdicts import CRASHES_TO_BLOCK_BATCH
 from mountstand.quarantine.service import RequestQuarantine
 from mountstand.quarantine.stored import MAX_ROWS, SUSPECTS_TABLE, StoredSuspects
 from mountstand.quarantine.suspect import INITIAL_BLOCK_S, SUSPECT_RETENTION_S
+from mountstand.quarantine.workload import Workload
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.worker import Worker, WorkerRecord
 from mountstand.serving.worker_ends import BrokenRun, WorkerCrashDetector
@@ -26,6 +29,7 @@
 from tests.stand_ins.report_link import Message, RecordingReportLink
 
 CULPRIT = call("r1", b"crashes")
+ITEM = replace(CULPRIT, workload=Workload.BATCH)
 INNOCENT = call("r2", b"good")
 
 
@@ -296,3 +300,51 @@
             self.assertEqual([], network.blocking_daemons())
 
         self.run_on_network(work)
+
+
+class Resuming(NetworkTestCase):
+    """Crashes under runs that go on with the output of earlier ones."""
+
+    async def crash_runs(self, daemon: Daemon, *, resumed: bool, writes: bool = True) -> None:
+        """Let the culprit's worker crash six times, each time some seconds into a run."""
+        loop = asyncio.get_running_loop()
+        for number in range(CRASHES_TO_BLOCK_BATCH):
+            sent_at_s = loop.time()
+            await asyncio.sleep(2.0)
+            if writes:
+                daemon.quarantine.note_writing(CULPRIT, loop.time() - 1.0, resumed=resumed)
+            await asyncio.sleep(2.0)
+            run = {CULPRIT.content_key: BrokenRun(sent_at_s)}
+            daemon.quarantine.on_worker_crash(worker(number), run, loop.time())
+
+    def test_item_whose_runs_get_on_is_not_blocked(self) -> None:
+        """Guards against ten minutes of waiting for a sound item that met six crashes."""
+
+        async def work(network: Network) -> None:
+            daemon = network.by_name["a"]
+            await self.crash_runs(daemon, resumed=True)
+            self.assertEqual(0.0, daemon.quarantine.blocked_for_s(ITEM))
+            await asyncio.sleep(1.0)
+            self.assertEqual([], network.blocking_daemons())
+
+        self.run_on_network(work)
+
+    def test_item_whose_runs_write_nothing_is_blocked(self) -> None:
+        """Guards against an item that crashes each worker at one place of its output."""
+
+        async def work(network: Network) -> None:
+            daemon = network.by_name["a"]
+            await self.crash_runs(daemon, resumed=True, writes=False)
+            self.assertEqual(INITIAL_BLOCK_S, daemon.quarantine.blocked_for_s(ITEM))
+
+        self.run_on_network(work)
+
+    def test_run_that_begins_anew_clears_no_content(self) -> None:
+        """Guards against a request that crashes workers late in its output each time."""
+
+        async def work(network: Network) -> None:
+            daemon = network.by_name["a"]
+            await self.crash_runs(daemon, resumed=False)
+            self.assertGreaterEqual(daemon.quarantine.blocked_for_s(CULPRIT), INITIAL_BLOCK_S)
+
+        self.run_on_network(work)
