Give each suspected prompt part a next trial

Cause: a single trial whose worker crashed blocked a part for ten minutes on all daemons, and nothing tested the block. What nearly all requests share is at nearly every crash, whatever causes it.

Evidence: test_first_part_is_served_again_soon_after_crashes_of_all_workers and test_served_part_is_known_as_such_after_all_daemons_were_killed fail on the code before.

Why it works: each crashed trial puts the next one off by a growing delay, so a bad part reaches two workers in the ten minutes after its fifth crash (three may be). A part that was served before is tried again within 8 s, as one that crashes workers is never served; its stored row keeps the time of service. The version before reads such a row as one without crashes.

Tests that asserted a block of ten minutes asserted the fault. They check the exact time of the next trial now, from both sides, and a new one counts the runs of a bad part in ten minutes.

--- a/mountstand/quarantine/batch_verdicts.py
+++ b/mountstand/quarantine/batch_verdicts.py
@@ -14,7 +14,6 @@
 
 from mountstand.quarantine.crash_log import CrashLog
 from mountstand.quarantine.suspect import (
-    INITIAL_BLOCK_S,
     NEVER_S,
     TRIAL_BACKOFF_FACTOR,
     TRIAL_DELAY_S,
@@ -55,18 +54,14 @@
         """Return when an item may run again, ``NEVER_S`` if it is not blocked."""
         if content not in self._verdicts.blocked_until_s:
             return NEVER_S
-        suspect = self._by_content[content]
         if self.is_cause(content):
-            return suspect.last_crash_s + INITIAL_BLOCK_S
-        return item_trial_at_s(suspect) + self._verdicts.trial_jitter_s(content)
+            return self._verdicts.cause_blocked_until_s(content)
+        trial_at_s = item_trial_at_s(self._by_content[content])
+        return trial_at_s + self._verdicts.trial_jitter_s(content)
 
     def is_cause(self, content: int) -> bool:
         """Return whether an item is taken for the cause of its crashes."""
-        if content not in self._verdicts.blocked_until_s:
-            return False
-        if content in self._verdicts.trial_required:
-            return False
-        return self._has_isolated_crashes(content)
+        return self._verdicts.is_cause_of_crashes(content) and self._has_isolated_crashes(content)
 
     def are_cause_together(self, contents: Iterable[int]) -> bool:
         """Return whether an item is taken for a cause that has all of ``contents``."""
--- a/mountstand/quarantine/part_verdicts.py
+++ b/mountstand/quarantine/part_verdicts.py
@@ -1,12 +1,13 @@
-"""Decides when prompt parts that are suspected of crashing workers are blocked.
+"""Decides when prompt parts that are suspected of crashing workers are tried again.
 
-Many requests share a part, and a block stops all of them. So a part is blocked for long only if a
-trial has shown that it crashes workers: a worker that ran the trial crashed, beside no other part
-with several crashes, and no other worker crashed at the same moment without a suspect of its own.
-Until then a part with enough crashes has only one run at a time, after a short delay.
+Many requests share a part, and a block stops all of them. What runs in nearly every request is also
+at nearly every crash, whatever causes it. So no number of crashes blocks a part for good: with
+enough of them it has one run at a time, a trial, after a delay that grows with each trial whose
+worker crashes. The delay stays short for a part that was served before, since one that crashes
+workers never is, and for one that crashed only beside other suspected parts.
 
 Some parts crash only together, in trials too, and no evidence tells which of them is the cause.
-Requests that have several of them are then blocked, whereas those with one may still try it.
+Requests that have several of them wait for the full delay, those with one for the short one.
 """
 
 from __future__ import annotations
@@ -37,21 +38,36 @@
         super()._evaluate()
         if not self.trial_required:
             return
-        suspects_by_worker = self._suspects_by_worker()
         explained = workers_with_suspects(self._by_content)
         for part in self.trial_required:
             suspect = self._by_content[part]
             if suspect.trials.count >= DECISIVE_TRIALS and self._trial_crashes(suspect, explained):
                 self.confirmed_together.add(part)
-            if all(suspects_by_worker[worker] > 1 for worker in suspect.crash_by_worker):
-                self._shorten_block_until_trial(part)
 
-    def _is_confirmed(self, suspect: Suspect, suspects_by_worker: Mapping[int, int]) -> bool:
-        """Return whether a crash since the last trial began is due to the part alone."""
-        explained = workers_with_suspects(self._by_content)
-        return any(
-            suspects_by_worker[worker] == 1 for worker in self._trial_crashes(suspect, explained)
-        )
+    def trial_at_s(self, content: int) -> float:
+        """Return the earliest time of a part's next trial in a request without other suspects."""
+        suspect = self._by_content[content]
+        if self._is_tried_soon(suspect):
+            return item_trial_at_s(suspect)
+        return suspect.trial_at_s
+
+    def is_cause_of_crashes(self, content: int) -> bool:
+        """Return whether a part may be the cause of its crashes, as far as its trials tell."""
+        return content in self.trial_required and not self._is_tried_soon(self._by_content[content])
+
+    def cause_blocked_until_s(self, content: int) -> float:
+        """Return when a part that is taken for the cause may run again."""
+        return self._by_content[content].trial_at_s
+
+    def _is_confirmed(self, suspect: Suspect) -> bool:
+        """Return ``False``: each part has a next trial."""
+        return False
+
+    def _is_tried_soon(self, suspect: Suspect) -> bool:
+        """Return whether a part was served before, or crashed only beside other suspects."""
+        if suspect.was_served:
+            return True
+        return all(self.suspects_by_worker[worker] > 1 for worker in suspect.crash_by_worker)
 
     def _trial_crashes(self, suspect: Suspect, explained: set[int]) -> list[int]:
         """Return the workers that crashed since the last trial of a suspect began.
@@ -66,12 +82,3 @@
             if crash.at_s >= suspect.trials.last_at_s
             and self._crash_log.workers_crashed_around(crash.at_s) <= explained
         ]
-
-    def _shorten_block_until_trial(self, part: int) -> None:
-        """Let a part that was never suspected alone be tried alone within seconds.
-
-        Sound requests are the ones that have it without the others.
-        """
-        if part in self.blocked_until_s:
-            trial_at_s = item_trial_at_s(self._by_content[part])
-            self.blocked_until_s[part] = trial_at_s + self.trial_jitter_s(part)
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -1,7 +1,8 @@
 """Persists strong suspects in the store, so that they survive a restart of all daemons.
 
 Weak suspects, with a single worker crash, are numerous and mostly innocent, and are not stored. A
-row holds all crashes of one content known to its writer, and the last write wins.
+row holds all crashes of one content known to its writer, and the last write wins. The row of a
+prompt part that was served stays without crashes, since it shows that the part is sound.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 
 from mountstand.hashing import content_name
 from mountstand.quarantine.reports import age_ms
-from mountstand.quarantine.suspect import NEVER_S, NO_TRIALS, Trials, WorkerCrash
+from mountstand.quarantine.suspect import NEVER_S, NO_TRIALS, Suspect, Trials, WorkerCrash
 from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.store.rows import RowKey, RowStore, StoredRow, StoreError, Transaction
 from mountstand.store.watch import TableChange
@@ -121,7 +122,7 @@
         now_s = asyncio.get_running_loop().time()
         for content in contents:
             suspect = self._suspects.by_content.get(content)
-            if suspect is None or not suspect.crash_by_worker:
+            if suspect is None or not (suspect.crash_by_worker or self._keeps_served(suspect)):
                 transaction.removals.append(self._key(content))
                 continue
             crashes = {
@@ -135,6 +136,8 @@
             if suspect.trials.count:
                 tried_ms = now_ms - age_ms(now_s, suspect.trials.last_at_s)
                 fields["trials"] = [suspect.trials.count, tried_ms]
+            if self._keeps_served(suspect):
+                fields["served"] = now_ms - age_ms(now_s, suspect.served_at_s)
             transaction.puts.append((self._key(content), orjson.dumps(fields)))
         self._pending_writes.difference_update(contents)
         try:
@@ -143,6 +146,9 @@
             self._pending_writes.update(contents)
             raise
 
+    def _keeps_served(self, suspect: Suspect) -> bool:
+        return self._row_prefix == PART_ROW_PREFIX and suspect.was_served
+
     def _merge_row(self, content: int, row: StoredRow, now_s: float) -> bool:
         if row.value is None:
             self._stored_contents.discard(content)
@@ -157,7 +163,20 @@
         if "trials" in fields:
             count, tried_ms = fields["trials"]
             trials = Trials(int(count), now_s - self._age_s(tried_ms))
-        return self._suspects.merge(content, crash_by_worker, NEVER_S, trials)
+        served_at_s = self._served_at_s(fields.get("served"), now_s)
+        return self._suspects.merge(content, crash_by_worker, served_at_s, trials)
+
+    def _served_at_s(self, served_ms: int | None, now_s: float) -> float:
+        """Return a stored time of service, ``NEVER_S`` if there is none.
+
+        Also while the store's clock is unknown, as a time too late would refute later crashes.
+        """
+        if served_ms is None:
+            return NEVER_S
+        try:
+            return now_s - max(0.0, (self._store_now_ms() - served_ms) / 1000)
+        except StoreError:
+            return NEVER_S
 
     def _age_s(self, at_ms: int) -> float:
         """Return the age of a stored time, 0 while the store's clock is unknown."""
--- a/mountstand/quarantine/suspect.py
+++ b/mountstand/quarantine/suspect.py
@@ -105,6 +105,11 @@
         """Whether at least ``STRONG_SUSPECT_CRASHES`` workers crashed while running the content."""
         return len(self.crash_by_worker) >= STRONG_SUSPECT_CRASHES
 
+    @property
+    def was_served(self) -> bool:
+        """Whether a worker served the content or a request with the part, as far as is known."""
+        return self.served_at_s != NEVER_S
+
     @property
     def last_crash_s(self) -> float:
         """Time of the latest crash, ``NEVER_S`` if there is none."""
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -18,8 +18,8 @@
 All of this holds for requests of callers. Batch items, which are owed, get a trial in place of a
 block and are blocked after more crashes only (:mod:`mountstand.quarantine.batch_verdicts`).
 
-Parts of prompts are judged alike, except that they are blocked only by a trial, alone or together
-(:mod:`mountstand.quarantine.part_verdicts`).
+Parts of prompts are judged alike, except that each of them has a next trial, alone or together, and
+none is blocked without one (:mod:`mountstand.quarantine.part_verdicts`).
 
 The order in which evidence arrives makes no difference (:mod:`mountstand.quarantine.suspect`), so
 daemons with the same evidence decide alike, except for the jitter of trials. Times are seconds on
@@ -37,7 +37,6 @@
 from mountstand.quarantine.suspect import (
     CLOCK_TOLERANCE_S,
     CRASHES_TO_BLOCK,
-    INITIAL_BLOCK_S,
     NEVER_S,
     NO_TRIALS,
     SUSPECT_RETENTION_S,
@@ -145,10 +144,9 @@
 
     def trial_at_s(self, content: int, workload: Workload = Workload.ONLINE) -> float:
         """Return the earliest time of the next trial of a suspected content."""
-        suspect = self.by_content[content]
-        if workload is Workload.BATCH or content in self._verdicts.confirmed_together:
-            return item_trial_at_s(suspect)
-        return suspect.trial_at_s
+        if workload is Workload.BATCH:
+            return item_trial_at_s(self.by_content[content])
+        return self._verdicts.trial_at_s(content)
 
     def blocked_together_until_s(
         self, contents: Collection[int], workload: Workload = Workload.ONLINE
@@ -158,14 +156,11 @@
         ``NEVER_S`` if they are no confirmed cause together.
         """
         together = self._verdicts.confirmed_together.intersection(contents)
-        if len(together) < 2:
+        if len(together) < 2 or all(self.by_content[each].was_served for each in together):
             return NEVER_S
-        last_crash_s = max(self.by_content[content].last_crash_s for content in together)
-        if workload is Workload.BATCH:
-            is_cause = self._batch_verdicts.are_cause_together(together)
-            return last_crash_s + INITIAL_BLOCK_S if is_cause else NEVER_S
-        crash_count = max(len(self.by_content[content].crash_by_worker) for content in together)
-        return last_crash_s + block_duration_s(crash_count)
+        if workload is Workload.BATCH and not self._batch_verdicts.are_cause_together(together):
+            return NEVER_S
+        return max(self.by_content[content].trial_at_s for content in together)
 
     def requires_trial(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
         """Return whether a content requires a trial before it may run freely.
@@ -202,10 +197,13 @@
     def is_trial_open(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
         """Return whether this daemon may begin the last trial of a content again.
 
-        It may not once other evidence has blocked the content.
+        It may not once a worker has crashed since, or other evidence has blocked the content.
         """
         if content not in self._open_trials or not self._is_own_trial(content):
             return False
+        suspect = self.by_content[content]
+        if suspect.last_crash_s >= suspect.trials.last_at_s:
+            return False
         if workload is Workload.BATCH:
             return not self.is_batch_cause(content)
         return content in self._verdicts.trial_required
--- a/mountstand/quarantine/verdicts.py
+++ b/mountstand/quarantine/verdicts.py
@@ -11,6 +11,7 @@
 from mountstand.hashing import content_name, rendezvous_share
 from mountstand.quarantine.suspect import (
     CRASHES_TO_BLOCK,
+    INITIAL_BLOCK_S,
     TRIAL_JITTER_S,
     Suspect,
     block_duration_s,
@@ -26,6 +27,7 @@
         "_daemon_name",
         "blocked_until_s",
         "confirmed_together",
+        "suspects_by_worker",
         "trial_required",
     )
 
@@ -43,8 +45,23 @@
         """Contents that require a trial alone, of which several in one request are a confirmed
         cause. Only prompt parts can come together."""
 
+        self.suspects_by_worker = self._count_suspects_by_worker()
+        """How many strong suspects were running at each crash, by worker key."""
+
         self._evaluate()
 
+    def trial_at_s(self, content: int) -> float:
+        """Return the earliest time of a content's next trial."""
+        return self._by_content[content].trial_at_s
+
+    def is_cause_of_crashes(self, content: int) -> bool:
+        """Return whether a content is blocked without a trial, as the cause of its crashes."""
+        return content in self.blocked_until_s and content not in self.trial_required
+
+    def cause_blocked_until_s(self, content: int) -> float:
+        """Return when a content that is taken for the cause may run again as a batch item."""
+        return self._by_content[content].last_crash_s + INITIAL_BLOCK_S
+
     def _evaluate(self) -> None:
         """Evaluate all suspects, those with the most crashes first."""
         contents_by_crash_count: dict[int, list[int]] = {}
@@ -63,21 +80,17 @@
 
     def _replace_unconfirmed_blocks(self) -> None:
         """Let the block of contents that are not a confirmed cause end at their next trial."""
-        if not self.blocked_until_s:
-            return
-        suspects_by_worker = self._suspects_by_worker()
         for content in self.blocked_until_s:
-            if not self._is_confirmed(self._by_content[content], suspects_by_worker):
+            if not self._is_confirmed(self._by_content[content]):
                 self._block_until_trial(content)
                 self.trial_required.add(content)
 
-    def _suspects_by_worker(self) -> Counter[int]:
-        """Return how many strong suspects were running at each crash, by worker key."""
+    def _count_suspects_by_worker(self) -> Counter[int]:
         strong = (each for each in self._by_content.values() if each.is_strong)
         return Counter(worker for each in strong for worker in each.crash_by_worker)
 
-    def _is_confirmed(self, suspect: Suspect, suspects_by_worker: Mapping[int, int]) -> bool:
-        return suspect.is_confirmed_cause(suspects_by_worker)
+    def _is_confirmed(self, suspect: Suspect) -> bool:
+        return suspect.is_confirmed_cause(self.suspects_by_worker)
 
     def _require_trial_unless_blocked(self, contents: list[int]) -> None:
         """Require a trial of contents that have enough crashes but are not blocked.
@@ -95,8 +108,7 @@
 
     def _block_until_trial(self, content: int) -> None:
         """Block a content until its next trial, plus a jitter derived from content and daemon."""
-        trial_at_s = self._by_content[content].trial_at_s
-        self.blocked_until_s[content] = trial_at_s + self.trial_jitter_s(content)
+        self.blocked_until_s[content] = self.trial_at_s(content) + self.trial_jitter_s(content)
 
     def trial_jitter_s(self, content: int) -> float:
         """Return how much later than others this daemon starts a trial of a content."""
