Refuse requests that a stopping daemon can't finish

Cause: a stopping daemon takes new requests for up to 3.7 s and ends 0.6 s before its grace is over. Nothing compared the time that a request may need with the time that is left.

Why it works: a request that has not run is refused at once with 503 unless its deadline lies before the end of the stop, or the longest of the last 32 whole requests of its route would end by then. The refusal is true, and another daemon can take the request. What can still be whole is taken.

--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -26,6 +26,7 @@
 from mountstand.serving.exchange_log import ExchangeLog
 from mountstand.serving.online_queue import OnlineQueue, start_deadlines
 from mountstand.serving.reply_relay import ReplyRelay
+from mountstand.serving.stop_admission import StopAdmission
 from mountstand.serving.stream_versions import StreamVersions
 from mountstand.serving.worker import PendingPrefill, Worker
 from mountstand.serving.worker_protocol import Call, WorkerProtocol
@@ -57,6 +58,10 @@
 RETRY_AFTER_FULL_S = 0.2
 """``Retry-After`` of requests rejected because workers were full."""
 
+RETRY_AFTER_STOPPING_S = 0.05
+"""``Retry-After`` of requests rejected because this daemon stops before they could end. Another
+daemon can take them at once."""
+
 RETRY_AFTER_UNAVAILABLE_S = 0.5
 """``Retry-After`` of requests rejected because no worker could be reached or chosen."""
 
@@ -95,6 +100,7 @@
         )
         self._metrics = metrics
         self._log = ExchangeLog(metrics, log)
+        self.stop_admission = StopAdmission()
         self.max_idle_connections_per_worker = 4
 
     async def forward(
@@ -131,6 +137,8 @@
 
     async def _run_attempts(self, exchange: Exchange, received_at_s: float) -> None:
         """Try workers until one delivers a reply or no further attempt is allowed."""
+        if self._reject_if_stopping(exchange, None):
+            return
         if self._reject_if_quarantined(exchange, None):
             return
         if not await self._bind_taken_up_stream(exchange):
@@ -138,6 +146,8 @@
             return
         worker = await self._wait_for_worker(exchange, received_at_s)
         while not exchange.responder.finished:
+            if self._reject_if_stopping(exchange, worker):
+                return
             if self._reject_if_quarantined(exchange, worker):
                 return
             if worker is None:
@@ -155,7 +165,7 @@
             self._record_outcome(exchange, worker, outcome)
             if outcome is Outcome.DELIVERED:
                 exchange.delivered = True
-                self._record_duration(exchange, worker)
+                self._record_duration(exchange, worker, received_at_s)
                 if not worker_failed(exchange, outcome):
                     succeeded = exchange.responder.status < FIRST_FAILURE_STATUS
                     self._quarantine.note_served(exchange.call, succeeded=succeeded)
@@ -214,6 +224,22 @@
         exchange.queue_wait_s = asyncio.get_running_loop().time() - received_at_s
         return worker
 
+    def _reject_if_stopping(self, exchange: Exchange, worker: Worker | None) -> bool:
+        """Reject a request that has not run and can't end before this daemon does.
+
+        Returns whether it was rejected. ``worker`` is the worker at which it holds a slot, if any.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if exchange.runs or self.stop_admission.may_complete(
+            exchange.route.name, now_s, exchange.deadline_s
+        ):
+            return False
+        if worker is not None:
+            self._free_slot(worker)
+        exchange.cause = "stopping"
+        reject(exchange.responder, RETRY_AFTER_STOPPING_S)
+        return True
+
     def _reject_if_quarantined(self, exchange: Exchange, worker: Worker | None) -> bool:
         """Reject a request whose content is quarantined; return whether it was rejected.
 
@@ -258,11 +284,15 @@
         self._free_slot(worker)
         return other
 
-    def _record_duration(self, exchange: Exchange, worker: Worker) -> None:
-        """Add the duration of a request without server error to the service's average."""
-        if exchange.responder.status < WORKER_FAILED_STATUS:
-            duration_s = asyncio.get_running_loop().time() - exchange.sent_at_s
-            self._directory.chooser.durations.observe(worker.record.service, duration_s)
+    def _record_duration(self, exchange: Exchange, worker: Worker, received_at_s: float) -> None:
+        """Note the duration of a request without server error, for its service and its route."""
+        if exchange.responder.status >= WORKER_FAILED_STATUS:
+            return
+        now_s = asyncio.get_running_loop().time()
+        service = worker.record.service
+        self._directory.chooser.durations.observe(service, now_s - exchange.sent_at_s)
+        if not exchange.call.last_event_id:
+            self.stop_admission.note_completed(exchange.route.name, now_s - received_at_s)
 
     def _record_outcome(self, exchange: Exchange, worker: Worker, outcome: Outcome) -> None:
         """Count the attempt as a success or failure in the worker's health statistics."""
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -456,13 +456,15 @@
     async def stop(self) -> None:
         """Stop gracefully: leave the fleet, finish requests in progress and hand over the jobs.
 
-        Returns when all callers have disconnected and all jobs are handed over, or else
-        ``KILL_MARGIN_S`` before the platform kills the process.
+        Requests that come meanwhile are taken if they are expected to end in time. Returns when all
+        callers have disconnected and all jobs are handed over, or else ``KILL_MARGIN_S`` before the
+        platform kills the process.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         deadline_s = started_s + self.settings.grace_s - KILL_MARGIN_S
         self._stopping = True
+        self.forwarder.stop_admission.begin_stop(deadline_s)
         self.log.event("stop_begun", connections=self._listeners.caller_connection_count)
         self.membership.leave()
         self._listeners.announce_close()
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -24,6 +24,9 @@
 from tests.stand_ins.worker import StandInWorker, event, silence, stream, whole
 
 ROOT = Path(__file__).parents[2]
+LATE_IN_STOP_S = 2.8
+"""Time after SIGTERM at which a daemon still accepts connections, with half of its time left."""
+
 START_TIMEOUT_S = 20.0
 
 
@@ -340,6 +343,28 @@
 
         run(scenario())
 
+    def test_stream_that_cannot_be_whole_by_the_end_is_refused(self) -> None:
+        """Guards against streams that are taken late in a planned stop and cut off midway."""
+
+        async def scenario() -> None:
+            worker = StandInWorker("w0", whole(), stream(12, gap_s=0.4))
+            async with Site(2, worker) as site:
+                process = site.processes[0]
+                ask = {"headers": {"Request-Id": "r1", "Deadline-Ms": "8000"}}
+                self.assertEqual(200, (await process.call("POST", "/plain/x", **ask)).status)
+                worker.script = [stream(12, gap_s=0.4)]
+                process.signal(signal.SIGTERM)
+                await asyncio.sleep(LATE_IN_STOP_S)
+                answer = await process.call("POST", "/stream/x", **ask)
+                self.assertEqual(503, answer.status)
+                self.assertIn("retry-after", answer.headers)
+                worker.script = [whole()]
+                self.assertEqual(200, (await process.call("POST", "/plain/x", **ask)).status)
+                self.assertEqual(0, await process.ended())
+                self.assertEqual(2, len(worker.received))
+
+        run(scenario())
+
     def test_signals_until_the_end_leave_the_exit_code(self) -> None:
         """Guards against a signal that ends a stopped process once the loop is closed."""
 
