Take from peers only tables that are complete

Cause: a peer that has started anew, or read its table whole, knows no removal from before, and still answered with changes and a version beyond it. The daemon took that version over, and followed the store's feed from there.

Why it works: a peer says since which version its changes are complete, and sends its whole table where they are not as old as asked for. The store's feed goes on from what the store itself told last, so that its next answer corrects whatever peers told. A former daemon ignores the new field; it is answered only where its changes are complete, and is asked for its whole table.

--- a/mountstand/store/peer_tables.py
+++ b/mountstand/store/peer_tables.py
@@ -5,7 +5,9 @@
 with its peers' configuration and workers, and one that alone is cut off stays up to date.
 
 Rows keep their versions, and what is older than what is known changes nothing, so an answer of a
-peer that was itself cut off does no harm. The store's feed goes on from the version taken over.
+peer that was itself cut off does no harm. A peer that started or read the table anew knows no
+removal from before; it answers with the whole table then, so that a row it lacks is taken as gone.
+The store's feed goes on from the version that the store told last, and corrects what peers told.
 """
 
 from __future__ import annotations
@@ -26,6 +28,9 @@
 from mountstand.transport.http_server import Responder, ServerRequest
 
 PATH = "/tables"
+KNOWS_SINCE = "knows_since"
+"""Field of the query that tells that the asking daemon understands ``PeerTable.since``."""
+
 BODY_TYPE = ("Content-Type", "application/msgpack")
 CHECK_S = 0.4
 """How often a daemon looks whether a feed of its own fails; the first look gives the store a chance
@@ -52,6 +57,11 @@
     version: int
     age_s: float
     rows: tuple[PeerRow, ...]
+    since: int | None = None
+    """The version after which ``rows`` holds all changes, 0 if it holds all rows that exist.
+
+    ``None`` from former versions of this program, whose rows may lack removals.
+    """
 
 
 class PeerAddresses(ABC):
@@ -92,8 +102,12 @@
         tables = []
         for table, watcher in self._watcher_by_table.items():
             after = asked.get(table, [""])[0]
-            if after.isdigit() and watcher.loaded.is_set():
-                tables.append(_table_after(watcher, int(after), now_s))
+            if not after.isdigit() or not watcher.loaded.is_set():
+                continue
+            answer = _table_after(watcher, int(after), now_s)
+            # A former version would take the whole table for changes, and keep rows that are gone.
+            if answer.since == int(after) or KNOWS_SINCE in asked:
+                tables.append(answer)
         responder.send(200, [BODY_TYPE], msgspec.msgpack.encode(tables))
 
     # Asking
@@ -109,14 +123,32 @@
     async def _ask_some(self, failing: list[TableWatcher]) -> None:
         addresses = list(self._addresses.control_addresses())
         chosen = self._rng.sample(addresses, min(PEERS_ASKED, len(addresses)))
-        query = urlencode({watcher.table: watcher.version or 0 for watcher in failing})
-        answers = await asyncio.gather(*(self._ask(address, query) for address in chosen))
-        for address, tables in zip(chosen, answers, strict=True):
-            for table in tables:
-                self._take_over(address, table)
+        await asyncio.gather(*(self._take_tables(address, failing) for address in chosen))
+
+    async def _take_tables(self, address: SocketAddress, failing: list[TableWatcher]) -> None:
+        """Take over what a peer knows; ask for whole tables where it can't tell what it lacks."""
+        after_by_table = {watcher.table: watcher.version or 0 for watcher in failing}
+        incomplete = []
+        for table in await self._ask(address, after_by_table):
+            if table.since is not None:
+                self._take_over(address, table, table.since)
+            elif after_by_table.get(table.table) == 0:
+                self._take_over(address, table, 0)
+            elif self._is_news(table):
+                incomplete.append(table.table)
+        if incomplete:
+            for table in await self._ask(address, dict.fromkeys(incomplete, 0)):
+                self._take_over(address, table, 0)
+
+    def _is_news(self, table: PeerTable) -> bool:
+        watcher = self._watcher_by_table.get(table.table)
+        return watcher is not None and table.version > (watcher.version or 0)
 
-    async def _ask(self, address: SocketAddress, query: str) -> tuple[PeerTable, ...]:
+    async def _ask(
+        self, address: SocketAddress, after_by_table: dict[str, int]
+    ) -> tuple[PeerTable, ...]:
         """Return a peer's tables, or none where it does not answer."""
+        query = urlencode({**after_by_table, KNOWS_SINCE: 1})
         try:
             conn = await connect(address.host, address.port, CALL_TIMEOUT_S)
         except ConnectFailed:
@@ -132,7 +164,7 @@
         finally:
             conn.close()
 
-    def _take_over(self, address: SocketAddress, table: PeerTable) -> None:
+    def _take_over(self, address: SocketAddress, table: PeerTable, since: int) -> None:
         watcher = self._watcher_by_table.get(table.table)
         if watcher is None:
             return
@@ -141,7 +173,7 @@
             for row in table.rows
         ]
         fresh_at_s = asyncio.get_running_loop().time() - table.age_s
-        if watcher.adopt(rows, table.version, fresh_at_s):
+        if watcher.adopt(rows, since, table.version, fresh_at_s):
             self._log.event(
                 "table_from_peer",
                 table=table.table,
@@ -149,12 +181,11 @@
                 version=table.version,
                 age_s=round(table.age_s, 3),
                 rows=len(rows),
+                whole=since == 0,
             )
 
 
 def _table_after(watcher: TableWatcher, after: int, now_s: float) -> PeerTable:
-    rows = tuple(
-        PeerRow(row.key.part, row.key.key, row.version, row.value)
-        for row in watcher.rows_after(after)
-    )
-    return PeerTable(watcher.table, watcher.version or 0, watcher.age_s(now_s), rows)
+    since, changed = watcher.rows_after(after)
+    rows = tuple(PeerRow(row.key.part, row.key.key, row.version, row.value) for row in changed)
+    return PeerTable(watcher.table, watcher.version or 0, watcher.age_s(now_s), rows, since)
--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -70,6 +70,14 @@
         self._apply = apply
         self._log = log
         self._version: int | None = None
+        """The version up to which the store has told all changes."""
+
+        self._peer_version: int | None = None
+        """The version up to which a peer has told all changes since the store's last answer."""
+
+        self._history_from = 0
+        """The version after which all changes are kept, with removals."""
+
         self._told_version = 0
         self._failing_since_s: float | None = None
         self.now_ms = 0
@@ -114,31 +122,41 @@
 
     @property
     def version(self) -> int | None:
-        """The version up to which all changes are known, if any."""
-        return self._version
+        """The version up to which all changes are known, from the store or a peer, if any."""
+        known = [each for each in (self._version, self._peer_version) if each is not None]
+        return max(known, default=None)
 
     @property
     def failing(self) -> bool:
         """Whether the store has not answered the last call, or none yet."""
         return self._failing_since_s is not None or self._version is None
 
-    def rows_after(self, version: int) -> list[StoredRow]:
-        """Return the kept rows that changed after ``version``; from 0 on, those that exist."""
-        return [
-            row
-            for row in self._row_by_key.values()
-            if row.version > version and (version or row.value is not None)
-        ]
-
-    def adopt(self, rows: list[StoredRow], version: int, fresh_at_s: float) -> bool:
-        """Take over what a peer knows up to ``version``; returns whether that is news here."""
-        known = self._version
+    def rows_after(self, version: int) -> tuple[int, list[StoredRow]]:
+        """Return the kept rows that changed after a version, which comes first, with removals.
+
+        If not all of these changes are kept, the version is 0 and the rows are those that exist.
+        """
+        if version < max(1, self._history_from):
+            return 0, [row for row in self._row_by_key.values() if row.value is not None]
+        return version, [row for row in self._row_by_key.values() if row.version > version]
+
+    def adopt(self, rows: list[StoredRow], since: int, version: int, fresh_at_s: float) -> bool:
+        """Take over the changes that a peer knows after ``since`` and up to ``version``.
+
+        With a ``since`` of 0 they are all rows that exist. Returns whether they are news here.
+        Changes after a version that is not known here are not taken, as others may be missing. The
+        store's feed goes on from where the store itself has left off, whatever a peer told.
+        """
+        known = self.version
         if known is not None and version <= known:
             return False
-        self._version = version
-        self._told_version = version
+        if since and (known is None or since > known):
+            return False
+        self._peer_version = version
+        if not since:
+            self._history_from = version
         try:
-            self._take(TableChange(rows, complete=known is None))
+            self._take(TableChange(rows, complete=not since))
         except RowsNotApplied:
             return False
         self.fresh_at_s = max(self.fresh_at_s, fresh_at_s)
@@ -146,7 +164,7 @@
         return True
 
     def _take(self, change: TableChange) -> None:
-        """Keep the rows of a change and apply it.
+        """Keep the rows of a change and apply it, but for rows that are known already.
 
         Raises ``RowsNotApplied``; the table is read whole then, since the version that was reached
         says nothing of what is in force.
@@ -154,14 +172,13 @@
         if self._keep_rows:
             if change.complete:
                 self._row_by_key.clear()
-            for row in change.rows:
-                kept = self._row_by_key.get(row.key)
-                if kept is None or kept.version < row.version:
-                    self._row_by_key[row.key] = row
+            rows = [row for row in change.rows if self._is_news(row)]
+            self._row_by_key.update({row.key: row for row in rows})
+            change = TableChange(rows, change.complete)
         try:
             self._apply(change)
         except Exception as problem:
-            self._version = None
+            self._version = self._peer_version = None
             self._log.event(
                 "rows_not_applied",
                 table=self._table,
@@ -170,13 +187,17 @@
             )
             raise RowsNotApplied(repr(problem)) from problem
 
+    def _is_news(self, row: StoredRow) -> bool:
+        kept = self._row_by_key.get(row.key)
+        return kept is None or kept.version < row.version
+
     async def _step(self) -> bool:
         """Make one call, or a full read; returns whether anything had changed."""
         loop = asyncio.get_running_loop()
         if self._version is None:
             pages = [await read_all(self._store, self._table, part) for part in self._parts]
             self._version = min(page.version for page in pages)
-            self._told_version = self._version
+            self._told_version = self._history_from = self._version
             self._take(TableChange([row for page in pages for row in page.rows], True))
             self.loaded.set()
         else:
@@ -185,6 +206,7 @@
             self._advance(page)
             if page.rows:
                 self._take(TableChange(page.rows, False))
+        self._peer_version = None
         self.now_ms = pages[-1].now_ms
         self.now_read_at_s = loop.time()
         return any(page.rows for page in pages)
--- a/tests/serving/test_serving_feeds.py
+++ b/tests/serving/test_serving_feeds.py
@@ -34,7 +34,7 @@
     def test_clock_is_unknown_until_the_store_answers(self) -> None:
         async def scenario() -> None:
             feeds = make_feeds(MemoryRowStore())
-            feeds.configuration.adopt([], 5, 0.0)
+            feeds.configuration.adopt([], 0, 5, 0.0)
             with ExpectedException(StoreRefused):
                 feeds.store_now_ms(asyncio.get_running_loop().time())
 
@@ -143,9 +143,9 @@
         async def scenario() -> None:
             watcher, applied = self.watcher(MemoryRowStore(), failures=1)
             rows = [StoredRow(RowKey(self.TABLE, "", "w1"), 5, b"first")]
-            self.assertFalse(watcher.adopt(rows, 5, 1.0))
+            self.assertFalse(watcher.adopt(rows, 0, 5, 1.0))
             self.assertFalse(watcher.loaded.is_set())
-            self.assertTrue(watcher.adopt(rows, 5, 1.0))
+            self.assertTrue(watcher.adopt(rows, 0, 5, 1.0))
             self.assertEqual([b"first"], applied)
 
         run_paused(scenario())
