Keep software versions and stream origins beyond all daemons

Callers saw: after all daemons were killed at once, streams that they took up with Last-Event-Id alone were joined from two software versions (ORDER), and streams named in Resumes were refused to the end, with one version ever too.

Cause: which software began a stream and which ran lately was in the daemons' memory alone. New daemons took the software that was left for the only one, or had watched it for too short a time to tell.

Why it works: a row for each software of a service tells that it is there, or until when it was, so new daemons know of versions that have left. Nothing is written while one version runs.

--- a/mountstand/serving/software.py
+++ b/mountstand/serving/software.py
@@ -32,20 +32,25 @@
 class SoftwareHistory:
     """When workers with each software were last listed. Times are those of the local clock."""
 
-    __slots__ = ("_known_since_s", "_sighting_by_key")
+    __slots__ = ("_known_since_s", "_sighting_by_key", "_stored_since_s")
 
     def __init__(self) -> None:
         self._sighting_by_key: dict[int, _Sighting] = {}
         self._known_since_s: float | None = None
+        self._stored_since_s: float | None = None
 
     def watch_from(self, now_s: float) -> None:
         """Note that workers may have come and gone unnoticed before ``now_s``."""
         self._known_since_s = now_s
 
+    def note_stored_since(self, since_s: float) -> None:
+        """Note that the store tells of all software that any daemon has seen since."""
+        self._stored_since_s = since_s
+
     def note(self, service: str, key: int, now_s: float) -> None:
         """Note that a worker of ``service`` with the software ``key`` is listed."""
         sighting = self._sighting_by_key.setdefault(key, _Sighting(service, now_s))
-        sighting.last_s = now_s
+        sighting.last_s = max(sighting.last_s, now_s)
 
     def expire(self, now_s: float) -> None:
         """Forget software whose last worker left long ago."""
@@ -56,17 +61,27 @@
         }
 
     def knows_since(self, since_s: float) -> bool:
-        """Return whether this daemon has watched the list of workers since ``since_s``."""
-        return self._known_since_s is not None and self._known_since_s <= since_s
+        """Return whether all software that was listed since ``since_s`` is known."""
+        known_since_s = (self._known_since_s, self._stored_since_s)
+        return any(each is not None and each <= since_s for each in known_since_s)
+
+    def has_several(self, since_s: float) -> bool:
+        """Return whether any service had workers with several softwares since ``since_s``."""
+        services = [each.service for each in self._recent(since_s).values()]
+        return len(services) > len(set(services))
+
+    def _recent(self, since_s: float) -> dict[int, _Sighting]:
+        return {
+            key: sighting
+            for key, sighting in self._sighting_by_key.items()
+            if sighting.last_s >= since_s
+        }
 
     def only_software(self, services: Collection[str], since_s: float) -> int | None:
         """Return the key of the only software of ``services`` that was listed since ``since_s``.
 
         Returns ``None`` if this daemon has seen more, or none.
         """
-        keys = [
-            key
-            for key, sighting in self._sighting_by_key.items()
-            if sighting.service in services and sighting.last_s >= since_s
-        ]
+        recent = self._recent(since_s)
+        keys = [key for key, sighting in recent.items() if sighting.service in services]
         return keys[0] if len(keys) == 1 else None
--- a/mountstand/serving/stream_origins.py
+++ b/mountstand/serving/stream_origins.py
@@ -6,8 +6,8 @@
 key. A daemon that doesn't know a stream asks these. Streams are named by a hash of the id of the
 request that brought their first event.
 
-Nothing is stored: a report costs a datagram for each receiver, a call to the store for each stream
-would not be affordable.
+A report costs a datagram for each receiver; a call to the store for each stream would not be
+affordable.
 """
 
 from __future__ import annotations
@@ -47,7 +47,7 @@
     def __init__(self, retention_s: float) -> None:
         self.retention_s = retention_s
         self._began: dict[int, tuple[int, float]] = {}
-        self._own: set[int] = set()
+        self._own: dict[int, None] = {}
 
     def note(self, stream: int, software: int, now_s: float) -> None:
         """Record the software that began a stream."""
@@ -58,10 +58,10 @@
     def note_own(self, stream: int, software: int, now_s: float) -> None:
         """Record the software that began a stream at this daemon."""
         self.note(stream, software, now_s)
-        self._own.add(stream)
+        self._own[stream] = None
 
     def own(self) -> list[StreamOrigin]:
-        """Return the origins of the recent streams that began at this daemon."""
+        """Return the origins of the recent streams that began at this daemon, latest ones last."""
         return [StreamOrigin(stream, self._began[stream][0]) for stream in self._own]
 
     def software(self, stream: int) -> int | None:
@@ -81,7 +81,7 @@
             if is_recent and len(self._began) <= MAX_STREAMS:
                 return
             del self._began[oldest]
-            self._own.discard(oldest)
+            self._own.pop(oldest, None)
 
 
 class HolderChoice:
--- a/mountstand/serving/stream_versions.py
+++ b/mountstand/serving/stream_versions.py
@@ -28,7 +28,8 @@
 class StreamVersions:
     """Reports streams that begin here, and finds the software of those that are taken up here.
 
-    ``view_is_fresh`` returns whether this daemon's list of workers is up to date.
+    ``view_is_fresh`` returns whether this daemon's list of workers is up to date, and
+    ``history_is_loaded`` whether it has read what the store tells of software versions.
     """
 
     def __init__(
@@ -36,13 +37,15 @@
         link: PeerLink,
         history: SoftwareHistory,
         view_is_fresh: Callable[[], bool],
+        history_is_loaded: Callable[[], bool],
         log: DecisionLog,
     ) -> None:
         self._link = link
         self._history = history
         self._view_is_fresh = view_is_fresh
+        self._history_is_loaded = history_is_loaded
         self._log = log
-        self._origins = StreamOrigins(DEFAULT_RETENTION_S)
+        self.origins = StreamOrigins(DEFAULT_RETENTION_S)
         self._holder_choice = HolderChoice()
         self._waiting: dict[int, _Query] = {}
         self._known_peers: set[str] = set()
@@ -52,12 +55,12 @@
         timeouts_s = [
             route.timeout_s for route in configuration.routes if route.kind is RequestKind.STREAM
         ]
-        self._origins.retention_s = LIFETIME_TIMEOUTS * max(timeouts_s, default=0.0)
+        self.origins.retention_s = LIFETIME_TIMEOUTS * max(timeouts_s, default=0.0)
 
     def note_begun(self, request_id: str, software: int) -> None:
         """Report that a stream is about to get its first event from ``software``."""
         stream = stream_key(request_id)
-        self._origins.note_own(stream, software, asyncio.get_running_loop().time())
+        self.origins.note_own(stream, software, asyncio.get_running_loop().time())
         holders = self._holder_choice.holders(stream, self._link.running())
         self._link.send(StreamOrigin(stream, software), holders)
 
@@ -68,7 +71,7 @@
         self._known_peers = running
         if not joined:
             return
-        for origin in self._origins.own():
+        for origin in self.origins.own():
             holders = self._holder_choice.holders(origin.stream, running)
             self._link.send(origin, tuple(joined.intersection(holders)))
 
@@ -77,19 +80,21 @@
 
         ``request_id`` is that of the request which brought the stream's first event, empty if the
         caller doesn't name it. Callers that know of software versions do; for others the only
-        software that this daemon has seen lately is taken, however long it has watched.
+        software that is known of lately is taken, however long software has been watched.
         """
         if request_id:
             software = await self._find_named(stream_key(request_id), route)
-        else:
+        elif self._history_is_loaded():
             software = self._history.only_software(route.services, self._earliest_s(route))
+        else:
+            software = None
         if software is None:
             self._log.event("stream_unknown", resumes=request_id, route=route.name)
         return software
 
     async def _find_named(self, stream: int, route: Route) -> int | None:
-        software = self._origins.software(stream)
-        if software is None and self._view_is_fresh():
+        software = self.origins.software(stream)
+        if software is None and self._view_is_fresh() and self._history_is_loaded():
             earliest_s = self._earliest_s(route)
             if self._history.knows_since(earliest_s):
                 software = self._history.only_software(route.services, earliest_s)
@@ -98,15 +103,21 @@
     def handle(self, sender: str, message: StreamOrigin | StreamQuery) -> None:
         """Record another daemon's report, or answer its query."""
         if isinstance(message, StreamQuery):
-            self._link.send(self._origins.answer(message), (sender,))
+            self._link.send(self.origins.answer(message), (sender,))
             return
         query = self._waiting.get(message.stream)
         if message.software != UNKNOWN_SOFTWARE:
             now_s = asyncio.get_running_loop().time()
-            self._origins.note(message.stream, message.software, now_s)
+            self.origins.note(message.stream, message.software, now_s)
         if query is not None:
             query.note_answer(sender, is_known=message.software != UNKNOWN_SOFTWARE)
 
+    @property
+    def several_softwares(self) -> bool:
+        """Whether streams of several softwares of one service may be under way."""
+        earliest_s = asyncio.get_running_loop().time() - self.origins.retention_s
+        return self._history.has_several(earliest_s)
+
     def _earliest_s(self, route: Route) -> float:
         """Return when a stream of a route that is taken up now may have begun at the earliest."""
         return asyncio.get_running_loop().time() - LIFETIME_TIMEOUTS * route.timeout_s
@@ -126,7 +137,7 @@
             query.callers -= 1
             if not query.callers:
                 del self._waiting[stream]
-        return self._origins.software(stream)
+        return self.origins.software(stream)
 
 
 class _Query:
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -145,6 +145,11 @@
         """Return the service of a software that has workers, ``None`` if it has none."""
         return self._indexed().service_by_software.get(software_key)
 
+    @property
+    def service_by_software(self) -> Mapping[int, str]:
+        """The service of each software that has workers, those that have just left included."""
+        return self._indexed().service_by_software
+
     def pool_contains(self, pool_name: str, worker: Worker) -> bool:
         """Return whether a worker belongs to a pool or service."""
         definition = self._pool_by_name.get(pool_name)
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import fields
 from typing import Any, Protocol
 
@@ -36,6 +36,8 @@
 from mountstand.serving.residency import Regions
 from mountstand.serving.slot_demand import WorkKind
 from mountstand.serving.slot_lending import SlotLending
+from mountstand.serving.stored_origins import StoredOrigins
+from mountstand.serving.stored_software import StoredSoftware
 from mountstand.serving.stream_versions import StreamVersions
 from mountstand.serving.worker_ends import WorkerCrashDetector
 from mountstand.serving.worker_protocol import WorkerProtocol
@@ -166,8 +168,10 @@
             MembershipMessageLink(self.membership),
             self.directory.software_history,
             self._worker_list_is_fresh,
+            lambda: self._stored_software.loaded,
             log,
         )
+        self._build_stored_software(store)
         self.forwarder = Forwarder(
             self.directory,
             self.connections,
@@ -286,6 +290,24 @@
         )
         self.membership.on_message = self._handle_peer_message
 
+    def _build_stored_software(self, store: Store) -> None:
+        self._stored_software = StoredSoftware(
+            self.directory.software_history,
+            store,
+            self._listed_software,
+            lambda name: self.owners.rank(name) == 0,
+            self._store_now_ms,
+            self.log,
+        )
+        self._stored_origins = StoredOrigins(
+            self._stream_versions.origins,
+            store,
+            self.settings.name,
+            lambda: self._stream_versions.several_softwares,
+            lambda: len(self.registry.live()),
+            self.log,
+        )
+
     def _build_jobs(
         self,
         store: Store,
@@ -357,6 +379,11 @@
         now_s = asyncio.get_running_loop().time()
         return self.feeds.workers.age_s(now_s) <= self.settings.contact_s
 
+    def _listed_software(self) -> Mapping[int, str] | None:
+        """Return the service of each software that has workers, if the list is up to date."""
+        is_known = self.feeds.workers.loaded.is_set() and self._worker_list_is_fresh()
+        return self.directory.service_by_software if is_known else None
+
     def store_age_s(self) -> float:
         """Return an upper bound on the staleness of this daemon's view of the jobs."""
         return self.feeds.jobs.age_s(asyncio.get_running_loop().time())
@@ -379,6 +406,7 @@
     def _apply_suspect_rows(self, change: TableChange) -> None:
         self._stored_suspects.apply(change)
         self._stored_parts.apply(change)
+        self._stored_software.apply(change)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._listeners.set_limits(configuration.limits)
@@ -448,6 +476,8 @@
             self.quarantine.run(),
             self._stored_suspects.run(),
             self._stored_parts.run(),
+            self._stored_software.run(),
+            self._stored_origins.run(),
             self._zones.run(),
         ):
             self._spawn(coroutine)
--- a/tests/integration/test_stream_versions.py
+++ b/tests/integration/test_stream_versions.py
@@ -17,6 +17,11 @@
 """Workers of the version that begins the streams; as few are enough to go on."""
 
 OTHER_WORKERS = 4
+ROWS_WRITTEN_S = 0.7
+"""Time until the processes have stored which versions they see, and what began at which."""
+
+LIFETIME_S = 10.5
+"""A little more than a stream may last: twice the time-out of its route."""
 
 
 class VersionedSite(Site):
@@ -201,3 +206,69 @@
                 self.assertEqual([], others[0].received)
 
         run(scenario())
+
+    async def restart_all(self, site: VersionedSite) -> None:
+        """Kill all processes at once and start them again."""
+        await site.kill_and_restart(*site.processes)
+        await asyncio.gather(*self.reading)
+
+    def test_streams_go_on_at_their_version_after_all_daemons_were_killed(self) -> None:
+        """Guards against streams that are refused, or joined from two versions, then."""
+
+        async def scenario() -> None:
+            first_workers = self.workers("v1", FIRST_WORKERS)
+            others = self.workers("v2", OTHER_WORKERS)
+            async with VersionedSite(3, *first_workers) as site:
+                callers = await self.begin_streams(site, site.processes[0])
+                site.workers = (*first_workers, *others)
+                await site.add_workers(others)
+                await asyncio.sleep(ROWS_WRITTEN_S)
+                await self.restart_all(site)
+                answers = [
+                    await caller.go_on(site.processes[number % 3])
+                    for number, caller in enumerate(callers)
+                ]
+                self.check_answers(site, callers, answers)
+
+        run(scenario())
+
+    def test_unnamed_streams_of_a_version_that_left_are_refused_after_all_daemons_were_killed(
+        self,
+    ) -> None:
+        """Guards against text joined from two versions where new daemons see one alone."""
+
+        async def scenario() -> None:
+            first_workers, others = self.workers("v1", 2), self.workers("v2", 2)
+            async with VersionedSite(3, *first_workers) as site:
+                callers = await self.begin_streams(site, site.processes[0])
+                site.workers = (*first_workers, *others)
+                await site.add_workers(others)
+                await asyncio.sleep(ROWS_WRITTEN_S)
+                for worker in first_workers:
+                    await site.store.remove("servers", worker.worker_id)
+                    await worker.stop()
+                await self.restart_all(site)
+                for names_first in (True, False):
+                    answers = [
+                        await caller.go_on(site.processes[1], names_first=names_first)
+                        for caller in callers
+                    ]
+                    self.assertEqual({503}, {answer.status for answer in answers}, names_first)
+                self.assertEqual([], [*others[0].received, *others[1].received])
+
+        run(scenario())
+
+    def test_named_streams_go_on_after_all_daemons_were_killed_beside_one_version(self) -> None:
+        """Guards against streams that are refused for long though there was one version only."""
+
+        async def scenario() -> None:
+            workers = self.workers("v1", 3)
+            async with VersionedSite(2, *workers) as site:
+                await self.check_resolve(site)
+                await asyncio.sleep(LIFETIME_S)
+                callers = await self.begin_streams(site, site.processes[0])
+                await self.restart_all(site)
+                answers = [await caller.go_on(site.processes[1]) for caller in callers]
+                self.check_answers(site, callers, answers)
+
+        run(scenario())
--- a/tests/serving/test_stream_origins.py
+++ b/tests/serving/test_stream_origins.py
@@ -86,7 +86,7 @@
     def daemon(self, *peers: str) -> StreamVersions:
         self.link = RecordingPeerLink(*peers)
         self.history = SoftwareHistory()
-        return StreamVersions(self.link, self.history, lambda: True, RecordingLog())
+        return StreamVersions(self.link, self.history, lambda: True, lambda: True, RecordingLog())
 
     def test_stream_is_reported_and_found(self) -> None:
         async def scenario() -> None:
--- a/tests/stand_ins/harness.py
+++ b/tests/stand_ins/harness.py
@@ -115,7 +115,11 @@
             "test", self.crash_detector, self.link, self.rng, self.metrics, self.log
         )
         self.stream_versions = StreamVersions(
-            RecordingPeerLink(), self.directory.software_history, lambda: True, self.log
+            RecordingPeerLink(),
+            self.directory.software_history,
+            lambda: True,
+            lambda: True,
+            self.log,
         )
 
     async def __aenter__(self) -> Fleet:
