Take only addresses that can be tried for workers

Cause: a host or port that can't be one makes a connect fail with ValueError or OverflowError. These passed for errors of the daemon, so the entry was never avoided; never loaded, it was the first choice.

The new cases of test_rows_of_another_form_name_no_worker, test_address_that_cannot_be_one_fails_to_connect and test_address_that_cannot_be_one_is_unreachable (own interface) fail on the code before.

Why it works: such a row names no worker, so it is passed over with a line. Whatever else fails in a connect counts as a failure of that worker: it is avoided, and the request goes elsewhere.

--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -53,6 +53,9 @@
 CALLER_CHECK_INTERVAL_S = 0.25
 """How often a wait looks whether the caller left, and whether the deadline passed during sleep."""
 
+CONNECT_ERRORS = (HTTPError, OSError, ValueError, OverflowError)
+"""How a connect fails; the last two for an address that can't be one."""
+
 CONTROL_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_PER_MACHINE = 64
 IDLE_CONNECTION_S = 20.0
@@ -282,7 +285,7 @@
         return Contact.REFUSED
     except (ConnectionResetError, BrokenPipeError):
         return Contact.TURNED_AWAY
-    except OSError:
+    except CONNECT_ERRORS:
         return Contact.OTHER
 
 
@@ -293,7 +296,7 @@
     )
     try:
         connection.connect()
-    except (HTTPError, OSError) as problem:
+    except CONNECT_ERRORS as problem:
         connection.close()
         raise BackendUnreachable(f"{machine.machine_id}: {type(problem).__name__}") from None
     assert connection.sock is not None
--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from ipaddress import ip_address
 from typing import Any
 
 import orjson
@@ -29,6 +31,11 @@
 }
 DEFAULT_CONNECTIONS = 100
 
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+MAX_NAME_LENGTH = 253
+HOST_NAME = re.compile(r"(?!-)[A-Za-z0-9_-]{1,63}(\.(?!-)[A-Za-z0-9_-]{1,63})*")
+
 LEAST_PATIENCE_S = 2.0
 OBJECTIVES_OF_PATIENCE = 4
 GAPS_OF_PATIENCE = 8
@@ -100,15 +107,15 @@
     state = _field(fields, "state", str)
     if state not in (names.READY, names.DRAINING):
         raise ValueError(f"state {state!r}")
-    host, _, port = _field(fields, "address", str).rpartition(":")
+    host, port = _host_and_port(_field(fields, "address", str))
     slots = _field(fields, "slots", int)
-    if not host or slots < 0:
-        raise ValueError(f"address {fields['address']!r}, slots {slots}")
+    if slots < 0:
+        raise ValueError(f"slots {slots}")
     return WorkerRecord(
         worker_id=row.key.key,
         service=_field(fields, "service", str),
         host=host,
-        port=int(port),
+        port=port,
         zone=_field(fields, "zone", str),
         slots=max(1, slots),
         draining=state == names.DRAINING,
@@ -119,6 +126,26 @@
     )
 
 
+def _host_and_port(address: str) -> tuple[str, int]:
+    """Split an address. Raises ``ValueError`` unless a connection to it could be tried."""
+    host, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS):
+        raise ValueError(f"port of {address!r}")
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"port of {address!r}")
+    if not _is_ip_address(host) and (len(host) > MAX_NAME_LENGTH or not HOST_NAME.fullmatch(host)):
+        raise ValueError(f"host of {address!r}")
+    return host, int(port)
+
+
+def _is_ip_address(host: str) -> bool:
+    try:
+        ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def _field(
     fields: dict[str, Any], key: str, kind: type | tuple[type, ...], default: Any = None
 ) -> Any:
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -17,7 +17,14 @@
 from mountstand.quarantine.reports import age_ms
 from mountstand.quarantine.suspect import NEVER_S, NO_TRIALS, Suspect, Trials, WorkerCrash
 from mountstand.quarantine.suspects import CrashSuspects
-from mountstand.store.rows import RowKey, RowStore, StoredRow, StoreError, Transaction
+from mountstand.store.rows import (
+    DECODE_ERRORS,
+    RowKey,
+    RowStore,
+    StoredRow,
+    StoreError,
+    Transaction,
+)
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
 
@@ -86,7 +93,7 @@
                 continue
             try:
                 changed = self._merge_row(int(name, 16), row, now_s) or changed
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
+            except DECODE_ERRORS as error:
                 self._log.event("suspect_unreadable", key=row.key.key, cause=repr(error))
         if changed:
             self.on_change()
--- a/mountstand/serving/feeds.py
+++ b/mountstand/serving/feeds.py
@@ -14,13 +14,10 @@
 from mountstand.serving.configuration import Configuration
 from mountstand.serving.worker import WorkerRecord
 from mountstand.serving.workers import WorkerDirectory
-from mountstand.store.rows import RowKey, StoredRow
+from mountstand.store.rows import DECODE_ERRORS, RowKey, StoredRow
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
 
-DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
-"""Exceptions by which a decoder rejects an invalid row."""
-
 
 class ConfigurationSource(Protocol):
     """Names and formats of the platform's rows for configuration, workers and evacuations."""
--- a/mountstand/serving/stored_origins.py
+++ b/mountstand/serving/stored_origins.py
@@ -13,9 +13,16 @@
 
 import orjson
 
-from mountstand.serving.feeds import DECODE_ERRORS
 from mountstand.serving.stream_origins import StreamOrigins
-from mountstand.store.rows import RowKey, RowStore, StoredRow, StoreError, Transaction, read_all
+from mountstand.store.rows import (
+    DECODE_ERRORS,
+    RowKey,
+    RowStore,
+    StoredRow,
+    StoreError,
+    Transaction,
+    read_all,
+)
 from mountstand.telemetry.decisions import DecisionLog
 
 ORIGINS_TABLE = "stream_origins"
--- a/mountstand/serving/stored_software.py
+++ b/mountstand/serving/stored_software.py
@@ -14,9 +14,15 @@
 import orjson
 
 from mountstand.quarantine.stored import SUSPECTS_TABLE
-from mountstand.serving.feeds import DECODE_ERRORS
 from mountstand.serving.software import MAX_RETENTION_S, SoftwareHistory
-from mountstand.store.rows import RowKey, RowStore, StoredRow, StoreError, Transaction
+from mountstand.store.rows import (
+    DECODE_ERRORS,
+    RowKey,
+    RowStore,
+    StoredRow,
+    StoreError,
+    Transaction,
+)
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
 
--- a/mountstand/store/rows.py
+++ b/mountstand/store/rows.py
@@ -10,6 +10,17 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""Exceptions by which decoders reject a row of another form. Another writer may have left it, and
+it says nothing of other rows."""
+
 ABSENT = 0
 """Version that stands for a row which does not exist."""
 
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -345,12 +345,12 @@
 
 
 async def connect(host: str, port: int, timeout_s: float) -> ClientConnection:
-    """Open a connection. Raises ``ConnectFailed``."""
+    """Open a connection. Raises ``ConnectFailed``, also for an address that can't be one."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(ClientConnection, host, port)
-    except (OSError, TimeoutError) as problem:
+    except (OSError, TimeoutError, ValueError, OverflowError) as problem:
         raise ConnectFailed(
             str(problem) or type(problem).__name__,
             refused=isinstance(problem, ConnectionRefusedError),
--- a/tests/serving/test_http_client.py
+++ b/tests/serving/test_http_client.py
@@ -163,6 +163,24 @@
         run(scenario())
 
 
+class OddAddresses(TestCase):
+    def test_address_that_cannot_be_one_fails_to_connect(self) -> None:
+        """Guards against requests that end with 500 for one odd entry among the workers."""
+
+        async def scenario() -> None:
+            for host, port in (
+                ("127.0.0.1", 65_536),
+                ("127.0.0.1", -1),
+                ("127.0.0\x00.1", 80),
+                ("a..b", 80),
+                ("a" * 300, 80),
+            ):
+                with ExpectedException(ConnectFailed):
+                    await connect(host, port, 0.5)
+
+        run(scenario())
+
+
 class Heads(TestCase):
     def test_helper_echoes_the_id(self) -> None:
         request = Received("GET", "/", Headers([("Request-Id", "7")]), b"")
--- a/tests/unit/test_endless_backend.py
+++ b/tests/unit/test_endless_backend.py
@@ -17,7 +17,12 @@
 from mountstand.engines.bounded_reply import MAX_REPLY_BYTES
 from mountstand.engines.http_backend import CONTROL_TIMEOUT_S, HttpBackend
 from mountstand.engines.port import BackendRequest
-from mountstand.errors import BackendFailed, DeadlineExceeded, MountstandError
+from mountstand.errors import (
+    BackendFailed,
+    BackendUnreachable,
+    DeadlineExceeded,
+    MountstandError,
+)
 from mountstand.online.event_stream import MAX_FRAME_BYTES, EventStreamDecoder, MalformedStream
 from mountstand.store.ports import Machine, MachineRole
 
@@ -93,6 +98,20 @@
         server.stop()
 
 
+class OddAddresses(TestCase):
+    def test_address_that_cannot_be_one_is_unreachable(self) -> None:
+        """Guards against unexpected errors for one odd entry among the machines."""
+        for address in ("127.0.0\x00.1", "a..b", "a" * 300):
+            machine = Machine(
+                machine_id="m", role=MachineRole.ENGINE, address=address, port=80, zone="a"
+            )
+            with self.subTest(address):
+                self.assertRaises(
+                    BackendUnreachable, HttpBackend().call, machine, REQUEST, TIMEOUT_S
+                )
+                self.assertFalse(HttpBackend().has_ended(machine))
+
+
 class EndlessReplies(TestCase):
     CASES: ClassVar[dict[str, tuple[bytes, bytes, float]]] = {
         "a status line": (b"HTTP/1.1 200 ", BLOCK, 0.0),
--- a/tests/unit/test_worker_rows.py
+++ b/tests/unit/test_worker_rows.py
@@ -9,8 +9,7 @@
 
 from mountstand.platform.operator_rows import decode_configuration, decode_worker, evacuated_zone
 from mountstand.serving.cold_workers import ColdStartLimit
-from mountstand.serving.feeds import DECODE_ERRORS
-from mountstand.store.rows import RowKey, StoredRow
+from mountstand.store.rows import DECODE_ERRORS, RowKey, StoredRow
 
 GOOD: dict[str, Any] = {
     "service": "llm",
@@ -48,6 +47,17 @@
             {"address": "10.1.2.3"},
             {"address": ["10.1.2.3", 80]},
             {"address": ":80"},
+            {"address": "10.1.2.3:0"},
+            {"address": "10.1.2.3:65536"},
+            {"address": "10.1.2.3:-1"},
+            {"address": "10.1.2.3:+80"},
+            {"address": "10.1.2.3:8_0"},
+            {"address": "10.1.2.3:" + "9" * 5000},
+            {"address": "10.1\x00.2.3:80"},
+            {"address": "a..b:80"},
+            {"address": "-a:80"},
+            {"address": "a b:80"},
+            {"address": "a" * 300 + ":80"},
             {"slots": "8"},
             {"slots": True},
             {"slots": -1},
@@ -70,6 +80,12 @@
             with self.subTest(value):
                 self.assert_unreadable(value)
 
+    def test_addresses_of_workers(self) -> None:
+        for host in ("10.1.2.3", "127.0.0.1", "worker-1.zone-a.example", "localhost", "::1"):
+            with self.subTest(host):
+                record = decode_worker(row(orjson.dumps({**GOOD, "address": f"{host}:65535"})))
+                self.assertEqual((host, 65535), (record.host, record.port))
+
     def assert_unreadable(self, value: bytes) -> None:
         try:
             decode_worker(row(value))
