Divide any number of slots among daemons

One row of a worker with 2^60 + 1 slots hung every daemon for good, at full processor use (found by the review).

Cause: the ends of the daemons' ranges were rounded fractions. Beyond 2^53 the last range ends before the last slot, and the loop that deals the slots out never ends.

Evidence: test_any_number_of_slots_is_divided did not end within 20 s on the code before, and passes.

Why it works: the ends are computed in whole numbers, so the last one is the number of slots. A row with more than 100,000 slots names no worker at all.

--- a/mountstand/platform/operator_rows.py
+++ b/mountstand/platform/operator_rows.py
@@ -31,6 +31,9 @@
 }
 DEFAULT_CONNECTIONS = 100
 
+MAX_SLOTS = 100_000
+"""Slots of one worker, beyond which a row is taken for garbage."""
+
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 MAX_NAME_LENGTH = 253
@@ -109,7 +112,7 @@
         raise ValueError(f"state {state!r}")
     host, port = _host_and_port(_field(fields, "address", str))
     slots = _field(fields, "slots", int)
-    if slots < 0:
+    if not 0 <= slots <= MAX_SLOTS:
         raise ValueError(f"slots {slots}")
     return WorkerRecord(
         worker_id=row.key.key,
--- a/mountstand/serving/slot_shares.py
+++ b/mountstand/serving/slot_shares.py
@@ -32,7 +32,7 @@
     )
     total_slots = sum(worker.slots() for worker in ordered_workers)
     range_ends = [
-        round(total_slots * (daemon_index + 1) / len(daemon_ids))
+        (2 * total_slots * (daemon_index + 1) + len(daemon_ids)) // (2 * len(daemon_ids))
         for daemon_index in range(len(daemon_ids))
     ]
     slots_by_owner_by_worker: dict[str, SlotsByOwner] = {}
--- a/tests/serving/test_slot_shares.py
+++ b/tests/serving/test_slot_shares.py
@@ -31,6 +31,14 @@
 
 
 class SlotPartitionTest(TestCase):
+    def test_any_number_of_slots_is_divided(self) -> None:
+        """Guards against daemons that hang for one worker with an absurd number of slots."""
+        for slots in (2**53 + 1, 2**60 + 1, 2**63 + 1):
+            with self.subTest(slots=slots):
+                [slots_by_owner] = partition_slots(DAEMONS, workers(1, slots)).values()
+                self.assertEqual(slots, sum(slots_by_owner.values()))
+                self.assertEqual(len(DAEMONS), len(slots_by_owner))
+
     def test_every_slot_has_one_owner_and_shares_are_equal(self) -> None:
         for count in (1, 2, 6, 45, 46):
             with self.subTest(workers=count):
--- a/tests/unit/test_worker_rows.py
+++ b/tests/unit/test_worker_rows.py
@@ -61,6 +61,8 @@
             {"slots": "8"},
             {"slots": True},
             {"slots": -1},
+            {"slots": 100_001},
+            {"slots": 2**60 + 1},
             {"state": "resting"},
             {"state": None},
             {"zone": 3},
