Round the ends of slot ranges as former versions do

Daemons of both versions divide the same slots side by side, so that one slot could have had two owners.

--- a/mountstand/serving/slot_shares.py
+++ b/mountstand/serving/slot_shares.py
@@ -32,7 +32,7 @@
     )
     total_slots = sum(worker.slots() for worker in ordered_workers)
     range_ends = [
-        (2 * total_slots * (daemon_index + 1) + len(daemon_ids)) // (2 * len(daemon_ids))
+        _rounded_quotient(total_slots * (daemon_index + 1), len(daemon_ids))
         for daemon_index in range(len(daemon_ids))
     ]
     slots_by_owner_by_worker: dict[str, SlotsByOwner] = {}
@@ -48,3 +48,13 @@
             if offset >= range_ends[daemon_index] and daemon_index < len(daemon_ids) - 1:
                 daemon_index += 1
     return slots_by_owner_by_worker
+
+
+def _rounded_quotient(dividend: int, divisor: int) -> int:
+    """Return a quotient rounded half to even, as ``round`` does, but exact for any numbers.
+
+    All daemons must divide alike, also those of former versions, which use ``round``.
+    """
+    quotient, remainder = divmod(dividend, divisor)
+    is_over_half = 2 * remainder > divisor or (2 * remainder == divisor and quotient % 2)
+    return quotient + 1 if is_over_half else quotient
--- a/tests/serving/test_slot_shares.py
+++ b/tests/serving/test_slot_shares.py
@@ -10,7 +10,7 @@
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.prompt import EMPTY_PROMPT, Prompt, PromptPart
-from mountstand.serving.slot_shares import partition_slots
+from mountstand.serving.slot_shares import _rounded_quotient, partition_slots
 from mountstand.serving.worker import Worker, WorkerRecord
 from mountstand.serving.workers import WorkerDirectory
 from tests.serving.test_routing import worker_record
@@ -31,6 +31,12 @@
 
 
 class SlotPartitionTest(TestCase):
+    def test_range_ends_are_those_of_former_versions(self) -> None:
+        """Guards against slots that two daemons of different versions both take for theirs."""
+        for dividend in range(200):
+            for divisor in range(1, 20):
+                self.assertEqual(round(dividend / divisor), _rounded_quotient(dividend, divisor))
+
     def test_any_number_of_slots_is_divided(self) -> None:
         """Guards against daemons that hang for one worker with an absurd number of slots."""
         for slots in (2**53 + 1, 2**60 + 1, 2**63 + 1):
