--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -53,8 +53,8 @@
 CALLER_CHECK_INTERVAL_S = 0.25
 """How often a wait looks whether the caller left, and whether the deadline passed during sleep."""
 
-CONNECT_ERRORS = (HTTPError, OSError, ValueError, OverflowError)
-"""How a connect fails; the last two for an address that can't be one."""
+CONNECT_ERRORS = (HTTPError, OSError, http.client.InvalidURL, ValueError, OverflowError)
+"""How a connect fails; the last three for an address that can't be one."""
 
 CONTROL_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_PER_MACHINE = 64
@@ -291,13 +291,11 @@
 
 def connect(machine: Machine, timeout_s: float) -> HTTPConnection:
     """Open a connection; raise ``BackendUnreachable`` when nothing could be sent."""
-    connection = HTTPConnection(
-        machine.address, machine.port, timeout=max(0.001, min(CONNECT_TIMEOUT_S, timeout_s))
-    )
+    connect_timeout_s = max(0.001, min(CONNECT_TIMEOUT_S, timeout_s))
     try:
+        connection = HTTPConnection(machine.address, machine.port, timeout=connect_timeout_s)
         connection.connect()
     except CONNECT_ERRORS as problem:
-        connection.close()
         raise BackendUnreachable(f"{machine.machine_id}: {type(problem).__name__}") from None
     assert connection.sock is not None
     connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
