Break replies whose head is cut off on the own interface

Cause: the library takes the end of the connection for the end of the headers. Cut at the end of a line, the head has no length, and the body ends with the connection.

Evidence: test_cut_replies cuts replies at each byte, with an orderly close and a reset. Its checks of an engine's answer, of the store and of another daemon fail on the code before; that of a load report passed there too, as an empty one can't be read.

Why it works: lines of a reply are read whole, with their end, or the reply is broken: head, sizes of chunks and trailers, in all clients on that library, pools included.

--- a/mountstand/cli/client.py
+++ b/mountstand/cli/client.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from mountstand.errors import MountstandError, PeerUnavailable
+from mountstand.transport.whole_lines import pool_manager
 
 DEFAULT_CALLERS_URL = "http://127.0.0.1:8001"
 DEFAULT_CONTROL_URL = "http://127.0.0.1:8101"
@@ -40,7 +41,7 @@
             self._headers["Authorization"] = f"Bearer {token}"
         if tenant:
             self._headers["X-Tenant"] = tenant
-        self._pool = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(TIMEOUT_S))
+        self._pool = pool_manager(retries=False, timeout=urllib3.Timeout(TIMEOUT_S))
 
     def request(
         self,
--- a/mountstand/engines/bounded_reply.py
+++ b/mountstand/engines/bounded_reply.py
@@ -15,6 +15,7 @@
 from urllib3.connection import HTTPConnection
 
 from mountstand.clock import elapsed_s
+from mountstand.transport.whole_lines import WholeLinesResponse
 
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 """Most bytes of one reply, with its head and interim replies before it."""
@@ -100,4 +101,4 @@
     deadline_s: float, sock: socket.socket, method: str | None = None
 ) -> http.client.HTTPResponse:
     bounded = BoundedSocket(sock, deadline_s)
-    return http.client.HTTPResponse(bounded, method=method)  # type: ignore[arg-type]
+    return WholeLinesResponse(bounded, method=method)  # type: ignore[arg-type]
--- a/mountstand/store/http_adapters.py
+++ b/mountstand/store/http_adapters.py
@@ -32,6 +32,7 @@
 )
 from mountstand.store.rows import DECODE_ERRORS
 from mountstand.telemetry.metrics import DaemonMetrics
+from mountstand.transport.whole_lines import pool_from_url
 
 logger = logging.getLogger(__name__)
 
@@ -54,7 +55,7 @@
         self, name: str, base_url: str, timeout_s: float, metrics: DaemonMetrics | None
     ) -> None:
         self._name = name
-        self._pool = urllib3.connectionpool.connection_from_url(
+        self._pool = pool_from_url(
             base_url,
             maxsize=16,
             block=False,
--- a/mountstand/wire/peers.py
+++ b/mountstand/wire/peers.py
@@ -11,6 +11,7 @@
 from mountstand.errors import MessageRejected, PeerUnavailable
 from mountstand.store.http_adapters import HEADER_BYTES
 from mountstand.telemetry.metrics import DaemonMetrics
+from mountstand.transport.whole_lines import pool_manager
 from mountstand.wire.frames import MAX_FRAME_BYTES, Frame, FrameCodec
 from mountstand.wire.messages import Message
 
@@ -44,7 +45,7 @@
     def __init__(self, codec: FrameCodec, metrics: DaemonMetrics | None = None) -> None:
         self._codec = codec
         self._metrics = metrics
-        self._pool = urllib3.PoolManager(num_pools=512, maxsize=8, retries=False)
+        self._pool = pool_manager(num_pools=512, maxsize=8, retries=False)
 
     def call(
         self, peer: PeerAddress, message: Message, timeout_s: float = PEER_TIMEOUT_S
