Close resting connections to the store after a call without an answer

Cause: after a feed call was given up on one silent connection, the next one took a resting connection, which was as silent, and waited for its time-out too.

Why it works: a call without an answer in time closes all resting connections, so the next one opens a new one. That costs one connect for each, while a store that answers late costs the same calls as before.

--- a/mountstand/platform/store_client.py
+++ b/mountstand/platform/store_client.py
@@ -62,9 +62,7 @@
         """Make further calls to ``address``."""
         if address != self._address:
             self._address = address
-            for connection in self._idle:
-                connection.close()
-            self._idle.clear()
+            self._close_idle()
 
     # RowStore
 
@@ -181,14 +179,27 @@
                 answer = await connection.read_body()
                 done = True
                 return head.status, answer
-        except (ReplyBroken, TimeoutError) as problem:
-            raise OutcomeUnknown(str(problem) or "no answer in time") from None
+        except TimeoutError:
+            self._close_idle()
+            raise OutcomeUnknown("no answer in time") from None
+        except ReplyBroken as problem:
+            raise OutcomeUnknown(str(problem)) from None
         finally:
             if done and connection.end_exchange() and len(self._idle) < MAX_IDLE:
                 self._idle.append(connection)
             else:
                 connection.close()
 
+    def _close_idle(self) -> None:
+        """Close all resting connections, after a call without an answer or for a new address.
+
+        Open connections may go silent together, without a reset, while new ones work. Nothing tells
+        which of the others are silent too, and a new one costs little.
+        """
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
     async def _connection(self) -> ClientConnection:
         now_s = asyncio.get_running_loop().time()
         while self._idle:
