Refuse batch items that hold a second request

Cause: texts of items come from a document, and were put into the lines of a request as they were.

Evidence: the tests of test_smuggled_requests but that of proper items fail on the code before.

Why it works: a submission with an item that can't be sent as one request gets 400, headers of framing are taken out of items, and no request with a line break in a line is sent at all, so that items of jobs accepted before do no harm either.

--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from base64 import b64decode
 from binascii import Error as Base64Error
+from collections.abc import Iterable
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -23,7 +25,7 @@
 from mountstand.store.rows import StoreError
 from mountstand.tenants.errors import KeyNotVerifiable, TenantOverLimit, UnknownKey
 from mountstand.tenants.tenant import Tenant
-from mountstand.transport.headers import Header, number
+from mountstand.transport.headers import Header, Headers, number
 from mountstand.transport.responder import Responder, ServerRequest, reject
 
 MAX_ITEMS = 200
@@ -43,6 +45,12 @@
 MALFORMED = (AttributeError, Base64Error, KeyError, TypeError, ValueError)
 """What reading a document of another form than expected raises."""
 
+SENDABLE_TARGET = re.compile(r"/[!-~\x80-\xff]*")
+"""A path with its query as it may stand in a request line."""
+
+SENDABLE_TEXT = re.compile(r"[\t -~\x80-\xff]*")
+"""A name or value as it may stand in a header line."""
+
 JSON: list[Header] = [("Content-Type", "application/json")]
 
 
@@ -192,6 +200,7 @@
             return
         try:
             items = parse_items(request.body)
+            check_sendable(items)
         except MalformedJob as problem:
             self._node.log.event("job_malformed", job=job_id, cause=str(problem))
             responder.send(400)
@@ -303,13 +312,26 @@
     return items
 
 
+def check_sendable(items: Iterable[JobItem]) -> None:
+    """Raise ``MalformedJob`` for an item that can't be sent to a worker as one request.
+
+    Not for jobs that were accepted already: these are read back with all of their items.
+    """
+    for item in items:
+        header_texts = [item.item_id, *(text for header in item.headers for text in header)]
+        if not SENDABLE_TARGET.fullmatch(item.target):
+            raise MalformedJob(f"path {item.target!r}")
+        if not all(SENDABLE_TEXT.fullmatch(text) for text in header_texts):
+            raise MalformedJob(f"id or headers of {item.item_id!r}")
+
+
 def _item(entry: dict[str, Any]) -> JobItem:
     headers = {str(name): str(value) for name, value in (entry.get("headers") or {}).items()}
     prefix = next((v for n, v in headers.items() if n.lower() == names.PREFIX.lower()), None)
     return JobItem(
         item_id=str(entry["id"]),
         target=str(entry["path"]),
-        headers=tuple(headers.items()),
+        headers=tuple(Headers(headers.items()).end_to_end()),
         body=b64decode(entry.get("body") or "", validate=True),
         prompt=parse_prompt(prefix),
         tokens=int(entry.get("tokens") or 0),
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -206,6 +206,7 @@
     ) -> None:
         """Send a request. Raises ``ReplyBroken`` if the connection is gone already.
 
+        Raises ``ValueError`` for a line break within a line, which would begin another request.
         Answers whose headers ``accepts`` turns down belong to other requests and are dropped.
         """
         if self._transport is None or self._transport.is_closing():
@@ -223,6 +224,8 @@
         self.sent_at_s = self._loop.time()
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
+        if any("\r" in line or "\n" in line for line in lines):
+            raise ValueError(f"a line break in a request to {target!r}")
         if body or method in ("POST", "PUT", "PATCH"):
             lines.append(f"Content-Length: {len(body)}")
         head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
