Bound the counts that callers and workers tell

Cause: the number does not fit into a datagram, and the task that sends digests of load and grants slots ended with the error.

Evidence: test_absurd_counts_fit_into_messages_between_daemons fails on the code before.

Why it works: numbers in headers, tokens of parts and items and figures of load have bounds, within which all sums fit into messages and rows.

--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -29,6 +29,9 @@
 from mountstand.transport.responder import Responder, ServerRequest, reject
 
 MAX_ITEMS = 200
+MAX_ITEM_TOKENS = 10**9
+"""Most tokens of an item; a higher count can't be true, and is taken for this one."""
+
 MAX_PAGE_BYTES = 900_000
 """Results of one page; the platform's bound is 1 MB with its own framing."""
 
@@ -334,7 +337,7 @@
         headers=tuple(Headers(headers.items()).end_to_end()),
         body=b64decode(entry.get("body") or "", validate=True),
         prompt=parse_prompt(prefix),
-        tokens=int(entry.get("tokens") or 0),
+        tokens=min(MAX_ITEM_TOKENS, max(0, int(entry.get("tokens") or 0))),
     )
 
 
--- a/mountstand/platform/worker_protocol.py
+++ b/mountstand/platform/worker_protocol.py
@@ -22,6 +22,10 @@
 )
 """Headers of a caller that the system sets itself, or that no worker may see."""
 
+MAX_COUNT = 10**8
+"""Most tokens of a part, and most requests or slots of a worker. Sums of them, over all requests of
+a daemon, fit into the messages between daemons."""
+
 COUNTS_OF_LOAD = 3
 """Running requests, waiting requests and slots come first in a report of load."""
 
@@ -61,13 +65,16 @@
 
 
 def parse_prompt(text: str | None) -> Prompt:
-    """Return the parts that a header lists as ``ID:TOKENS`` joined by commas."""
+    """Return the parts that a header lists as ``ID:TOKENS`` joined by commas.
+
+    Counts that can't be true are taken for the closest that can.
+    """
     if not text:
         return Prompt()
     parts = []
     for word in text.split(","):
         part_id, _, tokens = word.strip().partition(":")
-        parts.append(PromptPart(part_id, number(tokens) or 0))
+        parts.append(PromptPart(part_id, min(MAX_COUNT, max(0, number(tokens) or 0))))
     return Prompt(tuple(parts))
 
 
@@ -80,10 +87,15 @@
     if text is None:
         return None
     figures = [number(word.strip()) for word in text.split(",")]
-    counts = [figure for figure in figures[:COUNTS_OF_LOAD] if figure is not None and figure >= 0]
+    counts = [
+        figure
+        for figure in figures[:COUNTS_OF_LOAD]
+        if figure is not None and 0 <= figure <= MAX_COUNT
+    ]
     if len(counts) < COUNTS_OF_LOAD:
         return None
     running, waiting, slots = counts
     hundredths = figures[COUNTS_OF_LOAD] if len(figures) > COUNTS_OF_LOAD else None
-    slowdown = hundredths / 100 if hundredths is not None and hundredths > 0 else None
+    is_pace = hundredths is not None and 0 < hundredths <= MAX_COUNT
+    slowdown = hundredths / 100 if hundredths is not None and is_pace else None
     return LoadReport(running, waiting, slots, slowdown)
--- a/mountstand/transport/headers.py
+++ b/mountstand/transport/headers.py
@@ -22,6 +22,10 @@
 """Headers that concern one connection or one framing; never passed on."""
 
 
+MAX_DIGITS = 18
+"""Digits of a number, sign included, that fits into 64 bits and into a float of seconds."""
+
+
 class Headers:
     """An ordered list of headers."""
 
@@ -55,8 +59,8 @@
 
 
 def number(text: str | None) -> int | None:
-    """Return a header's whole number, or ``None`` where there is none."""
-    if text is None:
+    """Return a header's whole number, or ``None`` where there is none of at most 18 digits."""
+    if text is None or len(text.strip()) > MAX_DIGITS:
         return None
     try:
         return int(text)
--- a/tests/contract/test_untrusted_input.py
+++ b/tests/contract/test_untrusted_input.py
@@ -18,11 +18,10 @@
 from mountstand.platform.operator_rows import decode_configuration, decode_worker
 from mountstand.platform.worker_protocol import PlatformWorkerProtocol, parse_prompt
 from mountstand.serving.events import EventSplitter
-from mountstand.serving.feeds import DECODE_ERRORS
 from mountstand.serving.load_groups import Peer
 from mountstand.serving.load_sharing import LoadSharing
 from mountstand.serving.workers import WorkerDirectory
-from mountstand.store.rows import RowKey, StoredRow
+from mountstand.store.rows import DECODE_ERRORS, RowKey, StoredRow
 from mountstand.transport.headers import Headers
 from mountstand.transport.http_client import ReplyHead
 from mountstand.wire.bodies import BodyError
@@ -84,6 +83,23 @@
             return
         self.assertIsInstance(message, KINDS[kind])
 
+    def test_absurd_counts_fit_into_messages_between_daemons(self) -> None:
+        """Guards against one request after which a daemon sends no digest and grants no slot."""
+        for digits in (19, 26, 400, 5000):
+            number = "9" * digits
+            with self.subTest(digits):
+                prompt = parse_prompt(f"a:{number},b:-{number},c:1")
+                counts = (prompt.shared_tokens, prompt.tokens)
+                digest = LoadDigest((1,), counts, counts, counts, counts, (1,), Scope.FLEET, (), ())
+                GossipBodies().encode(digest)
+                head = ReplyHead(200, Headers([("Server-Load", f"1,2,3,{number}")]), None, False)
+                load = PlatformWorkerProtocol().reply_summary(head).load
+                assert load is not None
+                self.assertEqual((3, None), (load.slots, load.slowdown))
+                item = {"id": "i", "path": "/b", "tokens": float("9" * min(digits, 300))}
+                [parsed] = parse_items(orjson.dumps({"items": [item]}))
+                orjson.dumps(200 * parsed.tokens)
+
     @SAME_EACH_RUN
     @given(st.text(max_size=40))
     def test_headers_of_any_text(self, text: str) -> None:
