Take a list of workers that is followed for fresh at any moment

Callers saw: of streams taken up beside one software version, some were refused with 503.

Cause: the list counted as fresh while it was at most contact_s old. Held calls take half of that, so the list is just as old as a call ends, and older for the moment until its answer is read; longer on a busy machine.

The new test fails on the code before.

Why it works: a feed that works tells all changes, so its list is fresh however old the last whole call is; a feed that fails counts by its age, as before.

--- a/mountstand/serving_feeds.py
+++ b/mountstand/serving_feeds.py
@@ -133,6 +133,16 @@
         max_pause_s = cancel_s * MAX_JOB_FEED_PAUSE_FRACTION
         self.jobs.pause_s = min(max_pause_s, daemon_count / MAX_JOB_FEED_CALLS_PER_S)
 
+    def workers_are_fresh(self, now_s: float) -> bool:
+        """Return whether the list of workers is followed, or at most ``contact_s`` old.
+
+        Calls of a feed that works are held for half of ``contact_s`` each, so that the list is up
+        to ``contact_s`` old, and a moment more, as a call ends.
+        """
+        if not self.workers.failing:
+            return True
+        return self.workers.age_s(now_s) <= self._peer_addresses.settings.contact_s
+
     def store_now_ms(self, now_s: float) -> int:
         """Return the store's clock in milliseconds, extrapolated from the latest feed response.
 
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -376,8 +376,7 @@
 
     def _worker_list_is_fresh(self) -> bool:
         """Return whether this daemon cannot have missed workers that came and went."""
-        now_s = asyncio.get_running_loop().time()
-        return self.feeds.workers.age_s(now_s) <= self.settings.contact_s
+        return self.feeds.workers_are_fresh(asyncio.get_running_loop().time())
 
     def _listed_software(self) -> Mapping[int, str] | None:
         """Return the service of each software that has workers, if the list is up to date."""
--- a/tests/serving/test_serving_feeds.py
+++ b/tests/serving/test_serving_feeds.py
@@ -15,7 +15,7 @@
 from mountstand.platform.store_client import FEED_SLACK_S
 from mountstand.serving_feeds import FeedTargets, ServingFeeds
 from mountstand.store.memory_rows import MemoryRowStore
-from mountstand.store.rows import RowKey, StoredRow, StoreRefused, Transaction
+from mountstand.store.rows import RowKey, RowPage, StoredRow, StoreRefused, Transaction
 from mountstand.store.watch import LONGEST_RETRY_S, TableChange, TableWatcher
 from tests.stand_ins.harness import RecordingLog
 from tests.stand_ins.paused_clock import run_paused
@@ -54,6 +54,35 @@
         run_paused(scenario())
 
 
+class SlowStore(MemoryRowStore):
+    """A store whose answers come a moment later."""
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
+        page = await super().changes(table, after, wait_ms)
+        await asyncio.sleep(0.02)
+        return page
+
+
+class FreshWorkers(TestCase):
+    def test_list_that_is_followed_is_fresh_at_any_moment(self) -> None:
+        """Guards against streams that are refused in the moment in which a feed's call ends."""
+
+        async def scenario() -> None:
+            store = SlowStore()
+            feeds = make_feeds(store)
+            task = asyncio.create_task(feeds.workers.run())
+            await feeds.workers.loaded.wait()
+            for _ in range(2000):
+                await asyncio.sleep(0.005)
+                self.assertTrue(feeds.workers_are_fresh(asyncio.get_running_loop().time()))
+            store.fault = lambda call: "refuse"
+            await asyncio.sleep(5.0)
+            self.assertFalse(feeds.workers_are_fresh(asyncio.get_running_loop().time()))
+            task.cancel()
+
+        run_paused(scenario())
+
+
 class FeedCallRate(TestCase):
     """Feeds must neither overload the store with calls nor detect changes or failures too late."""
 
