Note the progress of an item once for each piece of its answer

Cause: each event moved the timer of silent workers and told the quarantine that the item is written.

Why it works: all events of a piece come at one time, so the timer and the quarantine need one word for all of them.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -295,12 +295,14 @@
         async with asyncio.timeout(STREAM_STALL_TIMEOUT_S) as stall:
             while (chunk := await connection.read_piece()) is not None:
                 worker.last_contact_s = worker.last_data_s = loop.time()
-                for event in splitter.feed(chunk):
-                    self._note_writing(progress)
-                    progress.software_key = worker.software_key
+                events = splitter.feed(chunk)
+                for event in events:
                     progress.texts.append(event.data.decode("utf-8", "replace"))
                     progress.last_event_id = event.event_id
                     output_bytes += len(event.raw)
+                if events:
+                    progress.software_key = worker.software_key
+                    self._note_writing(progress)
                     stall.reschedule(loop.time() + STREAM_STALL_TIMEOUT_S)
                 if output_bytes > MAX_OUTPUT_BYTES:
                     progress.truncate(event_count, last_event_id)
