Bound the age of a list of workers that counts as fresh

The list now counts as fresh for contact_s, and for a second more while the feed works, as long as a held call may be late.

The new check, that a list 10 s old is not fresh beside a feed that has not failed, fails on the code before by reading; it was not run there. Not brought about with a suspended process.

--- a/mountstand/serving_feeds.py
+++ b/mountstand/serving_feeds.py
@@ -39,6 +39,9 @@
 should have ended (the store client's ``FEED_SLACK_S``). The feed must resume before ``contact_s``
 has passed, since a daemon must not act on older data as if it were current."""
 
+ANSWER_SLACK_S = 1.0
+"""How long after its wait a held call may be answered before it counts as lost."""
+
 SUSPECTS_LONG_POLL_S = 10.0
 """Duration of the long poll for the table of request contents suspected of crashing workers. It is
 longer than that of the other feeds, to save calls to the store: daemons report suspects to each
@@ -134,14 +137,13 @@
         self.jobs.pause_s = min(max_pause_s, daemon_count / MAX_JOB_FEED_CALLS_PER_S)
 
     def workers_are_fresh(self, now_s: float) -> bool:
-        """Return whether the list of workers is followed, or at most ``contact_s`` old.
+        """Return whether the list of workers is at most ``contact_s`` old.
 
-        Calls of a feed that works are held for half of ``contact_s`` each, so that the list is up
-        to ``contact_s`` old, and a moment more, as a call ends.
+        Calls of a feed that works are held for half of ``contact_s`` each, so that its list may be
+        older by ``ANSWER_SLACK_S`` as a call ends. A daemon that was suspended has an older one.
         """
-        if not self.workers.failing:
-            return True
-        return self.workers.age_s(now_s) <= self._peer_addresses.settings.contact_s
+        slack_s = 0.0 if self.workers.failing else ANSWER_SLACK_S
+        return self.workers.age_s(now_s) <= self._peer_addresses.settings.contact_s + slack_s
 
     def store_now_ms(self, now_s: float) -> int:
         """Return the store's clock in milliseconds, extrapolated from the latest feed response.
--- a/tests/serving/test_serving_feeds.py
+++ b/tests/serving/test_serving_feeds.py
@@ -75,6 +75,8 @@
             for _ in range(2000):
                 await asyncio.sleep(0.005)
                 self.assertTrue(feeds.workers_are_fresh(asyncio.get_running_loop().time()))
+            suspended_until_s = asyncio.get_running_loop().time() + 10.0
+            self.assertFalse(feeds.workers_are_fresh(suspended_until_s))
             store.fault = lambda call: "refuse"
             await asyncio.sleep(5.0)
             self.assertFalse(feeds.workers_are_fresh(asyncio.get_running_loop().time()))
