Let rows of stream origins fit into the store, and tell when they are read

Found by reading the change again: a row of 4,096 streams has up to 139 KB, and the store takes 64 KiB, so that a daemon with many streams beside two versions would have stored none. 1,500 streams have up to 51 KB; test_row_fits_into_the_store guards it. Reading the rows at the start, and failing to, had no line.

--- a/mountstand/serving/stored_origins.py
+++ b/mountstand/serving/stored_origins.py
@@ -32,8 +32,8 @@
 MAX_WRITES_PER_S = 100.0
 """Limit on the writes of all daemons together, which makes the interval longer in large fleets."""
 
-MAX_STREAMS_PER_ROW = 4096
-"""Streams in one row, the latest ones; some 20 bytes each, below the limit on the size of rows."""
+MAX_STREAMS_PER_ROW = 1500
+"""Streams in one row, the latest ones; up to 34 bytes each. Rows may have 64 KiB."""
 
 RETRY_DELAY_S = 0.5
 
@@ -82,11 +82,13 @@
         while True:
             try:
                 page = await read_all(self._store, ORIGINS_TABLE, "")
-            except StoreError:
+            except StoreError as error:
+                self._log.event("stream_origins_unread", cause=type(error).__name__)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             for row in page.rows:
                 self._take(row)
+            self._log.event("stream_origins_read", rows=len(page.rows))
             return
 
     def _take(self, row: StoredRow) -> None:
--- a/tests/serving/test_stored_software.py
+++ b/tests/serving/test_stored_software.py
@@ -219,6 +219,22 @@
 
         self.run_with_store(work)
 
+    def test_row_fits_into_the_store(self) -> None:
+        """Guards against origins that are never stored where many streams begin."""
+        self.needed = True
+
+        async def work(store: MemoryRowStore) -> None:
+            origins = self.writer(store)
+            await asyncio.sleep(0.1)
+            for number in range(5000):
+                origins.note_own(2**64 - 1 - number, 2**32 - 1, now_s())
+            await asyncio.sleep(2 * MIN_WRITE_INTERVAL_S)
+            row = store.rows[RowKey(ORIGINS_TABLE, "", "d1")]
+            assert row.value is not None
+            self.assertLess(len(row.value), 65_536)
+
+        self.run_with_store(work)
+
     def test_nothing_is_written_while_there_is_one_version(self) -> None:
         """Guards against calls to the store where no stream needs them."""
         self.needed = False
