Refuse batch items with header names that are no tokens

Found by reading the change again: the check of items against smuggling let names such as "Content-Length " pass, which is not taken out as framing and may be read as it by a worker. The new cases of test_item_that_is_no_single_request_is_refused guard it; whether a worker reads it so was not tried.

--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -51,8 +51,11 @@
 SENDABLE_TARGET = re.compile(r"/[!-~\x80-\xff]*")
 """A path with its query as it may stand in a request line."""
 
+SENDABLE_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+"""A header's name. With a space before its colon, some would read another header than others."""
+
 SENDABLE_TEXT = re.compile(r"[\t -~\x80-\xff]*")
-"""A name or value as it may stand in a header line."""
+"""A value as it may stand in a header line."""
 
 JSON: list[Header] = [("Content-Type", "application/json")]
 
@@ -321,10 +324,12 @@
     Not for jobs that were accepted already: these are read back with all of their items.
     """
     for item in items:
-        header_texts = [item.item_id, *(text for header in item.headers for text in header)]
+        values = [item.item_id, *(value for _, value in item.headers)]
         if not SENDABLE_TARGET.fullmatch(item.target):
             raise MalformedJob(f"path {item.target!r}")
-        if not all(SENDABLE_TEXT.fullmatch(text) for text in header_texts):
+        if not all(SENDABLE_NAME.fullmatch(name) for name, _ in item.headers):
+            raise MalformedJob(f"header names of {item.item_id!r}")
+        if not all(SENDABLE_TEXT.fullmatch(value) for value in values):
             raise MalformedJob(f"id or headers of {item.item_id!r}")
 
 
--- a/tests/unit/test_smuggled_requests.py
+++ b/tests/unit/test_smuggled_requests.py
@@ -30,7 +30,13 @@
                 self.submit(path=target)
         with ExpectedException(MalformedJob):
             self.submit(id=f"i{SECOND_REQUEST}")
-        for headers in ({"A": f"x{SECOND_REQUEST}"}, {"A\r\nB": "x"}, {"A": "x\ny"}):
+        for headers in (
+            {"A": f"x{SECOND_REQUEST}"},
+            {"A\r\nB": "x"},
+            {"Content-Length ": "1"},
+            {"": "x"},
+            {"A": "x\ny"},
+        ):
             with self.subTest(headers), ExpectedException(MalformedJob):
                 self.submit(headers=headers)
 
