Clear a stream's content only by events that were relayed here

Found by reading the change again: a run that a caller asked for with Last-Event-Id counted as one that went on where an earlier run had ended. A request that crashes workers late in its output and names an early event each time would have been cleared each time, and never held back. Only events that this daemon has relayed itself count now; saved output of batch items counts as before.

The new test guards the rule; the hole was not brought about with real processes.

--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -134,6 +134,14 @@
         """Whether the route allows another run of a request that may already have run."""
         return self.route.repeatable and self.runs < self.route.max_attempts
 
+    @property
+    def has_gone_on(self) -> bool:
+        """Whether the latest attempt resumed after events that an earlier one has brought here.
+
+        That a caller names an event tells nothing of where an earlier run ended.
+        """
+        return (self.resumed_after_id or 0) > (self.call.last_event_id or 0)
+
     @property
     def is_bound_midway(self) -> bool:
         """Whether the caller has a part of a stream that one software alone may go on with."""
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -237,8 +237,9 @@
             exchange.first_event_at_s = now_s
         if exchange.writing_since_s is None:
             exchange.writing_since_s = now_s
-        resumed = bool(exchange.resumed_after_id)
-        self._quarantine.note_writing(exchange.call, exchange.writing_since_s, resumed=resumed)
+        self._quarantine.note_writing(
+            exchange.call, exchange.writing_since_s, resumed=exchange.has_gone_on
+        )
         exchange.responder.write(b"".join(event.raw for event in events))
         await exchange.responder.drain()
 
