Correct the ages of software rows once the store's clock is known

Found by reading the change again: rows that were read before any feed with a clock had answered counted as new, and were not looked at again until the next row changed, so that a daemon that had just started could refuse taken-up streams for as long as they may last. Ages are computed again with each check. test_rows_read_before_the_clock_are_used_once_it_is_known fails on the code before. Writes of these rows have a line now (software_stored).

--- a/mountstand/serving/stored_software.py
+++ b/mountstand/serving/stored_software.py
@@ -126,8 +126,12 @@
         """Write rows as software comes and goes, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            if not self.loaded:
+                continue
+            # The ages of rows that were read before the store's clock was known are corrected.
+            self._update_history()
             listed = self._get_listed()
-            if not self.loaded or listed is None:
+            if listed is None:
                 continue
             try:
                 await self._write_due_rows(listed)
@@ -154,6 +158,11 @@
                 transaction.puts.append((key, orjson.dumps(fields)))
         if transaction.puts or transaction.removals:
             await self._store.commit(transaction)
+            self._log.event(
+                "software_stored",
+                puts=[key.key for key, _ in transaction.puts],
+                removals=[key.key for key in transaction.removals],
+            )
             self._due_s = dict.fromkeys(differing, now_s + SUBSTITUTE_DELAY_S)
 
     def _delay_s(self, name: str) -> float:
--- a/tests/serving/test_stored_software.py
+++ b/tests/serving/test_stored_software.py
@@ -14,7 +14,7 @@
 from mountstand.serving.stored_software import SUBSTITUTE_DELAY_S, StoredSoftware
 from mountstand.serving.stream_origins import StreamOrigins
 from mountstand.store.memory_rows import MemoryRowStore
-from mountstand.store.rows import RowKey, Transaction
+from mountstand.store.rows import RowKey, StoreRefused, Transaction
 from mountstand.store.watch import TableWatcher
 from tests.stand_ins.harness import RecordingLog
 from tests.stand_ins.paused_clock import run_paused
@@ -31,20 +31,25 @@
     """What one daemon knows of software, and the workers that it sees listed."""
 
     def __init__(self, store: MemoryRowStore, *software: int, responsible: bool = True) -> None:
-        loop = asyncio.get_running_loop()
         self.history = SoftwareHistory()
+        self.clock_is_known = True
         self.listed: dict[int, str] | None = dict.fromkeys(software, "llm")
         self.stored = StoredSoftware(
             self.history,
             store,
             lambda: self.listed,
             lambda name: responsible,
-            lambda: int(loop.time() * 1000),
+            self._store_now_ms,
             RecordingLog(),
         )
         watcher = TableWatcher(store, SUSPECTS_TABLE, [""], self.stored.apply, RecordingLog())
         self._tasks = [asyncio.create_task(each) for each in (watcher.run(), self.stored.run())]
 
+    def _store_now_ms(self) -> int:
+        if not self.clock_is_known:
+            raise StoreRefused("clock unknown")
+        return int(now_s() * 1000)
+
     def only_software(self) -> int | None:
         """Return the only software of late, as a taken-up stream needs it."""
         for key, service in (self.listed or {}).items():
@@ -116,6 +121,23 @@
 
         self.run_with_store(work)
 
+    def test_rows_read_before_the_clock_are_used_once_it_is_known(self) -> None:
+        """Guards against streams that are refused for long where one feed answered first."""
+
+        async def work(store: MemoryRowStore) -> None:
+            former = Daemon(store, V1)
+            await asyncio.sleep(LIFETIME_S + 1.0)
+            former.kill()
+            daemon = Daemon(store, V1)
+            daemon.clock_is_known = False
+            await asyncio.sleep(0.5)
+            self.assertFalse(daemon.knows())
+            daemon.clock_is_known = True
+            await asyncio.sleep(1.5)
+            self.assertTrue(daemon.knows())
+
+        self.run_with_store(work)
+
     def test_rows_that_are_too_young_tell_nothing(self) -> None:
         """Guards against versions that were there before the first row was written."""
 
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -12,7 +12,7 @@
 
 class GoingOn(TestCase):
     def test_only_events_brought_here_show_that_a_run_has_gone_on(self) -> None:
-        """Guards against a request that crashes workers late, and names an early event each time."""
+        """Guards against a request that crashes workers late, and names an early event."""
         for named, resumed_after, expected in (
             (None, None, False),
             (None, 5, True),
