Know the shares of limits before a daemon is ready

What callers saw: for a tenth of a second after a daemon had started and called itself ready, each request of a tenant with a limit was answered with 429 and a Retry-After of 5 s, though the tenant had used nothing.

Cause: shares are computed 0.1 s after a change of the list of daemons, and the first list was such a change. A daemon without a list has a share of zero, and nothing but the limits looked at that.

Why it works: shares are computed with the first list, a daemon that knows none is not ready, and refuses callers of sites with tenants with 503, which they repeat elsewhere. Where the list names no other daemon all may be starting at once, so that the 0.1 s is still waited for there. A change of the membership before the list is known no longer computes shares as if there were no other daemon (read).

--- a/mountstand/platform/ingress.py
+++ b/mountstand/platform/ingress.py
@@ -96,7 +96,7 @@
     async def handle_request(self, request: ServerRequest, responder: Responder) -> None:
         """Route one request of a caller."""
         configuration = self._node.configuration
-        if configuration is None:
+        if configuration is None or (configuration.tenants and not self._node.has_shares):
             reject(responder, RETRY_AFTER_UNAVAILABLE_S)
             return
         try:
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -350,10 +350,21 @@
     def ready(self) -> bool:
         """Whether callers may be referred to this daemon.
 
-        This is so once the configuration and the list of workers are loaded, until a stop begins.
+        This is so once the configuration, the list of workers and this daemon's shares are known,
+        until a stop begins.
         """
-        has_state = self.configuration is not None and self.feeds.workers.loaded.is_set()
-        return has_state and not self._stopping
+        return self._has_tables and self.has_shares and not self._stopping
+
+    @property
+    def _has_tables(self) -> bool:
+        """Whether the configuration, the list of workers and that of daemons are loaded."""
+        feeds = (self.feeds.workers, self.feeds.daemons)
+        return self.configuration is not None and all(feed.loaded.is_set() for feed in feeds)
+
+    @property
+    def has_shares(self) -> bool:
+        """Whether this daemon's shares of the fleet-wide limits are known."""
+        return bool(self._limits.limit_sharing.sharers)
 
     def _is_daemon_in_regions(self, name: str, regions: Regions) -> bool:
         """Return whether the daemon ``name`` is in one of ``regions``."""
@@ -414,19 +425,34 @@
         self._stream_versions.apply_configuration(configuration)
 
     def _schedule_share_update(self) -> None:
-        """Schedule an update of the shares after a fleet change, unless one is pending."""
-        if self._share_update_timer is None:
+        """Schedule an update of the shares after a fleet change, unless one is pending.
+
+        While the list of daemons is not known, shares would be too large.
+        """
+        if self._share_update_timer is None and self.feeds.daemons.loaded.is_set():
             loop = asyncio.get_running_loop()
             self._share_update_timer = loop.call_later(
                 SHARE_UPDATE_DELAY_S, self._update_fleet_shares
             )
 
+    async def _take_first_shares(self) -> None:
+        """Compute this daemon's shares as soon as the list of daemons is known.
+
+        Where it names no other one, it waits for those that start at the same time.
+        """
+        await self.feeds.daemons.loaded.wait()
+        if len(self.registry.listed()) == 1:
+            await asyncio.sleep(SHARE_UPDATE_DELAY_S)
+        self._update_fleet_shares()
+
     def _update_fleet_shares(self) -> None:
         """Recompute this daemon's share of the fleet-wide budgets.
 
         These are the call rate of the jobs feed, idle connections to workers, and rate limits.
         """
-        self._share_update_timer = None
+        if self._share_update_timer is not None:
+            self._share_update_timer.cancel()
+            self._share_update_timer = None
         daemon_count = max(1, len(self.registry.live()))
         self.feeds.limit_job_feed_rate(daemon_count, self.settings.cancel_s)
         services = self.configuration.services.values() if self.configuration else []
@@ -466,6 +492,7 @@
         await self._listeners.start(self.settings, interface, self.feeds.peer_tables.handle)
         for coroutine in (
             *self.feeds.watch_coroutines(),
+            self._take_first_shares(),
             self._register(),
             self.membership.run(),
             self.jobs.run(),
@@ -540,8 +567,8 @@
         self.log.event("reload", changed=changed)
 
     async def _register(self) -> None:
-        """Add this daemon to the registry as soon as it is ready, and maintain its row."""
-        while not self.ready:
+        """Add this daemon to the registry as soon as it has its tables, and maintain its row."""
+        while not self._has_tables or self._stopping:
             await asyncio.sleep(0.02)
         await self.registry.run()
 
--- a/tests/integration/test_tenants.py
+++ b/tests/integration/test_tenants.py
@@ -141,6 +141,20 @@
         self.assertEqual(200, status)
         self.assertIn(b"piece 8", end)
 
+    def test_a_limited_tenant_is_served_at_a_daemon_that_has_just_started(self) -> None:
+        """Guards against a daemon that is ready but takes its share of all limits for zero."""
+
+        async def scenario() -> int:
+            async with Site(1, StandInWorker("w0", whole(b"ok"))) as site:
+                process = site.processes[0]
+                limited = with_tenants(2, KEY_A, rate=1000, burst=1000)
+                await site.store.put("op", "config", limited)
+                await in_force(process, 2)
+                await site.kill_and_restart(process)
+                return await asked(process, "/plain/x", KEY_A)
+
+        self.assertEqual(200, run(scenario()))
+
     def test_a_tenant_over_its_limit_is_refused_while_others_are_served(self) -> None:
         async def scenario() -> tuple[list[int], list[int], float, int]:
             worker = StandInWorker("w0", whole(b"ok"))
