Try parts that nearly all requests share again within seconds

What callers saw: after all workers had crashed in turn while they streamed, and all daemons had died between, new streams were refused with 503 for minutes, up to all of them.

Why it works: up to three unlucky trials cost 8 s each, so that a sound part is tried until half a minute after its third crash; only then does the delay grow, to 128 s and more. A part that does crash workers reaches three more within ten minutes of its fifth crash, as is allowed; it was two.

--- a/mountstand/quarantine/part_verdicts.py
+++ b/mountstand/quarantine/part_verdicts.py
@@ -19,8 +19,11 @@
 from mountstand.quarantine.suspect import Suspect
 from mountstand.quarantine.verdicts import Verdicts, workers_with_suspects
 
-DECISIVE_TRIALS = 2
-"""Trials after which a crash confirms a part together with those that ran beside it."""
+SOON_TRIALS = 4
+"""Trials of a part within seconds of each other, before their delay grows. All workers may crash in
+turn for half a minute, whatever they run, and a part that nearly all requests share must be tried
+again after that. A part that crashes workers ends one with each trial. After as many trials a crash
+also confirms parts that crash together."""
 
 
 class PartVerdicts(Verdicts):
@@ -41,7 +44,7 @@
         explained = workers_with_suspects(self._by_content)
         for part in self.trial_required:
             suspect = self._by_content[part]
-            if suspect.trials.count >= DECISIVE_TRIALS and self._trial_crashes(suspect, explained):
+            if suspect.trials.count >= SOON_TRIALS and self._trial_crashes(suspect, explained):
                 self.confirmed_together.add(part)
 
     def trial_at_s(self, content: int) -> float:
@@ -49,7 +52,7 @@
         suspect = self._by_content[content]
         if self._is_tried_soon(suspect):
             return item_trial_at_s(suspect)
-        return suspect.trial_at_s
+        return suspect.part_trial_at_s
 
     def is_cause_of_crashes(self, content: int) -> bool:
         """Return whether a part may be the cause of its crashes, as far as its trials tell."""
@@ -57,15 +60,19 @@
 
     def cause_blocked_until_s(self, content: int) -> float:
         """Return when a part that is taken for the cause may run again."""
-        return self._by_content[content].trial_at_s
+        return self.trial_at_s(content)
 
     def _is_confirmed(self, suspect: Suspect) -> bool:
         """Return ``False``: each part has a next trial."""
         return False
 
     def _is_tried_soon(self, suspect: Suspect) -> bool:
-        """Return whether a part was served before, or crashed only beside other suspects."""
-        if suspect.was_served:
+        """Return whether the next trial of a part comes within seconds.
+
+        So it does for one that was served before, had few trials yet, or crashed only beside other
+        suspects.
+        """
+        if suspect.was_served or suspect.trials.count < SOON_TRIALS:
             return True
         return all(self.suspects_by_worker[worker] > 1 for worker in suspect.crash_by_worker)
 
--- a/mountstand/quarantine/suspect.py
+++ b/mountstand/quarantine/suspect.py
@@ -131,8 +131,17 @@
 
     @property
     def trial_at_s(self) -> float:
-        """Earliest time of the next trial, counted from the last crash or trial."""
-        delay_s = min(INITIAL_BLOCK_S, TRIAL_DELAY_S * TRIAL_BACKOFF_FACTOR**self.trials.count)
+        """Earliest time of the next trial, with a delay that grows with each trial."""
+        return self._trial_after_s(self.trials.count)
+
+    @property
+    def part_trial_at_s(self) -> float:
+        """Earliest time of the next trial of a prompt part after several that came soon."""
+        return self._trial_after_s(self.trials.count - 1)
+
+    def _trial_after_s(self, backoff_steps: int) -> float:
+        """Return the earliest time of a trial, counted from the last crash or trial."""
+        delay_s = min(INITIAL_BLOCK_S, TRIAL_DELAY_S * TRIAL_BACKOFF_FACTOR**backoff_steps)
         return max(self.last_crash_s, self.trials.last_at_s) + delay_s
 
     @property
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -160,7 +160,7 @@
             return NEVER_S
         if workload is Workload.BATCH and not self._batch_verdicts.are_cause_together(together):
             return NEVER_S
-        return max(self.by_content[content].trial_at_s for content in together)
+        return max(self.by_content[content].part_trial_at_s for content in together)
 
     def requires_trial(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
         """Return whether a content requires a trial before it may run freely.
--- a/tests/integration/test_crashing_part.py
+++ b/tests/integration/test_crashing_part.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from base64 import b64encode
 
 import orjson
@@ -25,6 +26,15 @@
 WORKERS = 5
 TRIES = 64
 TRY_GAP_S = 0.3
+UNLUCKY_REQUESTS = (3, 1, 1)
+"""Requests whose workers crash by chance: three at first, then two in which the part is tried."""
+
+CRASH_KNOWN_S = 1.0
+"""Time in which a crash is noticed, told to all processes and stored."""
+
+NEXT_TRIAL_S = 11.0
+"""Time after the last crash by which the part has been tried again: the trial comes after 8 s."""
+
 MIN_SOUND_REQUESTS = 8
 MIN_SOUND_SHARE = 0.5
 """How many sound requests must come once all know of the part, and what share must be served."""
@@ -102,6 +112,21 @@
         ]
 
 
+class UnluckyRequests:
+    """Tells which requests meet the crash of their worker, whatever they are, at each attempt."""
+
+    def __init__(self) -> None:
+        self.left = 0
+        self._request_ids: set[str] = set()
+
+    def crashes(self, request: Received) -> bool:
+        """Return whether the worker of a request crashes."""
+        if self.left and request.request_id not in self._request_ids:
+            self.left -= 1
+            self._request_ids.add(request.request_id)
+        return request.request_id in self._request_ids
+
+
 class CrashingPart(TestCase):
     def check(self, traffic: Traffic, workers: RestartingWorkers, name: str) -> None:
         late = traffic.late_runs(workers)
@@ -163,6 +188,42 @@
 
         run(scenario())
 
+    def test_part_that_all_requests_share_is_tried_again_after_workers_crashed_by_chance(
+        self,
+    ) -> None:
+        """Guards against a block for minutes after one trial whose worker crashed by chance."""
+
+        async def scenario() -> list[int]:
+            async with Site(3) as site:
+                unlucky = UnluckyRequests()
+                workers = RestartingWorkers(SiteWorkers(site), unlucky.crashes, (OTHER_STREAM,))
+                await workers.start(WORKERS)
+                await asyncio.sleep(0.5)
+                numbers = itertools.count()
+
+                async def send() -> int:
+                    number = next(numbers)
+                    process = site.processes[number % len(site.processes)]
+                    middle = f"c{number}"
+                    return await ask(process, "/stream/x", f"r{number}", middle, number)
+
+                for requests in UNLUCKY_REQUESTS:
+                    unlucky.left = requests
+                    while unlucky.left:
+                        await send()
+                        await asyncio.sleep(TRY_GAP_S)
+                    last_crash_s = asyncio.get_running_loop().time()
+                    await asyncio.sleep(CRASH_KNOWN_S)
+                await site.kill_and_restart(*site.processes)
+                while asyncio.get_running_loop().time() < last_crash_s + NEXT_TRIAL_S:
+                    await send()
+                    await asyncio.sleep(TRY_GAP_S)
+                statuses = [await send() for _ in range(MIN_SOUND_REQUESTS)]
+                await workers.stop()
+                return statuses
+
+        self.assertEqual([200] * MIN_SOUND_REQUESTS, run(scenario()))
+
     def test_items_with_the_part_wait_and_the_others_are_done(self) -> None:
         """Guards against items that crash worker after worker, each with another item's body."""
 
