Keep overdue trials off the workers of other suspects

Cause, traced run by run: its trial ran beside the trial of a sound item with four crashes, at another daemon, so that the crash told nothing and it got one more. The sound item had been due for ten seconds: with more trials than workers kept for them it found none, and once its own reservation was over it could go anywhere, also to a worker kept for another trial.

Why it works: a content that is due for its trial chooses its worker as if its reservation still held.

--- a/mountstand/quarantine/separation.py
+++ b/mountstand/quarantine/separation.py
@@ -45,8 +45,9 @@
         """Return whether a content may be sent to a worker.
 
         Refused for a strong suspect if this daemon has another strong suspect in flight there, or
-        if it competes for reservations and the worker is reserved for another content. A strong
-        suspect that doesn't compete for reservations may also use reserved workers.
+        if it competes for reservations and the worker is reserved for another content. So does one
+        whose own reservation ran out before its trial began, lest it spoil the trial of another. A
+        strong suspect that doesn't compete for reservations may also use reserved workers.
         """
         if not self._suspects.is_strong(content):
             return True
@@ -55,7 +56,9 @@
             return False
         candidates = self._contents_with_reservations(content, now_s)
         if content not in candidates:
-            return True
+            if not self._suspects.is_trial_overdue(content, now_s):
+                return True
+            candidates = [*candidates, content]
         name = content_name
         return content == max(candidates, key=lambda each: rendezvous_weight(worker_id, name(each)))
 
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -142,6 +142,12 @@
             if is_due or suspect.trials.last_at_s >= now_s - within_s:
                 yield content
 
+    def is_trial_overdue(self, content: int, now_s: float) -> bool:
+        """Return whether a content that requires a trial could have had it by now, as an item."""
+        if content not in self._verdicts.trial_required:
+            return False
+        return item_trial_at_s(self.by_content[content]) <= now_s
+
     def trial_at_s(self, content: int, workload: Workload = Workload.ONLINE) -> float:
         """Return the earliest time of the next trial of a suspected content."""
         if workload is Workload.BATCH:
--- a/tests/serving/test_held_back.py
+++ b/tests/serving/test_held_back.py
@@ -267,3 +267,17 @@
         self.assertTrue(
             all(separation.allows(5, f"w{n}", 101.0) for n in range(6)), "not a suspect"
         )
+
+    def test_overdue_trial_keeps_off_the_worker_of_another_trial(self) -> None:
+        """Guards against a trial that tells nothing, as one that waited for long ran beside it."""
+        suspects = CrashSuspects()
+        for content, crashed_s in ((7, 100.0), (8, 111.0)):
+            for n in range(3):
+                # Crashes of overlapping runs count as two, so that a trial is required.
+                crash = WorkerCrash(crashed_s + n / 100, 0.1)
+                suspects.merge(content, {content * 10 + n: crash})
+        separation = SuspectSeparation(suspects)
+        overdue_s, later_s = 115.0, 130.0
+        allowed = [n for n in range(6) if separation.allows(7, f"w{n}", overdue_s)]
+        self.assertTrue(0 < len(allowed) < 6, allowed)
+        self.assertTrue(all(separation.allows(7, f"w{n}", later_s) for n in range(6)))
