Refuse requests that wait as a stop begins and can't end in time

What callers saw: a request that waited for a worker as its daemon got SIGTERM was refused only when a worker would have taken it or its wait was over, though another daemon could have served it meanwhile.

Cause: whether a request can end before the daemon is asked as it comes and before each attempt, not while it waits.

Why it works: time only gets shorter, so that a request which can't end in time if it is sent now can't later. Those that wait are asked as the stop begins, and again until the daemon has ended.

--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -101,6 +101,9 @@
         self._metrics = metrics
         self._log = ExchangeLog(metrics, log)
         self.stop_admission = StopAdmission()
+        self._waiting_by_id: dict[int, Exchange] = {}
+        """Requests that wait for their first worker, by the identity of their exchange."""
+
         self.max_idle_connections_per_worker = 4
 
     async def forward(
@@ -135,6 +138,17 @@
                 on_not_run()
             self._log.request_ended(exchange, received_at_s, loop.time(), caller_gone)
 
+    def begin_stop(self, ends_at_s: float) -> None:
+        """Take only requests from now on that can end by ``ends_at_s``, in event loop time."""
+        self.stop_admission.begin_stop(ends_at_s)
+        self.reject_waiting_too_long()
+
+    def reject_waiting_too_long(self) -> None:
+        """Reject requests that wait for a worker and can't end any more before the stop does."""
+        for exchange in list(self._waiting_by_id.values()):
+            if not self._may_complete(exchange):
+                self._queue.stop_waiting(exchange.call)
+
     async def _run_attempts(self, exchange: Exchange, received_at_s: float) -> None:
         """Try workers until one delivers a reply or no further attempt is allowed."""
         if self._reject_if_stopping(exchange, None):
@@ -218,9 +232,13 @@
         deadlines = start_deadlines(
             received_at_s, route.target_latency_s, caller_start_timeout_s, priority
         )
-        worker = await self._queue.acquire(
-            self._pool_name(exchange), exchange.call.prompt, deadlines, exchange.call
-        )
+        self._waiting_by_id[id(exchange)] = exchange
+        try:
+            worker = await self._queue.acquire(
+                self._pool_name(exchange), exchange.call.prompt, deadlines, exchange.call
+            )
+        finally:
+            del self._waiting_by_id[id(exchange)]
         exchange.queue_wait_s = asyncio.get_running_loop().time() - received_at_s
         return worker
 
@@ -229,10 +247,7 @@
 
         Returns whether it was rejected. ``worker`` is the worker at which it holds a slot, if any.
         """
-        now_s = asyncio.get_running_loop().time()
-        if exchange.runs or self.stop_admission.may_complete(
-            exchange.route.name, now_s, exchange.deadline_s
-        ):
+        if exchange.runs or self._may_complete(exchange):
             return False
         if worker is not None:
             self._free_slot(worker)
@@ -240,6 +255,11 @@
         reject(exchange.responder, RETRY_AFTER_STOPPING_S)
         return True
 
+    def _may_complete(self, exchange: Exchange) -> bool:
+        """Return whether a request that is sent now is expected to end before this daemon."""
+        now_s = asyncio.get_running_loop().time()
+        return self.stop_admission.may_complete(exchange.route.name, now_s, exchange.deadline_s)
+
     def _reject_if_quarantined(self, exchange: Exchange, worker: Worker | None) -> bool:
         """Reject a request whose content is quarantined; return whether it was rejected.
 
--- a/mountstand/serving/online_queue.py
+++ b/mountstand/serving/online_queue.py
@@ -222,6 +222,13 @@
                 if rejected and not waiter.assignment.done():
                     waiter.assignment.set_result(None)
 
+    def stop_waiting(self, call: Call) -> None:
+        """Stop waiting for one request. Its ``acquire`` returns ``None``."""
+        for waiters in self._waiters_by_pool.values():
+            for waiter in waiters:
+                if waiter.call is call and not waiter.assignment.done():
+                    waiter.assignment.set_result(None)
+
     def waiting_count(self, pool: str) -> int:
         """Return how many requests for the pool wait here and, as reported, at peers."""
         return len(self._waiters_by_pool.get(pool, ())) + self.demand.peers(pool).total
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -520,7 +520,7 @@
         started_s = loop.time()
         deadline_s = started_s + self.settings.grace_s - KILL_MARGIN_S
         self._stopping = True
-        self.forwarder.stop_admission.begin_stop(deadline_s)
+        self.forwarder.begin_stop(deadline_s)
         self.log.event("stop_begun", connections=self._listeners.caller_connection_count)
         self.membership.leave()
         self._listeners.announce_close()
@@ -533,6 +533,7 @@
         while loop.time() < deadline_s:
             if drain_task.done() and not self._listeners.caller_connection_count:
                 break
+            self.forwarder.reject_waiting_too_long()
             await asyncio.sleep(0.05)
         self.log.event(
             "daemon_stopped",
--- a/tests/serving/test_stop_admission.py
+++ b/tests/serving/test_stop_admission.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from testtools import TestCase
 
 from mountstand.serving.stop_admission import DURATIONS_KEPT, MAX_ROUTES, StopAdmission
+from tests.serving.test_forwarder import REPEATABLE, ForwarderHarness
+from tests.stand_ins.harness import eventually, run
+from tests.stand_ins.worker import silence
 
 ROUTE = "captions"
 STOP_S = 100.0
 ENDS_AT_S = STOP_S + 7.4
 TIMEOUT_S = 8.0
+WAITING_S = 0.1
+AT_ONCE_S = 0.3
 
 
 class Admission(TestCase):
@@ -59,3 +66,32 @@
         now_s = STOP_S
         self.assertFalse(self.admission.may_complete("route 0", now_s, now_s + TIMEOUT_S))
         self.assertTrue(self.admission.may_complete("route 1", now_s, now_s + TIMEOUT_S))
+
+
+class Waiting(TestCase):
+    def test_request_that_waits_for_a_worker_is_refused_as_the_stop_begins(self) -> None:
+        """Guards against callers who wait at a stopping daemon for an answer that can't come."""
+
+        async def scenario() -> tuple[int, float]:
+            async with ForwarderHarness(REPEATABLE, (silence,)) as harness:
+                loop = asyncio.get_running_loop()
+                slots = sum(each.slots() for each in harness.fleet.directory.active_workers("llm"))
+                running = [
+                    asyncio.create_task(harness.send_request(f"running-{n}")) for n in range(slots)
+                ]
+                await eventually(lambda: len(harness.fleet.received()) == slots, "all slots busy")
+                waiting = asyncio.create_task(harness.send_request("waiting"))
+                await asyncio.sleep(WAITING_S)
+                self.assertFalse(waiting.done())
+                stopped_s = loop.time()
+                harness.forwarder.begin_stop(stopped_s + REPEATABLE.timeout_s / 2)
+                status, _, _ = await waiting
+                refused_after_s = loop.time() - stopped_s
+                self.assertEqual(slots, len(harness.fleet.received()))
+                for task in running:
+                    task.cancel()
+                return status, refused_after_s
+
+        status, refused_after_s = run(scenario())
+        self.assertEqual(503, status)
+        self.assertLess(refused_after_s, AT_ONCE_S)
