--- a/mountstand/quarantine/separation.py
+++ b/mountstand/quarantine/separation.py
@@ -45,8 +45,8 @@
         """Return whether a content may be sent to a worker.
 
         Refused for a strong suspect if this daemon has another strong suspect in flight there, or
-        if it competes for reservations and the worker is reserved for another content. So does one
-        whose own reservation ran out before its trial began, lest it spoil the trial of another. A
+        if it competes for reservations and the worker is reserved for another content. One whose
+        reservation ran out before its trial began still competes, lest it spoil another's trial. A
         strong suspect that doesn't compete for reservations may also use reserved workers.
         """
         if not self._suspects.is_strong(content):
