Take answers of the store that can't be read for calls without an answer

What callers could see: a daemon that says it is ready and goes on with the workers and the configuration that it knew, for good.

Cause: an answer of 200 with an empty, cut or otherwise odd body, and a 404, raised an error that no caller of the store expects. The task that follows a table ends with it and is not begun again. A body that only the end of its connection ends was taken for whole, also that of an object.

Why it works: such an answer is one whose outcome is unknown, as one that never came, and every caller handles that: feeds ask again, and a commit is read back.

--- a/mountstand/platform/store_client.py
+++ b/mountstand/platform/store_client.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from base64 import b64decode, b64encode
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
 import orjson
@@ -12,6 +13,7 @@
 from mountstand.platform import names
 from mountstand.serving_settings import SocketAddress
 from mountstand.store.rows import (
+    DECODE_ERRORS,
     Conflict,
     HistoryGone,
     OutcomeUnknown,
@@ -45,6 +47,12 @@
 
 JSON_TYPE = ("Content-Type", "application/json")
 
+Decoded = TypeVar("Decoded")
+
+
+class NothingThere(StoreRefused):
+    """The store knows nothing of what was asked for."""
+
 
 class PlatformStore:
     """Calls to the store over pooled connections."""
@@ -75,8 +83,7 @@
             query["from"] = first
         if end:
             query["target_version"] = end
-        body = await self._call("GET", f"{names.ROWS_READ}?{urlencode(query)}")
-        return _page(body)
+        return _decoded(await self._call("GET", f"{names.ROWS_READ}?{urlencode(query)}"), _page)
 
     async def commit(self, transaction: Transaction) -> int:
         """Run a transaction."""
@@ -92,14 +99,14 @@
                 "remove": [_key_fields(key) for key in transaction.removals],
             }
         )
-        body = await self._call("POST", names.ROWS_COMMIT, request)
-        return int(orjson.loads(body)["ver"])
+        return _decoded(await self._call("POST", names.ROWS_COMMIT, request), _version)
 
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
         """Wait for changed rows."""
         query = urlencode({"table": table, "after": after, "wait_ms": wait_ms})
         target = f"{names.ROWS_CHANGES}?{query}"
-        return _page(await self._call("GET", target, b"", wait_ms / 1000 + FEED_SLACK_S))
+        timeout_s = wait_ms / 1000 + FEED_SLACK_S
+        return _decoded(await self._call("GET", target, b"", timeout_s), _page)
 
     # ObjectStore
 
@@ -111,14 +118,14 @@
         """Return an object."""
         try:
             return await self._call("GET", names.OBJECT_GET + quote(name, safe=""))
-        except KeyError:
+        except NothingThere:
             return None
 
     async def drop_object(self, name: str) -> None:
         """Remove an object."""
         try:
             await self._call("DELETE", names.OBJECT_DROP + quote(name, safe=""))
-        except KeyError:
+        except NothingThere:
             return
 
     async def list_objects(self, prefix: str) -> list[str]:
@@ -129,9 +136,9 @@
             if found:
                 query["after"] = found[-1]
             body = await self._call("GET", f"{names.OBJECT_LIST}?{urlencode(query)}")
-            answer = orjson.loads(body)
-            found += answer["names"]
-            if not answer.get("more") or not answer["names"]:
+            listed, more = _decoded(body, _object_names)
+            found += listed
+            if not more or not listed:
                 return found
 
     # Calls
@@ -177,6 +184,8 @@
                 connection.send(method, target, headers, body)
                 head = await connection.read_head()
                 answer = await connection.read_body()
+                if head.ends_with_connection:
+                    raise OutcomeUnknown("an answer that may have been cut off")
                 done = True
                 return head.status, answer
         except TimeoutError:
@@ -226,12 +235,30 @@
     if status == 410:
         raise HistoryGone
     if status == 404:
-        raise KeyError
+        raise NothingThere("status 404")
     if status in (429, 503, 507) or 400 <= status < 500:
         raise StoreRefused(f"status {status}")
     raise OutcomeUnknown(f"status {status}")
 
 
+def _decoded(body: bytes, decode: Callable[[bytes], Decoded]) -> Decoded:
+    """Decode an answer. Raises ``OutcomeUnknown`` for one of another form than expected."""
+    try:
+        return decode(body)
+    except DECODE_ERRORS as error:
+        raise OutcomeUnknown(f"an answer that cannot be read: {error!r}") from None
+
+
+def _version(body: bytes) -> int:
+    return int(orjson.loads(body)["ver"])
+
+
+def _object_names(body: bytes) -> tuple[list[str], bool]:
+    """Return the names of a list, and whether there are more."""
+    fields = orjson.loads(body)
+    return [str(name) for name in fields["names"]], bool(fields.get("more"))
+
+
 def _key_fields(key: RowKey) -> dict[str, Any]:
     return {"table": key.table, "part": key.part, "key": key.key}
 
@@ -248,6 +275,6 @@
 
 def _row(fields: dict[str, Any]) -> StoredRow:
     gone = bool(fields.get("gone"))
-    value = None if gone else b64decode(fields.get("value", ""))
+    value = None if gone else b64decode(fields.get("value", ""), validate=True)
     key = RowKey(fields["table"], fields.get("part", ""), fields["key"])
     return StoredRow(key, int(fields["ver"]), value)
