Write the first checkpoint of limits once the share is known

What callers saw: the first daemon ever of a site with tenants refuses limited tenants with 429 after it is ready.

Cause: the first checkpoint is written as soon as a tenant has a limit. Before the share is known it says zero, and what may be used beyond it is a part of that: nothing, until the next one is written.

Why it works: the checkpoint waits for the share. Until then a part of the share may be used, as at any start.

--- a/mountstand/serving_limits.py
+++ b/mountstand/serving_limits.py
@@ -45,6 +45,7 @@
         self._settings = settings
         self.limit_sharing = LimitSharing(settings.name)
         self._has_limits = asyncio.Event()
+        self._has_shares = asyncio.Event()
         self._share_release_timer: asyncio.TimerHandle | None = None
         self._limits = TenantLimits(
             self.limit_sharing,
@@ -95,6 +96,7 @@
             recently_serving & {peer.member_id for peer in leaving},
             reserve_s,
         )
+        self._has_shares.set()
         if self.limit_sharing.has_reserved_shares and self._share_release_timer is None:
             self._share_release_timer = loop.call_later(
                 reserve_s, self._release_reserved_shares, slots
@@ -110,8 +112,12 @@
         self.gate.handle(sender, message)
 
     async def run(self) -> None:
-        """Maintain usage checkpoints in the store until cancelled, once a tenant has a limit."""
+        """Maintain usage checkpoints in the store until cancelled, once a tenant has a limit.
+
+        A checkpoint without a share would leave nothing to admit until the next one is written.
+        """
         await self._has_limits.wait()
+        await self._has_shares.wait()
         await self._checkpoint_writer.run()
 
     def _window_s(self) -> float:
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -158,6 +158,13 @@
         await self.store.stop()
         self.folder.cleanup()
 
+    async def add_process(self, name: str) -> Process:
+        """Start a further process, and wait until it is ready."""
+        process = await self._process(name).start()
+        self.processes.append(process)
+        await self.wait_ready(process)
+        return process
+
     async def list_worker(
         self, worker: StandInWorker, state: str = "ready", version: str = ""
     ) -> None:
--- a/tests/integration/test_tenants.py
+++ b/tests/integration/test_tenants.py
@@ -155,6 +155,18 @@
 
         self.assertEqual(200, run(scenario()))
 
+    def test_a_limited_tenant_is_served_at_the_first_daemon_ever(self) -> None:
+        """Guards against a checkpoint without a share, which leaves nothing to admit at a start."""
+
+        async def scenario() -> int:
+            async with Site(0, StandInWorker("w0", whole(b"ok"))) as site:
+                limited = with_tenants(2, KEY_A, rate=1000, burst=1000)
+                await site.store.put("op", "config", limited)
+                process = await site.add_process("front-0")
+                return await asked(process, "/plain/x", KEY_A)
+
+        self.assertEqual(200, run(scenario()))
+
     def test_a_tenant_over_its_limit_is_refused_while_others_are_served(self) -> None:
         async def scenario() -> tuple[list[int], list[int], float, int]:
             worker = StandInWorker("w0", whole(b"ok"))
