Read the other rows of a page beside one whose value is no base64

The row is empty now, which its decoder refuses with a line.

Also says in the module's docstring when the trials of parts follow each other.

--- a/mountstand/platform/store_client.py
+++ b/mountstand/platform/store_client.py
@@ -275,6 +275,18 @@
 
 def _row(fields: dict[str, Any]) -> StoredRow:
     gone = bool(fields.get("gone"))
-    value = None if gone else b64decode(fields.get("value", ""), validate=True)
+    value = None if gone else _value(fields.get("value", ""))
     key = RowKey(fields["table"], fields.get("part", ""), fields["key"])
     return StoredRow(key, int(fields["ver"]), value)
+
+
+def _value(text: str) -> bytes:
+    """Return a row's value; one that is no base64 is empty, which no decoder of rows accepts.
+
+    Another writer may have left it, and it must not keep the other rows of its page from being
+    read.
+    """
+    try:
+        return b64decode(text, validate=True)
+    except (ValueError, TypeError):
+        return b""
--- a/mountstand/quarantine/part_verdicts.py
+++ b/mountstand/quarantine/part_verdicts.py
@@ -2,9 +2,10 @@
 
 Many requests share a part, and a block stops all of them. What runs in nearly every request is also
 at nearly every crash, whatever causes it. So no number of crashes blocks a part for good: with
-enough of them it has one run at a time, a trial, after a delay that grows with each trial whose
-worker crashes. The delay stays short for a part that was served before, since one that crashes
-workers never is, and for one that crashed only beside other suspected parts.
+enough of them it has one run at a time, a trial. The first trials follow each other within seconds;
+after that the delay grows with each trial whose worker crashes. It stays short for a part that was
+served before, since one that crashes workers never is, and for one that crashed only beside other
+suspected parts.
 
 Some parts crash only together, in trials too, and no evidence tells which of them is the cause.
 Requests that have several of them wait for the full delay, those with one for the short one.
