Tell when a daemon that has started knows its shares

Found by reading the change again: no line told of the step of the start that refused limited tenants, so that it took added lines to find the second half of its cause. shares_known tells the share and among how many daemons limits are divided; a daemon is ready from then on at the earliest.

--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -444,6 +444,12 @@
         if len(self.registry.listed()) == 1:
             await asyncio.sleep(SHARE_UPDATE_DELAY_S)
         self._update_fleet_shares()
+        limit_sharing = self._limits.limit_sharing
+        self.log.event(
+            "shares_known",
+            share=round(limit_sharing.share, 4),
+            daemons=len(limit_sharing.sharers),
+        )
 
     def _update_fleet_shares(self) -> None:
         """Recompute this daemon's share of the fleet-wide budgets.
--- a/tests/integration/test_tenants.py
+++ b/tests/integration/test_tenants.py
@@ -163,6 +163,7 @@
                 limited = with_tenants(2, KEY_A, rate=1000, burst=1000)
                 await site.store.put("op", "config", limited)
                 process = await site.add_process("front-0")
+                self.assertEqual([1.0], [e["share"] for e in process.events("shares_known")])
                 return await asked(process, "/plain/x", KEY_A)
 
         self.assertEqual(200, run(scenario()))
