--- a/mountstand/serving/stream_versions.py
+++ b/mountstand/serving/stream_versions.py
@@ -83,22 +83,36 @@
         software that is known of lately is taken, however long software has been watched.
         """
         if request_id:
-            software = await self._find_named(stream_key(request_id), route)
+            software, evidence = await self._find_named(stream_key(request_id), route)
         elif self._history_is_loaded():
             software = self._history.only_software(route.services, self._earliest_s(route))
+            evidence = "only software"
         else:
             software = None
         if software is None:
             self._log.event("stream_unknown", resumes=request_id, route=route.name)
+            return None
+        self._log.event(
+            "stream_bound",
+            resumes=request_id,
+            route=route.name,
+            software=f"{software:08x}",
+            evidence=evidence,
+        )
         return software
 
-    async def _find_named(self, stream: int, route: Route) -> int | None:
+    async def _find_named(self, stream: int, route: Route) -> tuple[int | None, str]:
+        """Return the software that began a stream, and what tells it."""
         software = self.origins.software(stream)
-        if software is None and self._view_is_fresh() and self._history_is_loaded():
+        if software is not None:
+            return software, "origin"
+        if self._view_is_fresh() and self._history_is_loaded():
             earliest_s = self._earliest_s(route)
             if self._history.knows_since(earliest_s):
                 software = self._history.only_software(route.services, earliest_s)
-        return await self._ask(stream) if software is None else software
+        if software is not None:
+            return software, "only software"
+        return await self._ask(stream), "peer"
 
     def handle(self, sender: str, message: StreamOrigin | StreamQuery) -> None:
         """Record another daemon's report, or answer its query."""
