--- /dev/null
+++ b/tests/integration/test_out_of_step.py
@@ -0,0 +1,103 @@
+"""Streams that callers take up at a daemon that missed a new software version of the workers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.integration.cuttable_site import CuttableProcess, CuttableSite
+from tests.integration.test_platform_node import Answer, Process, ResolvingTestCase
+from tests.integration.test_stream_versions import (
+    EVENT_GAP_S,
+    EVENTS,
+    LIFETIME_S,
+    Caller,
+    VersionedSite,
+    versions_by_request,
+)
+from tests.stand_ins.harness import eventually, run
+from tests.stand_ins.worker import StandInWorker, stream
+
+STREAMS = 12
+TRIES = 3
+TRY_GAP_S = 0.15
+CUT_BEFORE_S = 0.3
+"""How long the daemon has been cut off as the new version joins."""
+
+JOIN_S = 0.3
+"""Time in which the other daemons list the workers that joined."""
+
+
+def workers_of(version: str, count: int) -> list[StandInWorker]:
+    """Return workers that are to list a version."""
+    answer = stream(EVENTS, gap_s=EVENT_GAP_S)
+    return [StandInWorker(f"{version}-{n}", answer) for n in range(count)]
+
+
+class OutOfStep(ResolvingTestCase):
+    async def begin_and_break(self, site: CuttableSite) -> list[Caller]:
+        """Begin streams at all processes but the last one, and break them off after some events."""
+        callers = [Caller(number) for number in range(STREAMS)]
+        others = site.processes[:-1]
+        tasks = [
+            asyncio.create_task(caller.begin(others[number % len(others)]))
+            for number, caller in enumerate(callers)
+        ]
+        await eventually(lambda: all(caller.events > 2 for caller in callers), "all have begun")
+        for caller in callers:
+            assert caller.connection is not None
+            caller.connection.close()
+        for task in tasks:
+            task.cancel()
+        return callers
+
+    async def take_up(self, caller: Caller, process: Process, *, names_first: bool) -> Answer:
+        """Take a stream up again, some times if it is refused."""
+        for _ in range(TRIES):
+            answer = await caller.go_on(process, names_first=names_first)
+            if answer.status == 200:
+                break
+            await asyncio.sleep(TRY_GAP_S)
+        return answer
+
+    def mixed(self, site: VersionedSite, callers: list[Caller]) -> list[str]:
+        """Return the streams that reached workers of several versions."""
+        versions = versions_by_request(site.workers)
+        return [
+            caller.first_id
+            for caller in callers
+            if len(versions.get(caller.first_id, set()) | versions.get(caller.again_id, set())) > 1
+        ]
+
+    def check_cut(self, *, names_first: bool, datagrams: str = "all") -> None:
+        async def scenario() -> None:
+            first_workers = workers_of("v1", 3)
+            others = workers_of("v2", 4)
+            async with CuttableSite(4, *first_workers) as site:
+                await self.check_resolve(site)
+                await asyncio.sleep(LIFETIME_S)
+                cut = site.processes[-1]
+                assert isinstance(cut, CuttableProcess)
+                cut.cut(datagrams)
+                await asyncio.sleep(CUT_BEFORE_S)
+                site.workers = (*first_workers, *others)
+                for worker in others:
+                    await worker.start()
+                    await site.list_worker(worker)
+                await asyncio.sleep(JOIN_S)
+                callers = await self.begin_and_break(site)
+                await asyncio.gather(
+                    *(self.take_up(caller, cut, names_first=names_first) for caller in callers)
+                )
+                self.assertNotEqual({}, versions_by_request(others))
+                self.assertEqual([], self.mixed(site, callers))
+                cut.heal()
+
+        run(scenario())
+
+    def test_named_streams_are_not_joined_at_a_daemon_that_missed_a_new_version(self) -> None:
+        """Guards against a stream of a new version that goes on at the only one known there."""
+        self.check_cut(names_first=True)
+
+    def test_unnamed_streams_are_not_joined_at_a_daemon_that_missed_a_new_version(self) -> None:
+        """Guards against the same for callers that name no stream."""
+        self.check_cut(names_first=False)
