Take up a stream at the only known software only once the store confirms it

Cause: a daemon took the only software that it knew of for the only one there is. Its list was up to contact_s (and a second) old for named streams, and of any age for others, and nobody was asked first.

Evidence: stream_bound says 'only software' for each joined stream.

Why it works: other daemons are asked first, and then the store, by calls that begin after the request came. A worker is known by the store alone, so that a software that began a stream anywhere is in its answer. What the store cannot confirm is refused, which is true: it has not run.

--- a/mountstand/serving/stream_versions.py
+++ b/mountstand/serving/stream_versions.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import Callable, Collection
+from enum import Enum
 
 from mountstand.membership.message_link import PeerLink
 from mountstand.serving.configuration import Configuration, RequestKind, Route
 from mountstand.serving.software import SoftwareHistory
 from mountstand.serving.stream_origins import HolderChoice, StreamOrigins, stream_key
+from mountstand.store.confirmation import Confirmation
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.wire.gossip import UNKNOWN_SOFTWARE, StreamOrigin, StreamQuery
 
@@ -25,25 +27,38 @@
 Callers take streams up within the deadline of their first request."""
 
 
+class BindingEvidence(Enum):
+    """What tells which software began a stream that is taken up."""
+
+    ORIGIN = "origin"
+    """The daemon that began it told this one."""
+
+    PEER = "peer"
+    """Another daemon that was asked."""
+
+    ONLY_SOFTWARE = "only software"
+    """No other software can have begun it."""
+
+
 class StreamVersions:
     """Reports streams that begin here, and finds the software of those that are taken up here.
 
-    ``view_is_fresh`` returns whether this daemon's list of workers is up to date, and
-    ``history_is_loaded`` whether it has read what the store tells of software versions.
+    ``history_is_loaded`` returns whether this daemon has read what the store tells of software
+    versions; ``confirmation`` confirms that it knows of all versions that workers list now.
     """
 
     def __init__(
         self,
         link: PeerLink,
         history: SoftwareHistory,
-        view_is_fresh: Callable[[], bool],
         history_is_loaded: Callable[[], bool],
+        confirmation: Confirmation,
         log: DecisionLog,
     ) -> None:
         self._link = link
         self._history = history
-        self._view_is_fresh = view_is_fresh
         self._history_is_loaded = history_is_loaded
+        self._confirmation = confirmation
         self._log = log
         self.origins = StreamOrigins(DEFAULT_RETENTION_S)
         self._holder_choice = HolderChoice()
@@ -84,11 +99,9 @@
         """
         if request_id:
             software, evidence = await self._find_named(stream_key(request_id), route)
-        elif self._history_is_loaded():
-            software = self._history.only_software(route.services, self._earliest_s(route))
-            evidence = "only software"
         else:
-            software = None
+            software = await self._find_only(route, from_the_start=False)
+            evidence = BindingEvidence.ONLY_SOFTWARE
         if software is None:
             self._log.event("stream_unknown", resumes=request_id, route=route.name)
             return None
@@ -97,22 +110,45 @@
             resumes=request_id,
             route=route.name,
             software=f"{software:08x}",
-            evidence=evidence,
+            evidence=evidence.value,
         )
         return software
 
-    async def _find_named(self, stream: int, route: Route) -> tuple[int | None, str]:
-        """Return the software that began a stream, and what tells it."""
+    async def _find_named(self, stream: int, route: Route) -> tuple[int | None, BindingEvidence]:
+        """Return the software that began a stream, and what tells it.
+
+        Others are asked before the only software known here is taken: this daemon may have missed
+        what they know.
+        """
         software = self.origins.software(stream)
         if software is not None:
-            return software, "origin"
-        if self._view_is_fresh() and self._history_is_loaded():
-            earliest_s = self._earliest_s(route)
-            if self._history.knows_since(earliest_s):
-                software = self._history.only_software(route.services, earliest_s)
+            return software, BindingEvidence.ORIGIN
+        software = await self._ask(stream)
         if software is not None:
-            return software, "only software"
-        return await self._ask(stream), "peer"
+            return software, BindingEvidence.PEER
+        only_software = await self._find_only(route, from_the_start=True)
+        return only_software, BindingEvidence.ONLY_SOFTWARE
+
+    async def _find_only(self, route: Route, *, from_the_start: bool) -> int | None:
+        """Return the only software of a route's services, ``None`` if there may be others.
+
+        What this daemon knows must be confirmed by the store, since a software that has joined
+        unnoticed may have begun the stream. ``from_the_start`` requires that all software is known
+        since the stream may have begun.
+        """
+        if self._known_only_software(route, from_the_start=from_the_start) is None:
+            return None
+        if not await self._confirmation.confirm():
+            return None
+        return self._known_only_software(route, from_the_start=from_the_start)
+
+    def _known_only_software(self, route: Route, *, from_the_start: bool) -> int | None:
+        if not self._history_is_loaded():
+            return None
+        earliest_s = self._earliest_s(route)
+        if from_the_start and not self._history.knows_since(earliest_s):
+            return None
+        return self._history.only_software(route.services, earliest_s)
 
     def handle(self, sender: str, message: StreamOrigin | StreamQuery) -> None:
         """Record another daemon's report, or answer its query."""
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -103,7 +103,11 @@
         some heartbeats; they are listed again one heartbeat later.
         """
         known = self.workers.get(worker_id)
-        if known is None or known.leaving_since_s is not None:
+        if known is None:
+            # It may have come and gone unnoticed, with a software that was never seen here.
+            self.software_history.watch_from(now_s)
+            return False
+        if known.leaving_since_s is not None:
             return False
         if version < known.record.version:
             return False
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -49,6 +49,7 @@
 from mountstand.serving_periodic import PeriodicWork
 from mountstand.serving_settings import ServingSettings, SocketAddress
 from mountstand.serving_zones import ServingZones
+from mountstand.store.confirmation import TableConfirmation
 from mountstand.store.rows import ObjectStore, RowStore
 from mountstand.store.watch import TableChange
 from mountstand.telemetry.decisions import DecisionLog
@@ -167,8 +168,11 @@
         self._stream_versions = StreamVersions(
             MembershipMessageLink(self.membership),
             self.directory.software_history,
-            self._worker_list_is_fresh,
             lambda: self._stored_software.loaded,
+            TableConfirmation(
+                lambda: (self.feeds.workers, self.feeds.suspects),
+                lambda: len(self.registry.live()),
+            ),
             log,
         )
         self._build_stored_software(store)
--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -111,6 +111,33 @@
             if changed and self.pause_s:
                 await asyncio.sleep(self.pause_s)
 
+    async def catch_up(self) -> bool:
+        """Apply the changes that the feed has not told yet.
+
+        Returns whether everything committed before this call has been applied; it has not if the
+        store does not answer.
+        """
+        began_s = asyncio.get_running_loop().time()
+        if self._version is None:
+            return False
+        try:
+            page = await self._store.changes(self._table, self._version, 0)
+            if self._version is None:
+                return False
+            if page.rows:
+                self._version = max(self._version, max(row.version for row in page.rows))
+                self._take(TableChange(page.rows, False))
+        except (HistoryGone, StoreError, RowsNotApplied) as problem:
+            self._log.event(
+                "table_unconfirmed",
+                table=self._table,
+                cause=type(problem).__name__,
+                after_s=round(asyncio.get_running_loop().time() - began_s, 3),
+            )
+            return False
+        self.fresh_at_s = max(self.fresh_at_s, began_s)
+        return True
+
     def age_s(self, now_s: float) -> float:
         """Return how old the picture may be."""
         return now_s - self.fresh_at_s
--- a/tests/integration/test_out_of_step.py
+++ b/tests/integration/test_out_of_step.py
@@ -26,6 +26,9 @@
 JOIN_S = 0.3
 """Time in which the other daemons list the workers that joined."""
 
+HEALED_S = 3.0
+"""Time within which a daemon that is connected again knows what it missed."""
+
 
 def workers_of(version: str, count: int) -> list[StandInWorker]:
     """Return workers that are to list a version."""
@@ -90,10 +93,21 @@
                 )
                 self.assertNotEqual({}, versions_by_request(others))
                 self.assertEqual([], self.mixed(site, callers))
-                cut.heal()
+                if names_first:
+                    cut.heal()
+                    await self.check_healed(site, callers, cut)
 
         run(scenario())
 
+    async def check_healed(
+        self, site: CuttableSite, callers: list[Caller], process: Process
+    ) -> None:
+        """Check that each stream goes on at its version once the daemon is connected again."""
+        await asyncio.sleep(HEALED_S)
+        answers = await asyncio.gather(*(caller.go_on(process) for caller in callers))
+        self.assertEqual([200] * len(callers), [answer.status for answer in answers])
+        self.assertEqual([], self.mixed(site, callers))
+
     def test_named_streams_are_not_joined_at_a_daemon_that_missed_a_new_version(self) -> None:
         """Guards against a stream of a new version that goes on at the only one known there."""
         self.check_cut(names_first=True)
--- a/tests/serving/test_stream_origins.py
+++ b/tests/serving/test_stream_origins.py
@@ -14,6 +14,7 @@
 from mountstand.serving.stream_origins import HOLDERS, HolderChoice, StreamOrigins, stream_key
 from mountstand.serving.stream_versions import StreamVersions
 from mountstand.wire.gossip import UNKNOWN_SOFTWARE, StreamOrigin, StreamQuery
+from tests.stand_ins.confirmation import StandInConfirmation
 from tests.stand_ins.harness import RecordingLog, route, run
 from tests.stand_ins.peer_link import RecordingPeerLink
 
@@ -86,7 +87,10 @@
     def daemon(self, *peers: str) -> StreamVersions:
         self.link = RecordingPeerLink(*peers)
         self.history = SoftwareHistory()
-        return StreamVersions(self.link, self.history, lambda: True, lambda: True, RecordingLog())
+        self.confirmation = StandInConfirmation()
+        return StreamVersions(
+            self.link, self.history, lambda: True, self.confirmation, RecordingLog()
+        )
 
     def test_stream_is_reported_and_found(self) -> None:
         async def scenario() -> None:
@@ -168,6 +172,52 @@
 
         run(scenario())
 
+    def test_only_software_is_not_taken_unless_the_store_confirms_it(self) -> None:
+        """Guards against streams joined at a daemon that is cut off and missed a version."""
+
+        async def scenario() -> None:
+            daemon = self.daemon()
+            now_s = asyncio.get_running_loop().time()
+            self.history.watch_from(now_s - 60.0)
+            self.history.note("llm", V1, now_s)
+            self.confirmation.confirmed = False
+            self.assertIsNone(await daemon.find("r1", STREAM_ROUTE))
+            self.assertIsNone(await daemon.find("", STREAM_ROUTE))
+            self.confirmation.confirmed = True
+            self.assertEqual(V1, await daemon.find("r1", STREAM_ROUTE))
+            self.assertEqual(V1, await daemon.find("", STREAM_ROUTE))
+
+        run(scenario())
+
+    def test_version_that_the_store_tells_as_it_confirms_counts(self) -> None:
+        """Guards against a version that joined unnoticed and is learned of a moment too late."""
+
+        async def scenario() -> None:
+            daemon = self.daemon()
+            now_s = asyncio.get_running_loop().time()
+            self.history.watch_from(now_s - 60.0)
+            self.history.note("llm", V1, now_s)
+            self.confirmation.on_confirm = lambda: self.history.note("llm", V2, now_s)
+            self.assertIsNone(await daemon.find("r1", STREAM_ROUTE))
+
+        run(scenario())
+
+    def test_other_daemons_are_asked_before_the_only_software_is_taken(self) -> None:
+        """Guards against a stream that goes on at the wrong version though a peer knows better."""
+
+        async def scenario() -> None:
+            daemon = self.daemon("d2")
+            now_s = asyncio.get_running_loop().time()
+            self.history.watch_from(now_s - 60.0)
+            self.history.note("llm", V1, now_s)
+            finding = asyncio.create_task(daemon.find("r1", STREAM_ROUTE))
+            await asyncio.sleep(0.01)
+            daemon.handle("d2", StreamOrigin(stream_key("r1"), V2))
+            self.assertEqual(V2, await finding)
+            self.assertEqual(0, self.confirmation.calls)
+
+        run(scenario())
+
     def test_query_is_answered(self) -> None:
         async def scenario() -> None:
             daemon = self.daemon("d2")
--- /dev/null
+++ b/tests/serving/test_table_confirmation.py
@@ -0,0 +1,101 @@
+"""Confirming that what a daemon knows of a table holds now."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from testtools import TestCase
+
+from mountstand.store.confirmation import MIN_INTERVAL_S, TableConfirmation
+from mountstand.store.memory_rows import MemoryRowStore
+from mountstand.store.rows import RowKey, RowPage, Transaction
+from mountstand.store.watch import TableChange, TableWatcher
+from tests.stand_ins.harness import RecordingLog, eventually, run
+
+TABLE = "servers"
+
+
+class SilentFeedStore(MemoryRowStore):
+    """Holds each feed call for good; calls that wait for nothing are answered."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.checks = 0
+        self.before_check: Callable[[], asyncio.Future[None] | None] = lambda: None
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
+        if wait_ms:
+            await asyncio.Event().wait()
+        self.checks += 1
+        pause = self.before_check()
+        if pause is not None:
+            await pause
+        return await super().changes(table, after, wait_ms)
+
+
+class Confirmations(TestCase):
+    async def watcher(self, store: SilentFeedStore) -> TableWatcher:
+        self.keys: list[str] = []
+
+        def apply(change: TableChange) -> None:
+            self.keys += [row.key.key for row in change.rows]
+
+        watcher = TableWatcher(store, TABLE, [""], apply, RecordingLog(), keep_rows=True)
+        self.task = asyncio.create_task(watcher.run())
+        self.addCleanup(self.task.cancel)
+        await eventually(watcher.loaded.is_set, "the table is read")
+        return watcher
+
+    async def put(self, store: SilentFeedStore, key: str) -> None:
+        await store.commit(Transaction(puts=[(RowKey(TABLE, "", key), b"{}")]))
+
+    def test_change_that_the_feed_has_not_told_is_applied(self) -> None:
+        """Guards against a row that a silent feed tells of seconds later."""
+
+        async def scenario() -> None:
+            store = SilentFeedStore()
+            await self.put(store, "w1")
+            watcher = await self.watcher(store)
+            confirmation = TableConfirmation(lambda: [watcher], lambda: 1)
+            await self.put(store, "w2")
+            self.assertEqual(["w1"], self.keys)
+            self.assertTrue(await confirmation.confirm())
+            self.assertEqual(["w1", "w2"], self.keys)
+            self.assertTrue(await confirmation.confirm())
+            self.assertEqual(["w1", "w2"], self.keys)
+
+        run(scenario())
+
+    def test_nothing_is_confirmed_while_the_store_does_not_answer(self) -> None:
+        """Guards against an old list that is taken for confirmed while the store is away."""
+
+        async def scenario() -> None:
+            store = SilentFeedStore()
+            watcher = await self.watcher(store)
+            store.fault = lambda call: "refuse"
+            self.assertFalse(await TableConfirmation(lambda: [watcher], lambda: 1).confirm())
+
+        run(scenario())
+
+    def test_round_that_began_before_confirms_nothing(self) -> None:
+        """Guards against an answer from before a version joined, taken for one after it."""
+
+        async def scenario() -> None:
+            store = SilentFeedStore()
+            watcher = await self.watcher(store)
+            confirmation = TableConfirmation(lambda: [watcher], lambda: 1)
+            loop = asyncio.get_running_loop()
+            held: asyncio.Future[None] = loop.create_future()
+            pauses = [held]
+            store.before_check = lambda: pauses.pop() if pauses else None
+            first = asyncio.create_task(confirmation.confirm())
+            await eventually(lambda: store.checks == 1, "the first round has begun")
+            others = [asyncio.create_task(confirmation.confirm()) for _ in range(3)]
+            await asyncio.sleep(2 * MIN_INTERVAL_S)
+            self.assertEqual([False] * 3, [other.done() for other in others])
+            held.set_result(None)
+            self.assertEqual([True] * 4, await asyncio.gather(first, *others))
+            self.assertEqual(2, store.checks)
+
+        run(scenario())
--- a/tests/stand_ins/harness.py
+++ b/tests/stand_ins/harness.py
@@ -30,6 +30,7 @@
 from mountstand.telemetry.decisions import DecisionLog
 from mountstand.telemetry.serving_metrics import ServingMetrics
 from mountstand.transport.http_server import ServerLimits
+from tests.stand_ins.confirmation import StandInConfirmation
 from tests.stand_ins.peer_link import RecordingPeerLink
 from tests.stand_ins.report_link import RecordingReportLink
 from tests.stand_ins.worker import StandInWorker
@@ -118,7 +119,7 @@
             RecordingPeerLink(),
             self.directory.software_history,
             lambda: True,
-            lambda: True,
+            StandInConfirmation(),
             self.log,
         )
 
