Drop a confirming answer from before a whole read of its table

Callers would see: requests sent to a worker that is gone, and its software version counted as listed, until the row changes again. Found by reading, not seen in a play.

Cause: a confirming call and the feed run side by side. If the store forgets its history meanwhile, the feed reads the whole table. An answer of the confirming call from before this read lists rows that have gone since, and nothing corrects it, as the feed goes on after the read.

Evidence: test_answer_from_before_a_whole_read_brings_nothing_back forces this order; before, the row came back ({} != {'gone': b'{}'}).

Why it works: a whole read that ends while the call is under way began after the call, since there is none while the version is known. So it tells all that the call could.

--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -79,6 +79,7 @@
         """The version after which all changes are kept, with removals."""
 
         self._told_version = 0
+        self._whole_reads = 0
         self._failing_since_s: float | None = None
         self.now_ms = 0
         self.now_read_at_s: float | None = None
@@ -120,11 +121,13 @@
         began_s = asyncio.get_running_loop().time()
         if self._version is None:
             return False
+        whole_reads = self._whole_reads
         try:
             page = await self._store.changes(self._table, self._version, 0)
             if self._version is None:
                 return False
-            if page.rows:
+            # A whole read that began meanwhile tells more, and knows nothing of rows that are gone.
+            if page.rows and whole_reads == self._whole_reads:
                 self._version = max(self._version, max(row.version for row in page.rows))
                 self._take(TableChange(page.rows, False))
         except (HistoryGone, StoreError, RowsNotApplied) as problem:
@@ -223,6 +226,7 @@
         loop = asyncio.get_running_loop()
         if self._version is None:
             pages = [await read_all(self._store, self._table, part) for part in self._parts]
+            self._whole_reads += 1
             self._version = min(page.version for page in pages)
             self._told_version = self._history_from = self._version
             self._take(TableChange([row for page in pages for row in page.rows], True))
--- a/tests/serving/test_table_confirmation.py
+++ b/tests/serving/test_table_confirmation.py
@@ -34,6 +34,22 @@
         return await super().changes(table, after, wait_ms)
 
 
+class LateCheckStore(MemoryRowStore):
+    """Answers calls that wait for nothing as of their moment, and holds the answers back."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answered = asyncio.Event()
+        self.delivered = asyncio.Event()
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
+        page = await super().changes(table, after, min(wait_ms, 50))
+        if not wait_ms:
+            self.answered.set()
+            await self.delivered.wait()
+        return page
+
+
 class Confirmations(TestCase):
     async def watcher(self, store: SilentFeedStore) -> TableWatcher:
         self.keys: list[str] = []
@@ -99,3 +115,33 @@
             self.assertEqual(2, store.checks)
 
         run(scenario())
+
+    def test_answer_from_before_a_whole_read_brings_nothing_back(self) -> None:
+        """Guards against a row that is gone and that a late answer lists again for good."""
+
+        async def scenario() -> None:
+            store = LateCheckStore()
+            present: dict[str, bytes | None] = {}
+            reads: list[int] = []
+
+            def apply(change: TableChange) -> None:
+                if change.complete:
+                    reads.append(len(change.rows))
+                    present.clear()
+                present.update({row.key.key: row.value for row in change.rows})
+
+            watcher = TableWatcher(store, TABLE, [""], apply, RecordingLog(), keep_rows=True)
+            task = asyncio.create_task(watcher.run())
+            self.addCleanup(task.cancel)
+            await eventually(watcher.loaded.is_set, "the table is read")
+            store.apply(Transaction(puts=[(RowKey(TABLE, "", "gone"), b"{}")]))
+            checking = asyncio.create_task(watcher.catch_up())
+            await store.answered.wait()
+            store.apply(Transaction(removals=[RowKey(TABLE, "", "gone")]))
+            store.forget_history()
+            await eventually(lambda: len(reads) == 2, "the table is read again")
+            store.delivered.set()
+            self.assertTrue(await checking)
+            self.assertEqual({}, present)
+
+        run(scenario())
