Let a feed go on after rows of another answer that could not be applied

Callers would see: a daemon whose list of workers, or another table, stays as it is until the daemon ends. Found by reading, not seen in a play.

Cause: rows that come beside the feed (from a peer, or by a confirming call) and fail to apply clear the version that the feed has reached. The feed's own call is under way then; its answer met an assertion that a version is known, and the feed's task ended for good.

Evidence: test_feed_goes_on_after_rows_that_could_not_be_applied_by_another forces this order with a peer's rows; before, the task had ended (True is not false).

Why it works: the answer counts as one that could not be applied, so that the table is read whole next.

--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -233,6 +233,8 @@
             self.loaded.set()
         else:
             page = await self._store.changes(self._table, self._version, int(self.wait_s * 1000))
+            if self._version is None:
+                raise RowsNotApplied("rows of another answer, which came meanwhile")
             pages = [page]
             self._advance(page)
             if page.rows:
--- a/tests/serving/test_table_confirmation.py
+++ b/tests/serving/test_table_confirmation.py
@@ -9,7 +9,7 @@
 
 from mountstand.store.confirmation import MIN_INTERVAL_S, TableConfirmation
 from mountstand.store.memory_rows import MemoryRowStore
-from mountstand.store.rows import RowKey, RowPage, Transaction
+from mountstand.store.rows import RowKey, RowPage, StoredRow, Transaction
 from mountstand.store.watch import TableChange, TableWatcher
 from tests.stand_ins.harness import RecordingLog, eventually, run
 
@@ -145,3 +145,33 @@
             self.assertEqual({}, present)
 
         run(scenario())
+
+    def test_feed_goes_on_after_rows_that_could_not_be_applied_by_another(self) -> None:
+        """Guards against a feed that ends for good once a row of another answer fails here."""
+
+        async def scenario() -> None:
+            store = LateCheckStore()
+            store.delivered.set()
+            seen: list[str] = []
+
+            def apply(change: TableChange) -> None:
+                if broken:
+                    raise ValueError("cannot be applied")
+                seen.extend(row.key.key for row in change.rows)
+
+            broken = False
+            watcher = TableWatcher(store, TABLE, [""], apply, RecordingLog(), keep_rows=True)
+            task = asyncio.create_task(watcher.run())
+            self.addCleanup(task.cancel)
+            await eventually(watcher.loaded.is_set, "the table is read")
+            await asyncio.sleep(0.01)
+            broken = True
+            rows = [StoredRow(RowKey(TABLE, "", "w1"), store.version + 1, b"{}")]
+            version = store.version + 1
+            self.assertFalse(watcher.adopt(rows, watcher.version or 0, version, 1.0))
+            broken = False
+            await self.put(store, "w2")
+            await eventually(lambda: "w2" in seen or task.done(), "the change is seen")
+            self.assertFalse(task.done())
+
+        run(scenario())
