Refuse those who wait for the next confirming round once the store has failed one

Callers saw: at a daemon that is cut off, a 503 for a stream of unknown origin after 2.4 s (named) and 2.1 s (unnamed); eleven of twelve that came at once waited for two time-outs.

Cause: requests that come while a round of calls is under way wait for the next one, which began only once the first had run into its time-out.

Why it works: a refusal is true whether the store was asked twice or once, and callers find another daemon a second earlier. The next request begins a round of its own.

--- a/mountstand/store/confirmation.py
+++ b/mountstand/store/confirmation.py
@@ -51,10 +51,21 @@
         return await asyncio.shield(self._next)
 
     async def _run_after(self, former: asyncio.Task[bool] | None) -> bool:
-        """Make a round of calls once the ``former`` one has ended."""
+        """Make a round of calls once the ``former`` one has ended.
+
+        If that one fails while callers wait for it to end, they are told at once: the store may be
+        out of reach, and they can ask another daemon sooner than a second time-out would end.
+        """
         if former is not None and not former.done():
             await asyncio.wait([former])
+            if not _has_succeeded(former):
+                self._next = None
+                return False
             await asyncio.sleep(max(MIN_INTERVAL_S, self._daemon_count() / MAX_ROUNDS_PER_S))
         self._current, self._next = self._next, None
         rounds = (watcher.catch_up() for watcher in self._get_watchers())
         return all(await asyncio.gather(*rounds))
+
+
+def _has_succeeded(ended: asyncio.Task[bool]) -> bool:
+    return not ended.cancelled() and ended.exception() is None and ended.result()
--- a/tests/serving/test_table_confirmation.py
+++ b/tests/serving/test_table_confirmation.py
@@ -9,7 +9,7 @@
 
 from mountstand.store.confirmation import MIN_INTERVAL_S, TableConfirmation
 from mountstand.store.memory_rows import MemoryRowStore
-from mountstand.store.rows import RowKey, RowPage, StoredRow, Transaction
+from mountstand.store.rows import OutcomeUnknown, RowKey, RowPage, StoredRow, Transaction
 from mountstand.store.watch import TableChange, TableWatcher
 from tests.stand_ins.harness import RecordingLog, eventually, run
 
@@ -175,3 +175,24 @@
             self.assertFalse(task.done())
 
         run(scenario())
+
+    def test_those_who_wait_for_the_next_round_end_with_one_that_failed(self) -> None:
+        """Guards against refusals that come two time-outs late at a daemon that is cut off."""
+
+        async def scenario() -> None:
+            store = SilentFeedStore()
+            watcher = await self.watcher(store)
+            confirmation = TableConfirmation(lambda: [watcher], lambda: 1)
+            held: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            store.before_check = lambda: held
+            first = asyncio.create_task(confirmation.confirm())
+            await eventually(lambda: store.checks == 1, "the first round has begun")
+            second = asyncio.create_task(confirmation.confirm())
+            await asyncio.sleep(0)
+            held.set_exception(OutcomeUnknown("no answer in time"))
+            self.assertEqual([False, False], await asyncio.gather(first, second))
+            self.assertEqual(1, store.checks)
+            store.before_check = lambda: None
+            self.assertTrue(await confirmation.confirm())
+
+        run(scenario())
