Keep the interval between confirming rounds also where none is under way

Seen by reading: streams taken up in turn, each after the former's answer, made a round of two store calls each, as the interval was kept only by those who came while a round was under way. The design's bound (two calls in 50 ms at each daemon, 500 rounds a second of all) did not hold then.

Evidence: test_rounds_one_after_the_other_keep_their_interval: four rounds took less than three intervals before.

Why it works: a round begins an interval after the beginning of the former one, whether that has ended or not. The first one after a pause begins at once.

--- a/mountstand/store/confirmation.py
+++ b/mountstand/store/confirmation.py
@@ -34,7 +34,7 @@
     ask. Callers that come while a round of calls is under way share the next one.
     """
 
-    __slots__ = ("_current", "_daemon_count", "_get_watchers", "_next")
+    __slots__ = ("_began_s", "_current", "_daemon_count", "_get_watchers", "_next")
 
     def __init__(
         self, get_watchers: Callable[[], Sequence[TableWatcher]], daemon_count: Callable[[], int]
@@ -43,6 +43,7 @@
         self._daemon_count = daemon_count
         self._current: asyncio.Task[bool] | None = None
         self._next: asyncio.Task[bool] | None = None
+        self._began_s = float("-inf")
 
     async def confirm(self) -> bool:
         """Return whether all that the store held when this was called is known here by now."""
@@ -51,7 +52,7 @@
         return await asyncio.shield(self._next)
 
     async def _run_after(self, former: asyncio.Task[bool] | None) -> bool:
-        """Make a round of calls once the ``former`` one has ended.
+        """Make a round of calls once the ``former`` one has ended and its interval has passed.
 
         If that one fails while callers wait for it to end, they are told at once: the store may be
         out of reach, and they can ask another daemon sooner than a second time-out would end.
@@ -61,11 +62,17 @@
             if not _has_succeeded(former):
                 self._next = None
                 return False
-            await asyncio.sleep(max(MIN_INTERVAL_S, self._daemon_count() / MAX_ROUNDS_PER_S))
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(max(0.0, self._began_s + self._interval_s() - loop.time()))
+        self._began_s = loop.time()
         self._current, self._next = self._next, None
         rounds = (watcher.catch_up() for watcher in self._get_watchers())
         return all(await asyncio.gather(*rounds))
 
+    def _interval_s(self) -> float:
+        """Return the shortest time from the beginning of a round to that of the next."""
+        return max(MIN_INTERVAL_S, self._daemon_count() / MAX_ROUNDS_PER_S)
+
 
 def _has_succeeded(ended: asyncio.Task[bool]) -> bool:
     return not ended.cancelled() and ended.exception() is None and ended.result()
--- a/tests/serving/test_table_confirmation.py
+++ b/tests/serving/test_table_confirmation.py
@@ -196,3 +196,18 @@
             self.assertTrue(await confirmation.confirm())
 
         run(scenario())
+
+    def test_rounds_one_after_the_other_keep_their_interval(self) -> None:
+        """Guards against a call to the store for each of many streams taken up in turn."""
+
+        async def scenario() -> None:
+            store = SilentFeedStore()
+            watcher = await self.watcher(store)
+            confirmation = TableConfirmation(lambda: [watcher], lambda: 1)
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            for _ in range(4):
+                self.assertTrue(await confirmation.confirm())
+            self.assertTrue(loop.time() - began_s >= 3 * MIN_INTERVAL_S)
+
+        run(scenario())
