Doubt the only known software once a worker has gone that was never listed here

Cause: that such a worker may have brought an unknown software only reset since when this daemon has watched. Unnamed streams do not ask for that, and for named ones the store's rows of software count instead; these are written up to 1.25 s after a version was first listed. A worker that was listed and had been dropped as drained also counted as one that had never been listed.

With the change left out, test_only_known_software_is_not_the_only_one_once_an_unseen_worker_has_gone fails (v1 is not None).

Why it works: the table's watcher knows each row that it was ever told, so that a removal of one that never was is certain to hide a worker. For a stream's lifetime no software is the only one then. Rows that were listed, or that could not be read, bring no doubt as they go.

--- a/mountstand/serving/feeds.py
+++ b/mountstand/serving/feeds.py
@@ -101,12 +101,12 @@
             self._log.event("workers_listed", count=len(records))
             return
         for row in change.rows:
-            self._apply_row(row, now_s)
+            self._apply_row(row, now_s, unseen=row.key in change.unseen)
 
-    def _apply_row(self, row: StoredRow, now_s: float) -> None:
+    def _apply_row(self, row: StoredRow, now_s: float, *, unseen: bool) -> None:
         record = self._decode(row) if row.value is not None else None
         if record is None:
-            if self._directory.remove(row.key.key, row.version, now_s):
+            if self._directory.remove(row.key.key, row.version, now_s, unseen=unseen):
                 self._log.event("worker_removed", worker=row.key.key, version=row.version)
         elif self._directory.put(record, now_s):
             self._log.event(
--- a/mountstand/serving/software.py
+++ b/mountstand/serving/software.py
@@ -32,17 +32,25 @@
 class SoftwareHistory:
     """When workers with each software were last listed. Times are those of the local clock."""
 
-    __slots__ = ("_known_since_s", "_sighting_by_key", "_stored_since_s")
+    __slots__ = ("_known_since_s", "_sighting_by_key", "_stored_since_s", "_unseen_s")
 
     def __init__(self) -> None:
         self._sighting_by_key: dict[int, _Sighting] = {}
         self._known_since_s: float | None = None
         self._stored_since_s: float | None = None
+        self._unseen_s = float("-inf")
 
     def watch_from(self, now_s: float) -> None:
         """Note that workers may have come and gone unnoticed before ``now_s``."""
         self._known_since_s = now_s
 
+    def note_unseen(self, now_s: float) -> None:
+        """Note that a worker whose software is not known was listed until ``now_s``.
+
+        What the store tells of software comes too late for one that was listed for a moment.
+        """
+        self._unseen_s = now_s
+
     def note_stored_since(self, since_s: float) -> None:
         """Note that the store tells of all software that any daemon has seen since."""
         self._stored_since_s = since_s
@@ -80,8 +88,10 @@
     def only_software(self, services: Collection[str], since_s: float) -> int | None:
         """Return the key of the only software of ``services`` that was listed since ``since_s``.
 
-        Returns ``None`` if this daemon has seen more, or none.
+        Returns ``None`` if this daemon has seen more, or none, or may have missed one.
         """
+        if self._unseen_s >= since_s:
+            return None
         recent = self._recent(since_s)
         keys = [key for key, sighting in recent.items() if sighting.service in services]
         return keys[0] if len(keys) == 1 else None
--- a/mountstand/serving/workers.py
+++ b/mountstand/serving/workers.py
@@ -96,16 +96,17 @@
             worker.assume_restarted(now_s)
         return worker
 
-    def remove(self, worker_id: str, version: int, now_s: float) -> bool:
+    def remove(self, worker_id: str, version: int, now_s: float, *, unseen: bool = False) -> bool:
         """Mark a worker that is no longer listed as leaving; return whether that is new.
 
         Workers that still serve can vanish from the list, all of them at once if the store missed
-        some heartbeats; they are listed again one heartbeat later.
+        some heartbeats; they are listed again one heartbeat later. ``unseen`` tells that it came
+        and went without being listed here.
         """
         known = self.workers.get(worker_id)
         if known is None:
-            # It may have come and gone unnoticed, with a software that was never seen here.
-            self.software_history.watch_from(now_s)
+            if unseen:
+                self.software_history.note_unseen(now_s)
             return False
         if known.leaving_since_s is not None:
             return False
--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -34,10 +34,14 @@
 
 @dataclass(frozen=True)
 class TableChange:
-    """Rows that changed, or with ``complete`` all rows that exist."""
+    """Rows that changed, or with ``complete`` all rows that exist.
+
+    ``unseen`` are keys of rows that are gone and that were never told while they existed.
+    """
 
     rows: list[StoredRow]
     complete: bool
+    unseen: frozenset[RowKey] = frozenset()
 
 
 class RowsNotApplied(Exception):
@@ -202,9 +206,16 @@
         if self._keep_rows:
             if change.complete:
                 self._row_by_key.clear()
-            rows = [row for row in change.rows if self._is_news(row)]
-            self._row_by_key.update({row.key: row for row in rows})
-            change = TableChange(rows, change.complete)
+            rows, unseen = [], set()
+            for row in change.rows:
+                kept = self._row_by_key.get(row.key)
+                if kept is not None and kept.version >= row.version:
+                    continue
+                if row.value is None and (kept is None or kept.value is None):
+                    unseen.add(row.key)
+                self._row_by_key[row.key] = row
+                rows.append(row)
+            change = TableChange(rows, change.complete, frozenset(unseen))
         try:
             self._apply(change)
         except Exception as problem:
@@ -217,10 +228,6 @@
             )
             raise RowsNotApplied(repr(problem)) from problem
 
-    def _is_news(self, row: StoredRow) -> bool:
-        kept = self._row_by_key.get(row.key)
-        return kept is None or kept.version < row.version
-
     async def _step(self) -> bool:
         """Make one call, or a full read; returns whether anything had changed."""
         loop = asyncio.get_running_loop()
--- a/tests/serving/test_feeds.py
+++ b/tests/serving/test_feeds.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import orjson
 from testtools import TestCase
 
 from mountstand.platform.__main__ import PlatformRows
 from mountstand.serving.feeds import ConfigurationState, WorkerDirectorySync
+from mountstand.serving.software import software_key
+from mountstand.store.memory_rows import MemoryRowStore
 from mountstand.store.rows import RowKey, StoredRow
-from mountstand.store.watch import TableChange
+from mountstand.store.watch import TableChange, TableWatcher
 from tests.stand_ins.harness import Fleet, RecordingLog, run
 
 
@@ -62,3 +66,41 @@
             self.assertIn("w2", active)
 
         run(scenario())
+
+
+class UnseenWorkers(TestCase):
+    """Workers that came and went while this daemon was told nothing."""
+
+    def only_software_after(self, *rows: StoredRow) -> int | None:
+        """Return the only software after changes of one row each, which peers tell."""
+
+        async def scenario() -> int | None:
+            fleet = Fleet()
+            state = WorkerDirectorySync(PlatformRows(), fleet.directory, fleet.log)
+            watcher = TableWatcher(
+                MemoryRowStore(), "servers", [""], state.apply, fleet.log, keep_rows=True
+            )
+            watcher.adopt([self.v1_row("w0", 1)], 0, 1, 1.0)
+            history = fleet.directory.software_history
+            history.note_stored_since(float("-inf"))
+            for changed in rows:
+                self.assertTrue(watcher.adopt([changed], changed.version - 1, changed.version, 1.0))
+            now_s = asyncio.get_running_loop().time()
+            return history.only_software(["llm"], now_s - 10.0)
+
+        return run(scenario())
+
+    def v1_row(self, worker_id: str, version: int) -> StoredRow:
+        fields = orjson.loads(worker_row(worker_id, version).value or b"")
+        return row("servers", worker_id, version, {**fields, "version": "v1"})
+
+    def test_only_known_software_is_not_the_only_one_once_an_unseen_worker_has_gone(self) -> None:
+        """Guards against a stream of a worker that came and went while a daemon was cut off."""
+        self.assertIsNone(self.only_software_after(row("servers", "w1", 2, None)))
+
+    def test_workers_that_were_listed_or_unreadable_bring_no_doubt_as_they_go(self) -> None:
+        """Guards against streams that are refused each time a worker leaves."""
+        v1 = software_key("llm", "v1")
+        gone = row("servers", "w1", 3, None)
+        self.assertEqual(v1, self.only_software_after(self.v1_row("w1", 2), gone))
+        self.assertEqual(v1, self.only_software_after(row("servers", "w1", 2, b"?"), gone))
