Take a stream without length for whole only once its worker outlived its end

Cause: the end of the connection counted as the end of the stream unless a check proved within 0.25 s that the worker had crashed. What the check could not tell passed for whole: a successor at the address that accepts connections, after the process stood still; a dead worker behind a port forwarder; a leaving worker, which was not checked.

Why it works: the end counts once the worker accepts a connection, or sends on another, before a successor could be there, counted from the earliest time at which the end may have come. What nothing shows goes on after its last event.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -16,6 +16,7 @@
 from mountstand.serving.configuration import Configuration, Route, WeightedServiceChooser
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter
+from mountstand.serving.stream_ends import outlived_by_worker
 from mountstand.serving.worker import PendingPrefill, Worker
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
@@ -260,7 +261,10 @@
             await self._collect(progress, worker, connection)
         finally:
             progress.run_time_s += loop.time() - head_received_at_s
-        if response_head.ends_with_connection and await self._has_crashed(progress, worker):
+        if response_head.ends_with_connection and not await outlived_by_worker(
+            context.connections, worker, connection
+        ):
+            self._make_suspect(progress, worker)
             self._log_failed_attempt(progress, worker, "ended with its worker")
             return None
         worker.health.own.add(loop.time(), failed=False)
@@ -294,7 +298,9 @@
         output_bytes = 0
         async with asyncio.timeout(STREAM_STALL_TIMEOUT_S) as stall:
             while (chunk := await connection.read_piece()) is not None:
-                worker.last_contact_s = worker.last_data_s = loop.time()
+                received_at_s = connection.last_bytes_at_s
+                worker.last_contact_s = max(worker.last_contact_s, received_at_s)
+                worker.last_data_s = max(worker.last_data_s, received_at_s)
                 events = splitter.feed(chunk)
                 for event in events:
                     progress.texts.append(event.data.decode("utf-8", "replace"))
@@ -319,22 +325,17 @@
             resumed=bool(progress.resumed_after_id),
         )
 
-    async def _has_crashed(self, progress: ItemProgress, worker: Worker) -> bool:
-        """Return whether the worker of a stream that ended with its connection has crashed."""
-        assert progress.sent_at_s is not None
-        self._context.quarantine.note_broken(
-            worker, self._call(progress), progress.sent_at_s, progress.writing_since_s
-        )
-        return await self._context.quarantine.wait_until_checked(worker)
-
     def _record_broken_attempt(self, progress: ItemProgress, worker: Worker) -> None:
         """Count a broken or timed-out attempt against the worker and make the item a suspect."""
+        self._make_suspect(progress, worker)
+        worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
+
+    def _make_suspect(self, progress: ItemProgress, worker: Worker) -> None:
+        """Make the item a suspect if its worker is found to have crashed."""
         if progress.sent_at_s is not None:
-            call = self._call(progress)
             self._context.quarantine.note_broken(
-                worker, call, progress.sent_at_s, progress.writing_since_s
+                worker, self._call(progress), progress.sent_at_s, progress.writing_since_s
             )
-        worker.health.own.add(asyncio.get_running_loop().time(), failed=True)
 
     def _handle_error_status(
         self, progress: ItemProgress, route: Route, worker: Worker, status: int
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -16,6 +16,7 @@
 from mountstand.transport.adaptive_timeout import AdaptiveTimeout
 from mountstand.transport.forwarders import TURNED_AWAY_S
 from mountstand.transport.http_client import ClientConnection, ConnectFailed, connect
+from mountstand.transport.pauses import ProcessPauses
 
 MIN_CONNECT_TIMEOUT_S = 0.1
 MAX_CONNECT_TIMEOUT_S = 0.5
@@ -48,6 +49,7 @@
             MIN_CONNECT_TIMEOUT_S, MAX_CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_FACTOR
         )
         self._idle_limit = IdleLimit()
+        self.pauses = ProcessPauses()
 
     async def check_reachable(self, worker: Worker) -> None:
         """Raise ``ConnectFailed`` unless ``worker`` accepts a connection.
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -10,6 +10,7 @@
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
 from mountstand.serving.exchange import Exchange, Outcome, WorkerUnresponsive
+from mountstand.serving.stream_ends import outlived_by_worker
 from mountstand.serving.stream_versions import StreamVersions
 from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import ReplyKind, WorkerProtocol
@@ -176,8 +177,11 @@
             exchange.cause = "ended within an event"
             self._note_broken(exchange, worker)
             return Outcome.BROKEN_MIDWAY
-        if head.ends_with_connection and await self._has_crashed(exchange, worker):
+        if head.ends_with_connection and not await outlived_by_worker(
+            self._connections, worker, connection
+        ):
             exchange.cause = "ended with its worker"
+            self._note_broken(exchange, worker)
             return Outcome.BROKEN_MIDWAY
         responder.finish()
         return Outcome.DELIVERED
@@ -187,11 +191,6 @@
             worker, exchange.call, exchange.sent_at_s, exchange.writing_since_s
         )
 
-    async def _has_crashed(self, exchange: Exchange, worker: Worker) -> bool:
-        """Return whether the worker of a stream that ended with its connection has crashed."""
-        self._note_broken(exchange, worker)
-        return await self._quarantine.wait_until_checked(worker)
-
     async def _read_events(
         self,
         worker: Worker,
@@ -207,7 +206,7 @@
         try:
             async with asyncio.timeout(stall_timeout_s):
                 while (piece := await connection.read_piece()) is not None:
-                    worker.last_data_s = loop.time()
+                    worker.last_data_s = max(worker.last_data_s, connection.last_bytes_at_s)
                     events = splitter.feed(piece)
                     if events:
                         return events
--- a/mountstand/serving_periodic.py
+++ b/mountstand/serving_periodic.py
@@ -18,6 +18,10 @@
 PROCESS_PAUSE_THRESHOLD_S = 0.5
 """Timer delay above which the process counts as paused: it was suspended or got no CPU time."""
 
+UNREAD_THRESHOLD_S = 0.25
+"""Timer delay above which what was received may have waited unread. A pause shows in a timer but
+for ``SWEEP_INTERVAL_S`` of it, so that none of half a second is missed."""
+
 
 class PeriodicWork:
     """Runs the components of a serving process that must act at regular intervals.
@@ -54,7 +58,7 @@
         while True:
             started_s = loop.time()
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            self._check_for_pause(loop.time() - started_s - SWEEP_INTERVAL_S)
+            self._check_for_pause(started_s, loop.time())
             self._directory.sweep(loop.time())
             self._batch_scheduler.prune_placements(set(self._directory.workers))
             listed_incarnations = {
@@ -73,8 +77,14 @@
             self._queue.tick(loop.time(), self._load_sharing.hops)
             self._batch_scheduler.tick(loop.time(), self._load_sharing.hops)
 
-    def _check_for_pause(self, delay_s: float) -> None:
-        """Log a pause and call ``on_resume`` if a timer was late by more than the threshold."""
+    def _check_for_pause(self, started_s: float, now_s: float) -> None:
+        """Record a pause if a timer that was set at ``started_s`` was late.
+
+        Log it and call ``on_resume`` if it was late by more than ``PROCESS_PAUSE_THRESHOLD_S``.
+        """
+        delay_s = now_s - started_s - SWEEP_INTERVAL_S
+        if delay_s > UNREAD_THRESHOLD_S:
+            self._connections.pauses.note(started_s, now_s)
         if delay_s > PROCESS_PAUSE_THRESHOLD_S:
             self._log.event("process_paused", for_s=round(delay_s, 3))
             self._on_resume()
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -93,6 +93,9 @@
         self.last_bytes_at_s = float("-inf")
         """When bytes came last."""
 
+        self.ended_at_s = float("inf")
+        """When the peer's orderly close was read."""
+
         self.idle_since_s: float | None = None
         self.sent_at_s = 0.0
         self.keep_alive_s: float | None = None
@@ -128,6 +131,7 @@
     def eof_received(self) -> bool:
         """Note an orderly close; it ends a body that has no length."""
         self.reusable = False
+        self.ended_at_s = self._loop.time()
         if self._until_close and not self._complete:
             self._finish()
         return False
