Pass streams that may be resumed on in chunks, whatever length their worker tells

Callers saw: an answer that ended as complete after four of six events (ORDER), its other bytes where the next answer on the connection was due.

Cause: the length in the first worker's head was passed on, while another worker went on with the stream and wrote more than the first would have.

Evidence: the new test of test_unlengthed_streams (ToldLength) failed before with four events, complete; it passes.

Why it works: only the end of the last run tells where a stream ends that several runs may write.

--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -166,7 +166,9 @@
         splitter = EventSplitter()
         stall_timeout_s = self._stall_timeout_s(exchange.route)
         if not responder.started:
-            responder.start(head.status, head.headers.end_to_end(), head.length)
+            # Another run that goes on with the stream may write more or less than this one.
+            length = None if exchange.route.resumable else head.length
+            responder.start(head.status, head.headers.end_to_end(), length)
         while True:
             events = await self._read_events(worker, connection, splitter, stall_timeout_s)
             if events is None:
--- a/tests/serving/test_unlengthed_streams.py
+++ b/tests/serving/test_unlengthed_streams.py
@@ -1,4 +1,4 @@
-"""Streams whose end only the end of their connection tells, at workers that are gone by then."""
+"""Streams whose head doesn't tell where they end, or tells it of one run alone."""
 
 from __future__ import annotations
 
@@ -123,3 +123,35 @@
             self.addCleanup(server.close)
 
         self.check_whole(turn_away)
+
+
+class ToldLength(TestCase):
+    def test_length_of_the_first_run_does_not_cut_off_what_another_worker_goes_on_with(
+        self,
+    ) -> None:
+        """Guards against an answer that ends as complete ahead of its last event."""
+
+        async def scenario() -> None:
+            async def broken(request: Received, writer: asyncio.StreamWriter) -> None:
+                length = f"Content-Length: {len(WHOLE)}"
+                writer.write(head(request, "200 OK", "Content-Type: text/event-stream", length))
+                writer.write(event(1))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                reset(writer.transport)
+
+            async def wordy(request: Received, writer: asyncio.StreamWriter) -> None:
+                rest = b"".join(
+                    b"id: %d\ndata: a longer piece %d\n\n" % (number, number)
+                    for number in range(request.resume_after + 1, EVENTS + 1)
+                )
+                length = f"Content-Length: {len(rest)}"
+                writer.write(head(request, "200 OK", "Content-Type: text/event-stream", length))
+                writer.write(rest)
+
+            async with ForwarderHarness(RESUMABLE, (broken,), (wordy,)) as harness:
+                harness.fleet.directory.workers["w1"].in_flight = 1
+                _, body, complete = await harness.send_request()
+                self.assertEqual((EVENTS, True), (body.count(b"\n\n"), complete))
+
+        run(scenario())
