Let no run go on after an event that has no id

Callers saw: events that stood twice in an answer that ended as complete, and in the text of an item (ORDER).

Cause: the last id that was seen was taken for that of the last event. After an event without one, the next run went on before it; an item began anew behind its own output, after a comment too.

Why it works: an answer whose last event has no id is broken off, an item begins anew, and a comment is no event.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -60,7 +60,8 @@
     item: JobItem
     texts: list[str] = field(default_factory=list)
     last_event_id: int | None = None
-    """ID of the last complete event; the next attempt resumes after it."""
+    """ID of the last complete event, after which the next attempt resumes; ``None`` if it has none
+    or there is no output."""
 
     software_key: int | None = None
     """The software that wrote the output so far, ``None`` if there is none."""
@@ -161,9 +162,11 @@
     ) -> ItemResult | None:
         """Make one attempt; return the final result, or ``None`` if the item must be retried.
 
-        The item begins anew if other software than the worker's wrote its output so far.
+        The item begins anew if other software than the worker's wrote its output so far, or if no
+        run can go on after its last event.
         """
-        if progress.software_key not in (None, worker.software_key):
+        has_other_software = progress.software_key not in (None, worker.software_key)
+        if has_other_software or (progress.texts and progress.last_event_id is None):
             self._restart(progress, worker)
         with self._context.quarantine.running(self._call(progress), worker) as trials:
             result = await self._attempt(progress, route, worker)
@@ -303,6 +306,8 @@
                 worker.last_data_s = max(worker.last_data_s, received_at_s)
                 events = splitter.feed(chunk)
                 for event in events:
+                    if event.is_comment:
+                        continue
                     progress.texts.append(event.data.decode("utf-8", "replace"))
                     progress.last_event_id = event.event_id
                     output_bytes += len(event.raw)
--- a/mountstand/serving/events.py
+++ b/mountstand/serving/events.py
@@ -33,6 +33,11 @@
         """The values of the event's ``data`` lines, joined by line feeds."""
         return b"\n".join(DATA_LINE.findall(self.raw))
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has neither id nor data, as what only keeps a connection open."""
+        return self.event_id is None and DATA_LINE.search(self.raw) is None
+
 
 class EventSplitter:
     """Collects pieces of a body and returns the events that they complete."""
--- a/mountstand/serving/exchange.py
+++ b/mountstand/serving/exchange.py
@@ -80,6 +80,9 @@
     """The id after which a stream is resumed: of the last event sent to the caller, or before that
     the one that the caller named in its request."""
 
+    last_event_has_id: bool = True
+    """Whether the last event sent to the caller has an id; no run can go on after one without."""
+
     resumed_after_id: int | None = None
     """The event after which the latest attempt resumed the stream, ``None`` if it began anew."""
 
@@ -132,7 +135,8 @@
     @property
     def may_run_again(self) -> bool:
         """Whether the route allows another run of a request that may already have run."""
-        return self.route.repeatable and self.runs < self.route.max_attempts
+        may_go_on = self.route.repeatable and self.last_event_has_id
+        return may_go_on and self.runs < self.route.max_attempts
 
     @property
     def has_gone_on(self) -> bool:
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -230,6 +230,9 @@
 
     async def _relay_events(self, exchange: Exchange, events: list[StreamEvent]) -> None:
         for event in events:
+            if event.is_comment:
+                continue
+            exchange.last_event_has_id = event.event_id is not None
             if event.event_id is not None:
                 exchange.last_event_id = event.event_id
         exchange.end_pending_prefill()
