Count comments of an item's output towards its bound

Callers would see: a worker that sends empty events without end keeps an item for as long as it does.

Cause: since comments are passed over their bytes were not counted.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -306,11 +306,11 @@
                 worker.last_data_s = max(worker.last_data_s, received_at_s)
                 events = splitter.feed(chunk)
                 for event in events:
+                    output_bytes += len(event.raw)
                     if event.is_comment:
                         continue
                     progress.texts.append(event.data.decode("utf-8", "replace"))
                     progress.last_event_id = event.event_id
-                    output_bytes += len(event.raw)
                 if events:
                     progress.software_key = worker.software_key
                     self._note_writing(progress)
