Test take-ups where only a new call to the store tells of a version

A guard for a form that no test held: feeds silent on open connections that say nothing for good, datagrams lost, and all other daemons dead, so that the confirming call alone decides. No check changes; two steps of the former tests became methods.

--- a/tests/integration/test_out_of_step.py
+++ b/tests/integration/test_out_of_step.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 
 from tests.integration.cuttable_site import CuttableProcess, CuttableSite
 from tests.integration.test_platform_node import Answer, Process, ResolvingTestCase
@@ -76,18 +77,10 @@
             first_workers = workers_of("v1", 3)
             others = workers_of("v2", 4)
             async with CuttableSite(4, *first_workers) as site:
-                await self.check_resolve(site)
-                await asyncio.sleep(LIFETIME_S)
-                cut = site.processes[-1]
-                assert isinstance(cut, CuttableProcess)
+                cut = await self.know_lifetime(site)
                 cut.cut(datagrams)
                 await asyncio.sleep(CUT_BEFORE_S)
-                site.workers = (*first_workers, *others)
-                for worker in others:
-                    await worker.start()
-                    await site.list_worker(worker)
-                await asyncio.sleep(JOIN_S)
-                callers = await self.begin_and_break(site)
+                callers = await self.join_and_break(site, others)
                 await asyncio.gather(
                     *(self.take_up(caller, cut, names_first=names_first) for caller in callers)
                 )
@@ -99,6 +92,25 @@
 
         run(scenario())
 
+    async def know_lifetime(self, site: CuttableSite) -> CuttableProcess:
+        """Return the last process once it knows the workers of a stream's lifetime."""
+        await self.check_resolve(site)
+        await asyncio.sleep(LIFETIME_S)
+        last = site.processes[-1]
+        assert isinstance(last, CuttableProcess)
+        return last
+
+    async def join_and_break(
+        self, site: CuttableSite, workers: list[StandInWorker]
+    ) -> list[Caller]:
+        """List further workers, then begin streams and break them off."""
+        site.workers = (*site.workers, *workers)
+        for worker in workers:
+            await worker.start()
+            await site.list_worker(worker)
+        await asyncio.sleep(JOIN_S)
+        return await self.begin_and_break(site)
+
     async def check_healed(
         self, site: CuttableSite, callers: list[Caller], process: Process
     ) -> None:
@@ -115,3 +127,28 @@
     def test_unnamed_streams_are_not_joined_at_a_daemon_that_missed_a_new_version(self) -> None:
         """Guards against the same for callers that name no stream."""
         self.check_cut(names_first=False)
+
+    def test_streams_are_not_joined_where_only_a_new_call_to_the_store_tells_the_version(
+        self,
+    ) -> None:
+        """Guards against an old list that decides while feeds are silent and no peer is left."""
+
+        async def scenario() -> None:
+            others = workers_of("v2", 4)
+            async with CuttableSite(3, *workers_of("v1", 3)) as site:
+                last = await self.know_lifetime(site)
+                last.cut_file.write_text("all")
+                last.store.mute_open()
+                callers = await self.join_and_break(site, others)
+                self.assertNotEqual({}, versions_by_request(tuple(others)))
+                for process in site.processes[:-1]:
+                    process.signal(signal.SIGKILL)
+                await asyncio.gather(
+                    *(
+                        self.take_up(caller, last, names_first=number % 2 == 0)
+                        for number, caller in enumerate(callers)
+                    )
+                )
+                self.assertEqual([], self.mixed(site, callers))
+
+        run(scenario())
