Let an answer that does not hold all changes confirm nothing

Callers would see: a stream taken up at a former version while more changes are pending than one answer of the store's feed holds. Found by reading; the stand-ins' feed tells all at once, and the platform's pages name no limit for it.

Cause: a confirming call ignored that its answer said that there is more.

Evidence: test_answer_that_is_not_whole_confirms_nothing: confirmed before (True is not false).

Why it works: what the answer holds is applied, and the stream is refused; the next call goes on from there.

--- a/mountstand/store/watch.py
+++ b/mountstand/store/watch.py
@@ -120,7 +120,7 @@
         """Apply the changes that the feed has not told yet.
 
         Returns whether everything committed before this call has been applied; it has not if the
-        store does not answer.
+        store does not answer, or has more to tell than one answer holds.
         """
         began_s = asyncio.get_running_loop().time()
         if self._version is None:
@@ -142,6 +142,8 @@
                 after_s=round(asyncio.get_running_loop().time() - began_s, 3),
             )
             return False
+        if page.more:
+            return False
         self.fresh_at_s = max(self.fresh_at_s, began_s)
         return True
 
--- a/tests/serving/test_table_confirmation.py
+++ b/tests/serving/test_table_confirmation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from testtools import TestCase
 
@@ -22,6 +23,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.checks = 0
+        self.more = False
         self.before_check: Callable[[], asyncio.Future[None] | None] = lambda: None
 
     async def changes(self, table: str, after: int, wait_ms: int) -> RowPage:
@@ -31,7 +33,8 @@
         pause = self.before_check()
         if pause is not None:
             await pause
-        return await super().changes(table, after, wait_ms)
+        page = await super().changes(table, after, wait_ms)
+        return replace(page, more=self.more)
 
 
 class LateCheckStore(MemoryRowStore):
@@ -211,3 +214,18 @@
             self.assertTrue(loop.time() - began_s >= 3 * MIN_INTERVAL_S)
 
         run(scenario())
+
+    def test_answer_that_is_not_whole_confirms_nothing(self) -> None:
+        """Guards against a version among the changes that did not fit into an answer."""
+
+        async def scenario() -> None:
+            store = SilentFeedStore()
+            watcher = await self.watcher(store)
+            await self.put(store, "w1")
+            store.more = True
+            self.assertFalse(await watcher.catch_up())
+            self.assertEqual(["w1"], self.keys)
+            store.more = False
+            self.assertTrue(await watcher.catch_up())
+
+        run(scenario())
