Run a broken stream again only where the engine itself runs its version

Callers of the own interface saw: three frames of v1 and three of v2 in one stream, closed as complete (ORDER).

Cause: the list of machines alone told which version an engine runs. It lags, and a machine keeps its id as its software changes.

Evidence: two tests of test_told_software (real HTTP) failed before: v2 behind v1 at an engine that the list calls v1, and v1 behind v2 for a stream that such an engine had begun. Both pass; a third, with engines that tell nothing, passes before and after.

Why it works: an engine may name its version in the head of a stream (X-Software) and is believed before the list. Another version than the one that began the stream is broken off, cancelled, and another engine is tried.

--- a/mountstand/emulator/engine_app.py
+++ b/mountstand/emulator/engine_app.py
@@ -43,6 +43,7 @@
 
     model: str = "caption"
     version: str = "1"
+    software_version: str | None = Field(None, description="Named in answers, if set")
     slots: int = Field(16, ge=1, le=4096)
     waiting_limit: int = Field(64, ge=0)
     step_s: float = Field(0.005, gt=0.0, le=1.0)
@@ -228,13 +229,14 @@
     async def _send_stream(
         self, request: web.Request, stream: LiveStream, request_id: str, offset: int, *, chat: bool
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                "X-Request-Id": self._echoed_id(request_id),
-                "X-Load": self._load_header(),
-            }
-        )
+        headers = {
+            "Content-Type": "text/event-stream",
+            "X-Request-Id": self._echoed_id(request_id),
+            "X-Load": self._load_header(),
+        }
+        if self.settings.software_version is not None:
+            headers["X-Software"] = self.settings.software_version
+        response = web.StreamResponse(headers=headers)
         stream.readers += 1
         truncated = self.faults.draw(self.faults.plan.truncate_share)
         try:
--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -176,6 +176,9 @@
                 check_answer(machine, request, response, body)
                 raise BackendFailed(f"status {response.status} instead of a stream")
             check_echo(machine, request, response)
+            told_version = response.getheader("X-Software")
+            if request.software_version is not None and told_version is not None:
+                check_software(machine, request.software_version, told_version)
             first_bytes = self._first_bytes(connection, response, deadline_s, caller_gone)
             stream_socket = connection.sock
             assert stream_socket is not None
@@ -185,6 +188,7 @@
                 first_bytes,
                 chunked=bool(response.chunked),
                 load=load_figures(response),
+                software_version=told_version,
             )
         finally:
             connection.close()
@@ -420,3 +424,16 @@
     """Raise ``CrossedAnswer`` unless the back end echoes the dispatch id."""
     if response.getheader("X-Request-Id") != request.request_id:
         raise CrossedAnswer(machine.machine_id)
+
+
+class OtherSoftware(BackendFailed):
+    """The back end runs another version than the list of machines names; it was broken off."""
+
+    code = "other_software"
+    title = "The back end runs another version of its software"
+
+
+def check_software(machine: Machine, version: str, told_version: str) -> None:
+    """Raise ``OtherSoftware`` unless the back end runs a version of its software."""
+    if told_version != version:
+        raise OtherSoftware(f"{machine.machine_id}: {told_version} instead of {version}")
--- a/mountstand/engines/port.py
+++ b/mountstand/engines/port.py
@@ -18,7 +18,8 @@
     """One dispatch of a request to one back end.
 
     ``request_id`` is unique to the dispatch and echoed by the back end; ``label`` names the
-    caller's request or batch item across dispatches.
+    caller's request or batch item across dispatches. ``software_version`` is the version of the
+    back end's software that alone may run it, ``None`` if any may.
     """
 
     request_id: str
@@ -28,6 +29,7 @@
     priority: int
     label: str = ""
     headers: dict[str, str] = field(default_factory=dict)
+    software_version: str | None = None
 
 
 @dataclass(frozen=True)
@@ -56,12 +58,14 @@
     """A stream whose first bytes have arrived.
 
     ``first_bytes`` is encoded as the transfer encoding left it; the reader of ``socket`` decodes.
+    ``software_version`` is the version that the back end says to run, ``None`` if it doesn't.
     """
 
     socket: socket.socket
     first_bytes: bytes
     chunked: bool
     load: LoadFigures | None = None
+    software_version: str | None = None
 
 
 @dataclass(frozen=True)
@@ -105,7 +109,7 @@
     BackendRefused
         The back end says that it did not run the request.
     BackendFailed
-        The exchange broke after sending, or the answer was not ours.
+        The exchange broke after sending, or the answer was not ours or of other software.
     DeadlineExceeded
         ``timeout_s`` passed after sending.
     """
--- a/mountstand/online/dispatcher.py
+++ b/mountstand/online/dispatcher.py
@@ -16,7 +16,7 @@
 from typing import Generic, TypeVar
 
 from mountstand.clock import elapsed_s
-from mountstand.engines.http_backend import CallerLeft, CrossedAnswer
+from mountstand.engines.http_backend import CallerLeft, CrossedAnswer, OtherSoftware
 from mountstand.engines.port import BackendAnswer, BackendPort, BackendRequest, OpenStream
 from mountstand.errors import (
     BackendFailed,
@@ -169,7 +169,7 @@
                 self._learn(request, machine, dispatch.request_id, sent_at_s, error)
                 excluded = excluded | {machine.machine_id}
                 maybe_executed = maybe_executed or error.executed is not Executed.NO
-                broken += isinstance(error, BackendFailed)
+                broken += isinstance(error, BackendFailed) and not isinstance(error, OtherSoftware)
                 if broken >= MOST_BROKEN or not self._may_retry(request, error):
                     break
                 self._metrics.online_retries.labels(error.code).inc()
@@ -223,11 +223,12 @@
             self._router.set_backoff(worker_id, error.retry_after_s or REFUSED_PAUSE_S)
             self._record_backend_full(request.service)
             return
-        if isinstance(error, CallerLeft):
-            self._router.end_dispatch(worker_id, DispatchOutcome.NEUTRAL)
-        else:
+        at_fault = not isinstance(error, CallerLeft | OtherSoftware)
+        if at_fault:
             self._router.end_dispatch(worker_id, DispatchOutcome.FAILED)
-        if isinstance(error, BackendFailed) and not isinstance(error, CallerLeft):
+        else:
+            self._router.end_dispatch(worker_id, DispatchOutcome.NEUTRAL)
+        if isinstance(error, BackendFailed) and at_fault:
             self._quarantine.note_broken(machine, request.content_key, sent_at_s)
         if isinstance(error, CrossedAnswer):
             self._metrics.crossed_answers.inc()
@@ -259,6 +260,7 @@
         priority=ONLINE_PRIORITY,
         label=request.request_id,
         headers=request.headers,
+        software_version=request.software_version,
     )
 
 
--- a/mountstand/online/service.py
+++ b/mountstand/online/service.py
@@ -52,6 +52,9 @@
     sent_at_s: float
     """When it was sent to the present machine; the same clock as ``started_s``."""
 
+    software_version: str
+    """The version that writes it: as its engine told, or else as the list named it."""
+
     recoveries: int = 0
 
 
@@ -115,7 +118,13 @@
             raise
         self._metrics.first_token.observe(elapsed_s() - request.arrival_s)
         lease = StreamLease(
-            request, ticket, opened.machine, opened.request_id, started_s, sent_at_s=started_s
+            request,
+            ticket,
+            opened.machine,
+            opened.request_id,
+            started_s,
+            sent_at_s=started_s,
+            software_version=version_of(opened),
         )
         return lease, opened.result
 
@@ -227,18 +236,28 @@
         self._dispatcher.cancel(lease.machine, lease.request_id)
         again = extend_deadline(lease.request, RECOVERY_TIMEOUT_S)
         if stream.frames_relayed:
-            again = replace(again, software_version=lease.machine.software_version)
+            again = replace(again, software_version=lease.software_version)
         opened = self._dispatcher.open_stream(again, frozenset({lease.machine.machine_id}))
         self._dispatcher.end_stream(lease.machine, DispatchOutcome.FAILED)
         lease.machine = opened.machine
         lease.sent_at_s = elapsed_s()
         lease.request_id = opened.request_id
+        lease.software_version = version_of(opened)
         result = opened.result
         stream.replace_upstream(
             result.socket, result.first_bytes, result.chunked, stream.frames_relayed
         )
 
 
+def version_of(opened: Dispatched[OpenStream]) -> str:
+    """Return the version that writes a stream.
+
+    The list of machines lags, so what the engine itself tells comes first.
+    """
+    told_version = opened.result.software_version
+    return opened.machine.software_version if told_version is None else told_version
+
+
 def extend_deadline(request: OnlineRequest, time_s: float) -> OnlineRequest:
     """Return ``request`` with at least ``time_s`` left; its first token was in time already."""
     deadline_s = max(request.deadline_s, elapsed_s() + time_s)
