Count the crash behind an end without length before the request runs again

Since an answer without length that its worker did not outlive was run again before the check of the worker had ended, so that a crash could count after the next run had begun. What is read up to half a second after a pause may have come during it; a second was more than the backlog takes.

--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -184,6 +184,8 @@
         ):
             exchange.cause = "ended with its worker"
             self._note_broken(exchange, worker)
+            # A crash counts before the request may run again.
+            await self._quarantine.wait_until_checked(worker)
             return Outcome.BROKEN_MIDWAY
         responder.finish()
         return Outcome.DELIVERED
--- a/mountstand/transport/pauses.py
+++ b/mountstand/transport/pauses.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-BACKLOG_S = 1.0
+BACKLOG_S = 0.5
 """Time after a pause in which what is read may have arrived during the pause."""
 
 
