Count the trials of a bad part with the crashes before them

Callers and operators saw: four and more requests with a part that crashes workers reached workers later than 3 s after the fifth crash under it, where three may (BUDGET); a part that had been served was tried every 8 s without end.

Cause: four trials came 2, 8, 8 and 8 s after each other and a fifth after 128 s, whatever had crashed before. Nothing counted them from the fifth crash on. Repeats of a content don't count for a part, so that the fifth crash may come before the third that counts, and all trials are late.

Requests one after the other kept the rule.

Why it works: a bad part reaches eight workers, five crashes and three runs. The soon trials get what is left of them: five after three crashes, four after four, three after more; then one follows every ten minutes. Where the crashes are not all counted (repeats, a trial of which nobody knows the outcome) there are three. Service clears a part as before, and crashes and trials count anew.

--- a/mountstand/quarantine/batch_verdicts.py
+++ b/mountstand/quarantine/batch_verdicts.py
@@ -85,4 +85,4 @@
 def item_trial_at_s(suspect: Suspect) -> float:
     """Return the earliest time of an item's next trial, counted from its last crash or trial."""
     delay_s = min(MAX_TRIAL_DELAY_S, TRIAL_DELAY_S * TRIAL_BACKOFF_FACTOR**suspect.trials.count)
-    return max(suspect.last_crash_s, suspect.trials.last_at_s) + delay_s
+    return suspect.last_evidence_s + delay_s
--- a/mountstand/quarantine/part_quarantine.py
+++ b/mountstand/quarantine/part_quarantine.py
@@ -142,13 +142,18 @@
         """Suspect the parts of requests that broke when the worker with key ``worker`` crashed.
 
         Only ``new_contents``, which crashed no worker before, count, and runs that may be trials.
+        That there are others is recorded, as it leaves fewer trials.
         """
         sent_at_s: dict[int, float] = {}
+        repeated: set[int] = set()
         for content, run in run_by_content.items():
             for part in run.part_keys:
                 if content in new_contents or self.suspects.requires_trial(part):
                     sent_at_s[part] = min(run.sent_at_s, sent_at_s.get(part, run.sent_at_s))
+                else:
+                    repeated.add(part)
         self._sharing.note_worker_crash(worker, crashed_at_s, sent_at_s, now_s)
+        self._sharing.note_uncounted_crashes(repeated - sent_at_s.keys(), now_s)
 
     # Sharing with other daemons and the store
 
--- a/mountstand/quarantine/reports.py
+++ b/mountstand/quarantine/reports.py
@@ -35,7 +35,9 @@
     return [
         entry.content
         for entry in report.suspects
-        if suspects.merge(entry.content, *_evidence(entry, now_s))
+        if suspects.merge(
+            entry.content, *_evidence(entry, now_s), has_uncounted_crashes=entry.uncounted
+        )
     ]
 
 
@@ -50,6 +52,7 @@
         age_ms(now_s, suspect.served_at_s) if served else NEVER_SERVED,
         suspect.trials.count,
         age_ms(now_s, suspect.trials.last_at_s) if suspect.trials.count else 0,
+        suspect.has_uncounted_crashes,
     )
 
 
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -124,6 +124,11 @@
                 changed.append(content)
         self._publish(changed, now_s)
 
+    def note_uncounted_crashes(self, contents: Iterable[int], now_s: float) -> None:
+        """Record that a worker crashed under contents for which this crash doesn't count."""
+        changed = [each for each in contents if self.suspects.note_uncounted_crash(each)]
+        self._publish(sorted(changed), now_s)
+
     def begin_run(self, content: int, now_s: float, workload: Workload = Workload.ONLINE) -> bool:
         """Record that a content is about to be sent to a worker; return whether it may be.
 
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -143,6 +143,8 @@
             if suspect.trials.count:
                 tried_ms = now_ms - age_ms(now_s, suspect.trials.last_at_s)
                 fields["trials"] = [suspect.trials.count, tried_ms]
+            if suspect.has_uncounted_crashes:
+                fields["uncounted"] = True
             if self._keeps_served(suspect):
                 fields["served"] = now_ms - age_ms(now_s, suspect.served_at_s)
             transaction.puts.append((self._key(content), orjson.dumps(fields)))
@@ -171,7 +173,13 @@
             count, tried_ms = fields["trials"]
             trials = Trials(int(count), now_s - self._age_s(tried_ms))
         served_at_s = self._served_at_s(fields.get("served"), now_s)
-        return self._suspects.merge(content, crash_by_worker, served_at_s, trials)
+        return self._suspects.merge(
+            content,
+            crash_by_worker,
+            served_at_s,
+            trials,
+            has_uncounted_crashes=bool(fields.get("uncounted")),
+        )
 
     def _served_at_s(self, served_ms: int | None, now_s: float) -> float:
         """Return a stored time of service, ``NEVER_S`` if there is none.
--- a/mountstand/quarantine/suspect.py
+++ b/mountstand/quarantine/suspect.py
@@ -99,6 +99,9 @@
     crash_by_worker: dict[int, WorkerCrash] = field(default_factory=dict)
     served_at_s: float = NEVER_S
     trials: Trials = NO_TRIALS
+    has_uncounted_crashes: bool = False
+    """Whether more workers crashed than ``crash_by_worker`` tells. A content that crashes several
+    workers counts once for the parts of its prompt."""
 
     @property
     def is_strong(self) -> bool:
@@ -115,6 +118,11 @@
         """Time of the latest crash, ``NEVER_S`` if there is none."""
         return max((crash.at_s for crash in self.crash_by_worker.values()), default=NEVER_S)
 
+    @property
+    def is_last_trial_unclear(self) -> bool:
+        """Whether neither a crash nor a success is known since the last trial started."""
+        return self.trials.count > 0 and self.last_crash_s < self.trials.last_at_s
+
     def is_confirmed_cause(self, suspects_by_worker: Mapping[int, int]) -> bool:
         """Return whether the crashes show that the content is a cause.
 
@@ -132,17 +140,13 @@
     @property
     def trial_at_s(self) -> float:
         """Earliest time of the next trial, with a delay that grows with each trial."""
-        return self._trial_after_s(self.trials.count)
+        backoff = TRIAL_BACKOFF_FACTOR**self.trials.count
+        return self.last_evidence_s + min(INITIAL_BLOCK_S, TRIAL_DELAY_S * backoff)
 
     @property
-    def part_trial_at_s(self) -> float:
-        """Earliest time of the next trial of a prompt part after several that came soon."""
-        return self._trial_after_s(self.trials.count - 1)
-
-    def _trial_after_s(self, backoff_steps: int) -> float:
-        """Return the earliest time of a trial, counted from the last crash or trial."""
-        delay_s = min(INITIAL_BLOCK_S, TRIAL_DELAY_S * TRIAL_BACKOFF_FACTOR**backoff_steps)
-        return max(self.last_crash_s, self.trials.last_at_s) + delay_s
+    def last_evidence_s(self) -> float:
+        """Time of the latest crash or trial."""
+        return max(self.last_crash_s, self.trials.last_at_s)
 
     @property
     def _refuted_until_s(self) -> float:
@@ -150,16 +154,25 @@
         return self.served_at_s + CLOCK_TOLERANCE_S
 
     def merge(
-        self, crash_by_worker: CrashByWorker, served_at_s: float, trials: Trials = NO_TRIALS
+        self,
+        crash_by_worker: CrashByWorker,
+        served_at_s: float,
+        trials: Trials = NO_TRIALS,
+        *,
+        has_uncounted_crashes: bool = False,
     ) -> bool:
         """Merge evidence into this suspect.
 
         Returns whether crashes were added or removed, or the last success or the number of trials
-        changed. Corrected times of known crashes and trials don't count.
+        changed, or crashes that don't count became known. Corrected times of known crashes and
+        trials make no difference.
         """
-        before = (set(self.crash_by_worker), self.served_at_s, self.trials.count)
+        before = self._state()
         if served_at_s > self.served_at_s + CLOCK_TOLERANCE_S:
             self.served_at_s = served_at_s
+            self.has_uncounted_crashes = False
+        if has_uncounted_crashes and served_at_s >= self.served_at_s - CLOCK_TOLERANCE_S:
+            self.has_uncounted_crashes = True
         for worker, crash in crash_by_worker.items():
             known = self.crash_by_worker.get(worker, crash)
             self.crash_by_worker[worker] = min(crash, known, key=_crash_time)
@@ -169,7 +182,16 @@
         while len(self.crash_by_worker) > MAX_CRASHES_KEPT:
             oldest = min(self.crash_by_worker, key=lambda key: self.crash_by_worker[key].at_s)
             del self.crash_by_worker[oldest]
-        return (set(self.crash_by_worker), self.served_at_s, self.trials.count) != before
+        return self._state() != before
+
+    def _state(self) -> tuple[set[int], float, int, bool]:
+        """Return what a merge may change."""
+        return (
+            set(self.crash_by_worker),
+            self.served_at_s,
+            self.trials.count,
+            self.has_uncounted_crashes,
+        )
 
     def _drop_refuted(self) -> None:
         """Drop crashes and trials up to ``CLOCK_TOLERANCE_S`` after the last success.
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -33,7 +33,7 @@
 
 from mountstand.quarantine.batch_verdicts import BatchVerdicts, item_trial_at_s
 from mountstand.quarantine.crash_log import CrashLog
-from mountstand.quarantine.part_verdicts import PartVerdicts
+from mountstand.quarantine.part_verdicts import PartVerdicts, late_trial_at_s
 from mountstand.quarantine.suspect import (
     CLOCK_TOLERANCE_S,
     CRASHES_TO_BLOCK,
@@ -97,9 +97,7 @@
         """Verdicts on the current evidence, recomputed only after the evidence has changed."""
         if self._cached_verdicts is None:
             if self._kind is SuspectKind.PROMPT_PART:
-                self._cached_verdicts = PartVerdicts(
-                    self.by_content, self._daemon_name, self._crash_log
-                )
+                self._cached_verdicts = PartVerdicts(self.by_content, self._daemon_name)
             else:
                 self._cached_verdicts = Verdicts(self.by_content, self._daemon_name)
         return self._cached_verdicts
@@ -162,11 +160,11 @@
         ``NEVER_S`` if they are no confirmed cause together.
         """
         together = self._verdicts.confirmed_together.intersection(contents)
-        if len(together) < 2 or all(self.by_content[each].was_served for each in together):
+        if len(together) < 2:
             return NEVER_S
         if workload is Workload.BATCH and not self._batch_verdicts.are_cause_together(together):
             return NEVER_S
-        return max(self.by_content[content].part_trial_at_s for content in together)
+        return max(late_trial_at_s(self.by_content[content]) for content in together)
 
     def requires_trial(self, content: int, workload: Workload = Workload.ONLINE) -> bool:
         """Return whether a content requires a trial before it may run freely.
@@ -191,6 +189,10 @@
         if begins_again:
             return
         suspect = self.by_content[content]
+        if suspect.is_last_trial_unclear:
+            # What became of it, such as a crash known only to daemons that were killed, is not
+            # told by the crashes any more once another trial begins.
+            self.note_uncounted_crash(content)
         suspect.merge({}, NEVER_S, Trials(suspect.trials.count + 1, now_s))
         self._own_trials[content] = suspect.trials
         self._cached_verdicts = None
@@ -228,22 +230,32 @@
         crash_by_worker: CrashByWorker,
         served_at_s: float = NEVER_S,
         trials: Trials = NO_TRIALS,
+        *,
+        has_uncounted_crashes: bool = False,
     ) -> bool:
         """Merge evidence about a content; return whether it was new (see :meth:`Suspect.merge`)."""
         for worker, crash in crash_by_worker.items():
             self._crash_log.note(worker, crash.at_s)
         suspect = self.by_content.get(content)
-        if suspect is None:
-            suspect = Suspect()
-            if not suspect.merge(crash_by_worker, served_at_s, trials):
-                return False
+        is_new = suspect is None
+        suspect = suspect or Suspect()
+        if not suspect.merge(
+            crash_by_worker, served_at_s, trials, has_uncounted_crashes=has_uncounted_crashes
+        ):
+            return False
+        if is_new:
             self.by_content[content] = suspect
             self._evict_weakest()
-        elif not suspect.merge(crash_by_worker, served_at_s, trials):
-            return False
         self._cached_verdicts = None
         return True
 
+    def note_uncounted_crash(self, content: int) -> bool:
+        """Record a crash that doesn't count; return whether this was new for a suspect."""
+        suspect = self.by_content.get(content)
+        if suspect is None or not suspect.crash_by_worker:
+            return False
+        return self.merge(content, {}, suspect.served_at_s, has_uncounted_crashes=True)
+
     def note_served(self, content: int, now_s: float) -> bool:
         """Record that a content was served completely; return whether it was suspected."""
         suspect = self.by_content.get(content)
--- a/mountstand/wire/gossip.py
+++ b/mountstand/wire/gossip.py
@@ -143,6 +143,7 @@
     how long it had run the content then; ``served_ms`` is how long ago it was last served whole.
     ``trials`` is how often it was tried after it had been held back, and ``tried_ms`` how long ago
     last; a daemon that knows no trials reads an entry without them, and sends none.
+    ``uncounted`` is whether more workers ended under a prompt part than ``workers`` tells.
     """
 
     content: int
@@ -152,6 +153,7 @@
     served_ms: int = NEVER_SERVED
     trials: int = 0
     tried_ms: int = 0
+    uncounted: bool = False
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
