Claim a trial in the store before it begins

Now a daemon writes a row `trial:` + key of the suspect's row, on the condition that it is the one it knows. On a conflict it reads the row, lets that trial count, and holds the request back with the time until the next one. So one daemon alone begins a trial, whatever became of the reports. While the store gives no answer within 0.3 s, one of the daemons that answer probes tries, a second later than due; a daemon that hears none of those it knows of does not. A trial that no worker ran begins again without a claim. One write per trial, no call otherwise. The version before passes over the rows: the prefix before the last colon is neither empty nor `part:`.

Checked again after the call: stopping, quarantine, the worker allowed, the caller gone; an item: preempted, draining. The slot is freed on refusal.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -366,6 +366,18 @@
         """
         return self._context.quarantine.allows(self._call(progress), worker)
 
+    def requires_claim(self, progress: ItemProgress) -> bool:
+        """Return whether an item must claim trials before it runs."""
+        return self._context.quarantine.requires_claim(self._call(progress))
+
+    async def claim_trials(self, progress: ItemProgress) -> bool:
+        """Claim the trials that an item would begin; return whether it may begin them."""
+        return not await self._context.quarantine.claim_trials(self._call(progress))
+
+    def release_claims(self, progress: ItemProgress) -> None:
+        """Give up claims to trials that an item did not begin."""
+        self._context.quarantine.release_claims(self._call(progress))
+
     def content_name(self, progress: ItemProgress) -> str:
         """Return the name of an item's content, as the log lines of the quarantine give it."""
         return content_name(self._call(progress).content_key)
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -348,18 +348,29 @@
             if progress.wait_cause is not None or self._draining:
                 return None
             progress.preempted = False
-            progress.block_logged = False
             placement.preempt = progress.preempt
+            while self._executor.requires_claim(progress):
+                progress.wait_cause = await self._claim_trials(progress, placement.worker)
+                if progress.wait_cause is not None or self._draining or progress.preempted:
+                    return None
+            progress.block_logged = False
             async with asyncio.timeout(self._retention_left_s(route)):
                 return await self._executor.attempt(progress, route, placement.worker)
         except TimeoutError:
             return None
         finally:
+            self._executor.release_claims(progress)
             if progress.wait_cause is None:
                 progress.wait_cause = WaitCause.RETRY
                 progress.idle_since_s = asyncio.get_running_loop().time()
             self._context.batch_scheduler.release(placement)
 
+    async def _claim_trials(self, progress: ItemProgress, worker: Worker) -> WaitCause | None:
+        """Claim the trials that an item would begin; return why it may not run, if so."""
+        if not await self._executor.claim_trials(progress):
+            return WaitCause.QUARANTINE
+        return self._wait_cause_at(progress, worker)
+
     def _wait_cause_at(self, progress: ItemProgress, worker: Worker) -> WaitCause | None:
         """Return why an item that got a slot may not run at its worker, ``None`` if it may."""
         if self._executor.blocked_for_s(progress):
--- a/mountstand/membership/digest_link.py
+++ b/mountstand/membership/digest_link.py
@@ -36,12 +36,16 @@
 class MembershipReportLink(ReportLink):
     """Sends reports of crashes; ``serving`` returns the daemons that callers are sent to."""
 
-    __slots__ = ("_membership", "_serving")
+    __slots__ = ("_membership", "_registry", "_serving")
 
     def __init__(
-        self, membership: DatagramMembership, serving: Callable[[], frozenset[str]]
+        self,
+        membership: DatagramMembership,
+        registry: DaemonRegistry,
+        serving: Callable[[], frozenset[str]],
     ) -> None:
         self._membership = membership
+        self._registry = registry
         self._serving = serving
 
     def running(self) -> Collection[str]:
@@ -52,6 +56,15 @@
         """Return those of them that callers are sent to."""
         return self._serving() - {self._membership.own_name}
 
+    def answering(self) -> Collection[str]:
+        """Return the other daemons that answered their last probe, leaving ones left out."""
+        return self._membership.sound_names() - {self._membership.own_name}
+
+    def listed(self) -> Collection[str]:
+        """Return the other daemons that the store lists, whether they run or not."""
+        names = {row.name for row in self._registry.listed()}
+        return names - {self._membership.own_name}
+
     def send(self, message: QuarantineMessage, receivers: Collection[str]) -> None:
         """Send a message to daemons."""
         self._membership.send(message, receivers)
--- /dev/null
+++ b/mountstand/quarantine/claimer.py
@@ -0,0 +1,219 @@
+"""Claims trials of suspects in the store before they begin, on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import orjson
+
+from mountstand.hashing import content_name
+from mountstand.quarantine.sharing import ReportLink
+from mountstand.quarantine.stored import StoredSuspects
+from mountstand.quarantine.suspect import TRIAL_RETRY_AFTER_S
+from mountstand.quarantine.trial_claims import KnownClaims, Refusal, refusal_without_store
+from mountstand.serving.worker_protocol import Call
+from mountstand.store.rows import Conflict, StoreError, Transaction
+from mountstand.telemetry.decisions import DecisionLog
+
+CLAIM_TIMEOUT_S = 0.3
+"""How long a request waits for the store's answer to its claim."""
+
+STORE_PAUSE_S = 1.0
+"""For how long no claim is sent after one without an answer."""
+
+MAX_CLAIM_AGE_S = 1.0
+"""Age from which an answer to a claim counts no more, as after a standstill of this process.
+Much less than the time between two trials."""
+
+MAX_CLAIM_TRIES = 3
+"""Writes of one claim; a further one follows where the row was another one than expected and yet
+tells of no trial that holds this one back."""
+
+
+@dataclass(frozen=True, slots=True)
+class DueTrial:
+    """A trial that a request would begin."""
+
+    stored: StoredSuspects
+    content: int
+
+    @property
+    def claims(self) -> KnownClaims:
+        """The claims to trials of this kind of suspects."""
+        return self.stored.claims
+
+    @property
+    def name(self) -> str:
+        """The name of the suspect."""
+        return content_name(self.content)
+
+    @property
+    def number(self) -> int:
+        """The number that the trial will have."""
+        return self.claims.suspects.by_content[self.content].trials.count + 1
+
+
+class TrialClaimer:
+    """Claims the trials that requests of the daemon named ``daemon_name`` would begin.
+
+    ``on_change`` is called after claims of other daemons have added evidence.
+    """
+
+    def __init__(
+        self,
+        daemon_name: str,
+        link: ReportLink,
+        stored: StoredSuspects,
+        stored_parts: StoredSuspects,
+        log: DecisionLog,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._daemon_name = daemon_name
+        self._link = link
+        self._stored = stored
+        self._stored_parts = stored_parts
+        self._log = log
+        self._on_change = on_change
+        self._holder_by_trial: dict[DueTrial, Call] = {}
+        """Requests that claim trials or have claimed them, until these begin."""
+
+        self._store_asked_from_s = 0.0
+
+    def requires_claim(self, call: Call) -> bool:
+        """Return whether a request would begin trials that it has not claimed."""
+        return bool(self._unclaimed_trials(call))
+
+    async def claim(self, call: Call, blocked_for_s: Callable[[], float]) -> float:
+        """Claim the trials that a request would begin, all of them or none.
+
+        ``blocked_for_s`` tells how long the request is held back by what is known now. Returns 0
+        if the request may begin them, else the time after which it may be tried again. Claims
+        are kept until :meth:`note_begun` or :meth:`release`.
+        """
+        trials = self._unclaimed_trials(call)
+        if any(trial in self._holder_by_trial for trial in trials):
+            return TRIAL_RETRY_AFTER_S
+        self._holder_by_trial |= dict.fromkeys(trials, call)
+        refusal: Refusal | None = Refusal("given up", TRIAL_RETRY_AFTER_S)
+        try:
+            refusal = await self._claim(trials, call, blocked_for_s)
+        finally:
+            if refusal is not None:
+                self.release(call)
+        if refusal is None:
+            return 0.0
+        self._log_refusal(trials, call, refusal)
+        return refusal.retry_after_s
+
+    def note_begun(self, call: Call) -> None:
+        """Record that the claimed trials of a request begin."""
+        for trial in self._held_by(call):
+            trial.claims.note_begun(trial.content)
+            del self._holder_by_trial[trial]
+
+    def release(self, call: Call) -> None:
+        """Let other requests of this daemon begin the trials that a request has claimed."""
+        for trial in self._held_by(call):
+            del self._holder_by_trial[trial]
+
+    def _held_by(self, call: Call) -> list[DueTrial]:
+        return [trial for trial, holder in self._holder_by_trial.items() if holder is call]
+
+    def _unclaimed_trials(self, call: Call) -> list[DueTrial]:
+        keys = [(self._stored_parts, part) for part in dict.fromkeys(call.prompt.shared_keys)]
+        found = []
+        for stored, content in [*keys, (self._stored, call.content_key)]:
+            trial = DueTrial(stored, content)
+            suspects = trial.claims.suspects
+            if not suspects.requires_trial(content, call.workload):
+                continue
+            is_claimed = self._holder_by_trial.get(trial) is call
+            if not is_claimed and not suspects.is_trial_open(content, call.workload):
+                found.append(trial)
+        return found
+
+    async def _claim(
+        self, trials: list[DueTrial], call: Call, blocked_for_s: Callable[[], float]
+    ) -> Refusal | None:
+        """Return why the trials may not begin, ``None`` if they may."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        if began_s < self._store_asked_from_s:
+            return self._refusal_without_store(trials, call)
+        try:
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
+                refusal = await self._claim_in_store(trials, call, blocked_for_s)
+        except (StoreError, TimeoutError) as error:
+            self._store_asked_from_s = loop.time() + STORE_PAUSE_S
+            self._log.event("claim_unanswered", cause=repr(error), request=call.request_id)
+            return self._refusal_without_store(trials, call)
+        if refusal is None and loop.time() > began_s + MAX_CLAIM_AGE_S:
+            # This process stood still, and another daemon may have claimed the next trial.
+            return Refusal("late", TRIAL_RETRY_AFTER_S)
+        return refusal
+
+    async def _claim_in_store(
+        self, trials: list[DueTrial], call: Call, blocked_for_s: Callable[[], float]
+    ) -> Refusal | None:
+        for _ in range(MAX_CLAIM_TRIES):
+            if any([trial.claims.merge(trial.content) for trial in trials]):
+                self._on_change()
+            if held_back_for_s := blocked_for_s():
+                return Refusal("tried by another daemon", held_back_for_s)
+            try:
+                await self._write(trials)
+            except Conflict:
+                for trial in trials:
+                    await trial.stored.read_claim(trial.content)
+                continue
+            for trial in trials:
+                self._log.event(
+                    "trial_claimed",
+                    suspect=trial.claims.row_prefix + trial.name,
+                    request=call.request_id,
+                    trials=trial.number,
+                )
+            return None
+        return Refusal("claimed by others", TRIAL_RETRY_AFTER_S)
+
+    async def _write(self, trials: list[DueTrial]) -> None:
+        """Write claims to trials where their rows are the known ones. Raises ``StoreError``."""
+        transaction = Transaction()
+        token = secrets.token_hex(8)
+        now_ms = self._stored.store_now_ms()
+        for trial in trials:
+            trial.claims.note_claiming(trial.content, token)
+            key = trial.stored.claim_key(trial.content)
+            fields = {"trial": trial.number, "at": now_ms, "by": self._daemon_name, "token": token}
+            transaction.conditions.append((key, trial.claims.version(trial.content)))
+            transaction.puts.append((key, orjson.dumps(fields)))
+        await self._stored.store.commit(transaction)
+
+    def _refusal_without_store(self, trials: list[DueTrial], call: Call) -> Refusal | None:
+        now_s = asyncio.get_running_loop().time()
+        due_s = max(
+            trial.claims.suspects.trial_at_s(trial.content, call.workload) for trial in trials
+        )
+        first_name = min(trial.name for trial in trials)
+        refusal = refusal_without_store(
+            first_name,
+            self._daemon_name,
+            self._link.answering(),
+            self._link.listed(),
+            now_s - due_s,
+        )
+        if refusal is None:
+            self._log.event("trial_unclaimed", suspect=first_name, request=call.request_id)
+        return refusal
+
+    def _log_refusal(self, trials: list[DueTrial], call: Call, refusal: Refusal) -> None:
+        self._log.event(
+            "trial_refused",
+            suspects=[trial.claims.row_prefix + trial.name for trial in trials],
+            request=call.request_id,
+            cause=refusal.cause,
+            for_s=round(refusal.retry_after_s, 1),
+        )
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -12,6 +12,7 @@
 from contextlib import contextmanager
 
 from mountstand.hashing import content_name
+from mountstand.quarantine.claimer import TrialClaimer
 from mountstand.quarantine.part_quarantine import PartQuarantine
 from mountstand.quarantine.separation import SuspectSeparation
 from mountstand.quarantine.sharing import (
@@ -54,6 +55,8 @@
         metrics: ServingMetrics,
         log: DecisionLog,
     ) -> None:
+        self._daemon_name = daemon_name
+        self._link = link
         self._crash_detector = crash_detector
         self._metrics = metrics
         self._log = log
@@ -63,6 +66,7 @@
         self._separation = SuspectSeparation(self.suspects)
         self.parts = PartQuarantine(daemon_name, link, rng, log)
         self._stored: StoredSuspects | None = None
+        self._claimer: TrialClaimer | None = None
         self.on_blocked: Callable[[int], None] = lambda content: None
         self._wake_event = asyncio.Event()
         crash_detector.observers.append(self)
@@ -133,17 +137,40 @@
             return False
         return self.suspects.requires_trial(call.content_key, call.workload)
 
+    def requires_claim(self, call: Call) -> bool:
+        """Return whether a request must claim trials before it is sent (:meth:`claim_trials`)."""
+        if self._claimer is None or not (self.suspects or self.parts.suspects):
+            return False
+        return self._claimer.requires_claim(call)
+
+    async def claim_trials(self, call: Call) -> float:
+        """Claim the trials that a request would begin, so that no other daemon begins them.
+
+        Returns 0 if it may be sent, as far as :meth:`blocked_for_s`, :meth:`allows` and
+        :meth:`requires_claim` still say so, else the time after which it may be tried again.
+        Call :meth:`release_claims` if it is not sent.
+        """
+        assert self._claimer is not None
+        return await self._claimer.claim(call, lambda: self.blocked_for_s(call))
+
+    def release_claims(self, call: Call) -> None:
+        """Let other requests begin the trials that a request has claimed and did not begin."""
+        if self._claimer is not None:
+            self._claimer.release(call)
+
     @contextmanager
     def running(self, call: Call, worker: Worker) -> Iterator[StartedTrials]:
         """Track the run of a strong suspect, so that this daemon sends no other one to the worker.
 
         Enter it right after :meth:`blocked_for_s` and :meth:`allows`, without awaiting in between.
         If the content or a part requires a trial, the trial starts here and blocks it on all
-        daemons. Yields the trials that started.
+        daemons; it was claimed before (:meth:`claim_trials`). Yields the trials that started.
         """
         worker_id = worker.record.worker_id
         now_s = asyncio.get_running_loop().time()
         trials = StartedTrials()
+        if self._claimer is not None:
+            self._claimer.note_begun(call)
         trials.add(self.parts.suspects, self.parts.begin_trials(call, worker_id, now_s))
         if self.requires_trial(call):
             self._begin_trial(call, worker_id)
@@ -204,8 +231,12 @@
         """Persist suspects in the store, and merge what other daemons have stored."""
         self._stored = stored
         stored.on_change = self._note_stored
-        if stored_parts is not None:
-            self.parts.attach_store(stored_parts, self._note_stored)
+        if stored_parts is None:
+            return
+        self.parts.attach_store(stored_parts, self._note_stored)
+        self._claimer = TrialClaimer(
+            self._daemon_name, self._link, stored, stored_parts, self._log, self._note_stored
+        )
 
     def handle(self, sender: str, message: QuarantineMessage) -> None:
         """Merge a report from another daemon, or answer its query."""
--- a/mountstand/quarantine/sharing.py
+++ b/mountstand/quarantine/sharing.py
@@ -60,6 +60,14 @@
     def serving(self) -> Collection[str]:
         """Return those of the running daemons to which callers are routed."""
 
+    def answering(self) -> Collection[str]:
+        """Return those of the running daemons that answered their last probe."""
+        return self.running()
+
+    def listed(self) -> Collection[str]:
+        """Return the names of all other daemons that are known, whether they run or not."""
+        return self.running()
+
     @abstractmethod
     def send(self, message: QuarantineMessage, receivers: Collection[str]) -> None:
         """Send a message to daemons, without guarantee of delivery."""
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -2,7 +2,9 @@
 
 Weak suspects, with a single worker crash, are numerous and mostly innocent, and are not stored. A
 row holds all crashes of one content known to its writer, and the last write wins. The row of a
-prompt part that was served stays without crashes, since it shows that the part is sound.
+prompt part that was served stays without crashes, since it shows that the part is sound. Claims to
+trials have rows of their own (:mod:`mountstand.quarantine.trial_claims`), which are removed with
+the suspect's row.
 """
 
 from __future__ import annotations
@@ -17,6 +19,7 @@
 from mountstand.quarantine.reports import age_ms
 from mountstand.quarantine.suspect import NEVER_S, NO_TRIALS, Suspect, Trials, WorkerCrash
 from mountstand.quarantine.suspects import CrashSuspects
+from mountstand.quarantine.trial_claims import KnownClaims, TrialClaim
 from mountstand.store.rows import (
     DECODE_ERRORS,
     RowKey,
@@ -63,8 +66,9 @@
     ) -> None:
         self._row_prefix = row_prefix
         self._suspects = suspects
-        self._store = store
-        self._store_now_ms = store_now_ms
+        self.store = store
+        self.store_now_ms = store_now_ms
+        self.claims = KnownClaims(suspects, row_prefix)
         self._log = log
         self._stored_contents: set[int] = set()
         self._pending_writes: set[int] = set()
@@ -77,7 +81,7 @@
         Does nothing for weak suspects without a row, or if the table has no room for a new row.
         """
         new_row = self._suspects.is_strong(content) and len(self._stored_contents) < MAX_ROWS
-        if new_row or content in self._stored_contents:
+        if new_row or content in self._stored_contents or content in self.claims:
             self._pending_writes.add(content)
             self._write_requested.set()
 
@@ -85,14 +89,16 @@
         """Merge changed rows; a complete change replaces the set of known rows."""
         if change.complete:
             self._stored_contents.clear()
+            self.claims.clear()
         now_s = asyncio.get_running_loop().time()
         changed = False
         for row in change.rows:
             prefix, separator, name = row.key.key.rpartition(":")
-            if prefix + separator != self._row_prefix:
-                continue
             try:
-                changed = self._merge_row(int(name, 16), row, now_s) or changed
+                if prefix + separator == self._row_prefix:
+                    changed = self._merge_row(int(name, 16), row, now_s) or changed
+                elif prefix + separator == self.claims.row_prefix:
+                    changed = self._merge_claim(int(name, 16), row, now_s) or changed
             except DECODE_ERRORS as error:
                 self._log.event("suspect_unreadable", key=row.key.key, cause=repr(error))
         if changed:
@@ -100,9 +106,19 @@
 
     def contents_with_stale_row(self) -> list[int]:
         """Return contents that have a row but are no longer suspected."""
-        return [
-            content for content in self._stored_contents if content not in self._suspects.by_content
-        ]
+        stale = self._stored_contents - self._suspects.by_content.keys()
+        return [*stale, *self.claims.stale(asyncio.get_running_loop().time())]
+
+    async def read_claim(self, content: int) -> None:
+        """Read the claim to a content's trial, and merge it. Raises ``StoreError``."""
+        key = self.claim_key(content)
+        page = await self.store.read(key.table, key.part, key.key, key.key + "\x00")
+        self.claims.note_removed(content)
+        self.apply(TableChange(page.rows, complete=False))
+
+    def claim_key(self, content: int) -> RowKey:
+        """Return the key of the row with the claim to a content's trial."""
+        return RowKey(SUSPECTS_TABLE, "", self.claims.row_prefix + content_name(content))
 
     async def run(self) -> None:
         """Perform scheduled writes, until cancelled."""
@@ -125,12 +141,14 @@
 
     async def _write(self, contents: list[int]) -> None:
         transaction = Transaction()
-        now_ms = self._store_now_ms()
+        now_ms = self.store_now_ms()
         now_s = asyncio.get_running_loop().time()
         for content in contents:
             suspect = self._suspects.by_content.get(content)
             if suspect is None or not (suspect.crash_by_worker or self._keeps_served(suspect)):
                 transaction.removals.append(self._key(content))
+                if content in self.claims:
+                    transaction.removals.append(self.claim_key(content))
                 continue
             crashes = {
                 str(worker): [
@@ -150,7 +168,7 @@
             transaction.puts.append((self._key(content), orjson.dumps(fields)))
         self._pending_writes.difference_update(contents)
         try:
-            await self._store.commit(transaction)
+            await self.store.commit(transaction)
         except StoreError:
             self._pending_writes.update(contents)
             raise
@@ -181,6 +199,14 @@
             has_uncounted_crashes=bool(fields.get("uncounted")),
         )
 
+    def _merge_claim(self, content: int, row: StoredRow, now_s: float) -> bool:
+        if row.value is None:
+            self.claims.note_removed(content)
+            return False
+        fields = orjson.loads(row.value)
+        trials = Trials(int(fields["trial"]), now_s - self._age_s(fields["at"]))
+        return self.claims.note_row(content, row.version, TrialClaim(trials, str(fields["token"])))
+
     def _served_at_s(self, served_ms: int | None, now_s: float) -> float:
         """Return a stored time of service, ``NEVER_S`` if there is none.
 
@@ -189,14 +215,14 @@
         if served_ms is None:
             return NEVER_S
         try:
-            return now_s - max(0.0, (self._store_now_ms() - served_ms) / 1000)
+            return now_s - max(0.0, (self.store_now_ms() - served_ms) / 1000)
         except StoreError:
             return NEVER_S
 
     def _age_s(self, at_ms: int) -> float:
         """Return the age of a stored time, 0 while the store's clock is unknown."""
         try:
-            return max(0.0, (self._store_now_ms() - at_ms) / 1000)
+            return max(0.0, (self.store_now_ms() - at_ms) / 1000)
         except StoreError:
             return 0.0
 
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -134,6 +134,7 @@
             exchange.cause = "deadline"
             self._end_unsuccessfully(exchange)
         finally:
+            self._quarantine.release_claims(call)
             if exchange.runs == 0:
                 on_not_run()
             self._log.request_ended(exchange, received_at_s, loop.time(), caller_gone)
@@ -160,20 +161,9 @@
             return
         worker = await self._wait_for_worker(exchange, received_at_s)
         while not exchange.responder.finished:
-            if self._reject_if_stopping(exchange, worker):
-                return
-            if self._reject_if_quarantined(exchange, worker):
-                return
+            worker = await self._admit(exchange, worker)
             if worker is None:
-                exchange.cause = exchange.cause or _no_worker_cause(exchange)
-                self._end_unsuccessfully(exchange)
                 return
-            allowed_worker = self._prefer_allowed_worker(exchange, worker)
-            if allowed_worker is None:
-                # A trial must run apart from other suspects, and no worker is free of them.
-                self._reject_quarantined(exchange, worker, TRIAL_RETRY_AFTER_S)
-                return
-            worker = allowed_worker
             with self._quarantine.running(exchange.call, worker) as trials:
                 outcome = await self._attempt(exchange, worker)
             self._record_outcome(exchange, worker, outcome)
@@ -194,6 +184,50 @@
                 await self._quarantine.wait_until_checked(worker)
             worker = await self._choose_worker(exchange)
 
+    async def _admit(self, exchange: Exchange, worker: Worker | None) -> Worker | None:
+        """Return the worker to which a request may be sent now, ``None`` if it was rejected.
+
+        ``worker`` is the worker at which it holds a slot. After trials were claimed, which takes a
+        call to the store, all is checked again.
+        """
+        while True:
+            if self._reject_if_stopping(exchange, worker):
+                return None
+            if self._reject_if_quarantined(exchange, worker):
+                return None
+            if worker is None:
+                exchange.cause = exchange.cause or _no_worker_cause(exchange)
+                self._end_unsuccessfully(exchange)
+                return None
+            allowed_worker = self._prefer_allowed_worker(exchange, worker)
+            if allowed_worker is None:
+                # A trial must run apart from other suspects, and no worker is free of them.
+                self._reject_quarantined(exchange, worker, TRIAL_RETRY_AFTER_S)
+                return None
+            worker = allowed_worker
+            if not self._quarantine.requires_claim(exchange.call):
+                return worker
+            if not await self._claim_trials(exchange, worker):
+                return None
+
+    async def _claim_trials(self, exchange: Exchange, worker: Worker) -> bool:
+        """Claim the trials that a request would begin at a worker; return whether it may go on.
+
+        If it may not, it is rejected and its slot at the worker is freed.
+        """
+        try:
+            refused_for_s = await self._quarantine.claim_trials(exchange.call)
+        except BaseException:
+            self._free_slot(worker)
+            raise
+        if refused_for_s:
+            self._reject_quarantined(exchange, worker, refused_for_s)
+            return False
+        if exchange.responder.finished:
+            self._free_slot(worker)
+            return False
+        return True
+
     async def _bind_taken_up_stream(self, exchange: Exchange) -> bool:
         """Bind a stream that the caller takes up to the software that began it.
 
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -157,7 +157,7 @@
         self.quarantine = RequestQuarantine(
             settings.name,
             WorkerCrashDetector(self.connections, metrics, log),
-            MembershipReportLink(self.membership, lambda: self.load_sharing.serving),
+            MembershipReportLink(self.membership, self.registry, lambda: self.load_sharing.serving),
             rng,
             metrics,
             log,
