Let a cancelled feed of the in-memory store end

What was seen: a test of trial claims hung as its loop closed, in the wait for cancelled tasks (stack taken). Cause: `asyncio.wait_for` of Python 3.11 drops a cancellation that comes as its inner wait is over, so that the watcher goes on for good, on a paused clock without any pause. A time-out scope passes it on. Only tests use this store; that an earlier unexplained hang of a test run met the same is suspected.

--- a/mountstand/store/memory_rows.py
+++ b/mountstand/store/memory_rows.py
@@ -103,7 +103,8 @@
                 return RowPage(rows, False, self.version, self._now_ms())
             changed = self._changed
             try:
-                await asyncio.wait_for(changed.wait(), left_s)
+                async with asyncio.timeout(left_s):
+                    await changed.wait()
             except TimeoutError:
                 continue
 
--- a/tests/contract/test_row_store.py
+++ b/tests/contract/test_row_store.py
@@ -254,3 +254,24 @@
     store.fault = lambda call: ""
     await store.commit(put(KEY, value))
     store.fault = fault
+
+
+class CancelledFeed(TestCase):
+    def test_feed_that_is_cancelled_as_a_change_comes_ends(self) -> None:
+        """Guards against a watcher that its cancellation does not end."""
+
+        async def scenario(steps: int) -> None:
+            store = MemoryRowStore()
+            feed = asyncio.create_task(store.changes(KEY.table, 0, 5000))
+            await asyncio.sleep(0.01)
+            store.apply(put(KEY, b"1"))
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            if feed.done():
+                return
+            feed.cancel()
+            await asyncio.wait([feed])
+            self.assertTrue(feed.cancelled(), steps)
+
+        for steps in range(5):
+            run(scenario(steps))
