--- a/mountstand/quarantine/claimer.py
+++ b/mountstand/quarantine/claimer.py
@@ -13,14 +13,16 @@
 from mountstand.quarantine.sharing import ReportLink
 from mountstand.quarantine.stored import StoredSuspects
 from mountstand.quarantine.suspect import TRIAL_RETRY_AFTER_S
-from mountstand.quarantine.trial_claims import KnownClaims, Refusal, refusal_without_store
+from mountstand.quarantine.trial_claims import (
+    CLAIM_TIMEOUT_S,
+    KnownClaims,
+    Refusal,
+    refusal_without_store,
+)
 from mountstand.serving.worker_protocol import Call
 from mountstand.store.rows import Conflict, StoreError, Transaction
 from mountstand.telemetry.decisions import DecisionLog
 
-CLAIM_TIMEOUT_S = 0.3
-"""How long a request waits for the store's answer to its claim."""
-
 STORE_PAUSE_S = 1.0
 """For how long no claim is sent after one without an answer."""
 
--- a/mountstand/quarantine/trial_claims.py
+++ b/mountstand/quarantine/trial_claims.py
@@ -19,6 +19,7 @@
     INITIAL_BLOCK_S,
     NEVER_S,
     SUSPECT_RETENTION_S,
+    TRIAL_JITTER_S,
     TRIAL_RETRY_AFTER_S,
     Trials,
 )
@@ -29,9 +30,12 @@
 """Precedes the key of a suspect's row in the key of its claim. Former versions of this program pass
 over these rows."""
 
-UNCLAIMED_DELAY_S = 1.0
+CLAIM_TIMEOUT_S = 0.3
+"""How long a request waits for the store's answer to its claim."""
+
+UNCLAIMED_DELAY_S = TRIAL_JITTER_S + CLAIM_TIMEOUT_S
 """How much later than it is due a trial begins without a claim, so that daemons that reach the
-store come first. Reports of their trial have arrived by then."""
+store come first."""
 
 CLAIM_RETENTION_S = INITIAL_BLOCK_S + SUSPECT_RETENTION_S
 """How long a claim is kept whose suspect is unknown here: other daemons may know it."""
--- a/tests/quarantine/test_trial_claims.py
+++ b/tests/quarantine/test_trial_claims.py
@@ -8,12 +8,13 @@
 
 from testtools import TestCase
 
-from mountstand.quarantine.claimer import CLAIM_TIMEOUT_S, STORE_PAUSE_S
+from mountstand.quarantine.claimer import STORE_PAUSE_S
 from mountstand.quarantine.suspect import NEVER_S, TRIAL_DELAY_S, TRIAL_JITTER_S, Trials
 from mountstand.quarantine.suspects import CrashSuspects
 from mountstand.quarantine.trial_claims import (
     CLAIM_RETENTION_S,
     CLAIM_ROW_PREFIX,
+    CLAIM_TIMEOUT_S,
     UNCLAIMED_DELAY_S,
     KnownClaims,
     TrialClaim,
@@ -29,8 +30,6 @@
 WITH_PART = replace(CULPRIT, prompt=PROMPT)
 ITEM = replace(WITH_PART, workload=Workload.BATCH)
 CULPRIT_ITEM = replace(CULPRIT, workload=Workload.BATCH)
-SETTLING_S = 0.5
-"""Time in which rows written before have reached all daemons."""
 
 
 class ClaimsTestCase(NetworkTestCase):
@@ -118,7 +117,6 @@
             daemon = network.by_name["a"]
             calls = [replace(WITH_PART, request_id=f"r{n}") for n in range(3)]
             ran = await asyncio.gather(*(self.begins_trial(daemon, call) for call in calls))
-            await asyncio.sleep(SETTLING_S)
             self.assertEqual(1, sum(ran))
 
         self.run_on_network(work)
@@ -164,7 +162,6 @@
             await asyncio.sleep(0.5)
             next_call = replace(WITH_PART, request_id="next")
             begun = await self.begins_trial(network.by_name["a"], next_call)
-            await asyncio.sleep(SETTLING_S)
             self.assertTrue(begun)
 
         self.run_on_network(work)
