--- a/mountstand/quarantine/claimer.py
+++ b/mountstand/quarantine/claimer.py
@@ -128,10 +128,10 @@
         keys = [(self._stored_parts, part) for part in dict.fromkeys(call.prompt.shared_keys)]
         found = []
         for stored, content in [*keys, (self._stored, call.content_key)]:
-            trial = DueTrial(stored, content)
-            suspects = trial.claims.suspects
+            suspects = stored.claims.suspects
             if not suspects.requires_trial(content, call.workload):
                 continue
+            trial = DueTrial(stored, content)
             is_claimed = self._holder_by_trial.get(trial) is call
             if not is_claimed and not suspects.is_trial_open(content, call.workload):
                 found.append(trial)
