Let a claim to a trial keep others off for a moment, and be no trial

Callers would see: a sound part that is suspected is held back for ten minutes without one trial while the store is slow or loses answers; without the store nobody tries where the daemon to come first has no callers.

Cause: a claim counted as a trial for the other daemons. One that is stored but answered late (0.3 s) or never is not used, and five of them used up the trials of a part. Without the store, one daemon alone was to try, also if it had no callers, and a daemon that heard no other one never did.

Why it works: a claim keeps others off for 1.5 s. A trial that has begun is told by the suspect's own row, which is written as it begins and read with the claim on a conflict, and before another's claim is passed over. Without the store daemons take turns of 1 s, and one that hears nobody tries after 3 s.

--- a/mountstand/quarantine/claimer.py
+++ b/mountstand/quarantine/claimer.py
@@ -55,14 +55,12 @@
     @property
     def number(self) -> int:
         """The number that the trial will have."""
-        return self.claims.suspects.by_content[self.content].trials.count + 1
+        suspect = self.claims.suspects.by_content.get(self.content)
+        return suspect.trials.count + 1 if suspect is not None else 1
 
 
 class TrialClaimer:
-    """Claims the trials that requests of the daemon named ``daemon_name`` would begin.
-
-    ``on_change`` is called after claims of other daemons have added evidence.
-    """
+    """Claims the trials that requests of the daemon named ``daemon_name`` would begin."""
 
     def __init__(
         self,
@@ -71,18 +69,18 @@
         stored: StoredSuspects,
         stored_parts: StoredSuspects,
         log: DecisionLog,
-        on_change: Callable[[], None],
     ) -> None:
         self._daemon_name = daemon_name
         self._link = link
         self._stored = stored
         self._stored_parts = stored_parts
         self._log = log
-        self._on_change = on_change
         self._holder_by_trial: dict[DueTrial, Call] = {}
         """Requests that claim trials or have claimed them, until these begin."""
 
         self._store_asked_from_s = 0.0
+        self._waited_since_s: dict[str, float] = {}
+        """When a request first had no answer of the store to its claim, by the suspect's name."""
 
     def requires_claim(self, call: Call) -> bool:
         """Return whether a request would begin trials that it has not claimed."""
@@ -114,6 +112,7 @@
         """Record that the claimed trials of a request begin."""
         for trial in self._held_by(call):
             trial.claims.note_begun(trial.content)
+            self._waited_since_s.pop(trial.name, None)
             del self._holder_by_trial[trial]
 
     def release(self, call: Call) -> None:
@@ -160,17 +159,26 @@
     async def _claim_in_store(
         self, trials: list[DueTrial], call: Call, blocked_for_s: Callable[[], float]
     ) -> Refusal | None:
+        has_read = False
         for _ in range(MAX_CLAIM_TRIES):
-            if any([trial.claims.merge(trial.content) for trial in trials]):
-                self._on_change()
             if held_back_for_s := blocked_for_s():
                 return Refusal("tried by another daemon", held_back_for_s)
+            now_s = asyncio.get_running_loop().time()
+            if held_for_s := max(trial.claims.held_for_s(trial.content, now_s) for trial in trials):
+                return Refusal("claimed by another daemon", held_for_s)
+            claimed = any(trial.claims.is_claimed_by_other(trial.content) for trial in trials)
+            if claimed and not has_read:
+                # Its row tells whether the trial of that claim has begun.
+                await self._read(trials)
+                has_read = True
+                continue
             try:
                 await self._write(trials)
             except Conflict:
-                for trial in trials:
-                    await trial.stored.read_claim(trial.content)
+                await self._read(trials)
+                has_read = True
                 continue
+            self._waited_since_s.clear()
             for trial in trials:
                 self._log.event(
                     "trial_claimed",
@@ -181,6 +189,11 @@
             return None
         return Refusal("claimed by others", TRIAL_RETRY_AFTER_S)
 
+    async def _read(self, trials: list[DueTrial]) -> None:
+        """Read the rows and claims of suspects. Raises ``StoreError``."""
+        for trial in trials:
+            await trial.stored.read_row_and_claim(trial.content)
+
     async def _write(self, trials: list[DueTrial]) -> None:
         """Write claims to trials where their rows are the known ones. Raises ``StoreError``."""
         transaction = Transaction()
@@ -200,12 +213,14 @@
             trial.claims.suspects.trial_at_s(trial.content, call.workload) for trial in trials
         )
         first_name = min(trial.name for trial in trials)
+        waited_since_s = self._waited_since_s.setdefault(first_name, now_s)
         refusal = refusal_without_store(
             first_name,
             self._daemon_name,
             self._link.answering(),
             self._link.listed(),
             now_s - due_s,
+            now_s - max(due_s, waited_since_s),
         )
         if refusal is None:
             self._log.event("trial_unclaimed", suspect=first_name, request=call.request_id)
--- a/mountstand/quarantine/service.py
+++ b/mountstand/quarantine/service.py
@@ -234,9 +234,7 @@
         if stored_parts is None:
             return
         self.parts.attach_store(stored_parts, self._note_stored)
-        self._claimer = TrialClaimer(
-            self._daemon_name, self._link, stored, stored_parts, self._log, self._note_stored
-        )
+        self._claimer = TrialClaimer(self._daemon_name, self._link, stored, stored_parts, self._log)
 
     def handle(self, sender: str, message: QuarantineMessage) -> None:
         """Merge a report from another daemon, or answer its query."""
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -98,7 +98,7 @@
                 if prefix + separator == self._row_prefix:
                     changed = self._merge_row(int(name, 16), row, now_s) or changed
                 elif prefix + separator == self.claims.row_prefix:
-                    changed = self._merge_claim(int(name, 16), row, now_s) or changed
+                    self._take_claim(int(name, 16), row, now_s)
             except DECODE_ERRORS as error:
                 self._log.event("suspect_unreadable", key=row.key.key, cause=repr(error))
         if changed:
@@ -109,12 +109,13 @@
         stale = self._stored_contents - self._suspects.by_content.keys()
         return [*stale, *self.claims.stale(asyncio.get_running_loop().time())]
 
-    async def read_claim(self, content: int) -> None:
-        """Read the claim to a content's trial, and merge it. Raises ``StoreError``."""
-        key = self.claim_key(content)
-        page = await self.store.read(key.table, key.part, key.key, key.key + "\x00")
-        self.claims.note_removed(content)
-        self.apply(TableChange(page.rows, complete=False))
+    async def read_row_and_claim(self, content: int) -> None:
+        """Read a content's row and the claim to its trial. Raises ``StoreError``."""
+        for key in (self._key(content), self.claim_key(content)):
+            page = await self.store.read(key.table, key.part, key.key, key.key + "\x00")
+            if key != self._key(content):
+                self.claims.note_removed(content)
+            self.apply(TableChange(page.rows, complete=False))
 
     def claim_key(self, content: int) -> RowKey:
         """Return the key of the row with the claim to a content's trial."""
@@ -199,13 +200,13 @@
             has_uncounted_crashes=bool(fields.get("uncounted")),
         )
 
-    def _merge_claim(self, content: int, row: StoredRow, now_s: float) -> bool:
+    def _take_claim(self, content: int, row: StoredRow, now_s: float) -> None:
         if row.value is None:
             self.claims.note_removed(content)
-            return False
+            return
         fields = orjson.loads(row.value)
         trials = Trials(int(fields["trial"]), now_s - self._age_s(fields["at"]))
-        return self.claims.note_row(content, row.version, TrialClaim(trials, str(fields["token"])))
+        self.claims.note_row(content, row.version, TrialClaim(trials, str(fields["token"])))
 
     def _served_at_s(self, served_ms: int | None, now_s: float) -> float:
         """Return a stored time of service, ``NEVER_S`` if there is none.
