--- a/mountstand/quarantine/part_verdicts.py
+++ b/mountstand/quarantine/part_verdicts.py
@@ -13,8 +13,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
 from mountstand.quarantine.batch_verdicts import item_trial_at_s
 from mountstand.quarantine.suspect import INITIAL_BLOCK_S, MAX_CRASHES_KEPT, Suspect
 from mountstand.quarantine.verdicts import Verdicts
@@ -37,9 +35,6 @@
 
     __slots__ = ()
 
-    def __init__(self, by_part: Mapping[int, Suspect], daemon_name: str) -> None:
-        super().__init__(by_part, daemon_name)
-
     def _evaluate(self) -> None:
         super()._evaluate()
         self.confirmed_together = {
--- a/mountstand/quarantine/stored.py
+++ b/mountstand/quarantine/stored.py
@@ -111,11 +111,12 @@
 
     async def read_row_and_claim(self, content: int) -> None:
         """Read a content's row and the claim to its trial. Raises ``StoreError``."""
+        rows: list[StoredRow] = []
         for key in (self._key(content), self.claim_key(content)):
             page = await self.store.read(key.table, key.part, key.key, key.key + "\x00")
-            if key != self._key(content):
-                self.claims.note_removed(content)
-            self.apply(TableChange(page.rows, complete=False))
+            rows += page.rows
+        self.claims.note_removed(content)
+        self.apply(TableChange(rows, complete=False))
 
     def claim_key(self, content: int) -> RowKey:
         """Return the key of the row with the claim to a content's trial."""
