--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,162 +1,128 @@
-"""Daemons are stopped and started in turn while an item of a batch job fails at each run."""
+"""A worker sends one answer twice; the second copy comes as the same item is tried again."""
 
 from __future__ import annotations
 
 import asyncio
 import base64
 import json
-import time
 from pathlib import Path
 
 import http1
-from deployment import HOST, TERM, TROUBLE, CannotRun, Daemon, Site, configuration, run
+from deployment import HOST, TROUBLE, CannotRun, Daemon, Site, configuration, run
+from worker import event_text
 
-WORKERS, SLOTS = 2, 8
+SLOTS = 19
 MAX_ATTEMPTS = 3
-FAILS_AFTER_MS = 3000
-JOB = "7c41e09b52d6a3f8"
-ITEM = "e5b2907c14da6f38"
-STOPS = 5
-FAILURES_PER_STOP = 2
-STOP_INTERVAL_S = 8.0
-"""A daemon that was stopped is back for more than ``contact_ms`` before the next one is stopped."""
-
-FAILED_WITHIN_S = 15.0
-READ_UNTIL_S = 25.0
-CONTACT_S = 3.0
+FLAKY = 0
+"""The item of the first job whose first run fails, and whose third run fails if there is one."""
+
+ITEMS, MORE_ITEMS = 16, 24
+"""Of so many answers in all, one is at most 0.03."""
+
+EVENTS, EVENT_GAP_MS = 20, 50
+MORE_AFTER_S = 1.5
+READ_FOR_S = 12.0
 
 ROUTE = {
-    "name": "reunion-batch", "path_prefix": "/pule252/", "kind": "batch",
-    "service": "caption-llm", "timeout_ms": 30000, "target_latency_ms": 400,
-    "completion_target_ms": 20000, "max_attempts": MAX_ATTEMPTS, "retention_s": 60, "priority": 2,
+    "name": "reunion-batch",
+    "path_prefix": "/pule252/",
+    "kind": "batch",
+    "service": "caption-llm",
+    "timeout_ms": 30000,
+    "target_latency_ms": 400,
+    "completion_target_ms": 20000,
+    "max_attempts": MAX_ATTEMPTS,
+    "retention_s": 60,
+    "priority": 2,
     "gap_aim_ms": 500,
 }
+OTHER_ROUTE = {
+    "name": "thumb-fetch",
+    "path_prefix": "/thumb/",
+    "kind": "idempotent",
+    "service": "album-app",
+    "timeout_ms": 4000,
+    "target_latency_ms": 300,
+    "max_attempts": 2,
+}
 
 
-def document() -> bytes:
-    work = json.dumps({"do": "fail", "after_ms": FAILS_AFTER_MS}).encode()
-    headers = {"Model": "m", "Token-Count": "540,400"}
-    item = {
-        "id": ITEM, "path": "/pule252/3/91c4", "headers": headers,
-        "body": base64.b64encode(work).decode(), "tokens": 940,
-    }
-    return json.dumps({"items": [item]}).encode()
-
-
-sent_after: list[tuple[int, bool]] = []
-"""For each run of the item: the answers of 500 before it, and whether its sender was in touch."""
+def item_id(job: int, number: int) -> str:
+    return f"{0xE5B2907C14DA0000 + 256 * job + number:016x}"
 
 
-def note_run(site: Site, line: dict[str, object]) -> None:
-    if line["what"] == "runs" and line["request"] == ITEM:
-        sent_after.append((count(site, "failed"), all_in_touch(time.time())))
+def document(job: int, items: int) -> bytes:
+    stream = {"do": "stream", "events": EVENTS, "gap_ms": EVENT_GAP_MS}
+    flaky = {**stream, "do": "flaky", "fails": [1, 3], "after_ms": 300, "surplus": TROUBLE}
+    work = [flaky if (job, n) == (0, FLAKY) else stream for n in range(items)]
+    entries = [
+        {
+            "id": item_id(job, n),
+            "path": f"/pule252/{job}/{n:04x}",
+            "headers": {"Model": "m", "Token-Count": "540,400"},
+            "body": base64.b64encode(json.dumps(work[n]).encode()).decode(),
+            "tokens": 940,
+        }
+        for n in range(items)
+    ]
+    return json.dumps({"items": entries}).encode()
 
 
-def count(site: Site, what: str) -> int:
-    """Return how often workers have told something of the item."""
-    return sum(line["what"] == what and line["request"] == ITEM for line in site.runs)
+async def submit(site: Site, daemon: Daemon, job: int, items: int) -> str:
+    job_id = f"{0x7C41E09B52D60000 + job:016x}"
+    headers = [("Host", HOST), ("Request-Id", job_id), ("Content-Type", "application/json")]
+    path = f"/pule252/{job_id[-6:]}"
+    answer = await http1.call(daemon.front, "POST", path, headers, document(job, items))
+    site.note(what="submitted", job=job_id, status=answer.status)
+    if answer.status != 202:
+        raise CannotRun(f"the job was answered {answer.status}")
+    return job_id
 
 
-async def wait_for(condition: object, timeout_s: float) -> bool:
+async def read(site: Site, daemon: Daemon, job_id: str, items: int) -> list[dict[str, str]]:
+    """Read a job until it is whole, for a limited time."""
+    results: list[dict[str, str]] = []
     loop = asyncio.get_running_loop()
-    until_s = loop.time() + timeout_s
-    while loop.time() < until_s:
-        if condition():  # type: ignore[operator]
-            return True
-        await asyncio.sleep(0.05)
-    return False
-
-
-async def read(site: Site, daemon: Daemon) -> list[dict[str, str]]:
-    answer = await http1.call(daemon.front, "GET", f"/lots/{JOB}?after=0", [("Host", HOST)])
-    site.note(what="read", by=daemon.name, status=answer.status, body=answer.body.decode())
-    return json.loads(answer.body)["results"] if answer.status == 200 else []
-
-
-async def is_listed(site: Site) -> bool:
-    for daemon in site.daemons:
-        if daemon.process is not None and daemon.process.returncode is None:
-            if await read(site, daemon):
-                return True
-    return False
-
-
-async def stop_and_start(site: Site, daemon: Daemon) -> None:
-    """Stop a daemon as planned, and start it again once it has ended."""
-    struck[daemon.name] = float("inf")
-    daemon.send_signal(TERM)
-    await daemon.ended()
-    await daemon.start()
-    struck[daemon.name] = time.time()
-    await daemon.wait_ready()
-    site.note(what="ready again", daemon=daemon.name)
-
-
-struck: dict[str, float] = {}
-"""When each daemon that was stopped was started again, infinite while it stops."""
-
-
-def all_in_touch(at_s: float) -> bool:
-    """Return whether every daemon that may have sent something then was in touch.
-
-    One that is stopping takes no further runs: it has handed its jobs on.
-    """
-    started = [each for each in struck.values() if each != float("inf")]
-    return all(at_s - each > CONTACT_S for each in started)
-
-
-def owner(site: Site) -> str:
-    """Return the daemon that took the item's job last, as its log tells."""
-    taken = [
-        (line["time_s"], daemon.name)
-        for daemon in site.daemons
-        for line in [*daemon.events("job_adopted"), *daemon.events("job_submitted")]
-        if line["job"] == JOB
-    ]
-    return max(taken)[1]
+    until_s = loop.time() + READ_FOR_S
+    while len(results) < items and loop.time() < until_s:
+        await asyncio.sleep(0.3)
+        target = f"/lots/{job_id}?after={len(results)}"
+        answer = await http1.call(daemon.front, "GET", target, [("Host", HOST)])
+        results += json.loads(answer.body)["results"] if answer.status == 200 else []
+    for result in results:
+        site.note(what="listed", job=job_id, item=result["id"], state=result["state"])
+    return results
+
+
+def check(site: Site, results: list[dict[str, str]]) -> list[str]:
+    breaches = []
+    for result in results:
+        text = "\n".join(event_text(result["id"], n) for n in range(1, EVENTS + 1))
+        if result["state"] == "completed" and result["text"] != text:
+            breaches.append(f"MIXED: the text of item {result['id']} isn't its whole output")
+        failed = sum(
+            line["what"] == "failed" and line["request"] == result["id"] for line in site.runs
+        )
+        if result["state"] == "dead_lettered" and failed < MAX_ATTEMPTS:
+            breaches.append(
+                f"MIXED: item {result['id']} is dead-lettered, though {failed} of its runs have "
+                f"failed, and {MAX_ATTEMPTS} may"
+            )
+    return breaches
 
 
 async def scenario() -> list[str]:
-    async with Site(Path("record.txt"), 3) as site:
-        site.on_run = lambda line: note_run(site, line)
-        for _ in range(WORKERS):
-            await site.add_worker("caption-llm", SLOTS)
-        await site.start(configuration(ROUTE))
-        headers = [("Host", HOST), ("Request-Id", JOB), ("Content-Type", "application/json")]
-        answer = await http1.call(site.daemons[0].front, "POST", "/pule252/7c41e0", headers, document())
-        site.note(what="submitted", status=answer.status)
-        if answer.status != 202:
-            raise CannotRun(f"the job was answered {answer.status}")
-        restarts = []
-        loop = asyncio.get_running_loop()
-        next_stop_s = 0.0
-        for _ in range(STOPS if TROUBLE else 0):
-            before = count(site, "failed")
-            failed = await wait_for(
-                lambda: count(site, "failed") >= before + FAILURES_PER_STOP, FAILED_WITHIN_S
-            )
-            if not failed:
-                break
-            await asyncio.sleep(max(0.4, next_stop_s - loop.time()))
-            next_stop_s = loop.time() + STOP_INTERVAL_S
-            name = owner(site)
-            daemon = next(each for each in site.daemons if each.name == name)
-            site.note(what="SIGTERM", to=name, failed=count(site, "failed"))
-            restarts.append(asyncio.create_task(stop_and_start(site, daemon)))
-        await asyncio.gather(*restarts)
-        until_s = loop.time() + READ_UNTIL_S
-        while not await is_listed(site) and loop.time() < until_s:
-            await asyncio.sleep(0.5)
-        return check(site)
-
-
-def check(site: Site) -> list[str]:
-    """Return the runs that began after three times ``max_attempts`` answers of 500."""
-    return [
-        f"BUDGET: item {ITEM} was sent again after {failed} answers of 500"
-        for failed, in_touch in sent_after
-        if failed >= 3 * MAX_ATTEMPTS and in_touch
-    ]
+    async with Site(Path("record.txt"), 2) as site:
+        await site.add_worker("caption-llm", SLOTS)
+        await site.add_worker("album-app", 6)
+        await site.start(configuration(ROUTE, OTHER_ROUTE))
+        first, second = site.daemons
+        job_id = await submit(site, first, 0, ITEMS)
+        await asyncio.sleep(MORE_AFTER_S)
+        more_id = await submit(site, first, 1, MORE_ITEMS)
+        results = await read(site, second, job_id, ITEMS)
+        results += await read(site, second, more_id, MORE_ITEMS)
+        return check(site, results)
 
 
 if __name__ == "__main__":
