--- a/review/6/case.py
+++ b/review/6/case.py
@@ -36,17 +36,30 @@
 
 def route(service: str) -> dict[str, object]:
     return {
-        "name": "reunion-batch", "path_prefix": "/pule252/", "kind": "batch", "service": service,
-        "timeout_ms": 30000, "target_latency_ms": 400, "completion_target_ms": 20000,
-        "max_attempts": 3, "retention_s": 60, "priority": 2, "gap_aim_ms": 500,
+        "name": "reunion-batch",
+        "path_prefix": "/pule252/",
+        "kind": "batch",
+        "service": service,
+        "timeout_ms": 30000,
+        "target_latency_ms": 400,
+        "completion_target_ms": 20000,
+        "max_attempts": 3,
+        "retention_s": 60,
+        "priority": 2,
+        "gap_aim_ms": 500,
     }
 
 
 def other_route(service: str) -> dict[str, object]:
     """Return a route that keeps a service in the configuration; nobody asks for it."""
     return {
-        "name": f"idle-{service}", "path_prefix": f"/idle-{service}/", "kind": "idempotent",
-        "service": service, "timeout_ms": 4000, "target_latency_ms": 300, "max_attempts": 2,
+        "name": f"idle-{service}",
+        "path_prefix": f"/idle-{service}/",
+        "kind": "idempotent",
+        "service": service,
+        "timeout_ms": 4000,
+        "target_latency_ms": 300,
+        "max_attempts": 2,
     }
 
 
@@ -58,9 +71,11 @@
     work = json.dumps({"do": "stream", "events": EVENTS, "gap_ms": EVENT_GAP_MS}).encode()
     items = [
         {
-            "id": item_id(number), "path": f"/pule252/3/{number:04x}",
+            "id": item_id(number),
+            "path": f"/pule252/3/{number:04x}",
             "headers": {"Model": "m", "Token-Count": "540,400"},
-            "body": base64.b64encode(work).decode(), "tokens": 940,
+            "body": base64.b64encode(work).decode(),
+            "tokens": 940,
         }
         for number in range(ITEMS)
     ]
@@ -140,7 +155,9 @@
         await site.start(configuration(route(OLD), other_route(NEW)))
         headers = [("Host", HOST), ("Request-Id", JOB), ("Content-Type", "application/json")]
         sent_s = time.time()
-        answer = await http1.call(site.daemons[0].front, "POST", "/pule252/7c41e0", headers, document())
+        answer = await http1.call(
+            site.daemons[0].front, "POST", "/pule252/7c41e0", headers, document()
+        )
         site.note(what="submitted", status=answer.status)
         if answer.status != 202:
             raise CannotRun(f"the job was answered {answer.status}")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -22,9 +22,15 @@
 still works on covers those sent up to 3 s after it."""
 
 ROUTE = {
-    "name": "photo-caption", "path_prefix": "/pule252/", "kind": "streaming",
-    "service": "caption-llm", "timeout_ms": 8000, "target_latency_ms": 300, "max_attempts": 1,
-    "gap_aim_ms": 500, "priority": 0,
+    "name": "photo-caption",
+    "path_prefix": "/pule252/",
+    "kind": "streaming",
+    "service": "caption-llm",
+    "timeout_ms": 8000,
+    "target_latency_ms": 300,
+    "max_attempts": 1,
+    "gap_aim_ms": 500,
+    "priority": 0,
 }
 
 
@@ -34,8 +40,12 @@
     site.note(what="sent", request=request_id, events=events)
     answer = await http1.call(port, "POST", "/pule252/2f", headers, json.dumps(work).encode())
     site.note(
-        what="answered", request=request_id, status=answer.status, whole=answer.whole,
-        cause=answer.cause, events=answer.body.count(b"\n\n"),
+        what="answered",
+        request=request_id,
+        status=answer.status,
+        whole=answer.whole,
+        cause=answer.cause,
+        events=answer.body.count(b"\n\n"),
     )
     return answer
 
@@ -43,7 +53,7 @@
 async def ask_long(site: Site, stopped_s: float, after_s: float, number: int) -> str | None:
     """Send a long stream at a moment after the stop; returns the breach, if there is one."""
     await asyncio.sleep(stopped_s + after_s - time.monotonic())
-    request_id = f"{0xa0 + number:016x}"
+    request_id = f"{0xA0 + number:016x}"
     began_s = time.monotonic()
     answer = await ask(site, site.daemons[0].front, request_id, LONG_EVENTS)
     took_s = time.monotonic() - began_s
@@ -77,7 +87,9 @@
         breaches = await asyncio.gather(*long)
         if TROUBLE:
             code = await asyncio.wait_for(stopped.ended(), GRACE_S)
-            site.note(what="daemon ended", code=code, after_s=round(time.monotonic() - stopped_s, 3))
+            site.note(
+                what="daemon ended", code=code, after_s=round(time.monotonic() - stopped_s, 3)
+            )
         return [breach for breach in breaches if breach]
 
 
