--- a/review/10/case.py
+++ b/review/10/case.py
@@ -24,6 +24,8 @@
 FAILED_WITHIN_S = 15.0
 READ_UNTIL_S = 25.0
 CONTACT_S = 3.0
+HANDED_ON_S = 1.0
+"""Runs that begin sooner after a SIGTERM may be of the daemon that got it, and don't count."""
 
 ROUTE = {
     "name": "reunion-batch",
@@ -93,6 +95,8 @@
 
 async def stop_and_start(site: Site, daemon: Daemon) -> None:
     """Stop a daemon as planned, and start it again once it has ended."""
+    global last_stop_s
+    last_stop_s = time.time()
     struck[daemon.name] = float("inf")
     daemon.send_signal(TERM)
     await daemon.ended()
@@ -102,6 +106,9 @@
     site.note(what="ready again", daemon=daemon.name)
 
 
+last_stop_s = 0.0
+"""When the last SIGTERM was sent."""
+
 struck: dict[str, float] = {}
 """When each daemon that was stopped was started again, infinite while it stops."""
 
@@ -109,8 +116,10 @@
 def all_in_touch(at_s: float) -> bool:
     """Return whether every daemon that may have sent something then was in touch.
 
-    One that is stopping takes no further runs: it has handed its jobs on.
+    One that is stopping has handed its jobs on, and sends nothing more once that is done.
     """
+    if at_s - last_stop_s < HANDED_ON_S:
+        return False
     started = [each for each in struck.values() if each != float("inf")]
     return all(at_s - each > CONTACT_S for each in started)
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -71,7 +71,7 @@
 
 
 async def scenario() -> list[str]:
-    async with Site(Path("record.txt"), 2) as site:
+    async with Site(Path("record.txt"), 3) as site:
         for _ in range(WORKERS):
             await site.add_worker("caption-llm", SLOTS)
         await site.start(configuration(ROUTE))
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -27,6 +28,8 @@
 HOST = "ficu95.example"
 START_TIMEOUT_S = 30.0
 MAX_RUN_S = 110.0
+FIRST_PORT, FIRST_OUTGOING_PORT = 11_000, 32_000
+drawn_ports: set[int] = set()
 HEARTBEAT_S = 1.2
 RUN = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["serve"]["run"].split()
 
@@ -36,15 +39,23 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Draw ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Draw ports that nothing listens on now, below the range of outgoing connections.
+
+    A port of that range could be taken by any connection before the process listens on it.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, FIRST_OUTGOING_PORT)
+        if port in drawn_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        drawn_ports.add(port)
+        ports.append(port)
+    return ports
 
 
 class Daemon:
