A stopping daemon takes late requests only if they are sure to end

Cause: StopAdmission compared the time left with the longest of the last 32 requests of the route. That is no promise: a longer one was taken and cut.

Now a request is taken if its deadline lies before the end; an estimate counts for repeatable requests alone, and for 3 s alone. The rest is refused at once, which is true, and costs its caller one try.

test_late_request_is_refused_however_short_earlier_ones_were failed on the former code: both late requests were passed on and had no answer.

--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -141,13 +141,13 @@
 
     def begin_stop(self, ends_at_s: float) -> None:
         """Take only requests from now on that can end by ``ends_at_s``, in event loop time."""
-        self.stop_admission.begin_stop(ends_at_s)
+        self.stop_admission.begin_stop(asyncio.get_running_loop().time(), ends_at_s)
         self.reject_waiting_too_long()
 
     def reject_waiting_too_long(self) -> None:
         """Reject requests that wait for a worker and can't end any more before the stop does."""
         for exchange in list(self._waiting_by_id.values()):
-            if not self._may_complete(exchange):
+            if not self._may_begin(exchange):
                 self._queue.stop_waiting(exchange.call)
 
     async def _run_attempts(self, exchange: Exchange, received_at_s: float) -> None:
@@ -281,7 +281,7 @@
 
         Returns whether it was rejected. ``worker`` is the worker at which it holds a slot, if any.
         """
-        if exchange.runs or self._may_complete(exchange):
+        if exchange.runs or self._may_begin(exchange):
             return False
         if worker is not None:
             self._free_slot(worker)
@@ -289,10 +289,10 @@
         reject(exchange.responder, RETRY_AFTER_STOPPING_S)
         return True
 
-    def _may_complete(self, exchange: Exchange) -> bool:
-        """Return whether a request that is sent now is expected to end before this daemon."""
+    def _may_begin(self, exchange: Exchange) -> bool:
+        """Return whether a request may be sent now, as it can end before this daemon does."""
         now_s = asyncio.get_running_loop().time()
-        return self.stop_admission.may_complete(exchange.route.name, now_s, exchange.deadline_s)
+        return self.stop_admission.may_begin(exchange.route, now_s, exchange.deadline_s)
 
     def _reject_if_quarantined(self, exchange: Exchange, worker: Worker | None) -> bool:
         """Reject a request whose content is quarantined; return whether it was rejected.
--- a/mountstand/serving/stop_admission.py
+++ b/mountstand/serving/stop_admission.py
@@ -1,14 +1,17 @@
 """Decides which requests a stopping daemon still takes: those that can be whole by its end.
 
 Callers keep the address of a daemon for longer than it takes to stop. One that is refused at once
-is served by another daemon, while one that is taken too late is cut off midway. How long a request
-lasts is known only roughly: at most until its deadline, and as long as others of its route did.
+is served by another daemon, while one that is taken too late is cut off midway. A request is sure
+to have ended by its deadline. Earlier requests of its route tell how long it may last, which is no
+promise: one that cannot be repeated is lost if it lasts longer.
 """
 
 from __future__ import annotations
 
 from collections import deque
 
+from mountstand.serving.configuration import Route
+
 DURATIONS_KEPT = 32
 """Durations kept per route. The longest of them is expected again, since the pieces of a stream are
 many or few."""
@@ -16,18 +19,27 @@
 MAX_ROUTES = 1024
 """Routes whose durations are kept, about 400 bytes each; the one known for longest goes first."""
 
+ESTIMATE_PERIOD_S = 3.0
+"""For so long after a stop began, callers cannot be expected to know of it, and a repeatable
+request is taken if it probably ends in time. Later ones must be sure to."""
+
+FINAL_REPLY_S = 0.1
+"""Time that a reply at the deadline takes to leave this daemon."""
+
 
 class StopAdmission:
     """Decides by the time that is left. Times are seconds on the event loop's clock."""
 
-    __slots__ = ("_durations_by_route", "_ends_at_s")
+    __slots__ = ("_began_s", "_durations_by_route", "_ends_at_s")
 
     def __init__(self) -> None:
+        self._began_s = float("inf")
         self._ends_at_s: float | None = None
         self._durations_by_route: dict[str, deque[float]] = {}
 
-    def begin_stop(self, ends_at_s: float) -> None:
+    def begin_stop(self, now_s: float, ends_at_s: float) -> None:
         """Note that this daemon stops, and cuts off at ``ends_at_s`` what has not ended."""
+        self._began_s = min(self._began_s, now_s)
         self._ends_at_s = ends_at_s
 
     def note_completed(self, route_name: str, duration_s: float) -> None:
@@ -39,9 +51,14 @@
             durations = self._durations_by_route[route_name] = deque(maxlen=DURATIONS_KEPT)
         durations.append(duration_s)
 
-    def may_complete(self, route_name: str, now_s: float, deadline_s: float) -> bool:
-        """Return whether a request that begins now is expected to end before this daemon does."""
-        if self._ends_at_s is None or deadline_s <= self._ends_at_s:
+    def may_begin(self, route: Route, now_s: float, deadline_s: float) -> bool:
+        """Return whether a request may be sent to a worker now.
+
+        ``deadline_s`` is when its caller gets a final reply at the latest.
+        """
+        if self._ends_at_s is None or deadline_s + FINAL_REPLY_S <= self._ends_at_s:
             return True
-        durations = self._durations_by_route.get(route_name)
+        if not route.repeatable or now_s - self._began_s >= ESTIMATE_PERIOD_S:
+            return False
+        durations = self._durations_by_route.get(route.name)
         return durations is not None and now_s + max(durations) <= self._ends_at_s
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -27,6 +27,12 @@
 LATE_IN_STOP_S = 2.8
 """Time after SIGTERM at which a daemon still accepts connections, with half of its time left."""
 
+AFTER_ESTIMATES_S = 3.05
+"""Time after SIGTERM at which a daemon still accepts connections, and only what is sure to end."""
+
+APPLIED_S = 0.5
+"""Time in which a new configuration is in force at every process."""
+
 START_TIMEOUT_S = 20.0
 
 
@@ -372,6 +378,36 @@
 
         run(scenario())
 
+    def test_late_request_is_refused_however_short_earlier_ones_were(self) -> None:
+        """Guards against requests that are taken late in a planned stop and cut at its end.
+
+        Nobody can repeat them; they come on a kept connection and on a new one.
+        """
+
+        async def scenario() -> None:
+            worker = StandInWorker("w0", whole())
+            async with Site(1, worker) as site:
+                [process] = site.processes
+                version = operator_configuration(2, kind="non_idempotent", timeout_ms=8000)
+                await site.store.put("op", "config", version)
+                await asyncio.sleep(APPLIED_S)
+                ask = {"headers": {"Request-Id": "r1", "Deadline-Ms": "8000"}}
+                for _ in range(3):
+                    self.assertEqual(200, (await process.call("POST", "/plain/x", **ask)).status)
+                kept = await connect("127.0.0.1", process.ports["front"], 2.0)
+                worker.script = [silence]
+                process.signal(signal.SIGTERM)
+                await asyncio.sleep(AFTER_ESTIMATES_S)
+                kept.send("POST", "/plain/x", [("Host", HOST), *ask["headers"].items()])
+                self.assertEqual(503, (await kept.read_head()).status)
+                answer = await process.call("POST", "/plain/x", **ask)
+                self.assertEqual(503, answer.status)
+                self.assertIn("retry-after", answer.headers)
+                self.assertEqual(0, await process.ended())
+                self.assertEqual(3, len(worker.received))
+
+        run(scenario())
+
     def test_signals_until_the_end_leave_the_exit_code(self) -> None:
         """Guards against a signal that ends a stopped process once the loop is closed."""
 
