Items that wait for a slot notice that their route or workers have changed

Cause: an item chose its service once and then waited for a slot there without an end and without looking at the configuration, the workers or the age of its job again.

Waits now remember what they were begun with, in a module of their own (jobs/slot_waits.py). Those that have become pointless end once a second, and no others; a slot that comes in between is compared too.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -49,6 +49,7 @@
     OTHER_SUSPECTS = "other suspects"
     SLOT = "slot"
     STORE_VIEW = "store view too old"
+    TERMS_CHANGED = "route or tenant changed"
     RETRY = "retry"
 
 
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -21,9 +21,9 @@
 from mountstand.jobs.item_execution import ItemExecutor, ItemProgress, RunnerContext, WaitCause
 from mountstand.jobs.model import ItemResult, JobHead, JobItem, SavedProgress
 from mountstand.jobs.repository import new_write_id
-from mountstand.serving.batch_room import Placement, Urgency
+from mountstand.jobs.slot_waits import RunTerms, SlotWaits
+from mountstand.serving.batch_room import Placement
 from mountstand.serving.configuration import Route
-from mountstand.serving.residency import Regions
 from mountstand.serving.worker import Worker
 from mountstand.store.rows import ABSENT, Conflict, OutcomeUnknown, StoreError
 
@@ -34,10 +34,6 @@
 BLOCKED_RECHECK_INTERVAL_S = 1.0
 """How often an item blocked by the quarantine is checked again."""
 
-SAME_SOFTWARE_WAIT_S = 2.0
-"""How long an item with output waits for a slot at the software that wrote it, before any slot may
-be taken and the item may begin anew. A whole run takes some seconds."""
-
 WAIT_LOG_INTERVAL_S = 5.0
 """How often ``items_waiting`` is logged, for items that have not run for at least this long."""
 
@@ -70,6 +66,7 @@
         self._version = version
         self._items = items
         self._executor = ItemExecutor(context, head.job_id, head.host, head.tenant)
+        self._slot_waits = SlotWaits(context, lambda: self.head)
         self._progress = {
             index: ItemProgress(index, item)
             for index, item in enumerate(items)
@@ -102,6 +99,7 @@
         periodic_tasks = [
             asyncio.create_task(self._save_periodically()),
             asyncio.create_task(self._log_waiting_periodically()),
+            asyncio.create_task(self._slot_waits.recheck_periodically()),
         ]
         try:
             await self._list_results()
@@ -330,31 +328,33 @@
 
         Returns the final result, or ``None`` if the item must be retried.
         """
-        configuration = self._context.configuration()
-        if configuration is None or self._draining:
+        if self._context.configuration() is None or self._draining:
             progress.wait_cause = WaitCause.CONFIGURATION
             return None
-        route = configuration.match(self.head.host, progress.item.target)
-        if route is None:
+        terms = self._slot_waits.terms(progress)
+        if terms is None:
             return self._executor.fail_item(progress, "route removed", "")
+        route = terms.route
         if self._retention_expired(route):
             return self._executor.fail_item(progress, "retention over", route.name)
         if self._executor.blocked_for_s(progress):
             await self._sleep_while_blocked(progress)
             return None
-        placement = await self._wait_for_slot(route, progress)
+        placement = await self._wait_for_slot(terms, progress)
+        if placement is None:
+            return None
         try:
-            progress.wait_cause = self._wait_cause_at(progress, placement.worker)
+            progress.wait_cause = self._wait_cause_at(progress, terms, placement.worker)
             if progress.wait_cause is not None or self._draining:
                 return None
             progress.preempted = False
             placement.preempt = progress.preempt
             while self._executor.requires_claim(progress):
-                progress.wait_cause = await self._claim_trials(progress, placement.worker)
+                progress.wait_cause = await self._claim_trials(progress, terms, placement.worker)
                 if progress.wait_cause is not None or self._draining or progress.preempted:
                     return None
             progress.block_logged = False
-            async with asyncio.timeout(self._retention_left_s(route)):
+            async with asyncio.timeout(self._slot_waits.retention_left_s(route)):
                 return await self._executor.attempt(progress, route, placement.worker)
         except TimeoutError:
             return None
@@ -365,14 +365,23 @@
                 progress.idle_since_s = asyncio.get_running_loop().time()
             self._context.batch_scheduler.release(placement)
 
-    async def _claim_trials(self, progress: ItemProgress, worker: Worker) -> WaitCause | None:
+    async def _claim_trials(
+        self, progress: ItemProgress, terms: RunTerms, worker: Worker
+    ) -> WaitCause | None:
         """Claim the trials that an item would begin; return why it may not run, if so."""
         if not await self._executor.claim_trials(progress):
             return WaitCause.QUARANTINE
-        return self._wait_cause_at(progress, worker)
+        return self._wait_cause_at(progress, terms, worker)
+
+    def _wait_cause_at(
+        self, progress: ItemProgress, terms: RunTerms, worker: Worker
+    ) -> WaitCause | None:
+        """Return why an item that got a slot may not run at its worker, ``None`` if it may.
 
-    def _wait_cause_at(self, progress: ItemProgress, worker: Worker) -> WaitCause | None:
-        """Return why an item that got a slot may not run at its worker, ``None`` if it may."""
+        ``terms`` are those with which it began to wait.
+        """
+        if self._slot_waits.terms(progress) != terms:
+            return WaitCause.TERMS_CHANGED
         if self._executor.blocked_for_s(progress):
             return WaitCause.QUARANTINE
         if not self._store_view_is_fresh():
@@ -404,82 +413,24 @@
         finally:
             self._waiting_tasks.discard(task)
 
-    async def _wait_for_slot(self, route: Route, progress: ItemProgress) -> Placement:
+    async def _wait_for_slot(self, terms: RunTerms, progress: ItemProgress) -> Placement | None:
+        """Wait for a slot; return ``None`` if the item must be looked at anew before it has one."""
         task = asyncio.current_task()
         assert task is not None
         progress.wait_cause = WaitCause.SLOT
         self._waiting_tasks.add(task)
         try:
-            placement = await self._wait_for_same_software(route, progress)
-            if placement is not None:
-                return placement
-            service = self._context.service_chooser.choose(route)
-            urgency = self._urgency(route, service, progress)
-            pool_name = self._context.directory.pool_name(service, self._regions(route))
-            return await self._context.batch_scheduler.acquire(pool_name, urgency)
+            return await self._slot_waits.acquire(progress, terms)
         finally:
             self._waiting_tasks.discard(task)
 
-    async def _wait_for_same_software(
-        self, route: Route, progress: ItemProgress
-    ) -> Placement | None:
-        """Wait for a slot at the software that wrote the item's output so far.
-
-        Returns ``None`` if it has no workers for the route, or no slot for a while.
-        """
-        software_key = progress.software_key
-        if software_key is None:
-            return None
-        directory = self._context.directory
-        service = directory.service_of_software(software_key)
-        if service is None or service not in route.services:
-            return None
-        pool_name = directory.software_pool_name(software_key, self._regions(route))
-        if not directory.active_workers(pool_name):
-            return None
-        urgency = self._urgency(route, service, progress)
-        try:
-            async with asyncio.timeout(SAME_SOFTWARE_WAIT_S):
-                return await self._context.batch_scheduler.acquire(pool_name, urgency)
-        except TimeoutError:
-            return None
-
-    def _regions(self, route: Route) -> Regions | None:
-        """Return the regions in which this tenant's items on a route may run."""
-        configuration = self._context.configuration()
-        if configuration is None:
-            return route.regions
-        return configuration.regions_for(route, self.head.tenant)
-
     def _store_view_is_fresh(self) -> bool:
         """Return whether the store view is recent enough to show a cancellation or a new owner."""
         return self._context.store_age_s() <= self._context.max_store_age_s()
 
-    def _urgency(self, route: Route, service: str, progress: ItemProgress) -> Urgency:
-        age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
-        time_to_target_s = route.completion_target_s - age_s
-        now_s = asyncio.get_running_loop().time()
-        average_s = self._context.batch_scheduler.durations.average_s(service)
-        remaining_run_time_s = max(0.0, average_s - progress.run_time_s)
-        return Urgency(now_s + time_to_target_s, remaining_run_time_s, self._priority(route))
-
-    def _priority(self, route: Route) -> int:
-        """Return the job tenant's effective priority, or the route's if no tenant is known."""
-        configuration = self._context.configuration()
-        tenants = configuration.tenants.by_name if configuration else {}
-        tenant = tenants.get(self.head.tenant)
-        return route.priority if tenant is None else tenant.effective_priority(route.priority)
-
     def _retention_expired(self, route: Route) -> bool:
-        left_s = self._retention_left_s(route)
+        left_s = self._slot_waits.retention_left_s(route)
         return left_s is not None and left_s < 0
 
-    def _retention_left_s(self, route: Route) -> float | None:
-        """Return the time until items may be given up, ``None`` if there is no such time."""
-        if route.retention_s <= 0:
-            return None
-        age_s = (self._context.store_now_ms() - self.head.accepted_ms) / 1000
-        return route.retention_s - age_s
-
     def _log(self, event: str, **fields: object) -> None:
         self._context.log.event(event, job=self.head.job_id, **fields)
