No attempt uses a connection on which an earlier one was answered

Cause: a worker may send an answer twice, the second time in the place of the connection's next answer. Items, and requests that are tried again, keep their id, so the copy passed for the answer to the next attempt.

A request that is to be sent again leaves its id at the connection that answered it, and is not sent there again; other requests are.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -194,13 +194,18 @@
     ) -> ItemResult | None:
         progress.sent_at_s = progress.head_received_at_s = progress.writing_since_s = None
         pending_prefill = PendingPrefill(worker, progress.item.prompt)
+        item_id = progress.item.item_id
+        result: ItemResult | None = None
         try:
-            progress.connection = await self._context.connections.acquire(worker, repeatable=True)
+            progress.connection = await self._context.connections.acquire(
+                worker, request_id=item_id, repeatable=True
+            )
             if progress.preempted:
                 return None
-            return await self._exchange(
+            result = await self._exchange(
                 progress, route, worker, progress.connection, pending_prefill
             )
+            return result
         except (ConnectFailed, ReplyBroken, TimeoutError) as error:
             # A TimeoutError has no text.
             cause = "preempted" if progress.preempted else str(error) or "silent"
@@ -213,7 +218,12 @@
         finally:
             pending_prefill.end()
             if progress.connection is not None:
-                self._context.connections.release(worker, progress.connection, 1)
+                self._context.connections.release(
+                    worker,
+                    progress.connection,
+                    1,
+                    unfinished_id=None if result is not None else item_id,
+                )
                 progress.connection = None
 
     async def _exchange(
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -5,6 +5,10 @@
 the worker, on any connection, sent something or accepted a connection within
 ``MAX_WORKER_SILENCE_S``. Otherwise a new connection is opened: if that fails, another worker can
 safely be tried. A repeatable request reuses any connection that is open and within its idle limit.
+
+A worker may send an answer twice, the second time in the place of the connection's next answer. The
+request's id tells such an answer from one to another request, but not from one to a further attempt
+at the same request. So no attempt uses a connection on which an earlier one was answered.
 """
 
 from __future__ import annotations
@@ -36,6 +40,10 @@
 announced, theirs is taken to be shorter than that."""
 
 
+MAX_UNFINISHED_IDS = 64
+"""Requests to be tried again that one connection may have answered, before it is closed."""
+
+
 class ClosedOnAccept(ConnectFailed):
     """A connection was accepted, and closed or reset before any data was exchanged."""
 
@@ -80,15 +88,17 @@
         finally:
             connection.close()
 
-    async def acquire(self, worker: Worker, *, repeatable: bool) -> ClientConnection:
+    async def acquire(
+        self, worker: Worker, *, request_id: str, repeatable: bool
+    ) -> ClientConnection:
         """Return a pooled or new connection to ``worker``. Raises ``ConnectFailed``.
 
         A request that is not ``repeatable`` gets a pooled connection only if the worker was heard
-        from recently.
+        from recently; none gets one on which an earlier attempt at it was answered.
         """
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        pooled = self._take_pooled(worker, now_s, repeatable)
+        pooled = self._take_pooled(worker, request_id, now_s, repeatable)
         if pooled is not None:
             return pooled
         return await self._open(worker)
@@ -108,19 +118,28 @@
         return connection
 
     def release(
-        self, worker: Worker, connection: ClientConnection, max_idle_connections: int
+        self,
+        worker: Worker,
+        connection: ClientConnection,
+        max_idle_connections: int,
+        *,
+        unfinished_id: str | None = None,
     ) -> None:
         """Return a connection to the pool, which keeps at most ``max_idle_connections`` per worker.
 
-        A connection that cannot carry another request is closed.
+        A connection that cannot carry another request is closed. ``unfinished_id`` is the id of the
+        request that it carried, unless that has got its final answer.
         """
         # Contact includes the accepting of a connection; data is only what the worker sent itself.
         worker.last_contact_s = max(worker.last_contact_s, connection.last_received_at_s)
         worker.last_data_s = max(worker.last_data_s, connection.last_bytes_at_s)
         if not connection.end_exchange():
             return
+        if unfinished_id is not None:
+            connection.unfinished_ids.add(unfinished_id)
         idle = self._idle.setdefault(worker.incarnation, [])
-        if len(idle) >= max_idle_connections:
+        is_worn = len(connection.unfinished_ids) > MAX_UNFINISHED_IDS
+        if is_worn or len(idle) >= max_idle_connections:
             connection.close()
         else:
             idle.append(connection)
@@ -158,12 +177,14 @@
         return connection.idle_s(now_s) < min(max_idle_time_s, self._idle_limit.value_s(now_s))
 
     def _take_pooled(
-        self, worker: Worker, now_s: float, repeatable: bool
+        self, worker: Worker, request_id: str, now_s: float, repeatable: bool
     ) -> ClientConnection | None:
         idle = self._idle.get(worker.incarnation, [])
         last_contact_s = worker.last_contact_s
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(idle[:]):
+            if request_id in connection.unfinished_ids:
+                continue
+            idle.remove(connection)
             last_contact_s = max(last_contact_s, connection.last_received_at_s)
             usable = connection.open and self._within_idle_limit(connection, now_s)
             if usable and (repeatable or now_s - last_contact_s <= MAX_WORKER_SILENCE_S):
--- a/mountstand/serving/forwarder.py
+++ b/mountstand/serving/forwarder.py
@@ -407,7 +407,9 @@
         outcome: Outcome | None = None
         try:
             connection = await self._connections.acquire(
-                worker, repeatable=exchange.route.repeatable
+                worker,
+                request_id=exchange.call.request_id,
+                repeatable=exchange.route.repeatable,
             )
             outcome = await self._send_and_relay(exchange, worker, connection)
             return outcome
@@ -418,7 +420,14 @@
         finally:
             exchange.end_pending_prefill()
             if connection is not None:
-                self._connections.release(worker, connection, self.max_idle_connections_per_worker)
+                status = exchange.responder.status
+                is_final = outcome is Outcome.DELIVERED and status < FIRST_FAILURE_STATUS
+                self._connections.release(
+                    worker,
+                    connection,
+                    self.max_idle_connections_per_worker,
+                    unfinished_id=None if is_final else exchange.call.request_id,
+                )
             self._free_slot_after_attempt(exchange, worker, outcome)
 
     def _free_slot_after_attempt(
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -96,6 +96,9 @@
         self.ended_at_s = float("inf")
         """When the peer's orderly close was read."""
 
+        self.unfinished_ids: set[str] = set()
+        """Ids of requests that were answered here and may be sent again."""
+
         self.idle_since_s: float | None = None
         self.sent_at_s = 0.0
         self.keep_alive_s: float | None = None
