An item's failures are saved before it runs again

Cause: progress was saved only if the output had moved on, so a failure without an event was in no row, and each owner of the job began to count at 0.

A count that is not saved is progress of its own now, saved right after the failure and before the item is sent again, with those of the job's other items in one write. Saving and restoring are a module of their own, and what is skipped for its size no longer passes for saved.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -50,6 +50,7 @@
     SLOT = "slot"
     STORE_VIEW = "store view too old"
     TERMS_CHANGED = "route or tenant changed"
+    SAVING = "failure not saved"
     RETRY = "retry"
 
 
@@ -80,6 +81,9 @@
     saved_event_id: int | None = None
     """ID of the last event that was saved to the store."""
 
+    saved_failures: int = 0
+    """The number of failures that was saved to the store."""
+
     run_time_s: float = 0.0
     """Total time that this daemon's attempts at the item spent reading response bodies."""
 
@@ -108,6 +112,19 @@
     head_received_at_s: float | None = None
     """When the current attempt received a response head with status 200, in event loop time."""
 
+    @property
+    def has_unsaved_failures(self) -> bool:
+        """Whether the next owner of the job would not know of all failures."""
+        return self.failures != self.saved_failures
+
+    @property
+    def has_unsaved_progress(self) -> bool:
+        """Whether failures, or output that can be continued, are not saved."""
+        has_output = self.last_event_id is not None
+        return self.has_unsaved_failures or (
+            has_output and self.last_event_id != self.saved_event_id
+        )
+
     def truncate(self, event_count: int, last_event_id: int | None) -> None:
         """Drop the output after the first ``event_count`` events."""
         del self.texts[event_count:]
--- a/mountstand/jobs/repository.py
+++ b/mountstand/jobs/repository.py
@@ -203,27 +203,34 @@
         await self._objects.put_object(name, encode_submission(submission, accepted_ms))
         return name
 
+    def fits_in_row(self, progress: SavedProgress) -> bool:
+        """Return whether an item's progress fits in a row."""
+        return len(encode_progress(progress)) <= self._chunk_bytes
+
     async def save_progress(
         self, head: JobHead, version: int, progress: list[SavedProgress]
-    ) -> None:
-        """Save the progress of unfinished items.
+    ) -> set[int]:
+        """Save the progress of unfinished items, and return the indexes of those that were saved.
 
         Raises ``Conflict`` if the head is no longer at ``version``, so only the owner can save.
         Skips items whose progress does not fit in a row, and all items after the total size,
         including that of skipped items, exceeds ``MAX_WRITE_BYTES``.
         """
         condition = (self._head_key(head.job_id), version)
-        transaction = Transaction(conditions=[condition])
+        puts: list[tuple[RowKey, bytes]] = []
+        written: set[int] = set()
         size = 0
         for item in progress:
             value = encode_progress(item)
             size += len(value)
             if len(value) > self._chunk_bytes or size > MAX_WRITE_BYTES:
                 continue
-            transaction.puts.append((self._progress_key(head.job_id, item.index), value))
-        for start in range(0, len(transaction.puts), MAX_WRITE_ROWS):
-            puts = transaction.puts[start : start + MAX_WRITE_ROWS]
-            await self.rows.commit(Transaction(conditions=[condition], puts=puts))
+            puts.append((self._progress_key(head.job_id, item.index), value))
+            written.add(item.index)
+        for start in range(0, len(puts), MAX_WRITE_ROWS):
+            batch = puts[start : start + MAX_WRITE_ROWS]
+            await self.rows.commit(Transaction(conditions=[condition], puts=batch))
+        return written
 
     async def load_progress(self, head: JobHead) -> list[SavedProgress]:
         """Return the saved progress of the items that are not listed."""
--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -20,6 +20,7 @@
 
 from mountstand.jobs.item_execution import ItemExecutor, ItemProgress, RunnerContext, WaitCause
 from mountstand.jobs.model import ItemResult, JobHead, JobItem, SavedProgress
+from mountstand.jobs.progress_saving import HeadVersion, ProgressSaver
 from mountstand.jobs.repository import new_write_id
 from mountstand.jobs.slot_waits import RunTerms, SlotWaits
 from mountstand.serving.batch_room import Placement
@@ -72,9 +73,11 @@
             for index, item in enumerate(items)
             if not head.is_listed(index)
         }
-        self._stored_progress_indexes: set[int] = set()
+        self._saver = ProgressSaver(
+            context.repository, self._progress, lambda: HeadVersion(self.head, self._version)
+        )
         for saved_progress in saved:
-            self._restore(saved_progress)
+            self._saver.restore(saved_progress)
         self._finished: deque[ItemResult] = deque()
         self._unconfirmed_by_write_id: dict[str, list[ItemResult]] = {}
         self._wake_event = asyncio.Event()
@@ -171,7 +174,7 @@
         head = self.head.with_results(results, write_id, tokens)
         self._unconfirmed_by_write_id[write_id] = results
         self._version = await self._context.repository.update_head(
-            head, self._version, results, self._stored_progress_indexes
+            head, self._version, results, self._saver.stored_indexes
         )
         self._apply_listed_head(head)
 
@@ -218,34 +221,21 @@
 
     async def _release(self) -> None:
         """Save progress and clear the owner, so that another daemon can adopt the job at once."""
-        await self._save()
+        await self._saver.save()
         head = replace(self.head, owner="", write_id=new_write_id())
         await self._context.repository.update_head(head, self._version)
         self._log("job_released", listed=head.listed, total=head.total)
 
     # Progress
 
-    def _restore(self, saved: SavedProgress) -> None:
-        progress = self._progress.get(saved.index)
-        if progress is not None:
-            progress.failures = saved.failures
-            # Output of unknown software cannot be continued, so the item begins anew.
-            if saved.software_key is not None:
-                progress.texts = list(saved.texts)
-                progress.last_event_id = saved.last_event_id
-                progress.saved_event_id = saved.last_event_id
-                progress.software_key = saved.software_key
-                progress.restored_from_store = True
-            self._stored_progress_indexes.add(saved.index)
-
     async def _save_periodically(self) -> None:
         """Save progress periodically, so that a crash loses little work."""
         while not self._stopped:
             await asyncio.sleep(PROGRESS_SAVE_INTERVAL_S * random.uniform(0.8, 1.2))
             try:
-                await self._save()
-            except StoreError:
-                continue
+                await self._saver.save()
+            except StoreError as error:
+                self._log("saving_delayed", cause=type(error).__name__, detail=str(error))
 
     async def _log_waiting_periodically(self) -> None:
         """Log which items have not run for a while, and why, while the job is open."""
@@ -275,23 +265,24 @@
             idle_s=round(now_s - longest.idle_since_s, 1),
         )
 
-    async def _save(self) -> None:
-        changed = [
-            progress
-            for progress in self._progress.values()
-            if progress.last_event_id is not None
-            and progress.last_event_id != progress.saved_event_id
-        ]
-        if not changed or self._version == ABSENT:
-            return
-        saved = [
-            SavedProgress(p.index, p.last_event_id or 0, p.failures, list(p.texts), p.software_key)
-            for p in changed
-        ]
-        await self._context.repository.save_progress(self.head, self._version, saved)
-        for progress, saved_progress in zip(changed, saved, strict=True):
-            progress.saved_event_id = saved_progress.last_event_id
-            self._stored_progress_indexes.add(saved_progress.index)
+    async def _save_failures(self, progress: ItemProgress) -> None:
+        """Save an item's failures before it may run again, however long the store refuses.
+
+        A planned stop saves them as it releases the job.
+        """
+        retry_delay_s = INITIAL_RETRY_DELAY_S
+        while progress.has_unsaved_failures and not self._stopped and not self._draining:
+            progress.wait_cause = WaitCause.SAVING
+            try:
+                await self._saver.save_failures(progress)
+                if not progress.has_unsaved_failures:
+                    return
+            except Conflict:
+                await self._reload()
+            except StoreError as error:
+                self._log("saving_delayed", cause=type(error).__name__, detail=str(error))
+            await asyncio.sleep(retry_delay_s * random.uniform(0.7, 1.0))
+            retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
 
     # Items
 
@@ -304,6 +295,7 @@
                 self._finished.append(result)
                 self._wake_event.set()
                 return
+            await self._save_failures(progress)
             if self._draining:
                 break
             if not progress.preempted:
