A status that is none of HTTP is no answer

Callers got a worker's answer with the status 000, 001, 099, 600 or 999 as a whole answer, and a 500 for 199.

Cause: the parser takes any three digits for a status, and nothing asked whether there is one of that number. For statuses from 104 to 199 the parser reads a body, which came before any head (an assertion failed). On the own interface 101, 104 and 199 were whole answers without a body.

Such a head ends the exchange now as any other malformed one does.

Three of the five tests of serving/test_odd_statuses failed on the former code (status 0 in place of 200; a back end's 101 returned as an answer).

--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -405,7 +405,10 @@
             f"{machine.machine_id}: status {response.status}",
             retry_after_s=float(retry_after) if retry_after else None,
         )
-    if response.status >= http.client.INTERNAL_SERVER_ERROR or response.status == GONE_STATUS:
+    # The library takes only 100 for an interim answer; any other below 200 would look final.
+    is_final = response.status >= http.client.OK
+    has_failed = response.status >= http.client.INTERNAL_SERVER_ERROR
+    if not is_final or has_failed or response.status == GONE_STATUS:
         raise BackendFailed(f"{machine.machine_id}: status {response.status}")
     if response.status < http.client.BAD_REQUEST:
         check_echo(machine, request, response)
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -62,6 +62,18 @@
         return self.length is None and not self.chunked
 
 
+INTERIM_STATUSES = frozenset({100, 102, 103})
+"""Statuses of heads that come before the answer's own. 101 would end the protocol; for others the
+parser reads a body."""
+
+FINAL_STATUSES = range(200, 600)
+"""Statuses of answers; no other number says whether a request has succeeded."""
+
+
+class _OddStatus(Exception):
+    """A head whose status is none of HTTP."""
+
+
 _END = None
 """Marks the end of a whole body in the queue of received parts."""
 
@@ -124,7 +136,8 @@
         except (httptools.HttpParserError, httptools.HttpParserCallbackError) as problem:
             self.reusable = False
             if not self._complete:
-                self._break(ReplyBroken(f"malformed: {problem}"))
+                cause = problem.__context__ or problem
+                self._break(ReplyBroken(f"malformed: {cause}"))
         except httptools.HttpParserUpgrade:
             self.reusable = False
             self._break(ReplyBroken("protocol switch"))
@@ -162,8 +175,10 @@
         """Hand the head on, unless it is an interim answer."""
         assert self._parser is not None
         status = self._parser.get_status_code()
-        if self._complete or 100 <= status < 200:
+        if self._complete or status in INTERIM_STATUSES:
             return
+        if status not in FINAL_STATUSES:
+            raise _OddStatus(f"status {status:03d}")
         headers = Headers(self._headers)
         self._foreign = not self._accepts(headers)
         if self._foreign:
@@ -192,7 +207,7 @@
     def on_message_complete(self) -> None:
         """End the answer."""
         assert self._parser is not None
-        if self._complete or 100 <= self._parser.get_status_code() < 200:
+        if self._complete or self._parser.get_status_code() in INTERIM_STATUSES:
             return
         if self._foreign:
             self._foreign = False
