A body without a length is whole only if its worker has outlived its end

Cause: the end of the connection was taken for the end of the body. The system closes a dead process's connections in order, and a reset that follows an orderly end was not waited for.

Plain bodies are confirmed as streams and items are. An end before the request has reached the worker's machine breaks the answer, and so does a reset while the worker is checked. The own interface asks whether the engine has ended.

--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -146,8 +146,12 @@
         try:
             response = exchange_head(connection, request, deadline_s, caller_gone)
             self._note_answered(machine)
+            ends_with_connection = response.length is None and not response.chunked
             body = read_body(response)
             clean = not response.will_close
+            # An engine that ends closes its connections as one that has written all of an answer.
+            if ends_with_connection and self.has_ended(machine):
+                raise BackendFailed("the answer ended with its back end")
             check_answer(machine, request, response, body)
             return BackendAnswer(
                 response.status,
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -15,7 +15,12 @@
 from mountstand.serving.worker import Worker
 from mountstand.serving.worker_protocol import ReplyKind, WorkerProtocol
 from mountstand.serving.workers import WorkerDirectory
-from mountstand.transport.http_client import ClientConnection, ConnectFailed, ReplyHead
+from mountstand.transport.http_client import (
+    ClientConnection,
+    ConnectFailed,
+    ReplyBroken,
+    ReplyHead,
+)
 
 MAX_BUFFERED_REPLY_BYTES = 512 * 1024
 """Replies up to this size are buffered until complete, so that a broken one can be retried."""
@@ -81,7 +86,7 @@
         if exchange.responder.started:
             exchange.cause = f"status {head.status} on resuming"
             return Outcome.BROKEN_MIDWAY
-        return await self._relay_body(exchange, connection, head)
+        return await self._relay_body(exchange, worker, connection, head)
 
     async def _read_head(
         self, exchange: Exchange, worker: Worker, connection: ClientConnection
@@ -127,11 +132,12 @@
         return Outcome.NOT_RUN
 
     async def _relay_body(
-        self, exchange: Exchange, connection: ClientConnection, head: ReplyHead
+        self, exchange: Exchange, worker: Worker, connection: ClientConnection, head: ReplyHead
     ) -> Outcome:
         """Relay a reply that is not an event stream.
 
-        A reply larger than ``MAX_BUFFERED_REPLY_BYTES`` is relayed before it is complete.
+        A reply larger than ``MAX_BUFFERED_REPLY_BYTES`` is relayed before it is complete. Raises
+        ``ReplyBroken`` for one without a length that may have ended with its worker.
         """
         responder = exchange.responder
         pieces: list[bytes] = []
@@ -146,6 +152,10 @@
             if buffered_bytes > MAX_BUFFERED_REPLY_BYTES:
                 responder.start(head.status, head.headers.end_to_end(), head.length)
                 responder.write(b"".join(pieces))
+        if head.ends_with_connection and not await outlived_by_worker(
+            self._connections, worker, connection
+        ):
+            raise ReplyBroken("ended with its worker")
         if head.status >= 500 and exchange.may_run_again:
             exchange.cause = f"status {head.status}"
             return Outcome.FAILED
--- a/mountstand/serving/stream_ends.py
+++ b/mountstand/serving/stream_ends.py
@@ -1,8 +1,9 @@
-"""Confirms that a stream is whole whose end only the end of its connection tells.
+"""Confirms that a reply is whole whose end only the end of its connection tells.
 
-A worker that ends closes its connections in the same way as one that has written all events. So
+A worker that ends closes its connections in the same way as one that has written all of a reply. So
 such an end counts only once the worker has shown that it outlived it. What listens at its address
-later may be a successor, and a port forwarder accepts connections for a worker that is gone.
+later may be a successor, and a port forwarder accepts connections for a worker that is gone. A
+reset that follows the end tells that the worker gave up.
 """
 
 from __future__ import annotations
@@ -31,7 +32,8 @@
 ) -> bool:
     """Return whether ``worker`` is known to have outlived the end of ``connection``.
 
-    It is if it accepts a new connection, or sends on another one, before a successor could.
+    It is if it accepts a new connection, or sends on another one, before a successor could, and has
+    not reset ``connection`` meanwhile.
     """
     loop = asyncio.get_running_loop()
     refusals = 0
@@ -45,6 +47,8 @@
         ended_at_s = connections.pauses.earliest_arrival_s(connection.ended_at_s)
         if loop.time() - ended_at_s > MIN_RESTART_S:
             return False
+        if connection.was_reset:
+            return False
         if accepted or worker.last_data_s > ended_at_s + BUFFERED_DATA_GRACE_S:
             return True
         await asyncio.sleep(PROBE_INTERVAL_S)
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -11,6 +11,7 @@
 import httptools
 
 from mountstand.transport.headers import Header, Headers, number
+from mountstand.transport.sockets import has_socket_error, has_unread_bytes
 
 USER_TIMEOUT_MS = 3000
 """Unacknowledged bytes end a connection after this long; a machine without power says nothing."""
@@ -145,12 +146,20 @@
             self._break(ReplyBroken("no answer within 1 MiB"))
 
     def eof_received(self) -> bool:
-        """Note an orderly close; it ends a body that has no length."""
+        """Note an orderly close; it ends a body that has no length.
+
+        It does not if the peer has yet to read the request: then it gave up midway. The connection
+        stays, closed by the peer alone, so that a reset after the close can be told.
+        """
         self.reusable = False
         self.ended_at_s = self._loop.time()
-        if self._until_close and not self._complete:
-            self._finish()
-        return False
+        if not self._until_close or self._complete:
+            return False
+        if self._transport is not None and has_unread_bytes(self._transport):
+            self._break(ReplyBroken("ended before the request was read"))
+            return False
+        self._finish()
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Break an answer that is not whole."""
@@ -299,6 +308,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def was_reset(self) -> bool:
+        """Whether the peer has reset the connection, maybe after an orderly close."""
+        if self._transport is None:
+            return self._broken is not None
+        return has_socket_error(self._transport)
+
     @property
     def open(self) -> bool:
         """Whether a request may be sent."""
--- a/tests/serving/test_forwarder.py
+++ b/tests/serving/test_forwarder.py
@@ -76,20 +76,22 @@
         deadline_s = request.received_at_s + limit_s
         await self.forwarder.forward(self.route, call, responder, request.received_at_s, deadline_s)
 
-    async def send_request(self, request_id: str = "r1") -> tuple[int, bytes, bool]:
+    async def send_request(
+        self, request_id: str = "r1", *, body: bytes = b"body"
+    ) -> tuple[int, bytes, bool]:
         """Send a request and return status, body, and whether the reply was complete."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         head = f"POST /x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
-        writer.write((head + "Content-Length: 4\r\n\r\nbody").encode())
+        writer.write((head + f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
         try:
             raw_head = await reader.readuntil(b"\r\n\r\n")
         except (asyncio.IncompleteReadError, ConnectionError):
             return 0, b"", False
         status = int(raw_head.split(b" ")[1])
-        body, complete = await self._read_body(reader, raw_head.lower())
+        answered, complete = await self._read_body(reader, raw_head.lower())
         self.last_head = raw_head.decode()
         writer.close()
-        return status, body, complete
+        return status, answered, complete
 
     async def _read_body(self, reader: asyncio.StreamReader, head: bytes) -> tuple[bytes, bool]:
         body = b""
