Replies without end take neither the memory nor the time of a daemon

One answer in chunks of one byte kept a daemon from everything else for 8 s; 20 with header lines or trailers without end took 307 and 329 MB of the 290 to 330 MB that a machine has. Requests of other callers ended with them.

Cause: bounds counted the bytes of one reply, while objects, copies and turns of the loop grew: a head of short lines is 27 MB, trailers were kept, each part of a body was relayed for itself without a pause, and a part of an event was copied with each piece.

Heads, trailers and reads have bounds of their own (reply_reader), pieces are joined as they come, other tasks run between two of them, and a budget for the daemon as a whole (reply_budget) bounds what replies hold together and lets streams with events in great numbers take turns.

--- a/mountstand/jobs/item_execution.py
+++ b/mountstand/jobs/item_execution.py
@@ -15,7 +15,7 @@
 from mountstand.serving.batch_room import BatchScheduler
 from mountstand.serving.configuration import Configuration, Route, WeightedServiceChooser
 from mountstand.serving.connections import WorkerConnections
-from mountstand.serving.events import EventSplitter
+from mountstand.serving.events import EventSplitter, StreamEvent
 from mountstand.serving.stream_ends import outlived_by_worker
 from mountstand.serving.worker import PendingPrefill, Worker
 from mountstand.serving.worker_protocol import Call, ReplyKind, WorkerProtocol
@@ -31,6 +31,9 @@
 """Bytes of events in one attempt, beyond which they are taken for garbage and dropped. Results are
 read in pages of about a megabyte."""
 
+MAX_OUTPUT_EVENTS = 50_000
+"""Events in one attempt, beyond which they are taken for garbage as well."""
+
 RESPONSE_HEAD_TIMEOUT_S = 6.0
 """Maximum wait for a response head, after which the attempt fails."""
 
@@ -325,30 +328,43 @@
         """
         splitter = EventSplitter()
         loop = asyncio.get_running_loop()
+        budget = self._context.connections.reply_budget
         event_count, last_event_id = len(progress.texts), progress.last_event_id
         output_bytes = 0
-        async with asyncio.timeout(STREAM_STALL_TIMEOUT_S) as stall:
-            while (chunk := await connection.read_piece()) is not None:
-                received_at_s = connection.last_bytes_at_s
-                worker.last_contact_s = max(worker.last_contact_s, received_at_s)
-                worker.last_data_s = max(worker.last_data_s, received_at_s)
-                events = splitter.feed(chunk)
-                for event in events:
-                    output_bytes += len(event.raw)
-                    if event.is_comment:
-                        continue
-                    progress.texts.append(event.data.decode("utf-8", "replace"))
-                    progress.last_event_id = event.event_id
-                if events:
-                    progress.software_key = worker.software_key
-                    self._note_writing(progress)
-                    stall.reschedule(loop.time() + STREAM_STALL_TIMEOUT_S)
-                if output_bytes > MAX_OUTPUT_BYTES:
-                    progress.truncate(event_count, last_event_id)
-                    raise ReplyBroken("output without end")
-        if splitter.partial:
+        stall = asyncio.timeout(STREAM_STALL_TIMEOUT_S)
+        async with stall:
+            with budget.holding() as held:
+                while (chunk := await connection.read_piece()) is not None:
+                    received_at_s = connection.last_bytes_at_s
+                    worker.last_contact_s = max(worker.last_contact_s, received_at_s)
+                    worker.last_data_s = max(worker.last_data_s, received_at_s)
+                    output_bytes += len(chunk)
+                    new_events = self._append_events(progress, worker, splitter.feed(chunk))
+                    if new_events:
+                        stall.reschedule(loop.time() + STREAM_STALL_TIMEOUT_S)
+                    held.set(output_bytes)
+                    has_too_many = len(progress.texts) - event_count > MAX_OUTPUT_EVENTS
+                    if output_bytes > MAX_OUTPUT_BYTES or has_too_many or held.is_too_large:
+                        progress.truncate(event_count, last_event_id)
+                        raise ReplyBroken("output without end")
+                    await budget.give_way(new_events)
+        if splitter.partial_bytes:
             raise ReplyBroken("ended within an event")
 
+    def _append_events(
+        self, progress: ItemProgress, worker: Worker, events: list[StreamEvent]
+    ) -> int:
+        """Append events to the output of an item; return how many there were, with comments."""
+        for event in events:
+            if event.is_comment:
+                continue
+            progress.texts.append(event.data.decode("utf-8", "replace"))
+            progress.last_event_id = event.event_id
+        if events:
+            progress.software_key = worker.software_key
+            self._note_writing(progress)
+        return len(events)
+
     def _note_writing(self, progress: ItemProgress) -> None:
         if progress.writing_since_s is None:
             progress.writing_since_s = asyncio.get_running_loop().time()
--- a/mountstand/online/event_stream.py
+++ b/mountstand/online/event_stream.py
@@ -39,7 +39,7 @@
         self.whole_frames = 0
         """Whole frames received, those dropped and the closing one counted."""
         self._skip_frames = skip_frames
-        self._pending = b""
+        self._pending = bytearray()
         self._body: list[bytes] = []
         self._parser: httptools.HttpResponseParser | None = None
         if chunked:
@@ -55,15 +55,19 @@
 
         Raises :class:`MalformedStream`.
         """
-        body = self._decode(received)
-        whole, separator, rest = (self._pending + body).rpartition(FRAME_END)
-        self._pending = rest
-        if len(rest) > MAX_FRAME_BYTES:
+        # What came before holds no end, but for one that these bytes complete.
+        search_start = max(0, len(self._pending) - len(FRAME_END) + 1)
+        self._pending += self._decode(received)
+        last_end = self._pending.rfind(FRAME_END, search_start)
+        whole_bytes = last_end + len(FRAME_END) if last_end >= 0 else 0
+        whole = bytes(self._pending[:whole_bytes])
+        del self._pending[:whole_bytes]
+        if len(self._pending) > MAX_FRAME_BYTES:
             raise MalformedStream("a frame without end")
-        if not separator:
+        if not whole:
             return b""
-        self.whole_frames += (whole + separator).count(FRAME_END)
-        return self._account(whole + separator)
+        self.whole_frames += whole.count(FRAME_END)
+        return self._account(whole)
 
     def _decode(self, received: bytes) -> bytes:
         if self._parser is None:
--- a/mountstand/serving/connections.py
+++ b/mountstand/serving/connections.py
@@ -16,6 +16,7 @@
 import asyncio
 
 from mountstand.serving.idle_limit import IdleLimit
+from mountstand.serving.reply_budget import ReplyBudget
 from mountstand.serving.worker import Worker
 from mountstand.transport.adaptive_timeout import AdaptiveTimeout
 from mountstand.transport.forwarders import TURNED_AWAY_S
@@ -58,6 +59,7 @@
         )
         self._idle_limit = IdleLimit()
         self.pauses = ProcessPauses()
+        self.reply_budget = ReplyBudget()
 
     async def check_reachable(self, worker: Worker) -> None:
         """Raise ``ConnectFailed`` unless ``worker`` accepts a connection.
--- a/mountstand/serving/events.py
+++ b/mountstand/serving/events.py
@@ -12,6 +12,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 """Bytes without the end of an event after which an answer is broken off."""
 
+MAX_COMMENTS = 10_000
+"""Comments and empty events in a row after which an answer is broken off."""
+
 EVENT_END_BYTES = 4
 """The longest end of an event."""
 
@@ -21,7 +24,7 @@
 DATA_LINE = re.compile(rb"(?m)^data:[ ]?([^\r\n]*)\r?$")
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class StreamEvent:
     """One complete event; ``raw`` holds its bytes including the terminating empty line."""
 
@@ -43,7 +46,8 @@
     """Collects pieces of a body and returns the events that they complete."""
 
     def __init__(self) -> None:
-        self._pending = b""
+        self._pending = bytearray()
+        self._comments = 0
 
     def feed(self, piece: bytes) -> list[StreamEvent]:
         """Add ``piece`` to the body and return the events that it completes.
@@ -56,18 +60,22 @@
         events = []
         start = 0
         for end in EVENT_END.finditer(self._pending, search_start):
-            raw = self._pending[start : end.end()]
+            raw = bytes(self._pending[start : end.end()])
             start = end.end()
-            events.append(StreamEvent(raw, _event_id(raw)))
-        self._pending = self._pending[start:]
+            event = StreamEvent(raw, _event_id(raw))
+            self._comments = self._comments + 1 if event.is_comment else 0
+            events.append(event)
+        del self._pending[:start]
         if len(self._pending) > MAX_EVENT_BYTES:
             raise ReplyBroken("malformed: event without end")
+        if self._comments > MAX_COMMENTS:
+            raise ReplyBroken("malformed: comments without end")
         return events
 
     @property
-    def partial(self) -> bytes:
-        """The bytes received of an event that is not yet complete; empty between events."""
-        return self._pending
+    def partial_bytes(self) -> int:
+        """The size of the part that has come of an event which is not yet complete."""
+        return len(self._pending)
 
 
 def _event_id(raw: bytes) -> int | None:
--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -10,6 +10,7 @@
 from mountstand.serving.connections import WorkerConnections
 from mountstand.serving.events import EventSplitter, StreamEvent
 from mountstand.serving.exchange import Exchange, Outcome, WorkerUnresponsive
+from mountstand.serving.reply_budget import HeldReply
 from mountstand.serving.stream_ends import outlived_by_worker
 from mountstand.serving.stream_versions import StreamVersions
 from mountstand.serving.worker import Worker
@@ -56,6 +57,7 @@
     ) -> None:
         self._directory = directory
         self._connections = connections
+        self._budget = connections.reply_budget
         self._protocol = protocol
         self._batch_scheduler = batch_scheduler
         self._quarantine = quarantine
@@ -136,22 +138,25 @@
     ) -> Outcome:
         """Relay a reply that is not an event stream.
 
-        A reply larger than ``MAX_BUFFERED_REPLY_BYTES`` is relayed before it is complete. Raises
+        A reply larger than ``MAX_BUFFERED_REPLY_BYTES``, or a large one while memory is short, is
+        relayed before it is complete. Raises
         ``ReplyBroken`` for one without a length that may have ended with its worker.
         """
         responder = exchange.responder
-        pieces: list[bytes] = []
-        buffered_bytes = 0
-        while (piece := await connection.read_piece()) is not None:
-            if responder.started:
-                responder.write(piece)
-                await responder.drain()
-                continue
-            pieces.append(piece)
-            buffered_bytes += len(piece)
-            if buffered_bytes > MAX_BUFFERED_REPLY_BYTES:
-                responder.start(head.status, head.headers.end_to_end(), head.length)
-                responder.write(b"".join(pieces))
+        buffered = bytearray()
+        with self._budget.holding() as held:
+            while (piece := await connection.read_piece()) is not None:
+                if responder.started:
+                    responder.write(piece)
+                    await responder.drain()
+                    continue
+                buffered += piece
+                held.set(len(buffered))
+                if len(buffered) > MAX_BUFFERED_REPLY_BYTES or held.is_too_large:
+                    responder.start(head.status, head.headers.end_to_end(), head.length)
+                    responder.write(bytes(buffered))
+                    buffered.clear()
+                    held.set(0)
         if head.ends_with_connection and not await outlived_by_worker(
             self._connections, worker, connection
         ):
@@ -162,7 +167,7 @@
         if responder.started:
             responder.finish()
         else:
-            responder.send(head.status, head.headers.end_to_end(), b"".join(pieces))
+            responder.send(head.status, head.headers.end_to_end(), bytes(buffered))
         return Outcome.DELIVERED
 
     async def _relay_stream(
@@ -179,13 +184,13 @@
             # Another run that goes on with the stream may write more or less than this one.
             length = None if exchange.route.resumable else head.length
             responder.start(head.status, head.headers.end_to_end(), length)
-        while True:
-            events = await self._read_events(worker, connection, splitter, stall_timeout_s)
-            if events is None:
-                break
-            self._bind_stream(exchange, worker)
-            await self._relay_events(exchange, events)
-        if splitter.partial:
+        with self._budget.holding() as held:
+            while event_count := await self._relay_next_events(
+                exchange, worker, connection, splitter, held, stall_timeout_s
+            ):
+                await responder.drain()
+                await self._budget.give_way(event_count)
+        if splitter.partial_bytes:
             exchange.cause = "ended within an event"
             self._note_broken(exchange, worker)
             return Outcome.BROKEN_MIDWAY
@@ -205,16 +210,34 @@
             worker, exchange.call, exchange.sent_at_s, exchange.writing_since_s
         )
 
+    async def _relay_next_events(
+        self,
+        exchange: Exchange,
+        worker: Worker,
+        connection: ClientConnection,
+        splitter: EventSplitter,
+        held: HeldReply,
+        stall_timeout_s: float | None,
+    ) -> int:
+        """Read until some events are complete, and write them; return how many, 0 at the end."""
+        events = await self._read_events(worker, connection, splitter, held, stall_timeout_s)
+        if events:
+            self._bind_stream(exchange, worker)
+            self._write_events(exchange, events)
+        return len(events)
+
     async def _read_events(
         self,
         worker: Worker,
         connection: ClientConnection,
         splitter: EventSplitter,
+        held: HeldReply,
         stall_timeout_s: float | None,
-    ) -> list[StreamEvent] | None:
-        """Read until an event is complete; return ``None`` at the end of the stream.
+    ) -> list[StreamEvent]:
+        """Read until an event is complete; return no events at the end of the stream.
 
-        Raises ``WorkerUnresponsive`` if no event is complete within ``stall_timeout_s``.
+        Raises ``WorkerUnresponsive`` if no event is complete within ``stall_timeout_s``, and
+        ``ReplyBroken`` for a large event while memory is short.
         """
         loop = asyncio.get_running_loop()
         try:
@@ -222,9 +245,12 @@
                 while (piece := await connection.read_piece()) is not None:
                     worker.last_data_s = max(worker.last_data_s, connection.last_bytes_at_s)
                     events = splitter.feed(piece)
+                    held.set(splitter.partial_bytes)
                     if events:
                         return events
-                return None
+                    if held.is_too_large:
+                        raise ReplyBroken("no memory for a large event")
+                return []
         except TimeoutError:
             # A stalled worker gets no new requests for a moment, like one that is full.
             worker.note_overloaded(loop.time())
@@ -240,7 +266,7 @@
             exchange.software_key = worker.software_key
             self._stream_versions.note_begun(exchange.call.request_id, worker.software_key)
 
-    async def _relay_events(self, exchange: Exchange, events: list[StreamEvent]) -> None:
+    def _write_events(self, exchange: Exchange, events: list[StreamEvent]) -> None:
         for event in events:
             if event.is_comment:
                 continue
@@ -257,7 +283,6 @@
             exchange.call, exchange.writing_since_s, resumed=exchange.has_gone_on
         )
         exchange.responder.write(b"".join(event.raw for event in events))
-        await exchange.responder.drain()
 
     def _stall_timeout_s(self, route: Route) -> float | None:
         """Return the longest allowed time without data, or ``None`` if there is no limit."""
--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -150,6 +150,7 @@
             settings.geography,
         )
         self.connections = WorkerConnections()
+        self.connections.reply_budget.set_memory(settings.memory_mb)
         self.queue = OnlineQueue(self.directory, rng)
         self.batch_scheduler = BatchScheduler(self.directory, self.queue, rng)
         service_chooser = WeightedServiceChooser(rng)
--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -1,16 +1,13 @@
-"""An HTTP/1.1 client connection on asyncio, parsed by httptools, one request at a time."""
+"""An HTTP/1.1 client connection on asyncio, one request at a time."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
-import httptools
-
-from mountstand.transport.headers import Header, Headers, number
+from mountstand.transport.headers import Header, Headers
+from mountstand.transport.reply_reader import MalformedReply, ReplyHead, ReplyReader
 from mountstand.transport.sockets import has_socket_error, has_unread_bytes
 
 USER_TIMEOUT_MS = 3000
@@ -19,12 +16,17 @@
 FORGOTTEN_FACTOR = 3.0
 """A reset within so many times the usual time of a connect answers the request's first packet."""
 
-READ_AHEAD_BYTES = 1024 * 1024
+READ_BYTES = 16 * 1024
+"""Bytes read at once. All connections get their turn before the next ones are read."""
+
+READ_AHEAD_BYTES = 64 * 1024
 """Reading pauses when so much of an answer has not been taken."""
 
-MAX_UNDELIVERED_BYTES = 1024 * 1024
-"""An answer is broken off after so many bytes without its head or a piece of its body: a head,
-interim answers, an answer to another request, or trailers that do not end."""
+MAX_PARTS_PER_READ = 512
+"""Parts of a body in one read, beyond which reading pauses. Parts of a byte or two take a thousand
+times longer than one that is as large as all of them."""
+
+SMALL_PARTS_PAUSE_S = 0.05
 
 
 class ConnectFailed(Exception):
@@ -48,57 +50,19 @@
         self.reason = reason
 
 
-@dataclass(frozen=True)
-class ReplyHead:
-    """Status and headers of an answer; ``length`` is ``None`` where none was told."""
-
-    status: int
-    headers: Headers
-    length: int | None
-    chunked: bool
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether only the end of the connection tells that the answer has ended."""
-        return self.length is None and not self.chunked
-
-
-INTERIM_STATUSES = frozenset({100, 102, 103})
-"""Statuses of heads that come before the answer's own. 101 would end the protocol; for others the
-parser reads a body."""
-
-FINAL_STATUSES = range(200, 600)
-"""Statuses of answers; no other number says whether a request has succeeded."""
-
-
-class _OddStatus(Exception):
-    """A head whose status is none of HTTP."""
-
-
-_END = None
-"""Marks the end of a whole body in the queue of received parts."""
-
-
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One connection to a server."""
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
-        self._parser: httptools.HttpResponseParser | None = None
-        self._headers: list[Header] = []
-        self._parts: deque[ReplyHead | bytes | None] = deque()
-        self._queued_bytes = 0
-        self._undelivered_bytes = 0
+        self._read_buffer = bytearray()
+        self._reply: ReplyReader | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._broken: ReplyBroken | None = None
         self._in_exchange = False
-        self._until_close = False
-        self._complete = False
-        self._no_body = False
-        self._foreign = False
-        self._accepts: Callable[[Headers], bool] = accept_any
         self._paused = False
+        self._pause_timer: asyncio.TimerHandle | None = None
         self.reusable = True
         self.last_received_at_s = self._loop.time()
         """When bytes came last, or the connection was made."""
@@ -116,7 +80,7 @@
         self.sent_at_s = 0.0
         self.keep_alive_s: float | None = None
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the time after which silence ends the connection."""
@@ -125,25 +89,32 @@
         raw = transport.get_extra_info("socket")
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return a buffer for the next read."""
+        self._read_buffer = bytearray(READ_BYTES)
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes of the server; bytes outside an exchange belong to no request."""
+        data = memoryview(self._read_buffer)[:nbytes]
+        self._read_buffer = bytearray()
         self.last_received_at_s = self.last_bytes_at_s = self._loop.time()
-        if not self._in_exchange or self._parser is None or self._complete:
+        reply = self._reply
+        if not self._in_exchange or reply is None or reply.complete:
             self.close()
             return
-        self._undelivered_bytes += len(data)
+        parts_before = reply.body_parts
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserCallbackError) as problem:
-            self.reusable = False
-            if not self._complete:
-                cause = problem.__context__ or problem
-                self._break(ReplyBroken(f"malformed: {cause}"))
-        except httptools.HttpParserUpgrade:
+            reply.feed(data)
+        except MalformedReply as problem:
             self.reusable = False
-            self._break(ReplyBroken("protocol switch"))
-        if self._undelivered_bytes > MAX_UNDELIVERED_BYTES:
-            self._break(ReplyBroken("no answer within 1 MiB"))
+            if not reply.complete:
+                self._break(ReplyBroken(str(problem)))
+        self._wake()
+        if reply.body_parts - parts_before > MAX_PARTS_PER_READ:
+            self._pause_for(SMALL_PARTS_PAUSE_S)
+        elif len(reply.body) > READ_AHEAD_BYTES:
+            self._pause()
 
     def eof_received(self) -> bool:
         """Note an orderly close; it ends a body that has no length.
@@ -153,78 +124,24 @@
         """
         self.reusable = False
         self.ended_at_s = self._loop.time()
-        if not self._until_close or self._complete:
+        if self._reply is None or not self._reply.ends_with_connection:
             return False
         if self._transport is not None and has_unread_bytes(self._transport):
             self._break(ReplyBroken("ended before the request was read"))
             return False
-        self._finish()
+        self._reply.end_with_connection()
+        self._wake()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Break an answer that is not whole."""
         self._transport = None
         self.reusable = False
-        if not self._complete:
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
+        if self._reply is None or not self._reply.complete:
             self._break(ReplyBroken("reset" if exc else "closed"))
 
-    # httptools callbacks
-
-    def on_message_begin(self) -> None:
-        """Begin an answer; one more after a whole one belongs to no request."""
-        if self._complete:
-            self.reusable = False
-        self._headers = []
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header."""
-        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
-
-    def on_headers_complete(self) -> None:
-        """Hand the head on, unless it is an interim answer."""
-        assert self._parser is not None
-        status = self._parser.get_status_code()
-        if self._complete or status in INTERIM_STATUSES:
-            return
-        if status not in FINAL_STATUSES:
-            raise _OddStatus(f"status {status:03d}")
-        headers = Headers(self._headers)
-        self._foreign = not self._accepts(headers)
-        if self._foreign:
-            self.reusable = False
-            return
-        length = number(headers.get("content-length"))
-        chunked = "chunked" in (headers.get("transfer-encoding") or "").lower()
-        bodiless = self._no_body or status in (204, 304)
-        self._until_close = length is None and not chunked and not bodiless
-        self._note_keep_alive(headers)
-        self._put(ReplyHead(status, headers, 0 if bodiless else length, chunked))
-        if self._no_body:
-            self.reusable = False
-            self._finish()
-
-    def on_body(self, body: bytes) -> None:
-        """Hand a piece of the body on."""
-        if self._complete or self._foreign:
-            return
-        self._queued_bytes += len(body)
-        self._put(body)
-        if self._queued_bytes > READ_AHEAD_BYTES and self._transport is not None:
-            self._paused = True
-            self._transport.pause_reading()
-
-    def on_message_complete(self) -> None:
-        """End the answer."""
-        assert self._parser is not None
-        if self._complete or self._parser.get_status_code() in INTERIM_STATUSES:
-            return
-        if self._foreign:
-            self._foreign = False
-            return
-        if not self._parser.should_keep_alive():
-            self.reusable = False
-        self._finish()
-
     # One exchange
 
     def send(
@@ -242,15 +159,7 @@
         """
         if self._transport is None or self._transport.is_closing():
             raise ReplyBroken("closed before sending")
-        self._parser = httptools.HttpResponseParser(self)
-        self._parts.clear()
-        self._queued_bytes = 0
-        self._undelivered_bytes = 0
-        self._complete = False
-        self._until_close = False
-        self._no_body = method == "HEAD"
-        self._foreign = False
-        self._accepts = accepts or accept_any
+        self._reply = ReplyReader(accepts or accept_any, has_body=method != "HEAD")
         self._in_exchange = True
         self.sent_at_s = self._loop.time()
         lines = [f"{method} {target} HTTP/1.1"]
@@ -264,21 +173,29 @@
 
     async def read_head(self) -> ReplyHead:
         """Wait for the head. Raises ``ReplyBroken``."""
-        part = await self._next()
-        assert isinstance(part, ReplyHead)
-        return part
+        reply = self._reply
+        assert reply is not None
+        while reply.head is None:
+            await self._wait()
+        return reply.head
 
     async def read_piece(self) -> bytes | None:
-        """Wait for a piece of the body; ``None`` at its end. Raises ``ReplyBroken``."""
-        part = await self._next()
-        assert not isinstance(part, ReplyHead)
-        if part is not None:
-            self._queued_bytes -= len(part)
-            if self._paused and self._queued_bytes < READ_AHEAD_BYTES // 2:
-                self._paused = False
-                if self._transport is not None:
-                    self._transport.resume_reading()
-        return part
+        """Wait for a piece of the body; ``None`` at its end. Raises ``ReplyBroken``.
+
+        Other tasks run between two pieces, also if the next one is there already.
+        """
+        reply = self._reply
+        assert reply is not None
+        if reply.body:
+            await asyncio.sleep(0)
+        while not reply.body:
+            if reply.complete:
+                return None
+            await self._wait()
+        piece = reply.take_body(READ_BYTES)
+        if self._pause_timer is None and len(reply.body) <= READ_AHEAD_BYTES // 2:
+            self._resume()
+        return piece
 
     async def read_body(self) -> bytes:
         """Wait for the whole body. Raises ``ReplyBroken``."""
@@ -291,12 +208,18 @@
         """Tell whether the connection may carry another request; close it if not."""
         ready = (
             self.reusable
-            and self._complete
+            and self._reply is not None
+            and self._reply.complete
+            and self._reply.reusable
+            and not self._paused
             and self._transport is not None
             and not self._transport.is_closing()
             and self._transport.get_write_buffer_size() == 0
         )
+        if self._reply is not None:
+            self.keep_alive_s = self._reply.keep_alive_s
         self._in_exchange = False
+        self._reply = None
         self.idle_since_s = self._loop.time()
         if not ready:
             self.close()
@@ -338,23 +261,26 @@
 
     # Internals
 
-    def _note_keep_alive(self, headers: Headers) -> None:
-        if (headers.get("connection") or "").lower() == "close":
-            self.reusable = False
-        self.keep_alive_s = None
-        for word in (headers.get("keep-alive") or "").split(","):
-            name, _, value = word.strip().partition("=")
-            if name.lower() == "timeout":
-                self.keep_alive_s = float(number(value) or 0)
-
-    def _put(self, part: ReplyHead | bytes | None) -> None:
-        self._parts.append(part)
-        self._undelivered_bytes = 0
-        self._wake()
+    def _pause(self) -> None:
+        if self._transport is not None and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def _pause_for(self, seconds: float) -> None:
+        """Stop reading for a while, and until what has come is taken."""
+        self._pause()
+        if self._pause_timer is None:
+            self._pause_timer = self._loop.call_later(seconds, self._end_timed_pause)
 
-    def _finish(self) -> None:
-        self._complete = True
-        self._put(_END)
+    def _end_timed_pause(self) -> None:
+        self._pause_timer = None
+        if self._reply is None or len(self._reply.body) <= READ_AHEAD_BYTES:
+            self._resume()
+
+    def _resume(self) -> None:
+        if self._transport is not None and self._paused:
+            self._paused = False
+            self._transport.resume_reading()
 
     def _break(self, problem: ReplyBroken) -> None:
         if self._broken is None:
@@ -368,16 +294,15 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    async def _next(self) -> ReplyHead | bytes | None:
-        while not self._parts:
-            if self._broken is not None:
-                raise self._broken
-            self._waiter = self._loop.create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
-        return self._parts.popleft()
+    async def _wait(self) -> None:
+        """Wait until something has come. Raises ``ReplyBroken``."""
+        if self._broken is not None:
+            raise self._broken
+        self._waiter = self._loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
 
 
 def accept_any(headers: Headers) -> bool:
--- a/tests/contract/test_untrusted_input.py
+++ b/tests/contract/test_untrusted_input.py
@@ -129,7 +129,7 @@
             found += [event.raw for event in in_parts.feed(body[:size])]
             body = body[size:]
         self.assertEqual(expected, found)
-        self.assertEqual(at_once.partial, in_parts.partial)
+        self.assertEqual(at_once.partial_bytes, in_parts.partial_bytes)
 
 
 class Digests(TestCase):
--- a/tests/unit/test_event_stream.py
+++ b/tests/unit/test_event_stream.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
+
 import hypothesis.strategies as st
 from hypothesis import given, settings
 from testtools import TestCase
 
 from mountstand.online.event_stream import DONE_FRAME, EventStreamDecoder, MalformedStream
+from mountstand.serving.events import MAX_COMMENTS, EventSplitter
+from mountstand.transport.http_client import ReplyBroken
 
 FRAMES = [b"data: {%d}\n\n" % n for n in range(6)]
 
@@ -40,3 +45,31 @@
     def test_nonsense_is_an_error(self) -> None:
         decoder = EventStreamDecoder(chunked=True)
         self.assertRaises(MalformedStream, decoder.feed, b"no chunk size\r\n")
+
+
+class LongEvents(TestCase):
+    PIECE = b"data: a\n"
+    PIECES = 125_000
+    MAX_PROCESSOR_S = 2.0
+    """Time in which callers of the same process may have to wait; a hundredth of it is used."""
+
+    def check(self, feed: Callable[[bytes], object]) -> None:
+        began_s = time.process_time()
+        for _ in range(self.PIECES):
+            feed(self.PIECE)
+        self.assertLess(time.process_time() - began_s, self.MAX_PROCESSOR_S)
+
+    def test_event_in_small_pieces_takes_time_in_proportion(self) -> None:
+        """Guards against a daemon that stands still while it copies an event with each piece."""
+        self.check(EventSplitter().feed)
+
+    def test_frame_in_small_pieces_takes_time_in_proportion(self) -> None:
+        """Guards against the same on the own interface."""
+        self.check(EventStreamDecoder(chunked=False).feed)
+
+    def test_comments_without_end_are_malformed(self) -> None:
+        """Guards against a stream without an event that is read until its deadline."""
+        splitter = EventSplitter()
+        splitter.feed(b":\n\n" * MAX_COMMENTS + b"data: a\n\n")
+        splitter.feed(b"\n\n" * MAX_COMMENTS)
+        self.assertRaises(ReplyBroken, splitter.feed, b":\n\n")
