Trailers of a request are none of its headers

A caller could add a second Host, a Request-Id or an API key behind a chunked body, after the head had been checked; nothing bounded them.

Cause: the parser reports the lines behind a body like those of the head.

Lines behind the head are dropped. test_trailers_are_no_headers failed on the former code: hosts x and y in place of x.

--- a/mountstand/transport/http_server.py
+++ b/mountstand/transport/http_server.py
@@ -160,8 +160,10 @@
         self._incoming.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header."""
+        """Take one header. Those behind a body are dropped, as they are none of the head."""
         assert self._incoming is not None
+        if self._incoming.head_complete:
+            return
         self._incoming.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -127,6 +127,21 @@
 
         self.assertIn(b"HTTP/1.1 413", run(scenario()))
 
+    CHUNKED_HEAD = b"POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    def test_trailers_are_no_headers(self) -> None:
+        """Guards against headers that nobody has checked with the head."""
+        trailers = b"1\r\na\r\n0\r\nHost: y\r\nRequest-Id: z\r\n\r\n"
+
+        async def scenario() -> Server:
+            server = Server()
+            await server.exchange(self.CHUNKED_HEAD + trailers)
+            return server
+
+        [request] = run(scenario()).requests
+        self.assertEqual(["x"], request.headers.all("host"))
+        self.assertEqual([], request.headers.all("request-id"))
+
     def test_slow_head_is_ended(self) -> None:
         async def scenario() -> bytes:
             return await Server(header_timeout_s=0.1).exchange(b"GET /a HTTP/1.1\r\nHo")
