Callers cannot send without end what never becomes a request

Trailers, the extension of a chunk and a head of short lines that came in one read were read on without a bound, and a body in single bytes cost a piece, a timer and a count for each.

Such requests are ended with 431; bodies are joined as they come, reads are of 16 KiB, and many small parts pause them.

test_what_does_not_become_a_request_is_ended failed on the former code (no rejection of header lines in one read, and the others not reached). The test of bodies in single bytes passed before as well.

--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from mountstand.transport.headers import Header, Headers
+from mountstand.transport.reading import MAX_PARTS_PER_READ, READ_BYTES, SMALL_PARTS_PAUSE_S
 from mountstand.transport.reply_reader import MalformedReply, ReplyHead, ReplyReader
 from mountstand.transport.sockets import has_socket_error, has_unread_bytes
 
@@ -16,18 +17,9 @@
 FORGOTTEN_FACTOR = 3.0
 """A reset within so many times the usual time of a connect answers the request's first packet."""
 
-READ_BYTES = 16 * 1024
-"""Bytes read at once. All connections get their turn before the next ones are read."""
-
 READ_AHEAD_BYTES = 64 * 1024
 """Reading pauses when so much of an answer has not been taken."""
 
-MAX_PARTS_PER_READ = 512
-"""Parts of a body in one read, beyond which reading pauses. Parts of a byte or two take a thousand
-times longer than one that is as large as all of them."""
-
-SMALL_PARTS_PAUSE_S = 0.05
-
 
 class ConnectFailed(Exception):
     """No connection came up, so nothing was sent.
--- a/mountstand/transport/http_server.py
+++ b/mountstand/transport/http_server.py
@@ -16,6 +16,7 @@
 import httptools
 
 from mountstand.transport.headers import Header, Headers
+from mountstand.transport.reading import MAX_PARTS_PER_READ, READ_BYTES, SMALL_PARTS_PAUSE_S
 from mountstand.transport.responder import CallerGone, Responder, ServerRequest, head_bytes
 from mountstand.transport.sockets import reset
 
@@ -24,6 +25,9 @@
 MAX_PIPELINED_REQUESTS = 8
 """Requests that a caller may send ahead; one that sends more is cut off."""
 
+MAX_HEADER_LINES = 256
+"""Lines of a request's head. Short ones take many times their bytes in memory."""
+
 WRITE_BUFFER_BYTES = 256 * 1024
 RETRY_MEMORY_S = 0.5
 """When a caller is told to come back whose body found no room."""
@@ -56,9 +60,14 @@
     received_at_s: float
     url: bytes = b""
     headers: list[Header] = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
-    head_bytes: int = 0
+    body: bytearray = field(default_factory=bytearray)
+    body_parts: int = 0
+    counted_bytes: int = 0
+    """Bytes of the body that the server has counted as held."""
+
+    framing_bytes: int = 0
+    """Bytes of the head, or since the latest part of the body."""
+
     head_complete: bool = False
 
 
@@ -70,12 +79,13 @@
         self.status = status
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection of a caller."""
 
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
+        self._read_buffer = bytearray()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._incoming: _Incoming | None = None
@@ -90,7 +100,7 @@
         self._asked = False
         self.close_after_answer = False
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take a new connection."""
@@ -127,18 +137,26 @@
         """Let writers go on."""
         self._writable.set()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return a buffer for the next read."""
+        self._read_buffer = bytearray(READ_BYTES)
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes of the caller."""
+        data = memoryview(self._read_buffer)[:nbytes]
+        self._read_buffer = bytearray()
         if self._rejected:
             return
         if self._incoming is None and self._task is None:
             self._begin_message()
         incoming = self._incoming
-        if incoming is not None and not incoming.head_complete:
-            incoming.head_bytes += len(data)
+        parts_before = incoming.body_parts if incoming is not None else 0
+        if incoming is not None:
+            incoming.framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
-            self._check_head_size(data)
+            self._check_size()
         except _Rejected as rejection:
             self._reject(rejection.status)
         except httptools.HttpParserUpgrade:
@@ -146,6 +164,18 @@
         except (httptools.HttpParserError, httptools.HttpParserCallbackError) as problem:
             cause = problem.__context__
             self._reject(cause.status if isinstance(cause, _Rejected) else 400)
+        if incoming is not None and incoming.body_parts - parts_before > MAX_PARTS_PER_READ:
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        """Stop reading for a while, since small parts take long to read."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+            self._loop.call_later(SMALL_PARTS_PAUSE_S, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
 
     # httptools callbacks
 
@@ -164,6 +194,8 @@
         assert self._incoming is not None
         if self._incoming.head_complete:
             return
+        if len(self._incoming.headers) >= MAX_HEADER_LINES:
+            raise _Rejected(431)
         self._incoming.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -171,6 +203,7 @@
         incoming = self._incoming
         assert incoming is not None
         incoming.head_complete = True
+        incoming.framing_bytes = 0
         headers = Headers(incoming.headers)
         hosts = headers.all("host")
         if len(hosts) != 1 or not incoming.url.startswith(b"/"):
@@ -186,29 +219,26 @@
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        """Take a piece of the body."""
+        """Take a part of the body."""
         incoming = self._incoming
         assert incoming is not None
-        incoming.body_bytes += len(body)
-        if incoming.body_bytes > self._server.limits.max_body_bytes:
+        incoming.body += body
+        incoming.body_parts += 1
+        incoming.framing_bytes = 0
+        if len(incoming.body) > self._server.limits.max_body_bytes:
             raise _Rejected(413)
-        incoming.body.append(body)
-        self._held_bytes += len(body)
-        self._server.hold(len(body))
-        if self._server.over_memory:
-            raise _Rejected(503)
-        self._expire_after(self._server.limits.idle_timeout_s)
 
     def on_message_complete(self) -> None:
         """Hand a whole request on."""
         incoming = self._incoming
         assert incoming is not None
+        self._count_body(incoming)
         self._incoming = None
         request = ServerRequest(
             self._parser.get_method().decode("latin-1"),
             incoming.url.decode("latin-1"),
             Headers(incoming.headers),
-            b"".join(incoming.body),
+            bytes(incoming.body),
             incoming.received_at_s,
             self._parser.should_keep_alive(),
             0 if self._parser.get_http_version() == "1.0" else 1,
@@ -265,13 +295,26 @@
         self._incoming = _Incoming(self._loop.time())
         self._expire_after(self._server.limits.header_timeout_s)
 
-    def _check_head_size(self, data: bytes) -> None:
+    def _check_size(self) -> None:
         incoming = self._incoming
-        limit = self._server.limits.max_header_bytes
-        if incoming is None or incoming.head_complete:
+        if incoming is None:
             return
-        if incoming.head_bytes > limit:
+        if incoming.framing_bytes > self._server.limits.max_header_bytes:
             raise _Rejected(431)
+        if incoming.head_complete:
+            self._count_body(incoming)
+
+    def _count_body(self, incoming: _Incoming) -> None:
+        """Count what has come of a body as held, and give its caller more time."""
+        bytes_more = len(incoming.body) - incoming.counted_bytes
+        if not bytes_more:
+            return
+        incoming.counted_bytes += bytes_more
+        self._held_bytes += bytes_more
+        self._server.hold(bytes_more)
+        if self._server.over_memory:
+            raise _Rejected(503)
+        self._expire_after(self._server.limits.idle_timeout_s)
 
     def _reject(self, status: int) -> None:
         """Answer a malformed request and close; requests before it keep their answers."""
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from typing import ClassVar
 
@@ -11,6 +12,9 @@
 from mountstand.transport.http_server import HttpServer, Responder, ServerLimits, ServerRequest
 from tests.stand_ins.harness import eventually, run
 
+MAX_WAIT_S = 1.0
+"""Time in which five requests are answered one after the other beside a flood."""
+
 GOOD = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -22,7 +26,14 @@
         self.cancelled = 0
         self.release = asyncio.Event()
         self.release.set()
-        self.server = HttpServer(self.handle, ServerLimits(**limits))  # type: ignore[arg-type]
+        self.rejected: list[int] = []
+        """The statuses with which requests were rejected unread."""
+
+        self.server = HttpServer(
+            self.handle,
+            ServerLimits(**limits),  # type: ignore[arg-type]
+            self.rejected.append,
+        )
 
     async def handle(self, request: ServerRequest, responder: Responder) -> None:
         self.requests.append(request)
@@ -129,6 +140,28 @@
 
     CHUNKED_HEAD = b"POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+    def test_what_does_not_become_a_request_is_ended(self) -> None:
+        """Guards against memory that grows with the bytes of a caller who sends without end."""
+        cases = {
+            "header lines": b"GET /a HTTP/1.1\r\nHost: x\r\n" + b"a: b\r\n" * 1000,
+            "trailers": self.CHUNKED_HEAD + b"1\r\na\r\n0\r\n" + b"a: b\r\n" * 50_000,
+            "a trailer": self.CHUNKED_HEAD + b"1\r\na\r\n0\r\na: " + b"b" * 200_000,
+            "an extension": self.CHUNKED_HEAD + b"5;" + b"b" * 200_000,
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+
+                async def scenario(data: bytes = data) -> Server:
+                    server = Server()
+                    # What is unread as the server closes resets the connection.
+                    with contextlib.suppress(ConnectionError):
+                        await server.exchange(data)
+                    return server
+
+                server = run(scenario())
+                self.assertEqual([431], server.rejected, name)
+                self.assertEqual([], server.requests)
+
     def test_trailers_are_no_headers(self) -> None:
         """Guards against headers that nobody has checked with the head."""
         trailers = b"1\r\na\r\n0\r\nHost: y\r\nRequest-Id: z\r\n\r\n"
@@ -142,6 +175,32 @@
         self.assertEqual(["x"], request.headers.all("host"))
         self.assertEqual([], request.headers.all("request-id"))
 
+    def test_body_in_single_bytes_leaves_time_for_others(self) -> None:
+        """Guards against a server that reads one caller's parts and nothing else."""
+
+        async def scenario() -> None:
+            server = Server()
+            port = await server.server.start("127.0.0.1", 0)
+            flood = self.CHUNKED_HEAD + b"1\r\na\r\n" * 200_000
+            flooding = []
+            for _ in range(20):
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(flood)
+                flooding.append(writer)
+            await asyncio.sleep(0.05)
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            for _ in range(5):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(GOOD)
+                await reader.readuntil(b"GET /a ")
+                writer.close()
+            self.assertLess(loop.time() - began_s, MAX_WAIT_S)
+            for writer in flooding:
+                writer.transport.abort()
+
+        run(scenario())
+
     def test_slow_head_is_ended(self) -> None:
         async def scenario() -> bytes:
             return await Server(header_timeout_s=0.1).exchange(b"GET /a HTTP/1.1\r\nHo")
