A planned stop ends within a short grace

With a grace of 1 s an idle daemon ended 3.8 s after SIGTERM, so that the platform would have killed it with what was in progress.

Cause: a stop accepted connections for 3.2 s and waited 0.5 s for their first requests, however long the grace.

Both waits end by the end of the stop. test_stop_ends_within_a_short_grace failed on the former code (3.8 s in place of under 1 s).

--- a/mountstand/serving_node.py
+++ b/mountstand/serving_node.py
@@ -99,7 +99,8 @@
 
 LISTENER_CLOSE_DELAY_S = 3.2
 """Time for which a stopping daemon still accepts connections, because callers may use a cached list
-of daemon addresses for up to three times its TTL. This covers TTLs of up to 1 s."""
+of daemon addresses for up to three times its TTL. This covers TTLs of up to 1 s. It ends sooner
+where the grace is shorter."""
 
 MAX_TENANTS_LOGGED = 20
 """Limit on the tenant names in one log line."""
@@ -537,10 +538,11 @@
         self._listeners.announce_close()
         self._spawn(self.registry.announce_leaving())
         drain_task = asyncio.create_task(self.jobs.drain())
-        await asyncio.sleep(LISTENER_CLOSE_DELAY_S)
+        listener_closes_s = min(started_s + LISTENER_CLOSE_DELAY_S, deadline_s - FIRST_REQUEST_S)
+        await asyncio.sleep(listener_closes_s - loop.time())
         self._listeners.close_caller_listener()
         # Connections accepted last may not have sent their first request yet.
-        await asyncio.sleep(FIRST_REQUEST_S)
+        await asyncio.sleep(min(FIRST_REQUEST_S, deadline_s - loop.time()))
         while loop.time() < deadline_s:
             if drain_task.done() and not self._listeners.caller_connection_count:
                 break
--- a/tests/integration/test_platform_node.py
+++ b/tests/integration/test_platform_node.py
@@ -408,6 +408,26 @@
 
         run(scenario())
 
+    def test_stop_ends_within_a_short_grace(self) -> None:
+        """Guards against a process that is killed as it waits for callers longer than it may."""
+
+        async def scenario(grace_s: float) -> None:
+            async with Site(0) as site:
+                process = site._process("front-0")
+                settings = json.loads(process.settings.read_text())
+                settings["bounds"]["grace_s"] = grace_s
+                process.settings.write_text(json.dumps(settings))
+                site.processes.append(await process.start())
+                await site.wait_ready(process)
+                loop = asyncio.get_running_loop()
+                stopped_s = loop.time()
+                process.signal(signal.SIGTERM)
+                self.assertEqual(0, await process.ended())
+                self.assertLess(loop.time() - stopped_s, grace_s)
+
+        for grace_s in (1.0, 2.0, 3.5):
+            run(scenario(grace_s))
+
     def test_signals_until_the_end_leave_the_exit_code(self) -> None:
         """Guards against a signal that ends a stopped process once the loop is closed."""
 
