A body that is read whole has a bound

Answers of the store and of other daemons were read as long as they went on, within the time-out of the call, and kept.

test_body_that_is_read_whole_has_a_bound failed on the former code: read until the test ended it after 10 s.

--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -21,6 +21,10 @@
 """Reading pauses when so much of an answer has not been taken."""
 
 
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Bytes of a body that is read whole. Pages of the store's rows have a few megabytes at most."""
+
+
 class ConnectFailed(Exception):
     """No connection came up, so nothing was sent.
 
@@ -190,11 +194,13 @@
         return piece
 
     async def read_body(self) -> bytes:
-        """Wait for the whole body. Raises ``ReplyBroken``."""
-        pieces = []
+        """Wait for the whole body. Raises ``ReplyBroken``, also for one that does not end."""
+        body = bytearray()
         while (piece := await self.read_piece()) is not None:
-            pieces.append(piece)
-        return b"".join(pieces)
+            body += piece
+            if len(body) > MAX_BODY_BYTES:
+                raise ReplyBroken(f"body of over {MAX_BODY_BYTES} bytes")
+        return bytes(body)
 
     def end_exchange(self) -> bool:
         """Tell whether the connection may carry another request; close it if not."""
--- a/tests/serving/test_http_client.py
+++ b/tests/serving/test_http_client.py
@@ -153,6 +153,21 @@
 
         run(scenario())
 
+    def test_body_that_is_read_whole_has_a_bound(self) -> None:
+        """Guards against an answer of the store, or of another daemon, that does not end."""
+
+        async def endless(request: Received, writer: asyncio.StreamWriter) -> None:
+            writer.write(head(request))
+            while not writer.transport.is_closing():
+                writer.write(b"x" * 65536)
+                await writer.drain()
+
+        async def scenario() -> None:
+            with ExpectedException(ReplyBroken, "body of over"):
+                await asyncio.wait_for(ask(StandInWorker("w", endless)), 10.0)
+
+        run(scenario())
+
     def test_closed_port_is_told_before_anything_is_sent(self) -> None:
         async def scenario() -> None:
             worker = await StandInWorker("w").start()
