An unexpected error while a failure is saved does not drop the item

Read in the change before: an error of another kind than the store's, as its row is written, ended the item's task, and nothing worked on the item any more. It is logged and tried again now as an error in an attempt is, and the item does not run before its failure is saved.

test_item_goes_on_after_an_unexpected_error_while_its_failure_is_saved.

--- a/mountstand/jobs/runner.py
+++ b/mountstand/jobs/runner.py
@@ -295,7 +295,6 @@
                 self._finished.append(result)
                 self._wake_event.set()
                 return
-            await self._save_failures(progress)
             if self._draining:
                 break
             if not progress.preempted:
@@ -305,7 +304,12 @@
     async def _try_item_safely(self, progress: ItemProgress) -> ItemResult | None:
         """Make one attempt; after an unexpected error, log it and let the item be retried."""
         try:
-            return await self._try_item(progress)
+            # After an unexpected error the latest failure may not be saved yet.
+            await self._save_failures(progress)
+            result = await self._try_item(progress)
+            if result is None:
+                await self._save_failures(progress)
+            return result
         except Exception:
             self._log(
                 "item_task_failed",
--- a/tests/jobs/test_failure_counts.py
+++ b/tests/jobs/test_failure_counts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import zlib
+from unittest import mock
 
 import orjson
 
@@ -106,6 +107,28 @@
 
         self.run_scenario(work, (late_error, stream(4)))
 
+    def test_item_goes_on_after_an_unexpected_error_while_its_failure_is_saved(self) -> None:
+        """Guards against an item that is dropped, or runs again with an unsaved failure."""
+
+        async def work() -> None:
+            save_failures = ProgressSaver.save_failures
+            errors = iter([ValueError("unexpected")])
+
+            async def fail_once(saver: ProgressSaver, progress: ItemProgress) -> None:
+                for error in errors:
+                    raise error
+                await save_failures(saver, progress)
+                self.assertEqual(1, self.runs())
+
+            with mock.patch.object(ProgressSaver, "save_failures", fail_once):
+                daemon = self.daemon()
+                await daemon.submit(submission(items=1))
+                self.assert_all_completed(await daemon.wait_for_results(1), 1)
+            (line,) = self.fleet.log.lines("item_task_failed")
+            self.assertIn("unexpected", line["cause"])
+
+        self.run_scenario(work, (late_error, stream(4)))
+
     def test_failures_of_a_job_are_saved_together(self) -> None:
         """Guards against a write for each item as a worker fails all of them at once."""
 
