--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -7,7 +7,12 @@
 from collections.abc import Callable, Iterable
 
 from mountstand.transport.headers import Header, Headers
-from mountstand.transport.reading import MAX_PARTS_PER_READ, READ_BYTES, SMALL_PARTS_PAUSE_S
+from mountstand.transport.reading import (
+    MAX_PARTS_PER_READ,
+    READ_BYTES,
+    SMALL_PARTS_PAUSE_S,
+    SmallReads,
+)
 from mountstand.transport.reply_reader import MalformedReply, ReplyHead, ReplyReader
 from mountstand.transport.sockets import has_socket_error, has_unread_bytes
 
@@ -46,13 +51,13 @@
         self.reason = reason
 
 
-class ClientConnection(asyncio.BufferedProtocol):
+class ClientConnection(SmallReads):
     """One connection to a server."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
-        self._read_buffer = bytearray()
         self._reply: ReplyReader | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._broken: ReplyBroken | None = None
@@ -76,7 +81,7 @@
         self.sent_at_s = 0.0
         self.keep_alive_s: float | None = None
 
-    # asyncio.BufferedProtocol
+    # SmallReads
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the time after which silence ends the connection."""
@@ -85,15 +90,8 @@
         raw = transport.get_extra_info("socket")
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return a buffer for the next read."""
-        self._read_buffer = bytearray(READ_BYTES)
-        return self._read_buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
+    def handle_bytes(self, data: memoryview) -> None:
         """Parse bytes of the server; bytes outside an exchange belong to no request."""
-        data = memoryview(self._read_buffer)[:nbytes]
-        self._read_buffer = bytearray()
         self.last_received_at_s = self.last_bytes_at_s = self._loop.time()
         reply = self._reply
         if not self._in_exchange or reply is None or reply.complete:
--- a/mountstand/transport/http_server.py
+++ b/mountstand/transport/http_server.py
@@ -16,7 +16,7 @@
 import httptools
 
 from mountstand.transport.headers import Header, Headers
-from mountstand.transport.reading import MAX_PARTS_PER_READ, READ_BYTES, SMALL_PARTS_PAUSE_S
+from mountstand.transport.reading import MAX_PARTS_PER_READ, SMALL_PARTS_PAUSE_S, SmallReads
 from mountstand.transport.responder import CallerGone, Responder, ServerRequest, head_bytes
 from mountstand.transport.sockets import reset
 
@@ -79,13 +79,13 @@
         self.status = status
 
 
-class ServerConnection(asyncio.BufferedProtocol):
+class ServerConnection(SmallReads):
     """One connection of a caller."""
 
     def __init__(self, server: HttpServer) -> None:
+        super().__init__()
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._read_buffer = bytearray()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._incoming: _Incoming | None = None
@@ -100,7 +100,7 @@
         self._asked = False
         self.close_after_answer = False
 
-    # asyncio.BufferedProtocol
+    # SmallReads
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take a new connection."""
@@ -137,15 +137,8 @@
         """Let writers go on."""
         self._writable.set()
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return a buffer for the next read."""
-        self._read_buffer = bytearray(READ_BYTES)
-        return self._read_buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
+    def handle_bytes(self, data: memoryview) -> None:
         """Parse bytes of the caller."""
-        data = memoryview(self._read_buffer)[:nbytes]
-        self._read_buffer = bytearray()
         if self._rejected:
             return
         if self._incoming is None and self._task is None:
