--- a/mountstand/serving/events.py
+++ b/mountstand/serving/events.py
@@ -12,8 +12,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 """Bytes without the end of an event after which an answer is broken off."""
 
-MAX_COMMENTS = 10_000
-"""Comments and empty events in a row after which an answer is broken off."""
+MAX_COMMENTS = 1000
+"""Comments and empty events in a row after which an answer is broken off. Those that keep a
+connection open come seconds apart."""
 
 EVENT_END_BYTES = 4
 """The longest end of an event."""
@@ -64,12 +65,12 @@
             start = end.end()
             event = StreamEvent(raw, _event_id(raw))
             self._comments = self._comments + 1 if event.is_comment else 0
+            if self._comments > MAX_COMMENTS:
+                raise ReplyBroken("malformed: comments without end")
             events.append(event)
         del self._pending[:start]
         if len(self._pending) > MAX_EVENT_BYTES:
             raise ReplyBroken("malformed: event without end")
-        if self._comments > MAX_COMMENTS:
-            raise ReplyBroken("malformed: comments without end")
         return events
 
     @property
