--- a/mountstand/serving/reply_relay.py
+++ b/mountstand/serving/reply_relay.py
@@ -139,10 +139,11 @@
         """Relay a reply that is not an event stream.
 
         A reply larger than ``MAX_BUFFERED_REPLY_BYTES``, or a large one while memory is short, is
-        relayed before it is complete. Raises
-        ``ReplyBroken`` for one without a length that may have ended with its worker.
+        relayed before it is complete. Raises ``ReplyBroken`` for one without a length that may have
+        ended with its worker.
         """
         responder = exchange.responder
+        may_run_again = head.status >= 500 and exchange.may_run_again
         buffered = bytearray()
         with self._budget.holding() as held:
             while (piece := await connection.read_piece()) is not None:
@@ -153,17 +154,20 @@
                 buffered += piece
                 held.set(len(buffered))
                 if len(buffered) > MAX_BUFFERED_REPLY_BYTES or held.is_too_large:
+                    if may_run_again:
+                        # Nothing of it may reach the caller before another worker's reply.
+                        break
                     responder.start(head.status, head.headers.end_to_end(), head.length)
                     responder.write(bytes(buffered))
                     buffered.clear()
                     held.set(0)
+        if may_run_again:
+            exchange.cause = f"status {head.status}"
+            return Outcome.FAILED
         if head.ends_with_connection and not await outlived_by_worker(
             self._connections, worker, connection
         ):
             raise ReplyBroken("ended with its worker")
-        if head.status >= 500 and exchange.may_run_again:
-            exchange.cause = f"status {head.status}"
-            return Outcome.FAILED
         if responder.started:
             responder.finish()
         else:
--- a/tests/serving/test_reply_budget.py
+++ b/tests/serving/test_reply_budget.py
@@ -12,7 +12,8 @@
     USUAL_REPLY_BYTES,
     ReplyBudget,
 )
-from tests.serving.test_forwarder import AT_MOST_ONCE, RESUMABLE, ForwarderHarness
+from mountstand.serving.reply_relay import MAX_BUFFERED_REPLY_BYTES
+from tests.serving.test_forwarder import AT_MOST_ONCE, REPEATABLE, RESUMABLE, ForwarderHarness
 from tests.stand_ins.harness import run
 from tests.stand_ins.worker import Received, event, head, stream, whole
 
@@ -47,6 +48,19 @@
 
         run(scenario())
 
+    def test_large_failure_is_not_passed_on_while_another_worker_may_be_tried(self) -> None:
+        """Guards against a caller who gets a part of a failure where a success was to be had."""
+
+        async def scenario() -> None:
+            for body in (LARGE, b"x" * (2 * MAX_BUFFERED_REPLY_BYTES)):
+                failure = whole(body, "500 Internal Server Error")
+                async with ForwarderHarness(REPEATABLE, (failure,), (whole(b"good"),)) as harness:
+                    harness.fleet.connections.reply_budget.max_held_bytes = 0
+                    harness.fleet.directory.workers["w1"].in_flight = 3
+                    self.assertEqual((200, b"good", True), await harness.send_request())
+
+        run(scenario())
+
     def test_stream_with_a_large_event_goes_on_elsewhere_while_memory_is_short(self) -> None:
         """Guards against parts of events that are kept however many there are."""
 
