--- a/mountstand/transport/http_client.py
+++ b/mountstand/transport/http_client.py
@@ -25,7 +25,6 @@
 READ_AHEAD_BYTES = 64 * 1024
 """Reading pauses when so much of an answer has not been taken."""
 
-
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Bytes of a body that is read whole. Pages of the store's rows have a few megabytes at most."""
 
