Early in a stop an estimate counts for all requests again, with a margin

So in the first 3 s a request that cannot be repeated is taken if twice the longest of its route fits; afterwards, as before, only what is sure to end.

--- a/mountstand/serving/stop_admission.py
+++ b/mountstand/serving/stop_admission.py
@@ -3,7 +3,8 @@
 Callers keep the address of a daemon for longer than it takes to stop. One that is refused at once
 is served by another daemon, while one that is taken too late is cut off midway. A request is sure
 to have ended by its deadline. Earlier requests of its route tell how long it may last, which is no
-promise: one that cannot be repeated is lost if it lasts longer.
+promise. So it counts early in the stop alone, when much time is left and many callers would have to
+go elsewhere, and with a margin for requests that are lost for good if they last longer.
 """
 
 from __future__ import annotations
@@ -20,8 +21,11 @@
 """Routes whose durations are kept, about 400 bytes each; the one known for longest goes first."""
 
 ESTIMATE_PERIOD_S = 3.0
-"""For so long after a stop began, callers cannot be expected to know of it, and a repeatable
-request is taken if it probably ends in time. Later ones must be sure to."""
+"""For so long after a stop began, callers cannot be expected to know of it, and a request is taken
+if it probably ends in time. Later ones must be sure to."""
+
+UNREPEATABLE_FACTOR = 2.0
+"""So many times as long as the longest of its route a request may last that cannot be repeated."""
 
 FINAL_REPLY_S = 0.1
 """Time that a reply at the deadline takes to leave this daemon."""
@@ -58,7 +62,8 @@
         """
         if self._ends_at_s is None or deadline_s + FINAL_REPLY_S <= self._ends_at_s:
             return True
-        if not route.repeatable or now_s - self._began_s >= ESTIMATE_PERIOD_S:
-            return False
         durations = self._durations_by_route.get(route.name)
-        return durations is not None and now_s + max(durations) <= self._ends_at_s
+        if durations is None or now_s - self._began_s >= ESTIMATE_PERIOD_S:
+            return False
+        factor = 1.0 if route.repeatable else UNREPEATABLE_FACTOR
+        return now_s + factor * max(durations) <= self._ends_at_s
