Own interface: failed attempts of items are counted on by the next holder

Callers of batch jobs on the own interface saw an item that fails always run more often than its attempts allow: each daemon that took its range over began to count at 0.

Why it works: counts are in a row of the table before the item runs again, whoever takes the range over reads it, and conflicts keep the higher count.

--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -27,6 +27,7 @@
 from mountstand.batch.known_work import KnownWork
 from mountstand.batch.model import ItemStatus, only_segment
 from mountstand.batch.owner_client import OwnerClient
+from mountstand.batch.range_failures import RangeFailures
 from mountstand.batch.range_renewal import RangeRenewal
 from mountstand.batch.worker_assignment import WorkerAssignment
 from mountstand.clock import elapsed_s
@@ -46,7 +47,7 @@
 from mountstand.quarantine.workload import Workload
 from mountstand.routing.fleet_view import DispatchOutcome
 from mountstand.routing.router import Router
-from mountstand.store.ports import Machine, ObjectPort
+from mountstand.store.ports import Machine, ObjectPort, TablePort
 from mountstand.telemetry.logs import log_state_change
 from mountstand.telemetry.metrics import DaemonMetrics
 from mountstand.wire.messages import (
@@ -94,6 +95,7 @@
         settings: BatchSettings,
         router: Router,
         backend: BackendPort,
+        table: TablePort,
         objects: ObjectPort,
         self_id: str,
         assignment: WorkerAssignment,
@@ -104,6 +106,7 @@
         self._settings = settings
         self._router = router
         self._backend = backend
+        self._table = table
         self._objects = objects
         self._self_id = self_id
         self._assignment = assignment
@@ -226,24 +229,38 @@
 
     def _take_range(self, grant: RangeGrant, owner_id: str, sent_s: float) -> None:
         """Read a granted range's items and queue them; without them the lease runs out."""
+        failures = RangeFailures(self._table, grant.key)
         try:
             body = self._objects.get(grant.object_name)
             items = parse_items(grant, body)
+            if grant.repeatable:
+                failures.read()
         except MountstandError as error:
             log_state_change(logger, "range input cannot be read", code=error.code)
             return
         except Exception:
             logger.exception("range input is not valid", extra={"object": grant.object_name})
             return
-        held = HeldRange(grant, owner_id, sent_s, items)
+        held = HeldRange(grant, owner_id, sent_s, items, failures)
         identity = (grant.key.job_key, grant.key.range_index)
         with self._changed:
             if self._stopping or identity in self._held:
                 return
             self._held[identity] = held
             for item in items:
-                self._waiting.push(held, item)
+                self._queue(held, item)
             self._changed.notify_all()
+        if held.is_complete:
+            self._finish_once(held)
+
+    def _queue(self, held: HeldRange, item: BatchItem) -> None:
+        """Queue an item of a new range, or end it if no attempt is left."""
+        failures = held.failures.count(item.index)
+        if failures < held.grant.max_attempts:
+            self._waiting.push(held, item)
+            return
+        error = BackendFailed(f"each of {failures} attempts failed")
+        self._record(held, item, ItemStatus.FAILED, error_line(item, ItemStatus.FAILED, error))
 
     # Scheduling
 
@@ -304,6 +321,8 @@
                 self._changed.notify_all()
             if held.is_complete:
                 self._finish_once(held)
+            else:
+                held.failures.save()
 
     def _run_once(self, held: HeldRange, item: BatchItem, worker: Machine) -> DispatchOutcome:
         if is_past_due(held):
@@ -311,6 +330,9 @@
             line = failed_line(item, ItemStatus.EXPIRED, "expired", detail, Executed.NO)
             self._record(held, item, ItemStatus.EXPIRED, line)
             return DispatchOutcome.NEUTRAL
+        if not self._are_failures_saved(held, item):
+            self._pause(held, item, STORE_RETRY_S)
+            return DispatchOutcome.NEUTRAL
         content = item_content_key(held, item)
         try:
             self._quarantine.check(content, Workload.BATCH)
@@ -334,6 +356,12 @@
                 return DispatchOutcome.NEUTRAL
             return self._dispatch(held, item, worker, request, content)
 
+    def _are_failures_saved(self, held: HeldRange, item: BatchItem) -> bool:
+        """Return whether an item's failed attempts are in the table, after another try."""
+        if not held.failures.is_saved(item.index):
+            held.failures.save()
+        return held.failures.is_saved(item.index)
+
     def _dispatch(
         self,
         held: HeldRange,
@@ -406,9 +434,7 @@
         if crashed:
             self._pause(held, item)
             return DispatchOutcome.FAILED
-        attempts = held.attempts.get(item.index, 0) + 1
-        held.attempts[item.index] = attempts
-        if attempts >= held.grant.max_attempts:
+        if held.failures.add(item.index) >= held.grant.max_attempts:
             self._record(held, item, ItemStatus.FAILED, error_line(item, ItemStatus.FAILED, error))
         else:
             self._pause(held, item, BROKEN_PAUSE_S)
--- a/mountstand/batch/held_range.py
+++ b/mountstand/batch/held_range.py
@@ -8,6 +8,7 @@
 import orjson
 
 from mountstand.batch.model import ItemStatus
+from mountstand.batch.range_failures import RangeFailures
 from mountstand.engines.port import BackendAnswer
 from mountstand.errors import Executed, MountstandError
 from mountstand.store.ports import Machine
@@ -46,8 +47,8 @@
     owner_id: str
     renewed_s: float
     items: list[BatchItem]
+    failures: RangeFailures
     results: dict[int, bytes] = field(default_factory=dict)
-    attempts: dict[int, int] = field(default_factory=dict)
     running: dict[int, RunningItem] = field(default_factory=dict)
     completed: int = 0
     result_bytes: int = 0
--- a/mountstand/batch/model.py
+++ b/mountstand/batch/model.py
@@ -11,6 +11,8 @@
     Ranges completed in one commit, each with the object of its results. Readers read only these.
 ``attempt/{key}/{range}``
     A range of a not-repeatable job that was given out; it is never given out again.
+``failures/{key}/{range}``
+    Failed attempts of a range's items, by index of the item. Whoever holds the range writes it.
 ``lease/{shard}``
     The shard's owner and epoch. Only a claim changes it, so its version is the fence.
 
@@ -175,6 +177,11 @@
     return f"{attempt_prefix(key)}{range_index:08d}"
 
 
+def failures_row(key: str, range_index: int) -> str:
+    """Return the row key of the failed attempts of a range's items."""
+    return f"failures/{key}/{range_index:08d}"
+
+
 def lease_row(shard: int) -> str:
     """Return the row key of a shard's lease."""
     return f"{LEASE_PREFIX}{shard:04d}"
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -298,6 +298,7 @@
             settings,
             self.router,
             self.backend,
+            self.batch_table,
             self.objects,
             self.membership.self_id,
             WorkerAssignment(self.membership, self.router),
--- a/tests/unit/test_item_queue.py
+++ b/tests/unit/test_item_queue.py
@@ -6,6 +6,8 @@
 
 from mountstand.batch.held_range import BatchItem, HeldRange
 from mountstand.batch.item_queue import RETRY_PAUSE_S, ItemQueue
+from mountstand.batch.range_failures import RangeFailures
+from mountstand.store.memory_table import MemoryTable
 from mountstand.wire.messages import RangeGrant, RangeKey
 
 WINDOW_S = 1.5
@@ -16,7 +18,7 @@
     """Return a range whose lease was renewed just now."""
     key = RangeKey(name, 1, 0)
     grant = RangeGrant(key, 0, 1, "input", "output", service, "t", priority, True, 3, due_s)
-    return HeldRange(grant, "owner", NOW_S, [])
+    return HeldRange(grant, "owner", NOW_S, [], RangeFailures(MemoryTable(), key))
 
 
 def item(index: int = 0) -> BatchItem:
