Own interface: a daemon whose server has ended stops

Callers of such a daemon were connected and never answered: its process went on without its callers' interface, owned jobs and counted as running.

Cause: the callers' server starts a thread of its own as it begins to serve, after the start's check of both interfaces. Denied that thread, the server ends, and nobody was told.

Why it works: a server that ends without a stop tells the daemon, the main thread wakes as for a signal, and the process ends with 1 after a planned stop.

--- a/mountstand/cli/serve.py
+++ b/mountstand/cli/serve.py
@@ -56,6 +56,7 @@
         limit_s = settings.stop_timeout_s + CLOSE_S
         signals = StopSignals(limit_s)
         daemon = Daemon(settings)
+        daemon.on_server_end = signals.note_failure
         daemon.start()
         signals.wait()
         end_after(limit_s)
@@ -63,3 +64,5 @@
         signals.ignore()
         if not stopped:
             raise cappa.Exit("some work was cut off, or a step of the stop failed", code=CUT_OFF)
+        if signals.has_failed:
+            raise cappa.Exit("an interface of the daemon has ended", code=CUT_OFF)
--- a/mountstand/cli/stopping.py
+++ b/mountstand/cli/stopping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import os
 import signal
@@ -16,6 +17,8 @@
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 STACKS_SIGNAL = signal.SIGUSR1
 RECEIVED_BYTES = 64
+FAILURE = 0
+"""Number in the place of a signal's for a part that has failed."""
 
 CLOSE_S = 10.0
 """Time to close all parts after the stop's time-out has cut off what was in progress. Idle ones
@@ -25,7 +28,7 @@
 """Time to log the stacks before the kernel ends the process."""
 
 CUT_OFF = 1
-"""Exit code of a stop that cut work off."""
+"""Exit code of a stop that cut work off, or that a part which failed has caused."""
 
 
 class StopSignals:
@@ -49,6 +52,9 @@
         self._sender.setblocking(False)
         signal.set_wakeup_fd(self._sender.fileno(), warn_on_full_buffer=False)
         self._told_to_stop = False
+        self.has_failed = False
+        """Whether the process must stop as a part of it has failed."""
+
         for number in STOP_SIGNALS:
             signal.signal(number, self._note)
         signal.signal(STACKS_SIGNAL, lambda *_: None)
@@ -56,15 +62,24 @@
         threading.Thread(target=self._log_stacks_if_wanted, daemon=True, name="stacks").start()
 
     def wait(self) -> None:
-        """Return once the process is told to stop; log the stacks of its threads when asked."""
+        """Return once the process must stop; log the stacks of its threads when asked."""
         while True:
             numbers = self._receiver.recv(RECEIVED_BYTES)
+            if self.has_failed:
+                return
             if self._told_to_stop or STOP_SIGNALS & set(numbers):
                 self._told_to_stop = False
                 return
             if STACKS_SIGNAL in numbers:
                 self._stacks_wanted.set()
 
+    def note_failure(self) -> None:
+        """Record that a part has failed without which the process is of no use; thread-safe."""
+        self.has_failed = True
+        # A socket that is full wakes the main thread as well.
+        with contextlib.suppress(BlockingIOError):
+            self._sender.send(bytes((FAILURE,)))
+
     def ignore(self) -> None:
         """Ignore all further signals; comes last in a stop.
 
--- a/mountstand/daemon.py
+++ b/mountstand/daemon.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 
 from mountstand.background import BackgroundPart
 from mountstand.batch.executor import BatchExecutor
@@ -126,6 +127,11 @@
         self._control_server = HttpServer(
             settings.address, settings.control_port, CONTROL_THREADS, self._control_root()
         )
+        self.on_server_end: Callable[[], None] = lambda: None
+        """Called once a server of this daemon has ended without a stop, so that it must stop."""
+
+        for server in (self._callers_server, self._control_server):
+            server.on_unexpected_end = lambda: self.on_server_end()
 
     def start(self) -> None:
         """Start every part; the callers' interface comes last. Raises ``PortUnavailable``."""
--- a/mountstand/http/server.py
+++ b/mountstand/http/server.py
@@ -17,6 +17,8 @@
 from mountstand.errors import PortUnavailable
 from mountstand.http.problem import answer_exception, answer_http_error
 
+logger = logging.getLogger(__name__)
+
 TAKE_OVER_KEY = "mountstand.take_over_slot"
 CONNECTION_KEY = "mountstand.connection"
 LISTEN_BACKLOG = 1024
@@ -105,7 +107,10 @@
 
 
 class HttpServer:
-    """One listening address, its threads and its application."""
+    """One listening address, its threads and its application.
+
+    ``on_unexpected_end`` is called, from a thread of the server, where it ends without a stop.
+    """
 
     def __init__(self, address: str, port: int, threads: int, root: object) -> None:
         application = cherrypy.Application(root, "", APPLICATION_CONFIG)
@@ -125,6 +130,8 @@
         self._server.error_log = log_server_error  # type: ignore[method-assign]
         self._address = f"{address}:{port}"
         self._thread: threading.Thread | None = None
+        self._stopping = False
+        self.on_unexpected_end: Callable[[], None] = lambda: None
 
     @property
     def serving(self) -> bool:
@@ -148,7 +155,7 @@
 
     def start(self) -> None:
         """Serve those that connect; :meth:`listen` comes first."""
-        thread = threading.Thread(target=self._server.serve, daemon=True, name="http")
+        thread = threading.Thread(target=self._serve, daemon=True, name="http")
         thread.start()
         # Only now: a thread that could not start serves nobody, and cannot be joined.
         self._thread = thread
@@ -160,10 +167,19 @@
 
     def stop(self) -> None:
         """Stop accepting, let running handlers end, close."""
+        self._stopping = True
         self._server.stop()
         if self._thread is not None:
             self._thread.join(5.0)
 
+    def _serve(self) -> None:
+        try:
+            self._server.serve()
+        except Exception:
+            logger.exception("server has ended", extra={"address": self._address})
+        if not self._stopping:
+            self.on_unexpected_end()
+
     def _prepare(self, prepared: Future[None]) -> None:
         try:
             self._server.prepare()
@@ -175,7 +191,7 @@
 
 def log_server_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
     """Send cheroot's own complaints to the debug log; they are about callers, not the daemon."""
-    logging.getLogger(__name__).debug(msg, exc_info=traceback)
+    logger.debug(msg, exc_info=traceback)
 
 
 def caller_is_gone(environ: dict[str, Any]) -> bool:
--- a/tests/integration/test_start.py
+++ b/tests/integration/test_start.py
@@ -38,6 +38,9 @@
 """Threads by the start of their names, and which of those: of the operators' pool, of the callers'
 pool, the servers' own, and one that the operators' server starts as it begins to serve."""
 
+CALLERS_SERVING_THREAD = ("Thread-", 2)
+"""The thread that the callers' server starts as it begins to serve, after the start has ended."""
+
 DENY_THREAD = """
 import threading
 start = threading.Thread.start
@@ -101,6 +104,12 @@
             log = self.check_ends(self.start_denied(address, prefix, number), address)
             self.assertIn(DENIED, log)
 
+    def test_ends_where_the_callers_server_ends(self) -> None:
+        """Guards against a process that goes on without its callers' interface."""
+        address = self.address()
+        log = self.check_ends(self.start_denied(address, *CALLERS_SERVING_THREAD), address)
+        self.assertIn(DENIED, log)
+
     def start_denied(self, address: DaemonAddress, prefix: str, number: int) -> FleetProcess:
         """Start a daemon that cannot start the thread of this number among those of a name."""
         folder = tempfile.TemporaryDirectory()
