--- a/tests/integration/test_crashing_part.py
+++ b/tests/integration/test_crashing_part.py
@@ -41,6 +41,17 @@
 SOUND_WITHIN_S = 6.0
 """Time in which ``MIN_SOUND_REQUESTS`` are served one after the other, 0.3 s each."""
 
+ITEM_EVENTS = (
+    "claim_unanswered",
+    "items_waiting",
+    "part_cleared",
+    "part_quarantined",
+    "part_tried",
+    "trial_claimed",
+    "trial_refused",
+)
+"""Lines that tell why items wait."""
+
 MIN_SOUND_REQUESTS = 8
 MIN_SOUND_SHARE = 0.5
 """How many sound requests must come once all know of the part, and what share must be served."""
@@ -67,6 +78,13 @@
     return answer.status
 
 
+def lines_of(site: Site, events: tuple[str, ...]) -> str:
+    """Return the lines of some events of all processes, by time."""
+    found = [line for process in site.processes for name in events for line in process.events(name)]
+    ordered = sorted(found, key=lambda line: line["time_s"])
+    return "\n".join(orjson.dumps(line).decode() for line in ordered)
+
+
 class Traffic:
     """Bad and sound requests by turns, at any process, and what became of them."""
 
@@ -264,6 +282,7 @@
                 self.assertTrue(len(late) <= LATE_RUNS_ALLOWED, ("items", "late runs", late))
                 page = orjson.loads((await second.call("GET", "/lots/job1?after=0")).body)
                 done = {result["id"] for result in page["results"]}
-                self.assertEqual({f"i{n}" for n in range(48) if n % 4}, done)
+                sound = {f"i{n}" for n in range(48) if n % 4}
+                self.assertEqual(sound, done, lines_of(site, ITEM_EVENTS))
 
         run(scenario())
