--- a/mountstand/batch/executor.py
+++ b/mountstand/batch/executor.py
@@ -25,9 +25,10 @@
 )
 from mountstand.batch.item_queue import RETRY_PAUSE_S, ItemQueue, WaitingItem
 from mountstand.batch.known_work import KnownWork
-from mountstand.batch.model import ItemStatus, only_segment
+from mountstand.batch.model import ItemStatus
 from mountstand.batch.owner_client import OwnerClient
 from mountstand.batch.range_failures import RangeFailures
+from mountstand.batch.range_finisher import RangeFinisher
 from mountstand.batch.range_renewal import RangeRenewal
 from mountstand.batch.worker_assignment import WorkerAssignment
 from mountstand.clock import elapsed_s
@@ -56,7 +57,6 @@
     GrantedRanges,
     PullRanges,
     RangeGrant,
-    ReportRange,
     WorkHint,
 )
 
@@ -121,6 +121,7 @@
         self._stopping = False
         self._draining = False
         self._runners = ThreadPoolExecutor(settings.max_in_flight, thread_name_prefix="batch-item")
+        self._finisher = RangeFinisher(self_id, objects, owners, self._forget)
         self._finishers = ThreadPoolExecutor(FINISH_THREADS, thread_name_prefix="batch-finish")
         self._scheduler = threading.Thread(
             target=self._schedule, name="batch-schedule", daemon=True
@@ -149,6 +150,7 @@
 
     def stop(self) -> None:
         """Drop what is held and stop."""
+        self._finisher.stop()
         with self._changed:
             self._stopping = True
             held = list(self._held)
@@ -464,34 +466,7 @@
             if held.dropped or held.finishing:
                 return
             held.finishing = True
-        self._finishers.submit(self._finish, held)
-
-    def _finish(self, held: HeldRange) -> None:
-        """Store a range's results and report them; go on until both are done."""
-        prefix = held.grant.segment_prefix
-        name = only_segment(prefix) if not held.grant.repeatable else f"{prefix}-{uuid.uuid4().hex}"
-        stored = False
-        while not held.dropped and not self._stopping:
-            try:
-                if not stored:
-                    self._objects.put(name, held.segment())
-                    stored = True
-                if self._report(held, name):
-                    self._forget(held)
-                    return
-            except MountstandError as error:
-                logger.debug("range cannot be finished yet", extra={"code": error.code})
-            time.sleep(STORE_RETRY_S)
-
-    def _report(self, held: HeldRange, name: str) -> bool:
-        completed = held.completed
-        failed = len(held.items) - completed
-        report = ReportRange(self._self_id, held.grant.key, name, completed, failed)
-        reply = self._owners.call(held.owner_id, report)
-        if isinstance(reply, Confirmed) and reply.confirmed:
-            return True
-        held.owner_id = self._owners.find(held.grant.key.job_key) or held.owner_id
-        return False
+        self._finishers.submit(self._finisher.finish, held)
 
     def _forget(self, held: HeldRange) -> None:
         key = held.grant.key
