Own interface: a complete range is reported also after an unexpected error

Callers saw a job that stays at its count for good.

Cause: an unexpected error while a range's results are stored or reported ended the thread's work without a line, and the range stayed held and renewed.

Evidence: test_range_is_reported_after_an_unexpected_error failed before (no report within 10 s) and passes now. That such an error occurs is not known; the path was found by reading.

Why it works: the error is logged once a range, and the range is tried again as while the store is away.

--- a/mountstand/batch/range_finisher.py
+++ b/mountstand/batch/range_finisher.py
@@ -48,6 +48,7 @@
         """Store a range's results and report them; go on until both are done."""
         name = segment_name(held)
         stored = False
+        has_logged = False
         while not held.dropped and not self._stopping.is_set():
             try:
                 if not stored:
@@ -58,6 +59,10 @@
                     return
             except MountstandError as error:
                 logger.debug("range cannot be finished yet", extra={"code": error.code})
+            except Exception:
+                if not has_logged:
+                    logger.exception("range cannot be finished", extra={"object": name})
+                has_logged = True
             self._stopping.wait(FINISH_RETRY_S)
 
     def _report(self, held: HeldRange, name: str) -> bool:
--- a/tests/unit/test_batch_executor.py
+++ b/tests/unit/test_batch_executor.py
@@ -149,3 +149,17 @@
             self.assertEqual(1, self.runs())
         self.wait_for_report()
         self.assertEqual(MAX_ATTEMPTS, self.runs())
+
+    def test_range_is_reported_after_an_unexpected_error(self) -> None:
+        """Guards against a range that is held for good, with results that nobody gets."""
+        put = self.objects.put
+        errors = [RuntimeError("unexpected")]
+
+        def fail_once(name: str, body: bytes) -> None:
+            if errors:
+                raise errors.pop()
+            put(name, body)
+
+        with mock.patch.object(self.objects, "put", fail_once):
+            self.start()
+            self.wait_for_report()
