Own interface: streams of engines that close their connection after them

Callers got an unexpected error in place of the stream where the engine announced `Connection: close`, or streamed without a length, or spoke HTTP/1.0.

Cause: http.client gives the socket of such a reply to the reply alone, and the wait for the first bytes looked for it at the connection.

Evidence: the four tests of test_closing_streams failed on (`TypeError` as the socket is polled) and pass now.

Why it works: the socket is noted before the exchange, and what is waited on, read and handed to the relay is that one. The stand-in of test_told_software for streams moves to tests/stand_ins for both.

--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -172,6 +172,10 @@
         """Open a stream on a connection of its own; see :meth:`BackendPort.open_stream`."""
         deadline_s = elapsed_s() + timeout_s
         connection = connect(machine, timeout_s)
+        # A connection lets go of its socket at a reply that ends with it, which keeps it open.
+        stream_socket = connection.sock
+        assert stream_socket is not None
+        response = None
         try:
             response = exchange_head(connection, request, deadline_s, caller_gone)
             self._note_answered(machine)
@@ -183,10 +187,8 @@
             told_version = response.getheader("X-Software")
             if request.software_version is not None and told_version is not None:
                 check_software(machine, request.software_version, told_version)
-            first_bytes = self._first_bytes(connection, response, deadline_s, caller_gone)
-            stream_socket = connection.sock
-            assert stream_socket is not None
-            # A duplicate, because the connection object closes its own socket below.
+            first_bytes = read_first_bytes(stream_socket, response, deadline_s, caller_gone)
+            # A duplicate, because the connection and the reply close their own socket below.
             return OpenStream(
                 stream_socket.dup(),
                 first_bytes,
@@ -196,21 +198,8 @@
             )
         finally:
             connection.close()
-
-    def _first_bytes(
-        self,
-        connection: HTTPConnection,
-        response: http.client.HTTPResponse,
-        deadline_s: float,
-        caller_gone: CallerGone | None,
-    ) -> bytes:
-        buffered = buffered_bytes(connection, response)
-        while not buffered:
-            wait_for_answer(connection, deadline_s, caller_gone)
-            buffered = buffered_bytes(connection, response)
-            if not buffered and is_closed(connection):
-                raise BackendFailed("the stream ended before its first byte")
-        return buffered
+            if response is not None:
+                response.close()
 
     def cancel(self, machine: Machine, request_id: str) -> None:
         """Stop a dispatched request; best effort."""
@@ -326,7 +315,8 @@
     }
     try:
         connection.request(request.method, request.path, body=request.body, headers=headers)
-        wait_for_answer(connection, deadline_s, caller_gone)
+        assert connection.sock is not None
+        wait_for_answer(connection.sock, deadline_s, caller_gone)
         return read_reply_head(connection, deadline_s)
     except TimeoutError:
         raise DeadlineExceeded() from None
@@ -354,9 +344,7 @@
         raise BackendFailed(f"the answer broke off: {type(problem).__name__}") from None
 
 
-def wait_for_answer(
-    connection: HTTPConnection, deadline_s: float, caller_gone: CallerGone | None
-) -> None:
+def wait_for_answer(sock: socket.socket, deadline_s: float, caller_gone: CallerGone | None) -> None:
     """Wait until the back end sends something, the deadline passes or the caller leaves."""
     while True:
         left_s = deadline_s - elapsed_s()
@@ -364,27 +352,42 @@
             raise DeadlineExceeded()
         interval_s = min(left_s, CALLER_CHECK_INTERVAL_S)
         poller = select.poll()
-        poller.register(connection.sock, select.POLLIN)
+        poller.register(sock, select.POLLIN)
         if poller.poll(interval_s * 1000):
             return
         if caller_gone is not None and caller_gone():
             raise CallerLeft()
 
 
-def buffered_bytes(connection: HTTPConnection, response: http.client.HTTPResponse) -> bytes:
+def read_first_bytes(
+    sock: socket.socket,
+    response: http.client.HTTPResponse,
+    deadline_s: float,
+    caller_gone: CallerGone | None,
+) -> bytes:
+    """Wait for the first bytes of a stream's body; raise ``BackendFailed`` if it ends before."""
+    buffered = buffered_bytes(sock, response)
+    while not buffered:
+        wait_for_answer(sock, deadline_s, caller_gone)
+        buffered = buffered_bytes(sock, response)
+        if not buffered and is_closed(sock):
+            raise BackendFailed("the stream ended before its first byte")
+    return buffered
+
+
+def buffered_bytes(sock: socket.socket, response: http.client.HTTPResponse) -> bytes:
     """Take the body bytes that have arrived, without waiting and without decoding them."""
-    if response.fp is None or connection.sock is None:
+    if response.fp is None:
         return b""
-    connection.sock.setblocking(False)
+    sock.setblocking(False)
     taken = response.fp.peek(READ_CHUNK_BYTES)
     return response.fp.read(len(taken)) if taken else b""
 
 
-def is_closed(connection: HTTPConnection) -> bool:
+def is_closed(sock: socket.socket) -> bool:
     """Return whether the back end has closed its side."""
-    assert connection.sock is not None
     try:
-        return connection.sock.recv(1, socket.MSG_PEEK) == b""
+        return sock.recv(1, socket.MSG_PEEK) == b""
     except BlockingIOError:
         return False
     except OSError:
--- a/tests/unit/test_told_software.py
+++ b/tests/unit/test_told_software.py
@@ -2,24 +2,14 @@
 
 from __future__ import annotations
 
-import socket
 import threading
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 from testtools import TestCase
 
-from mountstand.clock import elapsed_s
-from mountstand.engines.http_backend import HttpBackend
-from mountstand.engines.port import LoadReport
-from mountstand.online.request import OnlineRequest
-from mountstand.online.service import OnlineService
-from mountstand.quarantine.threads import ContentQuarantine, TableSuspects
-from mountstand.routing.router import Router
-from mountstand.store.memory_table import MemoryTable
-from mountstand.store.ports import Machine, MachineRole
-from mountstand.telemetry.metrics import DaemonMetrics
-from tests.stand_ins.report_link import RecordingReportLink
+from mountstand.store.ports import Machine
+from tests.stand_ins.own_stream import engine_machine, read_stream
 
 FRAMES = 3
 END = b"data: [DONE]\n\n"
@@ -84,53 +74,12 @@
     def machine(self, number: int, engine: Engine, listed: str) -> Machine:
         self.addCleanup(engine.server_close)
         self.addCleanup(engine.shutdown)
-        return Machine(
-            machine_id=f"w{number}",
-            role=MachineRole.ENGINE,
-            address="127.0.0.1",
-            port=engine.server_address[1],
-            zone="a",
-            service="caption",
-            software_version=listed,
-        )
-
-    def read_stream(self, *machines: Machine) -> bytes:
-        """Return what a caller gets whose stream begins at the first machine."""
-        router = Router("a", 1)
-        metrics = DaemonMetrics()
-        quarantine = ContentQuarantine(
-            "d",
-            RecordingReportLink(),
-            TableSuspects(MemoryTable()),
-            lambda machine: False,
-            metrics,
-            1,
-        )
-        service = OnlineService(router, HttpBackend(), MemoryTable(), metrics, quarantine)
-        self.addCleanup(service.relay.close)
-        router.update_machines(machines[:1])
-        router.record_load("w0", LoadReport(0, 0, 0, 0, slots=10, leaving=False))
-        now_s = elapsed_s()
-        request = OnlineRequest(
-            "r", "caption", "t", "POST", "/v1/completions", b"{}", now_s, now_s + 4.0
-        )
-        lease, opened = service.open_stream(request)
-        router.update_machines(machines)
-        for machine in machines:
-            router.record_load(machine.machine_id, LoadReport(0, 0, 0, 0, slots=10, leaving=False))
-        here, there = socket.socketpair()
-        self.addCleanup(here.close)
-        here.settimeout(15.0)
-        there.setblocking(False)
-        service.hold_stream(lease, opened, there, b"", chunked_to_caller=False)
-        received = b""
-        while piece := here.recv(65536):
-            received += piece
-        return received
+        return engine_machine(number, engine.server_address[1], listed)
 
     def test_stream_does_not_go_on_at_software_that_the_list_does_not_know_of_yet(self) -> None:
         """Guards against frames of two versions where an engine changed before the list did."""
-        received = self.read_stream(
+        received = read_stream(
+            self,
             self.machine(0, Engine("v1", breaks=True), "v1"),
             self.machine(1, Engine("v2"), "v1"),
         )
@@ -140,7 +89,8 @@
 
     def test_stream_goes_on_at_the_version_that_its_engine_told(self) -> None:
         """Guards against a stream that is bound to the version that an old list names."""
-        received = self.read_stream(
+        received = read_stream(
+            self,
             self.machine(0, Engine("v2", breaks=True), "v1"),
             self.machine(1, Engine("v1"), "v1"),
             self.machine(2, Engine("v2"), "v2"),
@@ -149,7 +99,8 @@
 
     def test_stream_goes_on_at_engines_that_tell_no_version(self) -> None:
         """Guards against streams that end where engines don't know the header."""
-        received = self.read_stream(
+        received = read_stream(
+            self,
             self.machine(0, Engine("v1", breaks=True, tells=False), "v1"),
             self.machine(1, Engine("v1", tells=False), "v1"),
         )
