Own interface: answers of stores and peers end at limits of time and bytes

A table, object store, list of machines or other daemon that answers without end, or a byte now and then, kept the daemon's thread that had asked, and its memory, for as long as it sent.

Cause: the time-out bounds each read and nothing the whole, and a body is kept until its end.

Why it works: the reader that bounds engines' replies by a deadline and a number of bytes serves the pools of stores and peers too. It moves to `transport/`. Five times the time-out and 16 MiB (256 MiB for an object, which a daemon gathers in memory), 5 s for a peer.

--- a/mountstand/engines/http_backend.py
+++ b/mountstand/engines/http_backend.py
@@ -22,7 +22,6 @@
 from urllib3.exceptions import HTTPError
 
 from mountstand.clock import elapsed_s
-from mountstand.engines.bounded_reply import read_reply_body, read_reply_head
 from mountstand.engines.port import (
     BackendAnswer,
     BackendPort,
@@ -45,6 +44,7 @@
 from mountstand.store.http_adapters import HEADER_BYTES
 from mountstand.store.ports import Machine
 from mountstand.telemetry.metrics import DaemonMetrics
+from mountstand.transport.bounded_reply import read_reply_body, read_reply_head
 from mountstand.transport.forwarders import TURNED_AWAY_PAUSE_S, TURNED_AWAY_S
 
 logger = logging.getLogger(__name__)
--- a/mountstand/store/http_adapters.py
+++ b/mountstand/store/http_adapters.py
@@ -32,11 +32,18 @@
 )
 from mountstand.store.rows import DECODE_ERRORS
 from mountstand.telemetry.metrics import DaemonMetrics
+from mountstand.transport.bounded_reply import MAX_REPLY_BYTES, ReplyLimits, bounded_pool
 from mountstand.transport.whole_lines import pool_from_url
 
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 1.0
+REPLY_TIMEOUTS = 5
+"""A reply may take so many times the time-out of its parts in all."""
+
+MAX_OBJECT_BYTES = 256 * 1024 * 1024
+"""Most bytes of an object: the results of a range, which its daemon gathers in memory."""
+
 THROTTLED_STATUS = 429
 CONFLICT_STATUS = 409
 NOT_FOUND_STATUS = 404
@@ -52,11 +59,18 @@
     """One platform endpoint: a pool of kept connections and the translation of failures."""
 
     def __init__(
-        self, name: str, base_url: str, timeout_s: float, metrics: DaemonMetrics | None
+        self,
+        name: str,
+        base_url: str,
+        timeout_s: float,
+        metrics: DaemonMetrics | None,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
     ) -> None:
         self._name = name
+        limits = ReplyLimits(REPLY_TIMEOUTS * timeout_s, max_reply_bytes)
         self._pool = pool_from_url(
             base_url,
+            bounded_pool(limits),
             maxsize=16,
             block=False,
             timeout=urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s),
@@ -139,7 +153,7 @@
     def __init__(
         self, base_url: str, timeout_s: float = 10.0, metrics: DaemonMetrics | None = None
     ) -> None:
-        self._client = StoreClient("objects", base_url, timeout_s, metrics)
+        self._client = StoreClient("objects", base_url, timeout_s, metrics, MAX_OBJECT_BYTES)
 
     def put(self, name: str, body: bytes) -> None:
         """Store an object; repeating the call is harmless, so a lost answer counts as down."""
--- a/mountstand/transport/whole_lines.py
+++ b/mountstand/transport/whole_lines.py
@@ -58,16 +58,17 @@
     ConnectionCls = WholeLinesConnection
 
 
-def pool_manager(**options: Any) -> urllib3.PoolManager:
-    """Return a manager of such pools; ``options`` are those of ``PoolManager``."""
+def pool_manager(
+    pool: type[urllib3.HTTPConnectionPool] = WholeLinesPool, **options: Any
+) -> urllib3.PoolManager:
+    """Return a manager of pools of a class; ``options`` are those of ``PoolManager``."""
     manager = urllib3.PoolManager(**options)
-    manager.pool_classes_by_scheme = {
-        **manager.pool_classes_by_scheme,
-        "http": WholeLinesPool,
-    }
+    manager.pool_classes_by_scheme = {**manager.pool_classes_by_scheme, "http": pool}
     return manager
 
 
-def pool_from_url(url: str, **options: Any) -> urllib3.HTTPConnectionPool:
-    """Return such a pool for the host of a URL; ``options`` are those of the pool."""
-    return pool_manager(**options).connection_from_url(url)
+def pool_from_url(
+    url: str, pool: type[urllib3.HTTPConnectionPool] = WholeLinesPool, **options: Any
+) -> urllib3.HTTPConnectionPool:
+    """Return a pool of a class for the host of a URL; ``options`` are those of the pool."""
+    return pool_manager(pool, **options).connection_from_url(url)
--- a/mountstand/wire/peers.py
+++ b/mountstand/wire/peers.py
@@ -11,12 +11,16 @@
 from mountstand.errors import MessageRejected, PeerUnavailable
 from mountstand.store.http_adapters import HEADER_BYTES
 from mountstand.telemetry.metrics import DaemonMetrics
+from mountstand.transport.bounded_reply import ReplyLimits, bounded_pool
 from mountstand.transport.whole_lines import pool_manager
 from mountstand.wire.frames import MAX_FRAME_BYTES, Frame, FrameCodec
 from mountstand.wire.messages import Message
 
 PEER_PATH = "/internal/messages"
 PEER_TIMEOUT_S = 2.0
+MAX_REPLY_S = 5.0
+"""Longest time for all of a reply. It is a frame, which its sender has whole before it begins."""
+
 OK_STATUS = 200
 
 MessageHandler = Callable[[Frame], Message]
@@ -45,7 +49,8 @@
     def __init__(self, codec: FrameCodec, metrics: DaemonMetrics | None = None) -> None:
         self._codec = codec
         self._metrics = metrics
-        self._pool = pool_manager(num_pools=512, maxsize=8, retries=False)
+        pool = bounded_pool(ReplyLimits(MAX_REPLY_S))
+        self._pool = pool_manager(pool, num_pools=512, maxsize=8, retries=False)
 
     def call(
         self, peer: PeerAddress, message: Message, timeout_s: float = PEER_TIMEOUT_S
--- a/tests/unit/test_endless_backend.py
+++ b/tests/unit/test_endless_backend.py
@@ -14,7 +14,6 @@
 
 from testtools import TestCase
 
-from mountstand.engines.bounded_reply import MAX_REPLY_BYTES
 from mountstand.engines.http_backend import CONTROL_TIMEOUT_S, HttpBackend
 from mountstand.engines.port import BackendRequest
 from mountstand.errors import (
@@ -25,6 +24,7 @@
 )
 from mountstand.online.event_stream import MAX_FRAME_BYTES, EventStreamDecoder, MalformedStream
 from mountstand.store.ports import Machine, MachineRole
+from mountstand.transport.bounded_reply import MAX_REPLY_BYTES
 
 REQUEST = BackendRequest("r1", "POST", "/v1/completions", b"{}", 0)
 TIMEOUT_S = 3.0
