Own interface: no error of a save or of a server passes without a line

Read in the change: an unexpected error while failures are saved ended in a thread of a pool, which keeps errors to itself, and a server that ends without an error stopped its daemon without a line.

Evidence: test_an_unexpected_error_is_logged_and_the_count_kept failed before and passes now. A server that ends without an error was not brought about.

--- a/mountstand/batch/range_failures.py
+++ b/mountstand/batch/range_failures.py
@@ -12,7 +12,7 @@
 from collections import Counter
 
 from mountstand.batch.model import failures_row
-from mountstand.errors import MountstandError, WriteConflict
+from mountstand.errors import WriteConflict
 from mountstand.store.ports import ABSENT, Condition, Put, TablePort, Transaction
 from mountstand.telemetry.logs import log_state_change
 from mountstand.wire.messages import RangeKey
@@ -89,7 +89,7 @@
         try:
             while self._unsaved:
                 self._save_once()
-        except MountstandError as error:
+        except Exception as error:
             self._note_delayed(error)
         else:
             self._is_delayed = False
@@ -115,13 +115,13 @@
             saved = {item for item in self._unsaved if self._count_by_item[item] == counts[item]}
             self._unsaved -= saved
 
-    def _note_delayed(self, error: MountstandError) -> None:
+    def _note_delayed(self, error: Exception) -> None:
         if not self._is_delayed:
             log_state_change(
                 logger,
                 "failures of items cannot be saved yet",
                 job=self._key.job_key,
                 range=self._key.range_index,
-                code=error.code,
+                cause=repr(error),
             )
         self._is_delayed = True
--- a/mountstand/http/server.py
+++ b/mountstand/http/server.py
@@ -176,8 +176,9 @@
         try:
             self._server.serve()
         except Exception:
-            logger.exception("server has ended", extra={"address": self._address})
+            logger.exception("server failed", extra={"address": self._address})
         if not self._stopping:
+            logger.error("server has ended", extra={"address": self._address})
             self.on_unexpected_end()
 
     def _prepare(self, prepared: Future[None]) -> None:
--- a/tests/unit/test_range_failures.py
+++ b/tests/unit/test_range_failures.py
@@ -70,6 +70,16 @@
         self.assertTrue(self.first.is_saved(3))
         self.assertEqual(1, self.next_holder().count(3))
 
+    def test_an_unexpected_error_is_logged_and_the_count_kept(self) -> None:
+        """Guards against an error that ends a thread of the executor without a line."""
+        self.first.add(3)
+        refuse = mock.patch.object(self.table, "commit", side_effect=RuntimeError("unexpected"))
+        with refuse, self.assertLogs("mountstand.batch.range_failures", "INFO"):
+            self.first.save()
+        self.assertFalse(self.first.is_saved(3))
+        self.first.save()
+        self.assertEqual(1, self.next_holder().count(3))
+
     def test_a_lost_answer_counts_no_failure_twice(self) -> None:
         """Guards against a write that took effect and is taken for another daemon's."""
         self.first.add(3)
