Tests: the item of the waiting line can't run

The test gave its worker no slots, so that its item waits for one. A record without slots counts as one slot (Worker.slots), so that the item ran at the next tick, 20 ms later at most; where the test came late to look, the item was done and no line told of it.

--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -258,6 +258,8 @@
         async def work() -> None:
             daemon = self.daemon()
             (item,) = submission(items=1).items
+            # Takes all slots of the only worker.
+            self.fleet.directory.workers["w0"].in_flight = 8
             await daemon.submit(submission(items=1))
             runner = daemon.jobs._runners["job1"]
             await eventually(lambda: runner._progress, "item loaded")
@@ -270,7 +272,7 @@
             self.assertEqual(({"slot": 1}, "slot"), (line["causes"], line["cause"]))
             self.assertGreaterEqual(line["idle_s"], 2 * WAIT_LOG_INTERVAL_S)
 
-        self.run_scenario(work, (stream(4),), slots=0)
+        self.run_scenario(work, (stream(4),))
 
     def test_item_is_retried_after_an_event_id_that_is_no_number(self) -> None:
         """Otherwise the error ends the item's task, and nothing works on the item any more."""
