Quarantine: trials that are over keep no workers

Cause: a content kept its workers for 10 s from the start of its trial, also once that had ended with a crash.

Why it works: workers are kept while a trial is under way and from 2 s before the next one, for 10 s at most. Meanwhile a due item gets any worker, and its run is over, or elsewhere, when the next trial begins.

--- a/mountstand/quarantine/separation.py
+++ b/mountstand/quarantine/separation.py
@@ -17,9 +17,9 @@
 from mountstand.quarantine.suspects import CrashSuspects
 
 RESERVATION_S = 10.0
-"""How long workers stay reserved for a content after its last crash, or after its trial became due
-or started. Retries arrive within seconds; a content that never returns must release its workers.
-"""
+"""How long workers stay reserved for a content, at most: after its last crash, after the start of a
+trial, and from shortly before a trial is due. Retries arrive within seconds; a content that never
+returns must release its workers."""
 
 MAX_CONTENTS_WITH_RESERVATIONS = 4
 """Contents that may have workers reserved at the same time. A crashing request makes strong
--- a/mountstand/quarantine/suspects.py
+++ b/mountstand/quarantine/suspects.py
@@ -40,7 +40,6 @@
     NEVER_S,
     NO_TRIALS,
     SUSPECT_RETENTION_S,
-    TRIAL_JITTER_S,
     CrashByWorker,
     Suspect,
     Trials,
@@ -52,6 +51,10 @@
 MAX_SUSPECTS = 1024
 """Contents kept, about 400 bytes each. A single crash can add one for each slot of the worker."""
 
+TRIAL_LEAD_S = 2.0
+"""How long before its next trial a content gets its workers. Another suspect's run that began there
+meanwhile would often last into the trial, which then tells nothing."""
+
 
 class SuspectKind(Enum):
     """What is suspected of crashing workers."""
@@ -126,20 +129,40 @@
                 yield content
 
     def recent_trials(self, now_s: float, within_s: float) -> Iterator[int]:
-        """Yield contents whose trial became due or was started by any daemon within ``within_s``.
+        """Yield contents that need workers for a trial.
 
-        A trial counts as due ``TRIAL_JITTER_S`` before ``trial_at_s``, so that workers are reserved
-        before the first daemon starts it. Blocked contents may be batch items with a trial.
+        That is from ``TRIAL_LEAD_S`` before a trial is due, or from its start, for ``within_s`` at
+        most, and no longer than until the trial is known to have ended. A content that waits for
+        its next trial after a crash needs no worker, and would keep others from their trials.
         """
         for content, suspect in self.by_content.items():
-            requires_trial = content in self._verdicts.trial_required
-            if not requires_trial and content not in self._verdicts.blocked_until_s:
-                continue
-            due_s = suspect.trial_at_s - TRIAL_JITTER_S
-            is_due = requires_trial and 0 <= now_s - due_s <= within_s
-            if is_due or suspect.trials.last_at_s >= now_s - within_s:
+            is_running = (
+                suspect.is_last_trial_unclear and suspect.trials.last_at_s >= now_s - within_s
+            )
+            if (is_running and self._may_be_tried(content)) or any(
+                0 <= now_s - (due_s - TRIAL_LEAD_S) <= within_s
+                for due_s in self._next_trials_s(content)
+            ):
                 yield content
 
+    def _may_be_tried(self, content: int) -> bool:
+        """Return whether a content has trials, as a request or as a batch item."""
+        verdicts = self._verdicts
+        return content in verdicts.trial_required or content in verdicts.blocked_until_s
+
+    def _next_trials_s(self, content: int) -> list[float]:
+        """Return when the next trials of a content are due, as a request and as a batch item.
+
+        A request that is blocked as the cause of its crashes has none. That such a content may be
+        an item is known once it has been tried.
+        """
+        suspect = self.by_content[content]
+        if content in self._verdicts.trial_required:
+            return [suspect.trial_at_s, item_trial_at_s(suspect)]
+        if not suspect.trials.count or content not in self._verdicts.blocked_until_s:
+            return []
+        return [] if self.is_batch_cause(content) else [item_trial_at_s(suspect)]
+
     def is_trial_overdue(self, content: int, now_s: float) -> bool:
         """Return whether a content that requires a trial could have had it by now, as an item."""
         if content not in self._verdicts.trial_required:
--- a/tests/serving/test_held_back.py
+++ b/tests/serving/test_held_back.py
@@ -10,6 +10,7 @@
 from mountstand.quarantine.separation import SuspectSeparation
 from mountstand.quarantine.suspect import WorkerCrash
 from mountstand.quarantine.suspects import CrashSuspects
+from mountstand.quarantine.workload import Workload
 from mountstand.serving.configuration import RequestKind, Route
 from mountstand.serving.worker_protocol import Call
 from tests.serving.test_forwarder import (
@@ -281,3 +282,25 @@
         allowed = [n for n in range(6) if separation.allows(7, f"w{n}", overdue_s)]
         self.assertTrue(0 < len(allowed) < 6, allowed)
         self.assertTrue(all(separation.allows(7, f"w{n}", later_s) for n in range(6)))
+
+    def test_trial_that_has_ended_keeps_no_worker_until_the_next_one_is_near(self) -> None:
+        """Guards against items that wait without end, as trials that are over keep workers."""
+        suspects = CrashSuspects()
+        for content, crashed_s in ((7, 80.0), (8, 100.0)):
+            for n in range(3):
+                # Crashes of overlapping runs count as two, so that a trial is required.
+                crash = WorkerCrash(crashed_s + n / 100, 0.1)
+                suspects.merge(content, {content * 10 + n: crash})
+        separation = SuspectSeparation(suspects)
+
+        def allowed(now_s: float) -> int:
+            return sum(separation.allows(7, f"w{n}", now_s) for n in range(6))
+
+        trial_at_s = 102.5
+        suspects.begin_trial(8, trial_at_s, Workload.BATCH)
+        self.assertTrue(0 < allowed(trial_at_s + 0.1) < 6, "a trial is under way")
+        crashed_at_s = trial_at_s + 0.2
+        suspects.merge(8, {89: WorkerCrash(crashed_at_s, 0.1)})
+        self.assertEqual(6, allowed(crashed_at_s + 0.1))
+        self.assertEqual(6, allowed(crashed_at_s + 5.0))
+        self.assertTrue(0 < allowed(crashed_at_s + 6.5) < 6, "a trial is due soon")
