--- a/tests/stand_ins/own_stream.py
+++ b/tests/stand_ins/own_stream.py
@@ -8,7 +8,7 @@
 
 from mountstand.clock import elapsed_s
 from mountstand.engines.http_backend import HttpBackend
-from mountstand.engines.port import LoadReport
+from mountstand.engines.port import BackendPort, LoadReport
 from mountstand.online.request import OnlineRequest
 from mountstand.online.service import OnlineService
 from mountstand.quarantine.threads import ContentQuarantine, TableSuspects
@@ -35,8 +35,11 @@
     )
 
 
-def read_stream(test: TestCase, *machines: Machine) -> bytes:
-    """Return what a caller gets whose stream begins at the first machine, ``w0``."""
+def read_stream(test: TestCase, *machines: Machine, backend: BackendPort | None = None) -> bytes:
+    """Return what a caller gets whose stream begins at the first machine, ``w0``.
+
+    The machines are engines that listen, unless there is a ``backend`` in their place.
+    """
     router = Router("a", 1)
     metrics = DaemonMetrics()
     quarantine = ContentQuarantine(
@@ -47,7 +50,7 @@
         metrics,
         1,
     )
-    service = OnlineService(router, HttpBackend(), MemoryTable(), metrics, quarantine)
+    service = OnlineService(router, backend or HttpBackend(), MemoryTable(), metrics, quarantine)
     test.addCleanup(service.relay.close)
     router.update_machines(machines[:1])
     router.record_load("w0", LoadReport(0, 0, 0, 0, slots=10, leaving=False))
